--- a/core/event/event.go
+++ b/core/event/event.go
@@ -136,6 +136,12 @@
 		Leaving bool
 		At      time.Time // when the server measured it
 	}
+	// Down says that a backend server did not answer a load query.
+	Down struct {
+		In
+		Server  id.Server
+		Refused bool // nothing listens at its address: the process has ended
+	}
 	// Cached is a batch of prefix cache events of a model engine.
 	Cached struct {
 		In
--- /dev/null
+++ b/core/node/command.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"time"
+
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/move"
+	"bluebellflow/core/request"
+	"bluebellflow/core/route"
+	"bluebellflow/core/settings"
+)
+
+// maxKeys bounds the one-time keys that one command may ask for.
+const maxKeys = 1000
+
+type (
+	// Status asks what the node knows of the whole system.
+	Status struct{ event.Command }
+	// Explain asks for an effective value and the ancestor that it comes from.
+	Explain struct {
+		event.Command
+		Workspace id.Workspace
+		Pipeline  id.Pipeline
+		Domain    id.FailureDomain
+		Key       string
+	}
+	// Issue asks for one-time keys.
+	Issue struct {
+		event.Command
+		Count int
+	}
+	// Read asks for the configuration in force.
+	Read struct{ event.Command }
+)
+
+// Report is the answer to Status.
+type Report struct {
+	Node     id.Node          `json:"node"`
+	Domain   id.FailureDomain `json:"domain"`
+	Revision id.Revision      `json:"revision"`
+	Ready    bool             `json:"ready"`
+	Nodes    []NodeReport     `json:"nodes"`
+	Domains  []DomainReport   `json:"domains"`
+	Moves    []move.Status    `json:"moves"`
+	Open     int              `json:"open"`
+	Requests request.Counters `json:"requests"`
+}
+
+// NodeReport is what a node knows of another one.
+type NodeReport struct {
+	Node     id.Node          `json:"node"`
+	Domain   id.FailureDomain `json:"domain"`
+	Revision id.Revision      `json:"revision"` // configuration in force there when last heard, 0 if never heard
+	Heard    string           `json:"heard"`    // time since the last heartbeat, "never" if there was none
+	Silent   bool             `json:"silent"`   // not heard from for longer than the suspicion time
+	Leaving  bool             `json:"leaving"`
+}
+
+// DomainReport is a failure domain's state as this node sees it.
+type DomainReport struct {
+	Domain    id.FailureDomain `json:"domain"`
+	State     string           `json:"state"`
+	Epoch     uint64           `json:"epoch"`
+	Committed bool             `json:"committed"` // false: accepted while the platform could not be reached
+	By        string           `json:"by"`
+}
+
+// Configuration is the answer to Read.
+type Configuration struct {
+	Revision id.Revision       `json:"revision"`
+	Parts    map[string][]byte `json:"parts"`
+}
+
+func (n *Node) explain(ev Explain) event.Action {
+	found, err := n.config.Tree().Explain(ev.Workspace, ev.Pipeline, ev.Domain, ev.Key)
+	if err != nil {
+		return event.Answer{Number: ev.Number, Fault: &event.Problem{Kind: event.Invalid, Detail: err.Error()}}
+	}
+	return event.Answer{Number: ev.Number, Value: found}
+}
+
+func (n *Node) issue(now time.Time, ev Issue) event.Action {
+	if ev.Count < 1 || ev.Count > maxKeys {
+		return event.Answer{Number: ev.Number, Fault: &event.Problem{Kind: event.Invalid, Detail: "count: want 1 to 1000"}}
+	}
+	return event.Answer{Number: ev.Number, Value: n.claims.Issue(now, ev.Count)}
+}
+
+// poolLimits tells the router what the servers of each pool can handle.
+func poolLimits(tree *settings.Tree) route.Pools {
+	limits := route.Pools{Cold: map[id.Pool]int{}, Warm: map[id.Pool]int{}}
+	for _, p := range tree.Pools() {
+		limits.Cold[p.Name] = p.Cold
+		limits.Warm[p.Name] = p.Warm
+	}
+	return limits
+}
+
+var _ = domain.Drained
--- /dev/null
+++ b/core/node/node.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"bluebellflow/core/admit"
+	"bluebellflow/core/claim"
+	"bluebellflow/core/config"
+	"bluebellflow/core/crash"
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/move"
+	"bluebellflow/core/request"
+	"bluebellflow/core/route"
+)
+
+const (
+	// maxRounds bounds the internal actions of one step; more means that two packages answer each other forever.
+	maxRounds = 10_000
+	// balancerLag is how long the platform's balancer may go on sending callers to a node that is not ready.
+	balancerLag = 2 * time.Second
+	// stopPoll is how often a stopping node looks whether its last request has ended.
+	stopPoll = 50 * time.Millisecond
+)
+
+// module is one decision package.
+type module interface {
+	Step(now time.Time, ev event.Event) []event.Action
+	Next() time.Time
+}
+
+// Node is the decision logic of one process.
+type Node struct {
+	self     event.Self
+	members  *member.Members
+	config   *config.Config
+	domains  *domain.Domains
+	claims   *claim.Claims
+	guard    *crash.Guard
+	router   *route.Router
+	queue    *admit.Queue
+	moves    *move.Moves
+	requests *request.Requests
+	modules  []module
+
+	ready    bool
+	stopped  time.Time // when Stop came, zero before
+	exited   bool
+	waitNext time.Time
+}
+
+// New returns a node that knows only itself.
+func New(self event.Self, opts ...Option) *Node {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
+	n := &Node{
+		self:    self,
+		members: member.New(self, o.member...),
+		config:  config.New(self, o.config...),
+		domains: domain.New(self, o.domain...),
+		claims:  claim.New(self, o.claim...),
+		guard:   crash.New(self, o.crash...),
+		router:  route.New(self, o.route...),
+		queue:   admit.New(self, o.admit...),
+		moves:   move.New(self, o.move...),
+	}
+	n.requests = request.New(self, request.Parts{
+		Router: n.router, Queue: n.queue, Claims: n.claims, Guard: n.guard,
+		Versions: n.moves, Settings: n.config,
+	})
+	n.modules = []module{
+		n.members, n.config, n.domains, n.claims, n.guard, n.router, n.queue, n.moves, n.requests,
+	}
+	return n
+}
+
+// Step handles one event and returns what is to be done for it, in order.
+func (n *Node) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	pending := []event.Event{ev}
+	for round := 0; len(pending) > 0; round++ {
+		if round == maxRounds {
+			panic(fmt.Sprintf("node %s: internal actions do not end, last %T", n.self.Node, pending[0]))
+		}
+		ev := pending[0]
+		pending = pending[1:]
+		for _, a := range n.handle(now, ev) {
+			if inner, ok := event.IsInternal(a); ok {
+				pending = append(pending, inner)
+				continue
+			}
+			out = append(out, a)
+		}
+	}
+	return append(out, n.state(now)...)
+}
+
+// handle gives one event to every package; each ignores what does not concern it.
+func (n *Node) handle(now time.Time, ev event.Event) []event.Action {
+	out := n.own(now, ev)
+	for _, m := range n.modules {
+		out = append(out, m.Step(now, ev)...)
+	}
+	return out
+}
+
+// own handles the events that concern the composition, and translates between packages.
+func (n *Node) own(now time.Time, ev event.Event) []event.Action {
+	switch ev := ev.(type) {
+	case config.Changed:
+		return []event.Action{poolLimits(ev.Tree)}
+	case domain.Changed:
+		return []event.Action{route.DomainState{
+			Domain: ev.Domain, Open: ev.State != domain.Drained, Cold: ev.State == domain.Ramping,
+		}}
+	case event.Stop:
+		return n.stop(now)
+	case Status:
+		return []event.Action{event.Answer{Number: ev.Number, Value: n.report(now)}}
+	case Explain:
+		return []event.Action{n.explain(ev)}
+	case Issue:
+		return []event.Action{n.issue(now, ev)}
+	case Read:
+		return []event.Action{event.Answer{Number: ev.Number, Value: Configuration{Revision: n.config.Revision(), Parts: n.config.Tree().Parts()}}}
+	}
+	return nil
+}
+
+// stop begins a graceful shutdown: unready first, then nothing new by choice, then wait for the open requests.
+func (n *Node) stop(now time.Time) []event.Action {
+	if !n.stopped.IsZero() {
+		return nil
+	}
+	n.stopped = now
+	return append([]event.Action{event.Ready{Ready: false}}, n.members.Leave(now)...)
+}
+
+// state emits what depends on all packages together: readiness and exit.
+func (n *Node) state(now time.Time) []event.Action {
+	var out []event.Action
+	ready := n.stopped.IsZero() && n.config.Revision() > 0
+	if ready && !n.ready {
+		out = append(out, event.Ready{Ready: true})
+	}
+	n.ready = ready
+	n.waitNext = time.Time{}
+	if n.stopped.IsZero() || n.exited {
+		return out
+	}
+	if n.requests.Open() == 0 && n.claims.Settled() && now.Sub(n.stopped) >= balancerLag {
+		n.exited = true
+		return append(out, event.Exit{})
+	}
+	n.waitNext = now.Add(stopPoll)
+	return out
+}
+
+// Next returns the time of the earliest timer, zero for none.
+func (n *Node) Next() time.Time {
+	next := n.waitNext
+	for _, m := range n.modules {
+		t := m.Next()
+		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	return next
+}
+
+// Versions returns what every message of this node carries: the newest configuration and domain records that it knows.
+func (n *Node) Versions() (id.Revision, uint64) { return n.config.Revision(), n.domains.Version() }
+
+// Ready reports whether the balancer may send callers to this node.
+func (n *Node) Ready() bool { return n.ready }
--- /dev/null
+++ b/core/node/option.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"bluebellflow/core/admit"
+	"bluebellflow/core/claim"
+	"bluebellflow/core/config"
+	"bluebellflow/core/crash"
+	"bluebellflow/core/domain"
+	"bluebellflow/core/member"
+	"bluebellflow/core/move"
+	"bluebellflow/core/route"
+)
+
+type options struct {
+	member []member.Option
+	config []config.Option
+	domain []domain.Option
+	claim  []claim.Option
+	crash  []crash.Option
+	route  []route.Option
+	admit  []admit.Option
+	move   []move.Option
+}
+
+// Option changes how a node is put together.
+type Option func(*options)
+
+// WithMember passes options to package member.
+func WithMember(opts ...member.Option) Option {
+	return func(o *options) { o.member = append(o.member, opts...) }
+}
+
+// WithConfig passes options to package config.
+func WithConfig(opts ...config.Option) Option {
+	return func(o *options) { o.config = append(o.config, opts...) }
+}
+
+// WithDomain passes options to package domain.
+func WithDomain(opts ...domain.Option) Option {
+	return func(o *options) { o.domain = append(o.domain, opts...) }
+}
+
+// WithClaim passes options to package claim.
+func WithClaim(opts ...claim.Option) Option {
+	return func(o *options) { o.claim = append(o.claim, opts...) }
+}
+
+// WithCrash passes options to package crash.
+func WithCrash(opts ...crash.Option) Option {
+	return func(o *options) { o.crash = append(o.crash, opts...) }
+}
+
+// WithRoute passes options to package route.
+func WithRoute(opts ...route.Option) Option {
+	return func(o *options) { o.route = append(o.route, opts...) }
+}
+
+// WithAdmit passes options to package admit.
+func WithAdmit(opts ...admit.Option) Option {
+	return func(o *options) { o.admit = append(o.admit, opts...) }
+}
+
+// WithMove passes options to package move.
+func WithMove(opts ...move.Option) Option {
+	return func(o *options) { o.move = append(o.move, opts...) }
+}
--- a/core/prove/world.go
+++ b/core/prove/world.go
@@ -46,6 +46,7 @@
 	nodes map[id.Node]*host
 	order []id.Node
 	cuts  map[[2]id.Node]bool
+	apart id.Set[id.FailureDomain] // domains separated from all others
 	queue deliveries
 	seq   uint64
 }
@@ -69,6 +70,7 @@
 		Network: Network{MinDelay: 200 * time.Microsecond, MaxDelay: time.Millisecond},
 		nodes:   map[id.Node]*host{},
 		cuts:    map[[2]id.Node]bool{},
+		apart:   id.NewSet[id.FailureDomain](),
 	}
 	w.Platform = newPlatform(w)
 	return w
@@ -132,12 +134,20 @@
 			}
 		}
 	}
+	w.apart.Add(d)
 	w.note("cut %s", d)
 }
 
+// Apart reports whether a node cannot reach a failure domain.
+func (w *World) Apart(name id.Node, d id.FailureDomain) bool {
+	own := w.nodes[name].self.FailureDomain
+	return own != d && (w.apart.Has(own) || w.apart.Has(d))
+}
+
 // Heal ends all cuts between nodes.
 func (w *World) Heal() {
 	clear(w.cuts)
+	clear(w.apart)
 	w.note("heal")
 }
 
--- /dev/null
+++ b/core/request/open.go
@@ -0,0 +1,253 @@
+package request
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/admit"
+	"bluebellflow/core/claim"
+	"bluebellflow/core/crash"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/settings"
+)
+
+// phase says what a request waits for.
+type phase uint8
+
+const (
+	looking   phase = iota + 1 // what is known of its idempotency key
+	guarding                   // the guard's verdict on its fingerprint
+	queued                     // admission
+	claiming                   // the claim on its idempotency key
+	placing                    // room on a backend server
+	running                    // an attempt
+	verifying                  // whether a broken attempt was a crash of its server
+	settling                   // answered; the outcome of a non-idempotent attempt is still wanted
+)
+
+// open is a request without a final answer, or one whose action's outcome must still be recorded.
+type open struct {
+	arrive   event.Arrive
+	plan     settings.Effective
+	print    id.Fingerprint
+	prefix   []uint64
+	deadline time.Time
+	phase    phase
+	admitted bool
+	alone    bool // suspected of crashing servers: runs with nothing else on the server
+
+	stage     int
+	prior     []byte     // output of the stage before
+	text      []byte     // output of the present streaming stage, kept while the caller does not stream
+	delivered int        // tokens of the present streaming stage that were accepted
+	version   id.Version // version asked for, empty for any
+	served    id.Version // version that produced the accepted tokens
+	pinned    bool       // the version must not change any more, since tokens of it were passed on
+	tries     []*try
+	avoid     []id.Server
+	retried   int
+	entered   time.Time // when the stage began
+	waited    time.Time // when waiting for room began
+
+	granted    bool // the claim is ours
+	dispatched bool // a non-idempotent attempt left this node
+	sent       bool // any attempt left this node
+	absent     bool // the key was not claimed when the request arrived
+	broken     id.Server
+	verified   time.Time    // until when to wait for signs of a crash
+	crashed    []id.Version // versions whose servers crashed on the present stage
+}
+
+func (o *open) current() settings.Stage { return o.plan.Stages[o.stage] }
+
+// onlyOnce reports whether the present stage must not run twice.
+func (o *open) onlyOnce() bool {
+	s := o.current()
+	return s.Kind == settings.Action && !s.Idempotent
+}
+
+// needsKey reports whether any stage must not run twice.
+func needsKey(plan settings.Effective) bool {
+	for _, s := range plan.Stages {
+		if s.Kind == settings.Action && !s.Idempotent {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *open) remaining() []string {
+	names := make([]string, 0, len(o.plan.Stages)-o.stage)
+	for _, s := range o.plan.Stages[o.stage:] {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+// Fingerprint identifies the content of a request, whoever sends it and however often.
+func Fingerprint(ws id.Workspace, p id.Pipeline, body []byte) id.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(strconv.Itoa(len(ws)))
+	_, _ = d.WriteString(string(ws))
+	_, _ = d.WriteString(strconv.Itoa(len(p)))
+	_, _ = d.WriteString(string(p))
+	_, _ = d.Write(body)
+	return id.Fingerprint(d.Sum64())
+}
+
+// smallestPrefix and largestPrefix bound the prefixes in bytes that engines publish cache events for.
+const (
+	smallestPrefix = 64
+	largestPrefix  = 64 << 10
+)
+
+// prefixes returns the hashes of the body's first 64, 128, 256 … bytes, as engines publish them.
+func prefixes(body []byte) []uint64 {
+	var out []uint64
+	for n := smallestPrefix; n <= len(body) && n <= largestPrefix; n *= 2 {
+		out = append(out, xxhash.Sum64(body[:n]))
+	}
+	return out
+}
+
+func (r *Requests) arrive(now time.Time, ev event.Arrive, out *actions) {
+	if _, again := r.open[ev.Request]; again {
+		return
+	}
+	plan, err := r.parts.Settings.Tree().Effective(ev.Workspace, ev.Pipeline, r.self.FailureDomain)
+	if err != nil {
+		out.add(problem(ev.Request, event.Invalid, err.Error(), 0))
+		return
+	}
+	if needsKey(plan) && ev.Key == "" {
+		out.add(problem(ev.Request, event.Invalid, "pipeline "+string(ev.Pipeline)+" runs at most once and needs an Idempotency-Key", 0))
+		return
+	}
+	o := &open{arrive: ev, plan: plan, deadline: now.Add(plan.Deadline), phase: guarding, entered: now}
+	if !ev.Deadline.IsZero() && ev.Deadline.Before(o.deadline) {
+		o.deadline = ev.Deadline
+	}
+	if !o.deadline.After(now) {
+		out.add(problem(ev.Request, event.Deadline, "the deadline had passed on arrival", 0))
+		return
+	}
+	o.print = Fingerprint(ev.Workspace, ev.Pipeline, ev.Body)
+	o.prefix = prefixes(ev.Body)
+	r.open[ev.Request] = o
+	r.counters.Opened++
+	r.timers.set(o.deadline, ev.Request)
+	if needsKey(plan) {
+		o.phase = looking
+		out.add(r.parts.Claims.Look(now, o.claim())...)
+		return
+	}
+	out.add(r.parts.Guard.Ask(now, ev.Request, o.print)...)
+}
+
+func (o *open) claim() claim.Request {
+	return claim.Request{
+		Request: o.arrive.Request, Workspace: o.arrive.Workspace, Key: o.arrive.Key,
+		Print: o.print, Deadline: o.deadline,
+	}
+}
+
+// guarded continues a request whose fingerprint was judged.
+func (r *Requests) guarded(now time.Time, ev crash.Decided, out *actions) {
+	o, ok := r.open[ev.Request]
+	if !ok || o.phase != guarding {
+		return
+	}
+	o.alone = ev.Verdict == crash.Alone
+	if ev.Verdict == crash.Refuse {
+		out.log("guard", o, "refuse", "requests with this content crashed backend servers")
+		r.refuse(now, o, "requests with this content crashed backend servers", ev.RetryAfter, out)
+		return
+	}
+	if o.admitted {
+		r.begin(now, o, out)
+		return
+	}
+	r.admit(now, o, out)
+}
+
+func (r *Requests) admit(now time.Time, o *open, out *actions) {
+	v := r.parts.Queue.Offer(now, admit.Task{
+		Request: o.arrive.Request, Workspace: o.arrive.Workspace, Pipeline: o.arrive.Pipeline,
+		Stages: o.remaining(), Weight: o.plan.Weight, Limit: o.plan.Limit,
+		Priority: o.arrive.Priority, Deadline: o.deadline,
+	})
+	switch v.Kind {
+	case admit.Run:
+		o.admitted = true
+		r.begin(now, o, out)
+	case admit.Queued:
+		o.phase = queued
+		out.log("admit", o, "queue", v.Reason)
+	case admit.Refuse:
+		out.log("admit", o, "refuse", v.Reason)
+		r.refuse(now, o, v.Reason, v.RetryAfter, out)
+	}
+}
+
+// next admits queued requests for which there is room now.
+func (r *Requests) next(now time.Time, out *actions) {
+	for {
+		task, ok := r.parts.Queue.Next(now, func(admit.Task) bool { return true })
+		if !ok {
+			return
+		}
+		o, open := r.open[task.Request]
+		if !open || o.phase != queued {
+			r.parts.Queue.Finish(task.Request)
+			continue
+		}
+		o.admitted = true
+		r.begin(now, o, out)
+	}
+}
+
+// claimed continues a request whose idempotency key was looked up.
+func (r *Requests) claimed(now time.Time, ev claim.Decided, out *actions) {
+	o, ok := r.open[ev.Request]
+	if !ok || (o.phase != claiming && o.phase != looking) {
+		if ev.Verdict == claim.Granted {
+			// The request ended while its claim was on its way; it was never dispatched.
+			out.add(r.parts.Claims.Settle(now, ev.Request, claim.Void, nil)...)
+		}
+		return
+	}
+	switch ev.Verdict {
+	case claim.Granted:
+		o.granted = true
+		r.place(now, o, out)
+	case claim.Recorded:
+		out.log("claim", o, "recorded", "the key's earlier run has an answer")
+		r.finish(now, o, ev.Result, out)
+	case claim.RejectedBefore:
+		r.giveUp(now, o, event.Failed, "an earlier request with this key failed without effect", 0, out)
+	case claim.Mismatch:
+		r.giveUp(now, o, event.Invalid, "the Idempotency-Key was used with another request", 0, out)
+	case claim.Absent:
+		r.unclaimed(now, o, out)
+	case claim.NotIssued:
+		r.giveUp(now, o, event.Invalid, "the one-time key was not issued", 0, out)
+	default:
+		r.giveUp(now, o, event.Unknown, "an earlier request with this key may have run", claimRetry, out)
+	}
+}
+
+// unclaimed continues a request whose key nobody holds, or refuses it if the key cannot be claimed now.
+func (r *Requests) unclaimed(now time.Time, o *open, out *actions) {
+	o.absent = true
+	if o.phase == claiming {
+		o.phase = placing
+		r.refuse(now, o, "the key cannot be claimed now", claimRetry, out)
+		return
+	}
+	o.phase = guarding
+	out.add(r.parts.Guard.Ask(now, o.arrive.Request, o.print)...)
+}
--- /dev/null
+++ b/core/request/request.go
@@ -0,0 +1,159 @@
+package request
+
+import (
+	"time"
+
+	"bluebellflow/core/admit"
+	"bluebellflow/core/claim"
+	"bluebellflow/core/crash"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/move"
+	"bluebellflow/core/route"
+	"bluebellflow/core/settings"
+)
+
+type router interface {
+	Place(now time.Time, attempt id.Attempt, q route.Query) (route.Choice, []event.Action)
+	End(now time.Time, attempt id.Attempt, o route.Outcome) []event.Action
+}
+
+type queue interface {
+	Offer(now time.Time, t admit.Task) admit.Verdict
+	Next(now time.Time, fits func(admit.Task) bool) (admit.Task, bool)
+	Finish(r id.Request)
+	Expired(now time.Time) []admit.Task
+	Observe(p id.Pipeline, stage string, took time.Duration)
+	Estimate(p id.Pipeline, stages []string) time.Duration
+	Retry(now time.Time, p id.Pipeline) bool
+	Success(p id.Pipeline)
+}
+
+type claims interface {
+	Look(now time.Time, r claim.Request) []event.Action
+	Ask(now time.Time, r claim.Request) []event.Action
+	Settle(now time.Time, r id.Request, s claim.State, result []byte) []event.Action
+}
+
+type guard interface {
+	Ask(now time.Time, r id.Request, fp id.Fingerprint) []event.Action
+	Crashed(now time.Time, fp id.Fingerprint, server id.Server, start id.Start) []event.Action
+	Finish(now time.Time, r id.Request, fp id.Fingerprint) []event.Action
+}
+
+type versions interface {
+	Choose(now time.Time, pool id.Pool, fp id.Fingerprint, p id.Pipeline) id.Version
+	Observe(now time.Time, s move.Sample) []event.Action
+}
+
+type tree interface {
+	Tree() *settings.Tree
+}
+
+// Parts are the decision packages that a request needs.
+type Parts struct {
+	Router   router
+	Queue    queue
+	Claims   claims
+	Guard    guard
+	Versions versions
+	Settings tree
+}
+
+// Requests holds all open requests of a node.
+type Requests struct {
+	self     event.Self
+	parts    Parts
+	open     map[id.Request]*open
+	attempts map[id.Attempt]*try
+	waiting  map[id.Pool][]id.Request // requests that no server had room for, in order of arrival
+	watches  map[id.Server][]watch
+	timers   timers
+	last     id.Attempt
+	starts   map[id.Server]id.Start
+	counters Counters
+}
+
+// Counters count what no answer shows.
+type Counters struct {
+	Opened    uint64 `json:"opened"`    // requests accepted for processing
+	Answered  uint64 `json:"answered"`  // whole answers
+	Problems  uint64 `json:"problems"`  // final answers other than success
+	Attempts  uint64 `json:"attempts"`  // dispatches
+	Retries   uint64 `json:"retries"`   // dispatches after a failed attempt
+	Hedges    uint64 `json:"hedges"`    // second attempts beside a slow one
+	Abandoned uint64 `json:"abandoned"` // parts and ends of attempts that were given up, dropped
+	Gaps      uint64 `json:"gaps"`      // streams cut off because a part was missing
+}
+
+// New returns a request table that decides with the given parts.
+func New(self event.Self, parts Parts) *Requests {
+	return &Requests{
+		self: self, parts: parts,
+		open:     map[id.Request]*open{},
+		attempts: map[id.Attempt]*try{},
+		waiting:  map[id.Pool][]id.Request{},
+		watches:  map[id.Server][]watch{},
+		starts:   map[id.Server]id.Start{},
+	}
+}
+
+// Open returns the number of requests without a final answer, and of attempts whose outcome still matters.
+func (r *Requests) Open() int { return len(r.open) }
+
+// Counters returns the counts since the process started.
+func (r *Requests) Counters() Counters { return r.counters }
+
+// Next returns the time of the next timer, zero for none.
+func (r *Requests) Next() time.Time { return r.timers.next() }
+
+// Step handles one event.
+func (r *Requests) Step(now time.Time, ev event.Event) []event.Action {
+	var out actions
+	switch ev := ev.(type) {
+	case event.Arrive:
+		r.arrive(now, ev, &out)
+	case event.Gone:
+		r.gone(now, ev.Request, &out)
+	case event.Part:
+		r.part(now, ev, &out)
+	case event.Done:
+		r.done(now, ev, &out)
+	case event.Fail:
+		r.fail(now, ev, &out)
+	case event.Report:
+		r.heardStart(now, ev.Server, ev.Start, &out)
+	case event.Down:
+		r.serverDown(now, ev, &out)
+	case member.ServerChanged:
+		if ev.Server.Start != "" {
+			r.heardStart(now, ev.Server.ID, ev.Server.Start, &out)
+		}
+	case member.ServerGone:
+		delete(r.starts, ev.Server)
+		delete(r.watches, ev.Server)
+	case crash.Decided:
+		r.guarded(now, ev, &out)
+	case claim.Decided:
+		r.claimed(now, ev, &out)
+	case route.Room:
+		r.room(now, ev.Pool, &out)
+	case event.Tick:
+		r.tick(now, &out)
+	}
+	return out
+}
+
+// actions collects what a step wants done.
+type actions []event.Action
+
+func (a *actions) add(more ...event.Action) { *a = append(*a, more...) }
+
+func (a *actions) log(kind string, o *open, choice, reason string) {
+	stage := ""
+	if o.stage < len(o.plan.Stages) {
+		stage = o.plan.Stages[o.stage].Name
+	}
+	a.add(event.Log{Kind: kind, Request: o.arrive.Request, Stage: stage, Choice: choice, Reason: reason})
+}
