--- /dev/null
+++ b/core/settings/node.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"bluebellflow/core/id"
+)
+
+const (
+	defaultBody  = 1 << 20
+	maxBody      = 64 << 20
+	defaultOpen  = 4096
+	maxOpen      = 1_000_000
+	defaultGrace = 30 * time.Second
+	maxGrace     = time.Hour
+)
+
+// Node holds the settings of one process.
+type Node struct {
+	Name          id.Node
+	FailureDomain id.FailureDomain
+	Region        id.Region
+	Peer          netip.AddrPort // address for other nodes
+	Caller        netip.AddrPort // address for callers
+	Admin         netip.AddrPort // address for operators
+	Platform      netip.AddrPort // address of the platform's object API
+	Limits        Limits
+}
+
+// Limits bound the resources of one process.
+type Limits struct {
+	Body  int           // bytes of a request body
+	Open  int           // requests open at once
+	Grace time.Duration // longest wait for open requests at a stop
+}
+
+// ParseNode reads the settings of one process. The error holds all Findings.
+func ParseNode(name string, src []byte) (*Node, error) {
+	n := &Node{Limits: Limits{Body: defaultBody, Open: defaultOpen, Grace: defaultGrace}}
+	r, root, ok := open(name, src)
+	if !ok {
+		return nil, r.found.result()
+	}
+	given := id.NewSet[string]()
+	addrs := map[netip.AddrPort]string{}
+	for _, m := range r.object("node", root) {
+		given.Add(m.key)
+		r.nodeMember(n, m, addrs)
+	}
+	if _, isObject := root.Value.(*hujson.Object); isObject {
+		for _, key := range []string{"name", "domain", "region", "peer", "caller", "admin", "platform"} {
+			if !given.Has(key) {
+				r.report(root.StartOffset, "node: %s is required", key)
+			}
+		}
+	}
+	if err := r.found.result(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (r *reader) nodeMember(n *Node, m member, addrs map[netip.AddrPort]string) {
+	what := "node." + m.key
+	addr := func(into *netip.AddrPort) {
+		*into = r.addr(what, m.value)
+		if other, twice := addrs[*into]; twice && into.IsValid() {
+			r.report(m.value.StartOffset, "%s: same address as %s", what, other)
+		}
+		addrs[*into] = m.key
+	}
+	switch m.key {
+	case "name":
+		n.Name = id.Node(r.name(what, m.value))
+	case "domain":
+		n.FailureDomain = id.FailureDomain(r.name(what, m.value))
+	case "region":
+		n.Region = id.Region(r.name(what, m.value))
+	case "peer":
+		addr(&n.Peer)
+		// Other nodes connect to this address, so it has to name one machine.
+		if n.Peer.IsValid() && n.Peer.Addr().IsUnspecified() {
+			r.report(m.value.StartOffset, "%s: other nodes cannot connect to %s", what, n.Peer)
+		}
+	case "caller":
+		addr(&n.Caller)
+	case "admin":
+		addr(&n.Admin)
+	case "platform":
+		addr(&n.Platform)
+	case "limits":
+		r.limits(&n.Limits, m)
+	default:
+		r.unknown("node", m)
+	}
+}
+
+func (r *reader) limits(l *Limits, m member) {
+	for _, f := range r.object("node.limits", m.value) {
+		what := "node.limits." + f.key
+		switch f.key {
+		case "body":
+			l.Body, _ = r.whole(what, f.value, maxBody)
+		case "open":
+			l.Open, _ = r.whole(what, f.value, maxOpen)
+		case "grace":
+			l.Grace, _ = r.duration(what, f.value, 0, maxGrace)
+		default:
+			r.unknown("node.limits", f)
+		}
+	}
+}
