config: commit, spread and pull of configurations

Cause: an accepted configuration has to be in force on every node within 2 s and must never revert, although answers of the platform get lost, updates take effect late, and nodes restart, freeze and are cut off.

Ruled out: answering a lost update from a single read back, because the update may still take effect after the read; every node watching the platform, whose watch and read rates do not grow with the fleet; pulling the whole tree from a peer, which exceeds a message at the two-year size.

Change: a lost update is read back by the change's identifier; while the head still has the version that the update was conditional on, the same bytes are put again, so that one of the two decides. Changes that wait on a node go into one update. Two nodes of each domain watch the head, tell their domain, and the others ask them; parts are pulled by digest in bounded messages. The pause between tries is in a package of its own, retry, which domain uses too.

--- /dev/null
+++ b/core/config/head.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"bluebellflow/core/id"
+	"bluebellflow/core/settings"
+)
+
+const (
+	headName   = "config/head"
+	partPrefix = "config/part/"
+	// keptChanges is how many identifiers of changes the head keeps. A change whose answer was lost is looked up
+	// within seconds, during which far fewer changes are made.
+	keptChanges = 128
+)
+
+// Change is the identifier of an accepted change.
+type Change struct {
+	ID       string      `json:"id"`
+	Revision id.Revision `json:"revision"`
+}
+
+// Head is the object on the platform whose update accepts a configuration.
+type Head struct {
+	Revision id.Revision       `json:"revision"`
+	Parts    map[string]string `json:"parts"` // digest of each part by name
+	Changes  []Change          `json:"changes"`
+}
+
+func decodeHead(raw []byte) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return Head{}, fmt.Errorf("decode head: %w", err)
+	}
+	if h.Revision == 0 {
+		return Head{}, errors.New("decode head: no revision")
+	}
+	for name, digest := range h.Parts {
+		if err := settings.CheckPart(name); err != nil {
+			return Head{}, fmt.Errorf("decode head: %w", err)
+		}
+		if err := settings.CheckDigest(digest); err != nil {
+			return Head{}, fmt.Errorf("decode head: part %s: %w", name, err)
+		}
+	}
+	return h, nil
+}
+
+// find returns the revision that a change got.
+func (h Head) find(change string) (id.Revision, bool) {
+	i := slices.IndexFunc(h.Changes, func(c Change) bool { return c.ID == change })
+	if i < 0 {
+		return 0, false
+	}
+	return h.Changes[i].Revision, true
+}
+
+// covers reports whether the head lists every change after the given revision.
+func (h Head) covers(base id.Revision) bool {
+	return h.Revision <= base || (len(h.Changes) > 0 && h.Changes[0].Revision <= base+1)
+}
--- /dev/null
+++ b/core/config/watch.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/retry"
+)
+
+// reading is the read of the head by a watcher and by a process that starts.
+type reading struct {
+	seq     uint64 // of the read in flight, 0 for none
+	again   bool   // a change was announced while a read was in flight
+	retry   retry.Timer
+	poll    retry.Timer // set on watchers only
+	watches bool
+	done    bool // the platform has answered once
+}
+
+func (c *Config) viewChanged(now time.Time, view *member.View) {
+	first := c.view == nil
+	c.view = view
+	watches := slices.Contains(c.domainWatchers(), c.self.Node)
+	switch {
+	case watches && !c.read.watches:
+		c.out = append(c.out, event.Call{Owner: owner, Op: event.OpWatch, Name: headName})
+		c.read.watches = true
+		c.read.poll.Set(now, pollEvery)
+		c.readHead(now)
+	case watches && c.read.poll.Next().IsZero():
+		c.read.poll.Set(now, pollEvery)
+		c.readHead(now)
+	case !watches:
+		c.read.poll.Clear()
+	}
+	if first && c.revision == 0 {
+		for _, peer := range c.domainWatchers() {
+			c.send(peer, Ask{Known: c.revision})
+		}
+	}
+}
+
+// domainWatchers returns the nodes of this failure domain that watch the head.
+func (c *Config) domainWatchers() []id.Node {
+	var out []id.Node
+	for _, n := range c.view.Owners(headName, watchers, member.InDomain(c.self.FailureDomain)) {
+		out = append(out, n.ID)
+	}
+	return out
+}
+
+func (c *Config) readHead(now time.Time) {
+	if c.read.seq != 0 {
+		c.read.again = true
+		return
+	}
+	c.read.again = false
+	c.read.seq = c.call(now, call{purpose: forWatch}, event.Call{Op: event.OpGet, Name: headName})
+}
+
+func (c *Config) headRead(now time.Time, ev event.Result) {
+	c.read.seq = 0
+	head, object, err := headOf(ev)
+	switch {
+	case ev.Code != event.CodeOK && ev.Code != event.CodeMissing:
+		// A node that is no watcher needs the platform only for its start; then its peers keep it up to date.
+		if c.read.again || !c.read.done && c.revision == 0 || !c.read.poll.Next().IsZero() {
+			c.read.retry.Fail(now, c.self.Rand)
+		}
+		return
+	case err != nil:
+		c.log("ignored", "head version %d: %v", object.Version, err)
+	case head.Revision == 0:
+		c.ready = true
+	default:
+		c.aim(now, head, object.Value, "")
+	}
+	c.read.done = true
+	c.read.retry.Clear()
+	if c.read.again {
+		c.readHead(now)
+	}
+}
+
+// tellOne tells the revision to a watcher of this domain and, in every other round, to a random node.
+// Asking the watchers bounds the time to a new revision; random nodes connect domains whose watchers are cut off.
+func (c *Config) tellOne() {
+	if c.view == nil || len(c.view.Nodes) < 2 {
+		return
+	}
+	c.rounds++
+	peers := slices.DeleteFunc(c.domainWatchers(), func(n id.Node) bool { return n == c.self.Node })
+	if c.rounds%2 == 0 || len(peers) == 0 {
+		c.send(c.view.Nodes[c.self.Rand.IntN(len(c.view.Nodes))].ID, Have{Revision: c.revision})
+		return
+	}
+	c.send(peers[c.self.Rand.IntN(len(peers))], Have{Revision: c.revision})
+}
+
+// announce tells a new revision to all nodes of this domain and to one node of each other domain.
+func (c *Config) announce() {
+	if c.view == nil {
+		return
+	}
+	others := id.NewSet[id.FailureDomain]()
+	for _, n := range c.view.Nodes {
+		if n.FailureDomain == c.self.FailureDomain {
+			c.send(n.ID, Have{Revision: c.revision})
+			continue
+		}
+		others.Add(n.FailureDomain)
+	}
+	for _, d := range others.Sorted() {
+		for _, n := range c.view.Owners(string(c.self.Node), 1, member.InDomain(d)) {
+			c.send(n.ID, Have{Revision: c.revision})
+		}
+	}
+}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry holds the timer of an operation that is tried again with growing pauses.
+package retry
