platform: stand-in of the object API and the VM list

Cause: the nodes need an object API with conditional updates, watches, rate limits and faults to be tested against; none may be installed. Ruled out: an own clock interface. testing/synctest replaces the time package inside a test, so rates and delays are exact there without one. A redirecting proxy for faults was ruled out too: a lost answer after the effect has to be decided inside the store.

--- /dev/null
+++ b/lab/answer/answer.go
@@ -0,0 +1,110 @@
+// Package answer is the text that the stand-ins produce and the check that a caller makes on it.
+//
+// Every token names the request body, the version, the stage and the output of the stage before,
+// so that a truncated, mixed, doubled or foreign answer is recognised from its text alone.
+package answer
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/id"
+)
+
+// Source is what an output is made from.
+type Source struct {
+	Body    []byte
+	Prior   []byte
+	Stage   string
+	Version id.Version
+}
+
+// Token returns token i of an output of n tokens.
+func (s Source) Token(i, n int) string {
+	return fmt.Sprintf("%s%d/%d ", s.Prefix(), i, n)
+}
+
+// Prefix returns the part that all tokens of an output share.
+func (s Source) Prefix() string {
+	return fmt.Sprintf("%016x.%08x.%08x.%s.", xxhash.Sum64(s.Body),
+		uint32(xxhash.Sum64String(string(s.Version))), uint32(xxhash.Sum64(s.Prior)), s.Stage)
+}
+
+// token matches one token: body, version, prior, stage, index and count.
+var token = regexp.MustCompile(`([0-9a-f]{16})\.([0-9a-f]{8})\.([0-9a-f]{8})\.([A-Za-z0-9_-]*)\.(\d+)/(\d+)`)
+
+// Check reports what is wrong with the text of an answer to the given body.
+// An empty stage accepts the output of any stage.
+func Check(body []byte, stage, text string) error {
+	found := token.FindAllStringSubmatch(text, -1)
+	if len(found) == 0 {
+		return fmt.Errorf("answer of %d bytes holds no token", len(text))
+	}
+	first := found[0]
+	if want := fmt.Sprintf("%016x", xxhash.Sum64(body)); first[1] != want {
+		return fmt.Errorf("answer is for body %s, not %s", first[1], want)
+	}
+	if stage != "" && first[4] != stage {
+		return fmt.Errorf("answer is of stage %q, not %q", first[4], stage)
+	}
+	for i, f := range found {
+		if f[1] != first[1] || f[2] != first[2] || f[3] != first[3] || f[4] != first[4] || f[6] != first[6] {
+			return fmt.Errorf("token %d is of another output: %s after %s", i, f[0], first[0])
+		}
+		if f[5] != strconv.Itoa(i) {
+			return fmt.Errorf("token %s stands at place %d", f[0], i)
+		}
+	}
+	if strconv.Itoa(len(found)) != first[6] {
+		return fmt.Errorf("answer has %d of %s tokens", len(found), first[6])
+	}
+	return nil
+}
+
+// Text returns the token text inside a JSON reply: all its strings, with base64 strings decoded if they hold tokens.
+// A reply that is not JSON is returned as it is.
+func Text(reply []byte) string {
+	var v any
+	if json.Unmarshal(reply, &v) != nil {
+		return string(reply)
+	}
+	var out strings.Builder
+	collect(v, &out)
+	return out.String()
+}
+
+func collect(v any, out *strings.Builder) {
+	switch v := v.(type) {
+	case string:
+		if raw, err := base64.StdEncoding.DecodeString(v); err == nil && token.Match(raw) {
+			out.Write(raw)
+			return
+		}
+		out.WriteString(v)
+	case []any:
+		for _, e := range v {
+			collect(e, out)
+		}
+	case map[string]any:
+		for _, key := range slices.Sorted(maps.Keys(v)) {
+			e := v[key]
+			if s, ok := e.(string); ok && !token.MatchString(s) && !tokenBase64(s) {
+				continue
+			}
+			collect(e, out)
+		}
+	}
+}
+
+func tokenBase64(s string) bool {
+	raw, err := base64.StdEncoding.DecodeString(s)
+	return err == nil && token.Match(raw)
+}
--- /dev/null
+++ b/lab/platform/calls.go
@@ -0,0 +1,264 @@
+package platform
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bluebellflow/core/event"
+	"bluebellflow/lab/backend"
+	"bluebellflow/lab/cut"
+)
+
+// maxWait bounds how long a watch waits.
+const maxWait = time.Minute
+
+// retryAfter tells limited callers when to come back, in seconds.
+const retryAfter = "1"
+
+// call applies rates and the faults that concern all calls.
+func (p *Platform) call(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := p.Faults()
+		if f.SlowMS > 0 && !p.sleep(r, time.Duration(f.SlowMS)*time.Millisecond) {
+			cut.Reset(w)
+			return
+		}
+		if f.Down {
+			w.Header().Set("Retry-After", retryAfter)
+			http.Error(w, "platform is down", http.StatusServiceUnavailable)
+			return
+		}
+		limit := p.reads
+		if r.Method == http.MethodPut {
+			limit = p.writes
+		}
+		if !limit.Allow() {
+			p.count(func(c *Counts) { c.Limited++ })
+			w.Header().Set("Retry-After", retryAfter)
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		}
+		if p.strikes(f.LostCall) {
+			p.count(func(c *Counts) { c.Lost++ })
+			cut.Reset(w)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (p *Platform) count(change func(*Counts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.counts)
+}
+
+func (p *Platform) strikes(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.Float64() < share
+}
+
+// sleep waits and reports whether the caller is still there.
+func (p *Platform) sleep(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-p.stop:
+		return false
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.Get++ })
+	value, version := p.Get(mux.Vars(r)["name"])
+	if version == 0 {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", etag(version))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(value)))
+	_, _ = w.Write(value)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.List++ })
+	prefix := r.URL.Query().Get("prefix")
+	p.mu.Lock()
+	found := []change{}
+	for name, o := range p.objects {
+		if strings.HasPrefix(name, prefix) {
+			found = append(found, change{Name: name, Version: o.version})
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(found, func(a, b change) int { return strings.Compare(a.Name, b.Name) })
+	backend.WriteJSON(w, http.StatusOK, map[string][]change{"objects": found})
+}
+
+func (p *Platform) putCall(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.Put++ })
+	name := mux.Vars(r)["name"]
+	version, err := condition(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValue))
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		http.Error(w, "value is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f := p.Faults()
+	if p.strikes(f.LateShare) {
+		p.putLate(name, version, value, time.Duration(f.LateMS)*time.Millisecond)
+		cut.Reset(w)
+		return
+	}
+	next, ok := p.put(name, version, value)
+	if p.strikes(f.LostAfter) {
+		p.count(func(c *Counts) { c.Lost++ })
+		cut.Reset(w)
+		return
+	}
+	if !ok {
+		http.Error(w, "version conflict", http.StatusPreconditionFailed)
+		return
+	}
+	w.Header().Set("ETag", etag(next))
+}
+
+// putLate applies a put whose answer is lost; the condition is checked when it takes effect.
+func (p *Platform) putLate(name string, version uint64, value []byte, after time.Duration) {
+	p.count(func(c *Counts) { c.Lost++; c.Late++ })
+	p.late.Go(func() {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			p.put(name, version, value)
+		case <-p.stop:
+		}
+	})
+}
+
+type watchAnswer struct {
+	Seq     uint64   `json:"seq"`
+	Changes []change `json:"changes"`
+	Gap     bool     `json:"gap,omitempty"`
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *Counts) { c.Watch++ })
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad after", http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(q.Get("wait"))
+	if err != nil || wait < 0 {
+		http.Error(w, "bad wait", http.StatusBadRequest)
+		return
+	}
+	if after == 0 {
+		p.mu.Lock()
+		seq := p.seq
+		p.mu.Unlock()
+		backend.WriteJSON(w, http.StatusOK, watchAnswer{Seq: seq, Changes: []change{}})
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	defer timer.Stop()
+	for {
+		found, seq, gap, wake := p.changes(q.Get("prefix"), after)
+		if len(found) > 0 || gap {
+			backend.WriteJSON(w, http.StatusOK, watchAnswer{Seq: seq, Changes: append([]change{}, found...), Gap: gap})
+			return
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			backend.WriteJSON(w, http.StatusOK, watchAnswer{Seq: seq, Changes: []change{}})
+			return
+		case <-r.Context().Done():
+			return
+		case <-p.stop:
+			cut.Reset(w)
+			return
+		}
+	}
+}
+
+func (p *Platform) vmCall(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	p.counts.VMs++
+	seen := time.Now().Add(-time.Duration(p.faults.VMLagMS) * time.Millisecond)
+	list := []event.VM{}
+	for _, v := range p.vms {
+		if !v.at.After(seen) {
+			list = append([]event.VM{}, v.list...)
+		}
+	}
+	p.mu.Unlock()
+	backend.WriteJSON(w, http.StatusOK, map[string][]event.VM{"vms": list})
+}
+
+// control serves the endpoints that set faults and read counts; they are subject to neither.
+func (p *Platform) control(r *mux.Router) {
+	r.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if backend.ReadJSON(w, r, &f) {
+			p.SetFaults(f)
+		}
+	}).Methods(http.MethodPost)
+	r.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
+		backend.WriteJSON(w, http.StatusOK, p.Faults())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
+		backend.WriteJSON(w, http.StatusOK, p.Counts())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/vms", func(w http.ResponseWriter, r *http.Request) {
+		var list []event.VM
+		if backend.ReadJSON(w, r, &list) {
+			p.SetVMs(list)
+		}
+	}).Methods(http.MethodPost)
+}
+
+// condition returns the version that a put requires; 0 means that the object must not exist.
+func condition(r *http.Request) (uint64, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	text, err := strconv.Unquote(r.Header.Get("If-Match"))
+	if err != nil {
+		return 0, errors.New("a put needs If-Match or If-None-Match: *")
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, errors.New("bad version in If-Match")
+	}
+	return version, nil
+}
+
+func etag(version uint64) string { return strconv.Quote(strconv.FormatUint(version, 10)) }
