engine: stand-ins of model runners and plain services

Cause: cold starts, prefix caches, bad versions and lost answers have to be produced on demand and counted. Ruled out: one stand-in for each kind of model stage; encoder, retriever and reranker differ from a model engine only in the figures of a batch step. Change: lab/engine runs batch steps whose time grows with the batch, crashes when a cold server gets more than it bears, doubles what it bears after each full round of completions, and reports load and cache events late. lab/service counts effects by key in a ledger that the runners of a service share. Conclusion: overload of a cold server and effects by key are counted where they happen, so the tests of the nodes need no guess.

--- /dev/null
+++ b/lab/engine/cache.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/lab/backend"
+)
+
+const (
+	firstPrefix  = 64   // bytes of the shortest prefix; each next one is twice as long
+	eventHistory = 4096 // cache events kept for callers
+	eventsAtOnce = 256  // cache events in one answer
+)
+
+// cacheEvent says that a prefix came into the cache or left it.
+type cacheEvent struct {
+	seq  uint64
+	at   time.Time
+	hash uint64
+	gone bool
+}
+
+// cache is the bounded set of prompt prefixes that an engine holds, least recently used first.
+type cache struct {
+	size   int
+	lag    time.Duration
+	gap    float64
+	rng    *rand.Rand
+	order  *list.List
+	byHash map[uint64]*list.Element
+	seq    uint64
+	events []cacheEvent
+}
+
+func newCache(p Profile) *cache {
+	c := &cache{size: p.Cache, lag: p.CacheLag, gap: p.CacheGap, rng: rand.New(rand.NewPCG(1, 0))}
+	c.clear()
+	return c
+}
+
+// clear empties the cache without events, as a restart does.
+func (c *cache) clear() {
+	c.order = list.New()
+	c.byHash = map[uint64]*list.Element{}
+	c.events = nil
+}
+
+// prefixes calls yield with the hash and length of each prefix.
+func prefixes(input []byte, yield func(hash uint64, length int)) {
+	for n := firstPrefix; n <= len(input); n *= 2 {
+		yield(xxhash.Sum64(input[:n]), n)
+	}
+}
+
+// hit returns the length of the longest cached prefix.
+func (c *cache) hit(input []byte) int {
+	longest := 0
+	prefixes(input, func(hash uint64, n int) {
+		if e, ok := c.byHash[hash]; ok {
+			c.order.MoveToBack(e)
+			longest = n
+		}
+	})
+	return longest
+}
+
+// add puts the prefixes of an input into the cache and drops the least recently used.
+func (c *cache) add(input []byte) {
+	prefixes(input, func(hash uint64, _ int) {
+		if e, ok := c.byHash[hash]; ok {
+			c.order.MoveToBack(e)
+			return
+		}
+		c.byHash[hash] = c.order.PushBack(hash)
+		c.note(hash, false)
+	})
+	for c.order.Len() > c.size {
+		hash, ok := c.order.Remove(c.order.Front()).(uint64)
+		if !ok {
+			continue
+		}
+		delete(c.byHash, hash)
+		c.note(hash, true)
+	}
+}
+
+// note keeps an event for callers; a share of the events is lost and leaves a gap in the sequence.
+func (c *cache) note(hash uint64, gone bool) {
+	c.seq++
+	if c.rng.Float64() < c.gap {
+		return
+	}
+	c.events = append(c.events, cacheEvent{seq: c.seq, at: time.Now(), hash: hash, gone: gone})
+	if len(c.events) > eventHistory {
+		c.events = c.events[len(c.events)-eventHistory:]
+	}
+}
+
+// after returns the next run of events without a gap that callers may see.
+func (c *cache) after(seq uint64, now time.Time) backend.Cache {
+	a := backend.Cache{Seq: seq + 1, Added: []string{}, Gone: []string{}}
+	seen := map[uint64]bool{}
+	last := uint64(0)
+	for _, ev := range c.events {
+		if ev.seq <= seq {
+			continue
+		}
+		// An answer has no order between added and gone, so it holds each prefix at most once.
+		if ev.at.Add(c.lag).After(now) || seen[ev.hash] || len(seen) == eventsAtOnce || (last != 0 && ev.seq != last+1) {
+			break
+		}
+		if last == 0 {
+			a.Seq = ev.seq
+		}
+		last = ev.seq
+		seen[ev.hash] = true
+		text := strconv.FormatUint(ev.hash, 10)
+		if ev.gone {
+			a.Gone = append(a.Gone, text)
+		} else {
+			a.Added = append(a.Added, text)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/lab/service/runner.go
@@ -0,0 +1,388 @@
+package service
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bluebellflow/core/id"
+	"bluebellflow/lab/answer"
+	"bluebellflow/lab/backend"
+	"bluebellflow/lab/cut"
+)
+
+const (
+	defaultTook  = 20 * time.Millisecond // service time of one call
+	defaultLimit = 16                    // calls at once; more are answered with 429
+	leavingBound = 3 * time.Second       // after that a leaving runner should get no new calls
+	retryAfter   = "1"                   // seconds
+)
+
+// Faults are the faults of a runner; the zero value is a healthy runner.
+// The shares are drawn in the order of the fields, and at most one strikes a call.
+type Faults struct {
+	Down      bool    `json:"down"`       // resets every connection
+	Slow      float64 `json:"slow"`       // calls take this many times as long; 0 means 1
+	Reject    float64 `json:"reject"`     // share of calls answered with 503, not run
+	Fail      float64 `json:"fail"`       // share of calls answered with 500, without effect
+	LostCall  float64 `json:"lost_call"`  // share of calls whose connection breaks, without effect
+	LostAfter float64 `json:"lost_after"` // share of calls whose connection breaks after the effect
+	LateShare float64 `json:"late_share"` // share of calls whose connection breaks before the effect
+	LateMS    int     `json:"late_ms"`    // how much later those calls have their effect
+}
+
+// Counts is the work of a runner since it was created.
+type Counts struct {
+	Calls           int     `json:"calls"`
+	Effects         int     `json:"effects"`
+	Rejected        int     `json:"rejected"`
+	Failed          int     `json:"failed"`
+	Lost            int     `json:"lost"`
+	BusyMS          float64 `json:"busy_ms"`
+	LargestLoad     int     `json:"largest_load"`
+	LeavingArrivals int     `json:"leaving_arrivals"`
+	LastArrival     int64   `json:"last_arrival"` // Unix milliseconds
+}
+
+// outcome is what the faults do to one call.
+type outcome uint8
+
+const (
+	fine outcome = iota
+	reject
+	fail
+	lostCall
+	lostAfter
+	late
+)
+
+// Runner is one process of a service.
+type Runner struct {
+	name   id.Server
+	ledger *Ledger
+	took   time.Duration
+	limit  int
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	version id.Version
+	starts  int
+	running int
+	leaving time.Time
+	refuse  bool
+	faults  Faults
+	counts  Counts
+	late    sync.WaitGroup
+	stop    chan struct{}
+}
+
+// Option changes a new runner.
+type Option func(*Runner)
+
+// WithTook sets the service time of one call.
+func WithTook(d time.Duration) Option { return func(r *Runner) { r.took = d } }
+
+// WithLimit sets the calls that the runner handles at once.
+func WithLimit(n int) Option { return func(r *Runner) { r.limit = n } }
+
+// WithSeed sets the seed of the faults that strike a share of the calls.
+func WithSeed(seed uint64) Option {
+	return func(r *Runner) { r.rng = rand.New(rand.NewPCG(seed, 0)) }
+}
+
+// New returns a healthy runner that writes its effects to the ledger; Close ends its late effects.
+func New(name id.Server, version id.Version, ledger *Ledger, opts ...Option) *Runner {
+	r := &Runner{
+		name: name, version: version, ledger: ledger, took: defaultTook, limit: defaultLimit,
+		rng: rand.New(rand.NewPCG(1, 0)), starts: 1, stop: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Close drops late effects that are still to come.
+func (r *Runner) Close() {
+	r.mu.Lock()
+	select {
+	case <-r.stop:
+	default:
+		close(r.stop)
+	}
+	r.mu.Unlock()
+	r.late.Wait()
+}
+
+// SetFaults replaces the faults.
+func (r *Runner) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Faults returns the faults in force.
+func (r *Runner) Faults() Faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// Counts returns the work so far.
+func (r *Runner) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
+
+// Restart gives the runner a new start identity; calls in flight go on, because the effects are in the ledger.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts++
+	r.leaving, r.refuse = time.Time{}, false
+}
+
+// Leave announces that the runner leaves; with refuse it also takes no new calls.
+func (r *Runner) Leave(refuse bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving.IsZero() {
+		r.leaving = time.Now()
+	}
+	r.refuse = refuse
+}
+
+// Load returns the load report.
+func (r *Runner) Load() backend.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return backend.Load{
+		Start: r.startLocked(), Version: r.version, Running: r.running, Limit: r.limit, Warm: true,
+		Leaving: !r.leaving.IsZero(), At: time.Now().UnixMilli(),
+	}
+}
+
+func (r *Runner) startLocked() id.Start { return id.Start(fmt.Sprintf("%s-%d", r.name, r.starts)) }
+
+// drawLocked decides what happens to a call.
+func (r *Runner) drawLocked() outcome {
+	x := r.rng.Float64()
+	for _, c := range []struct {
+		share float64
+		what  outcome
+	}{
+		{r.faults.Reject, reject},
+		{r.faults.Fail, fail},
+		{r.faults.LostCall, lostCall},
+		{r.faults.LostAfter, lostAfter},
+		{r.faults.LateShare, late},
+	} {
+		if x < c.share {
+			return c.what
+		}
+		x -= c.share
+	}
+	return fine
+}
+
+// enter takes a call and returns its fate, its service time and the delay of a late effect.
+func (r *Runner) enter() (what outcome, took, lateBy time.Duration, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.counts.LastArrival = now.UnixMilli()
+	if !r.leaving.IsZero() && now.Sub(r.leaving) > leavingBound {
+		r.counts.LeavingArrivals++
+	}
+	what = r.drawLocked()
+	if what == reject || r.refuse {
+		r.counts.Rejected++
+		return reject, 0, 0, http.StatusServiceUnavailable
+	}
+	if r.running >= r.limit {
+		r.counts.Rejected++
+		return reject, 0, 0, http.StatusTooManyRequests
+	}
+	r.running++
+	r.counts.Calls++
+	r.counts.LargestLoad = max(r.counts.LargestLoad, r.running)
+	took = r.took
+	if r.faults.Slow > 0 {
+		took = time.Duration(float64(took) * r.faults.Slow)
+	}
+	r.counts.BusyMS += float64(took) / float64(time.Millisecond)
+	return what, took, time.Duration(r.faults.LateMS) * time.Millisecond, 0
+}
+
+func (r *Runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
+func (r *Runner) effect(run backend.Run) {
+	r.mu.Lock()
+	r.counts.Effects++
+	r.mu.Unlock()
+	r.ledger.add(run.Key, run.Input)
+}
+
+// Handler serves the backend protocol and the control endpoints.
+func (r *Runner) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/v1/run", r.up(r.runCall)).Methods(http.MethodPost)
+	m.HandleFunc("/v1/run/{attempt}", r.up(func(w http.ResponseWriter, _ *http.Request) {
+		// A call to a plain service cannot be taken back.
+		w.WriteHeader(http.StatusNoContent)
+	})).Methods(http.MethodDelete)
+	m.HandleFunc("/v1/load", r.up(func(w http.ResponseWriter, _ *http.Request) {
+		backend.WriteJSON(w, http.StatusOK, r.Load())
+	})).Methods(http.MethodGet)
+	m.HandleFunc("/v1/cache", r.up(func(w http.ResponseWriter, q *http.Request) {
+		after, _ := strconv.ParseUint(q.URL.Query().Get("after"), 10, 64)
+		backend.WriteJSON(w, http.StatusOK, backend.Cache{
+			Start: r.Load().Start, Seq: after + 1, Added: []string{}, Gone: []string{},
+		})
+	})).Methods(http.MethodGet)
+	m.HandleFunc("/v1/orders", r.up(r.orderCall)).Methods(http.MethodPost)
+	r.control(m.PathPrefix("/lab").Subrouter())
+	return m
+}
+
+func (r *Runner) up(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if r.Faults().Down {
+			cut.Reset(w)
+			return
+		}
+		next(w, q)
+	}
+}
+
+func (r *Runner) runCall(w http.ResponseWriter, q *http.Request) {
+	run, err := backend.ReadRun(w, q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	report := r.Load()
+	w.Header().Set(backend.StartHeader, string(report.Start))
+	if report.Leaving {
+		w.Header().Set(backend.LeavingHeader, "1")
+	}
+	what, took, lateBy, status := r.enter()
+	if status != 0 {
+		w.Header().Set("Retry-After", retryAfter)
+		http.Error(w, "takes no calls", status)
+		return
+	}
+	defer r.leave()
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.stop:
+		cut.Reset(w)
+		return
+	}
+	r.finish(w, run, what, took, lateBy)
+}
+
+// finish has the effect of a call and answers it.
+func (r *Runner) finish(w http.ResponseWriter, run backend.Run, what outcome, took, lateBy time.Duration) {
+	switch what {
+	case fail:
+		r.count(func(c *Counts) { c.Failed++ })
+		http.Error(w, "call failed", http.StatusInternalServerError)
+		return
+	case lostCall:
+		r.count(func(c *Counts) { c.Lost++ })
+		cut.Reset(w)
+		return
+	case late:
+		r.count(func(c *Counts) { c.Lost++ })
+		r.effectLater(run, lateBy)
+		cut.Reset(w)
+		return
+	case lostAfter:
+		r.effect(run)
+		r.count(func(c *Counts) { c.Lost++ })
+		cut.Reset(w)
+		return
+	case fine, reject:
+	}
+	r.effect(run)
+	text := answer.Source{Body: run.Input, Prior: run.Prior, Stage: run.Stage, Version: r.version}.Token(0, 1)
+	if run.Stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprintf(w, "event: part\ndata: {\"seq\":0,\"tokens\":1,\"text\":%q}\n\n", text)
+		_, _ = fmt.Fprintf(w, "event: end\ndata: {\"tokens\":1,\"took\":%d}\n\n", took.Milliseconds())
+		return
+	}
+	w.Header().Set(backend.TookHeader, strconv.FormatInt(took.Milliseconds(), 10))
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = strings.NewReader(text).WriteTo(w)
+}
+
+func (r *Runner) effectLater(run backend.Run, after time.Duration) {
+	r.late.Go(func() {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			r.effect(run)
+		case <-r.stop:
+		}
+	})
+}
+
+func (r *Runner) count(change func(*Counts)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.counts)
+}
+
+func (r *Runner) orderCall(w http.ResponseWriter, q *http.Request) {
+	var o backend.Order
+	if !backend.ReadJSON(w, q, &o) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Kind == backend.OrderLoad {
+		r.version = o.Version
+	}
+}
+
+// control serves the endpoints that set faults and read counts.
+func (r *Runner) control(m *mux.Router) {
+	m.HandleFunc("/faults", func(w http.ResponseWriter, q *http.Request) {
+		var f Faults
+		if backend.ReadJSON(w, q, &f) {
+			r.SetFaults(f)
+		}
+	}).Methods(http.MethodPost)
+	m.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
+		backend.WriteJSON(w, http.StatusOK, r.Faults())
+	}).Methods(http.MethodGet)
+	m.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
+		backend.WriteJSON(w, http.StatusOK, r.Counts())
+	}).Methods(http.MethodGet)
+	m.HandleFunc("/effects", func(w http.ResponseWriter, _ *http.Request) {
+		backend.WriteJSON(w, http.StatusOK, r.ledger.Effects())
+	}).Methods(http.MethodGet)
+	for path, do := range map[string]func(){
+		"/restart": r.Restart,
+		"/leave":   func() { r.Leave(false) },
+		"/refuse":  func() { r.Leave(true) },
+	} {
+		m.HandleFunc(path, func(http.ResponseWriter, *http.Request) { do() }).Methods(http.MethodPost)
+	}
+}
