fleet: outside world of both deployments in one process

Ruled out: one listener of the platform for all nodes; a cut domain could then only be recognised by a header that the nodes would have to send. Change: lab/fleet starts both deployments on loopback ports with one platform listener for each failure domain, adds and removes back ends and cuts domains. Conclusion: nodes need only the platform address of their domain.

--- /dev/null
+++ b/lab/fleet/fleet_test.go
@@ -0,0 +1,107 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/lab/cut"
+	"bluebellflow/lab/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, d fleet.Description) *fleet.Fleet {
+	t.Helper()
+	f, err := fleet.Start(d)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		NewWithT(t).Expect(f.Close()).To(Succeed())
+	})
+	return f
+}
+
+// vms reads the VM list as a node of the domain does.
+func vms(ctx context.Context, f *fleet.Fleet, d id.FailureDomain) ([]event.VM, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/vms", f.PlatformAddr(d)), http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list struct{ VMs []event.VM }
+	return list.VMs, json.NewDecoder(resp.Body).Decode(&list)
+}
+
+// Guards against deployments whose sizes differ from the design.
+func TestSizes(t *testing.T) {
+	for _, c := range []struct {
+		d             fleet.Description
+		total, models int
+		action        id.Pool
+	}{
+		{fleet.Kitab(), 10 + 9 + 3 + 15, 10, "loans"},
+		{fleet.Vordach(), 20 + 9 + 3 + 15, 20, "bookings"},
+	} {
+		t.Run(c.d.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := start(t, c.d)
+			list, err := vms(t.Context(), f, c.d.Domains[0])
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(list).To(HaveLen(c.total))
+			g.Expect(f.Servers("model")).To(HaveLen(c.models))
+			g.Expect(f.Servers(c.action)).To(HaveLen(3))
+			g.Expect(f.Ledger(c.action)).NotTo(BeNil())
+			f.SetEntry(event.VM{Name: "entry-1"})
+			g.Expect(f.Remove(f.Servers("model")[0].VMName())).To(Succeed())
+			list, err = vms(t.Context(), f, c.d.Domains[1])
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(list).To(HaveLen(c.total))
+		})
+	}
+}
+
+// Guards against a partition that lets requests of the cut domain through or blocks others.
+func TestCut(t *testing.T) {
+	g := NewWithT(t)
+	d := fleet.Kitab()
+	f := start(t, d)
+	f.Partition.Cut(d.Domains[0])
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := vms(ctx, f, d.Domains[0])
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	_, err = vms(t.Context(), f, d.Domains[1])
+	g.Expect(err).NotTo(HaveOccurred())
+	s := f.Servers("model")[1]
+	get := func(from id.FailureDomain) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/load", s.VM.Addr), http.NoBody)
+		req.Header.Set(cut.DomainHeader, string(from))
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return err
+	}
+	for _, from := range d.Domains {
+		blocked := f.Partition.Blocked(from, s.VM.FailureDomain)
+		g.Expect(get(from) != nil).To(Equal(blocked), string(from))
+	}
+	f.Partition.Heal(d.Domains[0])
+	_, err = vms(t.Context(), f, d.Domains[0])
+	g.Expect(err).NotTo(HaveOccurred())
+}
