--- /dev/null
+++ b/lab/load/balancer.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	pollEvery   = 250 * time.Millisecond // how often the balancer asks each node whether it is ready
+	pollTimeout = time.Second            // a node that does not answer in time is not ready
+)
+
+// Ready is a balancer that goes in turn through the nodes whose readiness check succeeds.
+type Ready struct {
+	list   func() []netip.AddrPort
+	client *http.Client
+
+	mu    sync.Mutex
+	ready []netip.AddrPort
+	next  int
+}
+
+// NewReady returns a balancer over the nodes that list names.
+func NewReady(list func() []netip.AddrPort) *Ready {
+	return &Ready{list: list, client: &http.Client{Timeout: pollTimeout, Transport: &http.Transport{}}}
+}
+
+// Pick returns the next ready node.
+func (b *Ready) Pick() (netip.AddrPort, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return netip.AddrPort{}, false
+	}
+	b.next++
+	return b.ready[b.next%len(b.ready)], true
+}
+
+// Run polls the nodes until the context ends.
+func (b *Ready) Run(ctx context.Context) error {
+	defer b.client.CloseIdleConnections()
+	for {
+		b.Poll(ctx)
+		if !sleep(ctx, pollEvery) {
+			return nil
+		}
+	}
+}
+
+// Poll asks every node once.
+func (b *Ready) Poll(ctx context.Context) {
+	nodes := b.list()
+	ok := make([]bool, len(nodes))
+	var group sync.WaitGroup
+	for i, n := range nodes {
+		group.Go(func() { ok[i] = b.ask(ctx, n) })
+	}
+	group.Wait()
+	var ready []netip.AddrPort
+	for i, n := range nodes {
+		if ok[i] {
+			ready = append(ready, n)
+		}
+	}
+	slices.SortFunc(ready, netip.AddrPort.Compare)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *Ready) ask(ctx context.Context, n netip.AddrPort) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/readyz", n), http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/lab/load/plan.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"bluebellflow/core/id"
+	"bluebellflow/lab/fleet"
+)
+
+const (
+	maxArrivals = 200_000          // bounds the memory and the sockets of a run
+	maxLength   = 10 * time.Minute // bounds the time of a run
+)
+
+// Call is one kind of request.
+type Call struct {
+	Pipeline id.Pipeline
+	Share    int           // weight in the mix
+	Tokens   int           // tokens that the caller asks for
+	Bytes    int           // size of the history that callers of a workspace share
+	Stream   bool          // wants server-sent events
+	Action   bool          // runs at most once, so it carries a key
+	Pool     id.Pool       // service whose effect the action has
+	Stage    string        // last stage, whose output is the answer
+	Priority int           // RFC 9218 urgency
+	Deadline time.Duration // from the planned time
+}
+
+// Burst is a time with additional requests.
+type Burst struct {
+	At     time.Duration
+	Length time.Duration
+	Rate   float64 // requests a second on top of the others
+}
+
+// Shape is the rate of requests over time.
+type Shape struct {
+	Length time.Duration
+	Rate   float64 // requests a second
+	Bursts []Burst
+}
+
+// Check reports a shape that cannot be run.
+func (s Shape) Check() error {
+	if s.Length <= 0 || s.Length > maxLength {
+		return fmt.Errorf("length %v is not between 0 and %v", s.Length, maxLength)
+	}
+	if s.Rate < 0 || math.IsNaN(s.Rate) {
+		return fmt.Errorf("rate %v is negative", s.Rate)
+	}
+	expected := s.Rate * s.Length.Seconds()
+	for _, b := range s.Bursts {
+		if b.At < 0 || b.Length <= 0 || !(b.Rate > 0) {
+			return fmt.Errorf("burst at %v of %v with rate %v", b.At, b.Length, b.Rate)
+		}
+		expected += b.Rate * b.Length.Seconds()
+	}
+	if expected > maxArrivals {
+		return fmt.Errorf("%.0f requests are more than %d", expected, maxArrivals)
+	}
+	return nil
+}
+
+// sizes are the figures of the kinds of request; docs/lab.md explains where they come from.
+var sizes = map[id.Pipeline]Call{
+	"reading-list": {Share: 15, Tokens: 96, Bytes: 4096, Stream: true, Priority: 3},
+	"quote":        {Share: 15, Tokens: 128, Bytes: 8192, Stream: true, Priority: 3},
+	"answer":       {Share: 30, Tokens: 40, Bytes: 1024, Stream: true, Priority: 2},
+	"tag":          {Share: 25, Tokens: 6, Bytes: 512, Priority: 5},
+	"loan":         {Share: 20, Bytes: 64, Priority: 1},
+	"renewal":      {Share: 10, Bytes: 64, Priority: 3},
+	"booking":      {Share: 15, Bytes: 64, Priority: 1},
+	"deposit":      {Share: 10, Bytes: 64, Priority: 1},
+	"status":       {Share: 15, Bytes: 64, Priority: 4},
+}
+
+// Mix returns the kinds of request of a deployment.
+func Mix(d fleet.Description) []Call {
+	var mix []Call
+	for _, p := range d.Pipelines {
+		c := sizes[p.Name]
+		c.Pipeline = p.Name
+		c.Share = max(1, c.Share)
+		c.Action = p.Action()
+		c.Deadline = time.Duration(p.DeadlineMS) * time.Millisecond
+		for _, s := range p.Stages {
+			c.Stage = s.Name
+			if !s.Idempotent {
+				c.Pool = s.Pool
+			}
+		}
+		mix = append(mix, c)
+	}
+	return mix
+}
+
+// Arrival is one planned request.
+type Arrival struct {
+	Call
+	Index     int
+	At        time.Duration // from the begin of the run
+	Workspace id.Workspace
+	Body      []byte
+	Key       string
+}
+
+// body is the JSON that a caller sends; the history comes first, so that requests of a workspace share a prefix.
+type body struct {
+	Kind      id.Pipeline  `json:"kind"`
+	Workspace id.Workspace `json:"workspace"`
+	History   string       `json:"history"`
+	Tokens    int          `json:"tokens,omitempty"`
+	Seed      uint64       `json:"seed"`
+	Index     int          `json:"index"`
+}
+
+// Plan draws the requests of a run; the same seed gives the same requests.
+func Plan(seed uint64, shape Shape, mix []Call, workspaces []fleet.Workspace) ([]Arrival, error) {
+	if err := shape.Check(); err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	if len(mix) == 0 || len(workspaces) == 0 {
+		return nil, errors.New("load: no kinds of request or no workspaces")
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	times := poisson(rng, 0, shape.Length, shape.Rate)
+	for _, b := range shape.Bursts {
+		times = append(times, poisson(rng, b.At, b.Length, b.Rate)...)
+	}
+	slices.Sort(times)
+	arrivals := make([]Arrival, 0, len(times))
+	for i, at := range times {
+		call := mix[draw(rng, mix, func(c Call) int { return c.Share })]
+		ws := workspaces[draw(rng, workspaces, func(w fleet.Workspace) int { return w.Share })].Name
+		raw, err := json.Marshal(body{
+			Kind: call.Pipeline, Workspace: ws, History: history(ws, call.Bytes), Tokens: call.Tokens, Seed: seed, Index: i,
+		})
+		if err != nil {
+			return nil, fmt.Errorf("load: %w", err)
+		}
+		a := Arrival{Call: call, Index: i, At: at, Workspace: ws, Body: raw}
+		if call.Action {
+			a.Key = fmt.Sprintf("%016x-%016x", rng.Uint64(), rng.Uint64())
+		}
+		arrivals = append(arrivals, a)
+	}
+	return arrivals, nil
+}
+
+// poisson draws the times of independent callers.
+func poisson(rng *rand.Rand, from, length time.Duration, rate float64) []time.Duration {
+	var times []time.Duration
+	if rate <= 0 {
+		return nil
+	}
+	for t := rng.ExpFloat64() / rate; t < length.Seconds(); t += rng.ExpFloat64() / rate {
+		times = append(times, from+time.Duration(t*float64(time.Second)))
+	}
+	return times
+}
+
+// draw picks an element by weight.
+func draw[T any](rng *rand.Rand, list []T, weight func(T) int) int {
+	total := 0
+	for _, e := range list {
+		total += weight(e)
+	}
+	at := rng.IntN(max(1, total))
+	for i, e := range list {
+		if at -= weight(e); at < 0 {
+			return i
+		}
+	}
+	return len(list) - 1
+}
+
+// history is the text that all callers of a workspace send first.
+func history(ws id.Workspace, size int) string {
+	unit := string(ws) + " visit and loan record; "
+	return strings.Repeat(unit, size/len(unit)+1)[:size]
+}
