--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -1,4 +1,10 @@
 // Command lab runs the stand-ins and the experiments.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"bluebellflow/lab/cli"
+)
+
+func main() { os.Exit(cli.Main()) }
--- a/lab/cut/cut.go
+++ b/lab/cut/cut.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,9 @@
 // hold bounds how long a request over a cut link stays without an answer.
 const hold = 30 * time.Second
 
+// maxOrder bounds the body of a control request, in bytes.
+const maxOrder = 1 << 16
+
 // Partition says which failure domains are cut off; all stand-ins of a fleet share one.
 type Partition struct {
 	mu      sync.Mutex
@@ -157,3 +161,31 @@
 	}
 	_ = conn.Close()
 }
+
+// order is the body of POST /lab/cut.
+type order struct {
+	Domain  id.FailureDomain `json:"domain"`
+	Cut     bool             `json:"cut"`
+	Sources []netip.Prefix   `json:"sources"` // addresses whose requests come from the domain
+}
+
+// Control serves POST /lab/cut, which cuts a domain or connects it again.
+func (p *Partition) Control() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var o order
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrder))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&o); r.Method != http.MethodPost || err != nil || o.Domain == "" {
+			http.Error(w, "want POST of {\"domain\",\"cut\",\"sources\"}", http.StatusBadRequest)
+			return
+		}
+		for _, s := range o.Sources {
+			p.Source(s, o.Domain)
+		}
+		if o.Cut {
+			p.Cut(o.Domain)
+		} else {
+			p.Heal(o.Domain)
+		}
+	})
+}
--- /dev/null
+++ b/lab/experiment/faults.go
@@ -0,0 +1,203 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"sync"
+	"time"
+
+	"bluebellflow/lab/fleet"
+)
+
+// Event is a fault or an operator action as it was carried out.
+type Event struct {
+	At     float64 `json:"at"`   // seconds from the begin
+	Took   float64 `json:"took"` // seconds
+	Kind   Kind    `json:"kind"`
+	Target string  `json:"target,omitempty"`
+	Status int     `json:"status,omitempty"` // of an administration call
+	Answer string  `json:"answer,omitempty"`
+	Error  string  `json:"error,omitempty"`
+}
+
+// maxAnswer is the part of an administration answer that is kept, in bytes.
+const maxAnswer = 2000
+
+// schedule carries out the faults at their times.
+type schedule struct {
+	faults []Fault
+	world  *fleet.Fleet
+	nodes  Fleet
+
+	mu     sync.Mutex
+	events []Event
+}
+
+// run waits for each fault's time; a fault that takes long does not delay the next one.
+func (s *schedule) run(ctx context.Context, begin time.Time) {
+	var group sync.WaitGroup
+	for _, f := range s.faults {
+		group.Go(func() {
+			if !sleepUntil(ctx, begin.Add(f.At.Duration())) {
+				return
+			}
+			at := time.Now()
+			ev := Event{At: at.Sub(begin).Seconds(), Kind: f.Kind, Target: f.target()}
+			if err := s.do(ctx, f, &ev); err != nil {
+				ev.Error = err.Error()
+			}
+			ev.Took = time.Since(at).Seconds()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.events = append(s.events, ev)
+		})
+	}
+	group.Wait()
+}
+
+func (f Fault) target() string {
+	switch {
+	case f.Path != "":
+		return f.Method + " " + f.Path
+	case f.Pool != "":
+		return string(f.Pool)
+	case f.Domain != "":
+		return string(f.Domain)
+	case f.Version != "":
+		return string(f.Version)
+	}
+	return ""
+}
+
+func (s *schedule) do(ctx context.Context, f Fault, ev *Event) error {
+	switch f.Kind {
+	case PlatformFault:
+		s.world.Platform.SetFaults(*f.Platform)
+	case EngineFault, ServiceFault, Restart, Chill, Leave, Remove:
+		return s.each(f)
+	case Add:
+		return s.add(f)
+	case BadVersion:
+		s.world.SetBad(f.Version, *f.Bad)
+	case Cut:
+		s.world.Partition.Cut(f.Domain)
+		return s.nodes.Cut(f.Domain, true)
+	case Heal:
+		s.world.Partition.Heal(f.Domain)
+		return s.nodes.Cut(f.Domain, false)
+	case KillNode, StopNode:
+		return s.node(ctx, f)
+	case Admin:
+		return s.admin(ctx, f, ev)
+	}
+	return nil
+}
+
+// each applies a fault to the servers that it names.
+func (s *schedule) each(f Fault) error {
+	left := f.Servers
+	var errs []error
+	for _, server := range s.world.Servers(f.Pool) {
+		if f.Domain != "" && server.VM.FailureDomain != f.Domain {
+			continue
+		}
+		if f.Servers > 0 && left == 0 {
+			break
+		}
+		left--
+		errs = append(errs, s.one(f, server))
+	}
+	return errors.Join(errs...)
+}
+
+func (s *schedule) one(f Fault, server *fleet.Server) error {
+	switch f.Kind {
+	case EngineFault:
+		server.Engine.SetFaults(*f.Engine)
+	case ServiceFault:
+		server.Service.SetFaults(*f.Service)
+	case Restart:
+		if server.Engine != nil {
+			server.Engine.Restart()
+		} else {
+			server.Service.Restart()
+		}
+	case Chill:
+		server.Engine.Chill()
+	case Leave:
+		return s.world.Leave(server.VMName(), true)
+	case Remove:
+		return s.world.Remove(server.VMName())
+	case PlatformFault, Add, BadVersion, Cut, Heal, KillNode, StopNode, Admin:
+	}
+	return nil
+}
+
+// add starts servers in all failure domains in turn.
+func (s *schedule) add(f Fault) error {
+	domains := s.world.Description.Domains
+	for i := range f.Servers {
+		if _, err := s.world.Add(f.Pool, domains[i%len(domains)], f.Version, f.Warm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *schedule) node(ctx context.Context, f Fault) error {
+	nodes := s.nodes.Nodes()
+	if f.Node >= len(nodes) {
+		return fmt.Errorf("node %d of %d", f.Node, len(nodes))
+	}
+	if f.Kind == KillNode {
+		return s.nodes.Kill(nodes[f.Node])
+	}
+	return s.nodes.Stop(ctx, nodes[f.Node])
+}
+
+// later matches a time that is relative to the fault.
+var later = regexp.MustCompile(`@\+([0-9a-z.]+)`)
+
+func (s *schedule) admin(ctx context.Context, f Fault, ev *Event) error {
+	method, body := f.Method, fillTimes(f.Body, time.Now())
+	if f.Edit != nil {
+		status, now, err := s.nodes.Admin(ctx, http.MethodGet, f.Path, nil)
+		if err != nil || status != http.StatusOK {
+			return errors.Join(err, fmt.Errorf("read before the edit: status %d", status))
+		}
+		if !bytes.Contains(now, []byte(f.Edit.Find)) {
+			return fmt.Errorf("%q is not in the present text", f.Edit.Find)
+		}
+		method, body = http.MethodPut, bytes.ReplaceAll(now, []byte(f.Edit.Find), []byte(f.Edit.Replace))
+	}
+	status, answer, err := s.nodes.Admin(ctx, method, f.Path, body)
+	ev.Status = status
+	ev.Answer = string(answer[:min(len(answer), maxAnswer)])
+	return err
+}
+
+// fillTimes replaces relative times by absolute ones.
+func fillTimes(body []byte, now time.Time) []byte {
+	return later.ReplaceAllFunc(body, func(m []byte) []byte {
+		d, err := time.ParseDuration(string(m[2:]))
+		if err != nil {
+			return m
+		}
+		return []byte(now.Add(d).UTC().Format(time.RFC3339Nano))
+	})
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/lab/experiment/plot.go
@@ -0,0 +1,177 @@
+package experiment
+
+import (
+	"fmt"
+	"image/color"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"bluebellflow/core/id"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Plot writes the plots of a record as SVG into a directory and returns their paths.
+func (r Record) Plot(dir string) ([]string, error) {
+	var paths []string
+	save := func(name string, p *plot.Plot) error {
+		path := filepath.Join(dir, r.Experiment.Name+"-"+name+".svg")
+		if err := p.Save(plotWidth, plotHeight, path); err != nil {
+			return fmt.Errorf("plot %s: %w", path, err)
+		}
+		paths = append(paths, path)
+		return nil
+	}
+	attainment, err := r.attainment()
+	if err != nil {
+		return nil, err
+	}
+	if err := save("attainment", attainment); err != nil {
+		return paths, err
+	}
+	latency, err := r.latency()
+	if err != nil {
+		return paths, err
+	}
+	if err := save("latency", latency); err != nil {
+		return paths, err
+	}
+	for _, pool := range r.pools() {
+		if len(r.versions(pool)) == 0 {
+			continue
+		}
+		p, err := r.versionPlot(pool)
+		if err != nil {
+			return paths, err
+		}
+		if err := save("versions-"+string(pool), p); err != nil {
+			return paths, err
+		}
+	}
+	return paths, nil
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Legend.Top = false
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// line adds a line in the colour of its index.
+func line(p *plot.Plot, name string, i int, points plotter.XYs) error {
+	if len(points) == 0 {
+		return nil
+	}
+	l, err := plotter.NewLine(points)
+	if err != nil {
+		return fmt.Errorf("plot %s: %w", name, err)
+	}
+	l.Color = plotutil.Color(i)
+	l.Width = vg.Points(1.5)
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
+
+// attainment plots the attainment by second, as the mean over the repeats.
+func (r Record) attainment() (*plot.Plot, error) {
+	p := newPlot(r.Experiment.Name+": whole answers in time", "planned time in s", "share")
+	p.Y.Min, p.Y.Max = 0, 1
+	for i, policy := range r.policies() {
+		runs := r.of(policy)
+		var points plotter.XYs
+		for s := range runs[0].Seconds {
+			sum, n := 0.0, 0
+			for _, run := range runs {
+				if s < len(run.Seconds) && run.Seconds[s] >= 0 {
+					sum += run.Seconds[s]
+					n++
+				}
+			}
+			if n > 0 {
+				points = append(points, plotter.XY{X: float64(s), Y: sum / float64(n)})
+			}
+		}
+		if err := line(p, policy, i, points); err != nil {
+			return nil, err
+		}
+	}
+	for _, f := range r.Experiment.Faults {
+		if err := mark(p, float64(f.At)); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// mark draws the time of a fault.
+func mark(p *plot.Plot, at float64) error {
+	l, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: 1}})
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	l.Color = color.Gray{Y: 160}
+	l.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
+	p.Add(l)
+	return nil
+}
+
+// latency plots the latency of whole answers by quantile, as the mean over the repeats.
+func (r Record) latency() (*plot.Plot, error) {
+	p := newPlot(r.Experiment.Name+": latency of whole answers", "quantile", "ms")
+	p.Y.Min = 0
+	for i, policy := range r.policies() {
+		runs := r.of(policy)
+		var points plotter.XYs
+		for k, q := range curveAt {
+			sum, n := 0.0, 0
+			for _, run := range runs {
+				if k < len(run.Curve) {
+					sum += run.Curve[k]
+					n++
+				}
+			}
+			if n > 0 {
+				points = append(points, plotter.XY{X: q, Y: sum / float64(n)})
+			}
+		}
+		if err := line(p, policy, i, points); err != nil {
+			return nil, err
+		}
+	}
+	p.Legend.Left = true
+	p.Legend.Top = true
+	return p, nil
+}
+
+// versionPlot plots the share of each version of a pool by time, of the first run of each policy.
+func (r Record) versionPlot(pool id.Pool) (*plot.Plot, error) {
+	p := newPlot(fmt.Sprintf("%s: versions of %s", r.Experiment.Name, pool), "time in s", "share of the attempts")
+	p.Y.Min, p.Y.Max = 0, 1
+	i := 0
+	for _, policy := range r.policies() {
+		at, byVersion := shares(r.of(policy)[0].Samples, pool)
+		for _, v := range r.versions(pool) {
+			var points plotter.XYs
+			for k, y := range byVersion[v] {
+				points = append(points, plotter.XY{X: at[k], Y: y})
+			}
+			if err := line(p, policy+" "+v, i, points); err != nil {
+				return nil, err
+			}
+			i++
+		}
+	}
+	return p, nil
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -43,6 +43,7 @@
 	seed    uint64
 	mu      sync.Mutex
 	servers map[id.Server]*Server
+	retired []*Server // removed servers, whose counts still matter
 	entries map[string]event.VM
 	ledgers map[id.Pool]*service.Ledger
 	added   map[id.Pool]int
@@ -225,8 +226,11 @@
 func (f *Fleet) Remove(name id.Server) error {
 	f.mu.Lock()
 	s, ok := f.servers[name]
-	delete(f.servers, name)
-	f.publishLocked()
+	if ok {
+		delete(f.servers, name)
+		f.retired = append(f.retired, s)
+		f.publishLocked()
+	}
 	f.mu.Unlock()
 	if !ok {
 		return fmt.Errorf("unknown server %q", name)
@@ -272,6 +276,14 @@
 	return list
 }
 
+// Every returns all back ends of all pools, also those that were removed.
+func (f *Fleet) Every() []*Server {
+	present := f.Servers("")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append(present, f.retired...)
+}
+
 // Server returns one back end.
 func (f *Fleet) Server(name id.Server) (*Server, bool) {
 	f.mu.Lock()
--- a/lab/load/balancer.go
+++ b/lab/load/balancer.go
@@ -85,3 +85,10 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// Count returns how many nodes are ready.
+func (b *Ready) Count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ready)
+}
--- a/lab/service/ledger.go
+++ b/lab/service/ledger.go
@@ -36,9 +36,13 @@
 
 // Effect returns how often the request with the given body had its effect.
 func (l *Ledger) Effect(body []byte) int {
+	return l.effectOf(xxhash.Sum64(body))
+}
+
+func (l *Ledger) effectOf(hash uint64) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.byBody[xxhash.Sum64(body)]
+	return l.byBody[hash]
 }
 
 // Doubled returns the keys that had their effect more than once.
--- a/lab/service/runner.go
+++ b/lab/service/runner.go
@@ -378,6 +378,14 @@
 	m.HandleFunc("/effects", func(w http.ResponseWriter, _ *http.Request) {
 		backend.WriteJSON(w, http.StatusOK, r.ledger.Effects())
 	}).Methods(http.MethodGet)
+	m.HandleFunc("/effects/{body:[0-9]+}", func(w http.ResponseWriter, q *http.Request) {
+		hash, err := strconv.ParseUint(mux.Vars(q)["body"], 10, 64)
+		if err != nil {
+			http.Error(w, "bad hash", http.StatusBadRequest)
+			return
+		}
+		backend.WriteJSON(w, http.StatusOK, r.ledger.effectOf(hash))
+	}).Methods(http.MethodGet)
 	for path, do := range map[string]func(){
 		"/restart": r.Restart,
 		"/leave":   func() { r.Leave(false) },
