--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -103,10 +104,17 @@
 	g := NewWithT(t)
 	rec := run(t, `{"name":"lost","deployment":"vordach","load":{"seconds":2,"rate":20},
 		"faults":[{"at":0,"kind":"service","pool":"bookings","service":{"lost_after":1}},
+			{"at":0.5,"kind":"stop","node":0},
+			{"at":0.7,"kind":"kill","node":1},
+			{"at":0.9,"kind":"admin","method":"GET","path":"status"},
 			{"at":1.5,"kind":"service","pool":"bookings","service":{}}]}`)
 	g.Expect(rec.Runs[0].Summary.Violations["doubled"]).To(BeNumerically(">", 0))
 	g.Expect(rec.Runs[0].Broken).NotTo(BeEmpty())
-	g.Expect(rec.Runs[0].Events).To(HaveLen(2))
+	g.Expect(rec.Runs[0].Events).To(HaveLen(5))
+	for _, ev := range rec.Runs[0].Events {
+		g.Expect(ev.Error).To(BeEmpty(), string(ev.Kind))
+	}
+	g.Expect(rec.Runs[0].Events[3].Status).To(Equal(http.StatusNotImplemented))
 }
 
 // Guards against a parser that panics or accepts a file that a second reading refuses.
