--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -60,7 +60,7 @@
 	Deadline  time.Time
 }
 
-// Decided is the answer to Claims.Ask; each request gets exactly one.
+// Decided is the answer to Claims.Ask or Claims.Look; each request gets exactly one.
 type Decided struct {
 	event.Internal
 	Request id.Request
@@ -84,6 +84,7 @@
 	Key       string         `protobuf:"bytes,3,opt,name=key"`
 	Print     id.Fingerprint `protobuf:"varint,4,opt,name=print"`
 	Left      int64          `protobuf:"varint,5,opt,name=left"` // nanoseconds until the deadline; clocks may differ
+	Look      bool           `protobuf:"varint,6,opt,name=look"` // only says what is known of the key and claims nothing
 }
 
 // Check reports a malformed message.
--- a/core/claim/claims.go
+++ b/core/claim/claims.go
@@ -31,6 +31,7 @@
 // ticket is a request of this node, from Ask until its outcome is recorded.
 type ticket struct {
 	Request
+	look    bool  // claims nothing
 	once    *once // nil for a caller's own key
 	phase   phase
 	started time.Time
@@ -104,11 +105,17 @@
 }
 
 // Ask asks for the right to dispatch a request; Decided follows, at the latest at the deadline.
-func (c *Claims) Ask(now time.Time, r Request) []event.Action {
+func (c *Claims) Ask(now time.Time, r Request) []event.Action { return c.open(now, r, false) }
+
+// Look asks what is known of a key without claiming it; Decided follows, never with Granted. Absent means
+// that no claim on the key existed at some time after the call.
+func (c *Claims) Look(now time.Time, r Request) []event.Action { return c.open(now, r, true) }
+
+func (c *Claims) open(now time.Time, r Request, look bool) []event.Action {
 	if _, twice := c.tickets[r.Request]; twice {
 		return nil
 	}
-	t := &ticket{Request: r, started: now}
+	t := &ticket{Request: r, look: look, started: now}
 	c.tickets[r.Request] = t
 	if k, ok := parseOnce(r.Key); ok {
 		t.once = &k
@@ -134,7 +141,7 @@
 }
 
 func (t *ticket) want(now time.Time) Want {
-	return Want{Request: t.Request.Request, Workspace: t.Workspace, Key: t.Key, Print: t.Print, Left: int64(t.Deadline.Sub(now))}
+	return Want{Request: t.Request.Request, Workspace: t.Workspace, Key: t.Key, Print: t.Print, Left: int64(t.Deadline.Sub(now)), Look: t.look}
 }
 
 // startLocal claims on the platform from this node.
@@ -143,7 +150,7 @@
 	c.timer(t, t.Deadline)
 	index, key := c.place(t.Workspace, t.Key)
 	return c.submit(now, index, op{
-		claim: true, key: key, print: t.Print, by: c.me(t.Request.Request), asked: now, until: t.Deadline,
+		claim: true, look: t.look, key: key, print: t.Print, by: c.me(t.Request.Request), asked: now, until: t.Deadline,
 	})
 }
 
@@ -309,6 +316,10 @@
 // conclude gives the caller of Ask its answer. A claim that may exist and was not granted is given up.
 func (c *Claims) conclude(now time.Time, t *ticket, m Told, reason string, claimed bool) []event.Action {
 	out := c.decided(t, m, reason)
+	if t.look {
+		delete(c.tickets, t.Request.Request)
+		return out
+	}
 	t.state, t.result, t.omitted, t.at = Void, nil, false, time.Time{}
 	switch {
 	case claimed:
@@ -542,7 +553,7 @@
 	}
 	index, key := c.place(m.Workspace, m.Key)
 	return c.submit(now, index, op{
-		claim: true, key: key, print: m.Print, by: by, from: ev.From,
+		claim: true, look: m.Look, key: key, print: m.Print, by: by, from: ev.From,
 		asked: now, until: now.Add(time.Duration(m.Left)),
 	})
 }
--- a/core/claim/once.go
+++ b/core/claim/once.go
@@ -108,12 +108,14 @@
 	switch {
 	case u == nil && k.counter < i.floor:
 		told.Verdict = Outstanding
+	case u == nil && w.Look:
+		told.Verdict = Absent
 	case u == nil:
 		i.used[k.counter] = &onceClaim{workspace: w.Workspace, print: w.Print, by: by, state: Running}
 		told.Verdict = Granted
 	case u.workspace != w.Workspace || u.print != w.Print:
 		told.Verdict = Mismatch
-	case u.state == Running && u.by == by:
+	case u.state == Running && u.by == by && !w.Look:
 		told.Verdict = Granted // the first grant may have been lost; the claimer uses only one
 	case u.state == Running:
 		told.Verdict, told.Node, told.Incarnation, told.Held = held, u.by.node, u.by.incarnation, u.by.request
--- a/core/claim/shard.go
+++ b/core/claim/shard.go
@@ -11,6 +11,7 @@
 // op is a claim, or the outcome of one, that waits for a conditional update of its shard.
 type op struct {
 	claim   bool
+	look    bool // a claim that is only looked up
 	key     digest
 	print   id.Fingerprint
 	by      claimer
@@ -125,6 +126,9 @@
 	case found && c.dead(e):
 		s.drop(o.key)
 		return c.rule(now, s, o)
+	case !found && o.look:
+		told.Verdict = Absent
+		return ruling{told: told}
 	case !found:
 		e = entry{print: o.print, state: Running, at: now, by: o.by}
 		if !s.shed(e.size(), c.maxObject) {
@@ -134,7 +138,7 @@
 		s.set(o.key, e)
 		told.Verdict = Granted
 		return ruling{told: told, changed: true}
-	case e.by == o.by && e.state == Running:
+	case e.by == o.by && e.state == Running && !o.look:
 		told.Verdict = Granted // an earlier update took effect and its answer was lost
 		return ruling{told: told}
 	}
--- a/core/node/command.go
+++ b/core/node/command.go
@@ -3,11 +3,8 @@
 import (
 	"time"
 
-	"bluebellflow/core/domain"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
-	"bluebellflow/core/move"
-	"bluebellflow/core/request"
 	"bluebellflow/core/route"
 	"bluebellflow/core/settings"
 )
@@ -35,38 +32,6 @@
 	Read struct{ event.Command }
 )
 
-// Report is the answer to Status.
-type Report struct {
-	Node     id.Node          `json:"node"`
-	Domain   id.FailureDomain `json:"domain"`
-	Revision id.Revision      `json:"revision"`
-	Ready    bool             `json:"ready"`
-	Nodes    []NodeReport     `json:"nodes"`
-	Domains  []DomainReport   `json:"domains"`
-	Moves    []move.Status    `json:"moves"`
-	Open     int              `json:"open"`
-	Requests request.Counters `json:"requests"`
-}
-
-// NodeReport is what a node knows of another one.
-type NodeReport struct {
-	Node     id.Node          `json:"node"`
-	Domain   id.FailureDomain `json:"domain"`
-	Revision id.Revision      `json:"revision"` // configuration in force there when last heard, 0 if never heard
-	Heard    string           `json:"heard"`    // time since the last heartbeat, "never" if there was none
-	Silent   bool             `json:"silent"`   // not heard from for longer than the suspicion time
-	Leaving  bool             `json:"leaving"`
-}
-
-// DomainReport is a failure domain's state as this node sees it.
-type DomainReport struct {
-	Domain    id.FailureDomain `json:"domain"`
-	State     string           `json:"state"`
-	Epoch     uint64           `json:"epoch"`
-	Committed bool             `json:"committed"` // false: accepted while the platform could not be reached
-	By        string           `json:"by"`
-}
-
 // Configuration is the answer to Read.
 type Configuration struct {
 	Revision id.Revision       `json:"revision"`
@@ -91,11 +56,11 @@
 // poolLimits tells the router what the servers of each pool can handle.
 func poolLimits(tree *settings.Tree) route.Pools {
 	limits := route.Pools{Cold: map[id.Pool]int{}, Warm: map[id.Pool]int{}}
-	for _, p := range tree.Pools() {
-		limits.Cold[p.Name] = p.Cold
-		limits.Warm[p.Name] = p.Warm
+	for _, name := range tree.Pools() {
+		if p, ok := tree.Pool(name); ok {
+			limits.Cold[name] = p.Cold
+			limits.Warm[name] = p.Warm
+		}
 	}
 	return limits
 }
-
-var _ = domain.Drained
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -15,6 +15,7 @@
 	"bluebellflow/core/move"
 	"bluebellflow/core/request"
 	"bluebellflow/core/route"
+	"bluebellflow/core/settings"
 )
 
 const (
@@ -22,6 +23,8 @@
 	maxRounds = 10_000
 	// balancerLag is how long the platform's balancer may go on sending callers to a node that is not ready.
 	balancerLag = 2 * time.Second
+	// recordWait is how long a stopping node tries to record outcomes while the platform is down.
+	recordWait = 15 * time.Second
 	// stopPoll is how often a stopping node looks whether its last request has ended.
 	stopPoll = 50 * time.Millisecond
 )
@@ -32,6 +35,12 @@
 	Next() time.Time
 }
 
+// admission gives the queue's timer the name that the other packages use.
+type admission struct{ *admit.Queue }
+
+// Next returns when a queued request can no longer meet its deadline.
+func (a admission) Next() time.Time { return a.Wake() }
+
 // Node is the decision logic of one process.
 type Node struct {
 	self     event.Self
@@ -46,6 +55,8 @@
 	requests *request.Requests
 	modules  []module
 
+	polls    map[uint64]*poll
+	polled   uint64
 	ready    bool
 	stopped  time.Time // when Stop came, zero before
 	exited   bool
@@ -68,13 +79,14 @@
 		router:  route.New(self, o.route...),
 		queue:   admit.New(self, o.admit...),
 		moves:   move.New(self, o.move...),
+		polls:   map[uint64]*poll{},
 	}
 	n.requests = request.New(self, request.Parts{
 		Router: n.router, Queue: n.queue, Claims: n.claims, Guard: n.guard,
 		Versions: n.moves, Settings: n.config,
 	})
 	n.modules = []module{
-		n.members, n.config, n.domains, n.claims, n.guard, n.router, n.queue, n.moves, n.requests,
+		n.members, n.config, n.domains, n.claims, n.guard, n.router, admission{n.queue}, n.moves, n.requests,
 	}
 	return n
 }
@@ -113,6 +125,7 @@
 func (n *Node) own(now time.Time, ev event.Event) []event.Action {
 	switch ev := ev.(type) {
 	case config.Changed:
+		n.setRetries(ev.Tree)
 		return []event.Action{poolLimits(ev.Tree)}
 	case domain.Changed:
 		return []event.Action{route.DomainState{
@@ -121,7 +134,11 @@
 	case event.Stop:
 		return n.stop(now)
 	case Status:
-		return []event.Action{event.Answer{Number: ev.Number, Value: n.report(now)}}
+		return n.ask(now, ev)
+	case event.Receive:
+		return n.message(ev)
+	case event.Tick:
+		return n.overdue(now)
 	case Explain:
 		return []event.Action{n.explain(ev)}
 	case Issue:
@@ -132,6 +149,15 @@
 	return nil
 }
 
+// setRetries gives each pipeline the retry budget of its settings.
+func (n *Node) setRetries(tree *settings.Tree) {
+	for _, p := range tree.Pipelines() {
+		if e, err := tree.Effective("", p, n.self.FailureDomain); err == nil {
+			n.queue.SetRetries(p, e.Retries)
+		}
+	}
+}
+
 // stop begins a graceful shutdown: unready first, then nothing new by choice, then wait for the open requests.
 func (n *Node) stop(now time.Time) []event.Action {
 	if !n.stopped.IsZero() {
@@ -153,7 +179,7 @@
 	if n.stopped.IsZero() || n.exited {
 		return out
 	}
-	if n.requests.Open() == 0 && n.claims.Settled() && now.Sub(n.stopped) >= balancerLag {
+	if n.requests.Open() == 0 && n.claims.Open() == 0 && (n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait) && now.Sub(n.stopped) >= balancerLag {
 		n.exited = true
 		return append(out, event.Exit{})
 	}
@@ -164,6 +190,11 @@
 // Next returns the time of the earliest timer, zero for none.
 func (n *Node) Next() time.Time {
 	next := n.waitNext
+	for _, p := range n.polls {
+		if next.IsZero() || p.until.Before(next) {
+			next = p.until
+		}
+	}
 	for _, m := range n.modules {
 		t := m.Next()
 		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
--- /dev/null
+++ b/core/node/status.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/move"
+	"bluebellflow/core/request"
+)
+
+const (
+	// statusWait is how long a status command waits for the other nodes.
+	statusWait = 500 * time.Millisecond
+	// maxStatus bounds the status commands that wait at the same time.
+	maxStatus = 16
+)
+
+// Ask asks another node for what it reports in a status command.
+type Ask struct {
+	Number uint64 `protobuf:"varint,1,opt,name=number"`
+}
+
+// Check accepts every number.
+func (Ask) Check() error { return nil }
+
+// Tell answers Ask.
+type Tell struct {
+	Number   uint64      `protobuf:"varint,1,opt,name=number"`
+	Revision id.Revision `protobuf:"varint,2,opt,name=revision"`
+	Domains  uint64      `protobuf:"varint,3,opt,name=domains"`
+	Open     uint64      `protobuf:"varint,4,opt,name=open"`
+	Ready    bool        `protobuf:"varint,5,opt,name=ready"`
+}
+
+// Check rejects an impossible count of open requests.
+func (t Tell) Check() error {
+	if t.Open > 1<<32 {
+		return errors.New("tell: too many open requests")
+	}
+	return nil
+}
+
+// Report is the answer to Status.
+type Report struct {
+	Node     id.Node          `json:"node"`
+	Domain   id.FailureDomain `json:"domain"`
+	Revision id.Revision      `json:"revision"`
+	Rejected id.Revision      `json:"rejected,omitempty"` // newest revision that this node got and that did not check
+	Ready    bool             `json:"ready"`
+	Nodes    []NodeReport     `json:"nodes"`
+	Silent   []id.Node        `json:"silent"` // nodes in the view that did not answer
+	Domains  []domain.Record  `json:"domains"`
+	Moves    []move.Status    `json:"moves"`
+	Open     int              `json:"open"`
+	Requests request.Counters `json:"requests"`
+}
+
+// NodeReport is what another node says of itself.
+type NodeReport struct {
+	Node     id.Node          `json:"node"`
+	Domain   id.FailureDomain `json:"domain"`
+	Heard    bool             `json:"heard"`
+	Revision id.Revision      `json:"revision"` // configuration in force there, 0 if it did not answer
+	Open     uint64           `json:"open"`     // requests without a final answer
+	Ready    bool             `json:"ready"`
+	Leaving  bool             `json:"leaving"`
+}
+
+// poll is a status command that waits for the other nodes.
+type poll struct {
+	number uint64 // of the command
+	until  time.Time
+	report Report
+	left   int
+}
+
+// ask starts a status command: every node in the view is asked, so that the answer can name the silent ones.
+func (n *Node) ask(now time.Time, ev Status) []event.Action {
+	if len(n.polls) >= maxStatus {
+		return []event.Action{event.Answer{Number: ev.Number, Fault: &event.Problem{
+			Kind: event.Refused, Detail: "too many status commands at once", RetryAfter: statusWait,
+		}}}
+	}
+	n.polled++
+	p := &poll{number: ev.Number, until: now.Add(statusWait), report: n.report()}
+	n.polls[n.polled] = p
+	var out []event.Action
+	for _, r := range p.report.Nodes {
+		if r.Node != n.self.Node {
+			p.left++
+			out = append(out, event.Send{To: r.Node, Body: Ask{Number: n.polled}})
+		}
+	}
+	if p.left == 0 {
+		return append(out, n.conclude(n.polled, p))
+	}
+	return out
+}
+
+func (n *Node) report() Report {
+	r := Report{
+		Node: n.self.Node, Domain: n.self.FailureDomain, Revision: n.config.Revision(), Rejected: n.config.Rejected(),
+		Ready: n.ready, Domains: n.domains.Records(), Moves: n.moves.Status(),
+		Open: n.requests.Open(), Requests: n.requests.Counters(),
+	}
+	for _, m := range n.members.View().Nodes {
+		r.Nodes = append(r.Nodes, n.reportOf(m))
+	}
+	return r
+}
+
+func (n *Node) reportOf(m member.Node) NodeReport {
+	r := NodeReport{Node: m.ID, Domain: m.FailureDomain, Leaving: m.Leaving}
+	if m.ID == n.self.Node {
+		r.Heard, r.Revision, r.Open, r.Ready = true, n.config.Revision(), uint64(n.requests.Open()), n.ready
+	}
+	return r
+}
+
+// message handles the status messages between nodes.
+func (n *Node) message(ev event.Receive) []event.Action {
+	switch m := ev.Body.(type) {
+	case Ask:
+		return []event.Action{event.Send{To: ev.From, Body: Tell{
+			Number: m.Number, Revision: n.config.Revision(), Domains: n.domains.Version(),
+			Open: uint64(n.requests.Open()), Ready: n.ready,
+		}}}
+	case Tell:
+		return n.told(ev.From, m)
+	}
+	return nil
+}
+
+func (n *Node) told(from id.Node, m Tell) []event.Action {
+	p, ok := n.polls[m.Number]
+	if !ok {
+		return nil
+	}
+	at := slices.IndexFunc(p.report.Nodes, func(r NodeReport) bool { return r.Node == from })
+	if at < 0 || p.report.Nodes[at].Heard {
+		return nil
+	}
+	r := &p.report.Nodes[at]
+	r.Heard, r.Revision, r.Open, r.Ready = true, m.Revision, m.Open, m.Ready
+	if p.left--; p.left > 0 {
+		return nil
+	}
+	return []event.Action{n.conclude(m.Number, p)}
+}
+
+// overdue answers the status commands that have waited long enough.
+func (n *Node) overdue(now time.Time) []event.Action {
+	var out []event.Action
+	for number, p := range n.polls {
+		if !p.until.After(now) {
+			out = append(out, n.conclude(number, p))
+		}
+	}
+	slices.SortFunc(out, func(a, b event.Action) int {
+		return int(a.(event.Answer).Number) - int(b.(event.Answer).Number)
+	})
+	return out
+}
+
+func (n *Node) conclude(number uint64, p *poll) event.Action {
+	delete(n.polls, number)
+	for _, r := range p.report.Nodes {
+		if !r.Heard {
+			p.report.Silent = append(p.report.Silent, r.Node)
+		}
+	}
+	slices.SortFunc(p.report.Silent, func(a, b id.Node) int { return strings.Compare(string(a), string(b)) })
+	return event.Answer{Number: p.number, Value: p.report}
+}
--- /dev/null
+++ b/core/node/system_test.go
@@ -0,0 +1,140 @@
+package node_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/config"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/node"
+	"bluebellflow/core/prove"
+	"bluebellflow/core/settings"
+)
+
+// deployment is the smaller of the two users' systems, with few tokens so that proofs stay short.
+const deployment = `{
+  "root": {"deadline": "4s", "weight": 1, "limit": 64, "retries": 0.2},
+  "pools": {
+    "encoder": {"cold": 2, "warm": 16}, "retriever": {"cold": 2, "warm": 16},
+    "model": {"cold": 2, "warm": 8}, "loans": {"cold": 2, "warm": 8},
+  },
+  "regions": {"south": {"domains": {"d0": {}, "d1": {}, "d2": {}}}},
+  "pipelines": {
+    "answer": {"stages": [
+      {"kind": "encode", "pool": "encoder", "timeout": "500ms"},
+      {"kind": "retrieve", "pool": "retriever", "timeout": "500ms"},
+      {"kind": "generate", "pool": "model", "stream": true},
+    ]},
+    "loan": {"stages": [
+      {"kind": "encode", "pool": "encoder", "timeout": "500ms"},
+      {"kind": "generate", "pool": "model", "stream": true},
+      {"name": "checkout", "kind": "action", "pool": "loans", "timeout": "1s"},
+    ]},
+  },
+  "workspaces": {"north": {}, "south": {"weight": 2}},
+}`
+
+const (
+	domains        = 3
+	nodesPerDomain = 3
+)
+
+// system is a whole deployment in virtual time.
+type system struct {
+	*prove.World
+	backends *prove.Backends
+	callers  *prove.Callers
+	tree     *settings.Tree
+	sent     int
+	commands int
+}
+
+func domainName(i int) id.FailureDomain { return id.FailureDomain(fmt.Sprintf("d%d", i)) }
+
+func nodeName(d, i int) id.Node { return id.Node(fmt.Sprintf("d%d-n%d", d, i)) }
+
+// newSystem starts all nodes, applies the settings and waits until every node is ready.
+func newSystem(seed uint64, opts ...node.Option) *system {
+	w := prove.New(seed)
+	s := &system{World: w, backends: prove.NewBackends(w)}
+	tree, err := settings.Parse("deployment", []byte(deployment))
+	if err != nil {
+		panic(err)
+	}
+	s.tree = tree
+	s.callers = prove.NewCallers(w, s.backends, s.plan)
+	for d := range domains {
+		for i := range nodesPerDomain {
+			w.Add(event.Self{
+				Node: nodeName(d, i), FailureDomain: domainName(d), Region: "south",
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(d), byte(i + 1)}), 7000),
+			}, func(self event.Self) prove.Stepper { return node.New(self, opts...) })
+		}
+		s.addServers(d)
+	}
+	w.Run(time.Second)
+	w.Inject(nodeName(0, 0), config.Apply{Command: event.Command{Number: 1}, Source: []byte(deployment)}, 0)
+	w.Run(12 * time.Second) // a fresh permit holder waits out the permits of a process that it may have followed
+	return s
+}
+
+func (s *system) plan(a event.Arrive) settings.Effective {
+	e, err := s.tree.Effective(a.Workspace, a.Pipeline, "d0")
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func (s *system) addServers(d int) {
+	for i, pool := range []id.Pool{"encoder", "retriever", "model", "model", "loans"} {
+		s.backends.Add(&prove.Server{
+			VM: event.VM{
+				Name: fmt.Sprintf("d%d-%s-%d", d, pool, i), Kind: "backend", Pool: pool, Version: "v1",
+				FailureDomain: domainName(d), Region: "south",
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(d), byte(i + 1)}), 8000),
+			},
+			Cold: 2, Warm: 8, Service: 20 * time.Millisecond, Token: 5 * time.Millisecond, Tokens: 8,
+		})
+	}
+}
+
+// send lets a caller send one request to a node; every other one is a loan with its own key.
+func (s *system) send(to id.Node) *prove.Sent {
+	s.sent++
+	a := event.Arrive{Workspace: "north", Pipeline: "answer", Body: []byte(fmt.Sprintf("request %d", s.sent)), Priority: 3, Stream: s.sent%4 == 0}
+	if s.sent%2 == 0 {
+		a.Pipeline, a.Key, a.Workspace = "loan", fmt.Sprintf("key-%d", s.sent), "south"
+	}
+	return s.callers.Send(to, a)
+}
+
+// load sends requests to random nodes that run.
+func (s *system) load(count int, gap time.Duration) {
+	for range count {
+		name := s.Names()[s.Rand.IntN(len(s.Names()))]
+		if s.Up(name) {
+			s.send(name)
+		}
+		s.Run(gap)
+	}
+}
+
+func expectNoViolations(g *WithT, s *system) {
+	g.Expect(s.callers.Check(time.Second)).To(BeEmpty())
+}
+
+// TestCalm guards against requests that fail though nothing is wrong.
+func TestCalm(t *testing.T) {
+	g := NewWithT(t)
+	s := newSystem(1)
+	s.load(200, 10*time.Millisecond)
+	s.Run(6 * time.Second)
+	expectNoViolations(g, s)
+	g.Expect(s.callers.Tally()).To(Equal(map[string]int{"answered": 200}))
+}
--- a/core/prove/backend.go
+++ b/core/prove/backend.go
@@ -23,9 +23,8 @@
 type Server struct {
 	VM      event.VM
 	Start   id.Start
-	Cold    int           // attempts in flight that it can handle before it is warm
+	Cold    int           // attempts in flight that it can handle after its start
 	Warm    int           // attempts in flight that it can handle when it is warm
-	Needs   int           // attempts that it completes before it is warm
 	Service time.Duration // time of one attempt that does not stream, and of a stream's first token
 	Token   time.Duration // time between the parts of a stream
 	Tokens  int           // tokens of a stream
@@ -36,7 +35,7 @@
 	SlowBy    float64 // factor on the service time, 0 for 1
 	Down      bool    // nothing listens at its address
 	Completed int     // attempts completed since its start
-	MaxCold   int     // largest number in flight while it was cold, over all its starts
+	Overrun   int     // attempts received beyond what it could handle, while it was cold
 	Received  int     // attempts received over all its starts
 
 	running map[run]id.Node
@@ -55,7 +54,6 @@
 	Poison  string         // a request whose input contains it crashes the server that runs it
 	Effects map[string]int // effects by idempotency key
 	Crashes int            // caused by poison
-	Overrun int            // attempts that a cold server received beyond what it can handle
 	Streams func(stage string) bool
 	order   []id.Server
 	world   *World
@@ -99,14 +97,15 @@
 	b.world.At(downtime, func() { s.Down = false })
 }
 
-// IsWarm reports whether the server has completed what it needs.
-func (s *Server) IsWarm() bool { return s.Completed >= s.Needs }
-
-func (s *Server) handles() int {
-	if s.IsWarm() {
-		return s.Warm
+// Handles returns how many attempts in flight the server can handle now. It doubles with each full round
+// of completions, as caches fill and code is compiled.
+func (s *Server) Handles() int {
+	n, done := s.Cold, s.Completed
+	for n < s.Warm && done >= n {
+		done -= n
+		n *= 2
 	}
-	return s.Cold
+	return min(n, s.Warm)
 }
 
 // Handle carries out a dispatch or a cancellation; it reports whether the action was one of them.
@@ -137,13 +136,10 @@
 	}
 	s.Received++
 	s.running[r] = from
-	if !s.IsWarm() {
-		s.MaxCold = max(s.MaxCold, len(s.running))
-		if len(s.running) > s.Cold {
-			b.Overrun++
-		}
+	if s.Handles() < s.Warm && len(s.running) > s.Handles() {
+		s.Overrun++
 	}
-	if len(s.running) > 2*s.handles() {
+	if len(s.running) > 2*s.Handles() {
 		b.crash(s)
 		return
 	}
@@ -243,7 +239,7 @@
 			}
 			b.world.Inject(node, event.Report{
 				Server: name, Start: s.Start, Version: s.VM.Version, Running: len(s.running), Limit: s.Warm,
-				Warm: s.IsWarm(), Leaving: s.Leaving, At: b.world.Now,
+				Warm: s.Handles() == s.Warm, Leaving: s.Leaving, At: b.world.Now,
 			}, reportLag)
 		}
 	}
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -175,13 +175,13 @@
 }
 
 func (r *Requests) admit(now time.Time, o *open, out *actions) {
-	v := r.parts.Queue.Offer(now, admit.Task{
-		Request: o.arrive.Request, Workspace: o.arrive.Workspace, Pipeline: o.arrive.Pipeline,
-		Stages: o.remaining(), Weight: o.plan.Weight, Limit: o.plan.Limit,
-		Priority: o.arrive.Priority, Deadline: o.deadline,
-	})
+	v := r.parts.Queue.Offer(now, r.task(o))
 	switch v.Kind {
 	case admit.Run:
+		if r.congested(o) {
+			r.requeue(now, o, out)
+			return
+		}
 		o.admitted = true
 		r.begin(now, o, out)
 	case admit.Queued:
@@ -193,10 +193,44 @@
 	}
 }
 
+// congested reports whether requests wait for a pool that the request needs. Such a request waits in the
+// queue instead, where priority and weights decide, and where it can still be refused as not run.
+func (r *Requests) congested(o *open) bool {
+	for _, s := range o.plan.Stages {
+		if len(r.waiting[s.Pool]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// requeue puts an admitted request that no server has room for back into the queue.
+func (r *Requests) requeue(now time.Time, o *open, out *actions) {
+	o.admitted = false
+	o.phase = queued
+	out.log("admit", o, "queue", "others wait for a server of the pipeline")
+	r.parts.Queue.Requeue(now, r.task(o))
+	r.timers.set(now.Add(waitPause), o.arrive.Request)
+}
+
+func (r *Requests) task(o *open) admit.Task {
+	return admit.Task{
+		Request: o.arrive.Request, Workspace: o.arrive.Workspace, Pipeline: o.arrive.Pipeline,
+		Stages: o.remaining(), Weight: o.plan.Weight, Limit: o.plan.Limit,
+		Priority: o.arrive.Priority, Deadline: o.deadline,
+	}
+}
+
+// fits reports whether a queued request may start.
+func (r *Requests) fits(t admit.Task) bool {
+	o, ok := r.open[t.Request]
+	return !ok || !r.congested(o)
+}
+
 // next admits queued requests for which there is room now.
 func (r *Requests) next(now time.Time, out *actions) {
 	for {
-		task, ok := r.parts.Queue.Next(now, func(admit.Task) bool { return true })
+		task, ok := r.parts.Queue.Next(now, r.fits)
 		if !ok {
 			return
 		}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -22,6 +22,7 @@
 type queue interface {
 	Offer(now time.Time, t admit.Task) admit.Verdict
 	Next(now time.Time, fits func(admit.Task) bool) (admit.Task, bool)
+	Requeue(now time.Time, t admit.Task)
 	Finish(r id.Request)
 	Expired(now time.Time) []admit.Task
 	Observe(p id.Pipeline, stage string, took time.Duration)
@@ -139,6 +140,7 @@
 		r.claimed(now, ev, &out)
 	case route.Room:
 		r.room(now, ev.Pool, &out)
+		r.next(now, &out)
 	case event.Tick:
 		r.tick(now, &out)
 	}
