--- a/core/prove/world.go
+++ b/core/prove/world.go
@@ -295,3 +295,6 @@
 	*q = old[:len(old)-1]
 	return last
 }
+
+// Reaches reports whether messages from one node to another are not cut.
+func (w *World) Reaches(from, to id.Node) bool { return !w.cuts[[2]id.Node{from, to}] }
