route: choice of backend servers

Cause: nodes need a choice whose cost does not grow with the fleet, that keeps cold servers within permits and leaving servers and closed domains without new work.

Ruled out: a scan of the pool (1,900 servers); trust in load reports alone (they lag, so the own in-flight count at the time of the report is taken out and the present one added); one slow completion as a sign of a cold server (one long prompt would make it warm up again); unbounded ejection (a fault outside the servers would empty the pool).

Change: package route. Ejection after three failures in a row, for at most 30% of a pool, with jittered doubling spans. Baselines roundrobin, least, twochoices, nolocality, and those of permit.

--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,312 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/prove"
+	"bluebellflow/core/route"
+)
+
+// TestHistories guards against overloaded cold servers and against work that reaches leaving servers or closed domains.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(rapid.Uint64().Draw(t, "seed"))
+		node := rapid.SampledFrom(r.Names())
+		server := rapid.SampledFrom(r.backends)
+		r.Run(14 * time.Second)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if r.fault != nil {
+					t.Fatal(r.fault)
+				}
+			},
+			"kill": func(t *rapid.T) { r.Kill(node.Draw(t, "node")) },
+			"start": func(t *rapid.T) {
+				n := node.Draw(t, "node")
+				r.Kill(n)
+				r.Start(n)
+			},
+			"freeze": func(t *rapid.T) {
+				r.Freeze(node.Draw(t, "node"), time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms"))*time.Millisecond)
+			},
+			"cut":  func(t *rapid.T) { r.Cut(node.Draw(t, "a"), node.Draw(t, "b")) },
+			"part": func(*rapid.T) { r.CutDomain("domain-0") },
+			"heal": func(*rapid.T) { r.Heal() },
+			"network": func(t *rapid.T) {
+				r.Network.Loss = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss")
+				r.Network.Repeat = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "repeat")
+			},
+			"cold": func(t *rapid.T) { server.Draw(t, "server").restart() },
+			"leave": func(t *rapid.T) {
+				b, n := server.Draw(t, "server"), node.Draw(t, "node")
+				r.Heal()
+				r.Run(12 * time.Second) // freezes end, links to dead nodes are replaced
+				if !r.Up(n) {
+					return
+				}
+				if err := r.leave(b, n); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"drain": func(t *rapid.T) {
+				r.closed = true
+				r.Run(10 * time.Second)
+				known := r.Now
+				r.Run(time.Second)
+				if b := r.backends[1]; b.taken.After(known) {
+					t.Fatalf("%s got work although its domain is closed", b.name)
+				}
+				r.closed = false
+			},
+			"run": func(t *rapid.T) { r.Run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+		})
+	})
+}
+
+// TestLeavingNeedsMarker shows that the oracle sees the failure when markers are ignored.
+func TestLeavingNeedsMarker(t *testing.T) {
+	for without, opts := range map[bool][]route.Option{true: {route.WithoutLeaving()}, false: nil} {
+		r := newRig(1, opts...)
+		r.Run(16 * time.Second)
+		NewWithT(t).Expect(r.backends[0].taken).To(BeTemporally(">", r.Now.Add(-time.Second)))
+		NewWithT(t).Expect(r.leave(r.backends[0], r.Names()[0]) != nil).To(Equal(without))
+	}
+}
+
+// TestColdNeedsPermit shows that the oracle sees the failure when nodes send to cold servers without permits.
+func TestColdNeedsPermit(t *testing.T) {
+	for baseline, bad := range map[string]bool{"nopermit": true, "": false} {
+		r := newRig(1, route.Baselines(baseline))
+		r.Run(16 * time.Second)
+		NewWithT(t).Expect(r.fault != nil).To(Equal(bad))
+	}
+}
+
+// TestSignsOfCold guards against a server that goes on getting full load although it became slow under the same start
+// identity, and against a domain that comes back with warm servers.
+func TestSignsOfCold(t *testing.T) {
+	for name, sign := range map[string]func(r *rig){
+		"none": func(*rig) {},
+		"slow": func(r *rig) { r.backends[0].slower = 2000 },
+		"domain": func(r *rig) {
+			r.Inject(r.Names()[1], route.DomainState{Domain: "domain-0", Open: true, Cold: true}, 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRig(1)
+			r.Run(16 * time.Second)
+			cold := id.NewSet[id.Node]()
+			check := func() {
+				for _, n := range r.Names() {
+					if !r.unit(n).router.Warm("s0") {
+						cold.Add(n)
+					}
+				}
+			}
+			check()
+			g.Expect(cold).To(BeEmpty())
+			sign(r)
+			for range 600 {
+				r.Run(10 * time.Millisecond)
+				check()
+			}
+			if name == "none" {
+				g.Expect(cold).To(BeEmpty())
+				return
+			}
+			g.Expect(cold).To(HaveLen(len(r.Names())))
+		})
+	}
+}
+
+// single returns a router with warm servers that alternate between the own and another domain.
+func single(servers int, names ...string) *route.Router {
+	self := event.Self{Node: "n", FailureDomain: "domain-0", Rand: rand.New(rand.NewPCG(1, 2))}
+	r := route.New(self, route.Baselines(append(names, "nopermit")...))
+	r.Step(prove.Epoch, pools)
+	for i := range servers {
+		r.Step(prove.Epoch, member.ServerChanged{Server: member.Server{
+			ID: id.Server(fmt.Sprintf("s%04d", i)), Pool: "gen", Version: id.Version(fmt.Sprintf("v%d", i%4/2)),
+			FailureDomain: id.FailureDomain(fmt.Sprintf("domain-%d", i%2)), Start: "a",
+		}})
+	}
+	return r
+}
+
+// places runs count attempts one after the other and returns how often each server was chosen.
+func places(r *route.Router, now time.Time, count int, q route.Query, kind route.OutcomeKind) map[id.Server]int {
+	got := map[id.Server]int{}
+	q.Pool = "gen"
+	for i := range count {
+		c, _ := r.Place(now, id.Attempt(i+1), q)
+		if c.Verdict == route.Chosen {
+			got[c.Server.ID]++
+			r.End(now, id.Attempt(i+1), route.Outcome{Kind: kind, Took: time.Second, Start: "a"})
+		}
+	}
+	return got
+}
+
+// TestPreferences guards against a choice that ignores a condition of the query or of the server.
+func TestPreferences(t *testing.T) {
+	now := prove.Epoch.Add(time.Second)
+	for name, c := range map[string]struct {
+		prepare func(r *route.Router)
+		query   route.Query
+		want    []id.Server
+	}{
+		"own domain first": {want: []id.Server{"s0000", "s0002"}},
+		"version":          {query: route.Query{Version: "v1"}, want: []id.Server{"s0002"}},
+		"avoid":            {query: route.Query{Avoid: []id.Server{"s0000"}}, want: []id.Server{"s0002"}},
+		"closed domain": {
+			prepare: func(r *route.Router) { r.Step(now, route.DomainState{Domain: "domain-0"}) },
+			want:    []id.Server{"s0001", "s0003"},
+		},
+		"leaving": {
+			prepare: func(r *route.Router) {
+				r.Step(now, member.ServerChanged{Server: member.Server{ID: "s0000", Pool: "gen", FailureDomain: "domain-0", Start: "a", Leaving: true}})
+			},
+			want: []id.Server{"s0002"},
+		},
+		"loaded by others": {
+			prepare: func(r *route.Router) {
+				r.Step(now, event.Report{Server: "s0000", Start: "a", Running: 3, Limit: 8, At: now})
+			},
+			want: []id.Server{"s0002"},
+		},
+		"own domain full": {
+			prepare: func(r *route.Router) {
+				for _, s := range []id.Server{"s0000", "s0002"} {
+					r.Step(now, event.Report{Server: s, Start: "a", Running: 8, Limit: 8, At: now})
+				}
+			},
+			want: []id.Server{"s0001", "s0003"},
+		},
+		"prefix": {
+			prepare: func(r *route.Router) {
+				r.Step(now, event.Cached{Server: "s0003", Start: "a", Seq: 1, Added: []uint64{7}, At: now})
+			},
+			query: route.Query{Prefix: []uint64{7, 8}}, want: []id.Server{"s0003"},
+		},
+		"prefix of an earlier start": {
+			prepare: func(r *route.Router) {
+				r.Step(now, event.Cached{Server: "s0003", Start: "a", Seq: 1, Added: []uint64{7}, At: now})
+				r.Step(now, member.ServerChanged{Server: member.Server{ID: "s0003", Pool: "gen", FailureDomain: "domain-1", Start: "b"}})
+			},
+			query: route.Query{Prefix: []uint64{7}}, want: []id.Server{"s0000", "s0002"},
+		},
+		"alone": {
+			prepare: func(r *route.Router) {
+				for i := range 3 { // the two servers of the own domain and one more are in use
+					r.Place(now, id.Attempt(100+i), route.Query{Pool: "gen", Alone: true})
+				}
+			},
+			query: route.Query{Alone: true}, want: []id.Server{"s0001", "s0003"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := single(4)
+			if c.prepare != nil {
+				c.prepare(r)
+			}
+			for s := range places(r, now, 40, c.query, route.Completed) {
+				NewWithT(t).Expect(c.want).To(ContainElement(s))
+			}
+		})
+	}
+}
+
+// TestRoomFollowsWait guards against waiting work that nobody calls again.
+func TestRoomFollowsWait(t *testing.T) {
+	g := NewWithT(t)
+	r, now := single(1), prove.Epoch
+	for i := range 9 {
+		c, _ := r.Place(now, id.Attempt(i+1), route.Query{Pool: "gen"})
+		g.Expect(c.Verdict == route.Wait).To(Equal(i == 8))
+	}
+	g.Expect(r.End(now, 1, route.Outcome{Kind: route.Completed, Start: "a"})).To(ContainElement(route.Room{Pool: "gen"}))
+	c, _ := r.Place(now, 10, route.Query{Pool: "gen"})
+	g.Expect(c.Verdict).To(Equal(route.Chosen))
+	_, _ = r.Place(now, 11, route.Query{Pool: "gen"})
+	g.Expect(r.Step(r.Next(), event.Tick{})).To(ContainElement(route.Room{Pool: "gen"}))
+	c, _ = r.Place(now, 12, route.Query{Pool: "other"})
+	g.Expect(c.Verdict).To(Equal(route.None))
+}
+
+// TestEjection guards against a server that fails fast and attracts work, and against ejecting a whole pool.
+func TestEjection(t *testing.T) {
+	usable := func(opts ...route.Option) (aside int, back bool) {
+		self := event.Self{Node: "n", FailureDomain: "domain-0", Rand: rand.New(rand.NewPCG(1, 2))}
+		r := route.New(self, append(opts, route.Baselines("nopermit"))...)
+		for i := range 10 {
+			r.Step(prove.Epoch, member.ServerChanged{Server: member.Server{ID: id.Server(fmt.Sprint(i)), Pool: "gen", FailureDomain: "domain-0", Start: "a"}})
+		}
+		places(r, prove.Epoch, 400, route.Query{}, route.Errored)
+		after := places(r, prove.Epoch, 400, route.Query{}, route.Cancelled)
+		later := places(r, prove.Epoch.Add(time.Minute), 400, route.Query{}, route.Cancelled)
+		return 10 - len(after), len(later) == 10
+	}
+	g := NewWithT(t)
+	aside, back := usable()
+	g.Expect(aside).To(Equal(3))
+	g.Expect(back).To(BeTrue())
+	aside, _ = usable(route.WithoutEjectionBound())
+	g.Expect(aside).To(Equal(10), "the oracle sees the failure without the bound")
+}
+
+// TestBaselinesByName guards against a baseline that is silently ignored.
+func TestBaselinesByName(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(places(single(4, route.RoundRobin), prove.Epoch, 40, route.Query{}, route.Completed)).To(
+		Equal(map[id.Server]int{"s0000": 10, "s0001": 10, "s0002": 10, "s0003": 10}))
+	for _, name := range []string{route.Least, route.TwoChoices} {
+		g.Expect(places(single(4, name), prove.Epoch, 100, route.Query{}, route.Completed)).To(HaveLen(4))
+	}
+	r := single(4, route.NoLocality)
+	r.Step(prove.Epoch, event.Cached{Server: "s0003", Start: "a", Seq: 1, Added: []uint64{7}})
+	g.Expect(places(r, prove.Epoch, 10, route.Query{Prefix: []uint64{7}}, route.Completed)).NotTo(HaveKey(id.Server("s0003")))
+}
+
+// BenchmarkPlace measures one decision and its end with everything on: prefix hints, reports, log line.
+func BenchmarkPlace(b *testing.B) {
+	for _, servers := range []int{20, 100, 1900} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			r, now := single(servers), prove.Epoch
+			var took []time.Duration
+			for i := range servers {
+				name := id.Server(fmt.Sprintf("s%04d", i))
+				r.Step(now, event.Report{Server: name, Start: "a", Running: i % 5, Limit: 64, At: now})
+				r.Step(now, event.Cached{Server: name, Start: "a", Seq: 1, Added: []uint64{uint64(i % 50)}, At: now})
+			}
+			prefix := make([]uint64, 4)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				for j := range prefix {
+					prefix[j] = uint64((i + j) % 100)
+				}
+				begin := time.Now()
+				if c, _ := r.Place(now, id.Attempt(i), route.Query{Pool: "gen", Prefix: prefix}); c.Verdict != route.Chosen {
+					b.Fatal(c.Reason)
+				}
+				if len(took) < 100000 {
+					took = append(took, time.Since(begin))
+				}
+				r.End(now, id.Attempt(i), route.Outcome{Kind: route.Completed, Took: time.Second, Start: "a"})
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds()), "p99-ns/place")
+		})
+	}
+}
