admit: admission, fair order, early refusal and retry budgets

Cause: bursts exceed what the back ends can do; requests that cannot be answered in time must be refused early and truly.

Ruled out: the rate of ended requests as service rate (at low load it shows the demand, and the first burst would be refused; only ends while others wait count); the queue length as the place in the queue (a light workspace would be refused because a heavy one fills the queue); a flow's share charged from the virtual clock instead of its own tag (TestWeightedShares: 3 of 21 picks at a share of 5.2); aging at every pick (overload would turn priorities into the order of arrival).

Change: package admit. Fair order by finish tags over workspaces and pipelines within a priority, every fourth pick for the task that has waited longest beyond its priority, estimates from decaying histograms, Expired, Requeue, Retry and Success, the baseline noadmit.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,419 @@
+package admit_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bluebellflow/core/admit"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/prove"
+)
+
+// TestMain fixes the seed, so that each run checks the same histories unless -rapid.seed asks for others.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260101")
+	m.Run()
+}
+
+func newQueue(opts ...admit.Option) *admit.Queue { return admit.New(event.Self{}, opts...) }
+
+func anything(admit.Task) bool { return true }
+
+// task returns a task of workspace w with a deadline far away.
+func task(n, w int) admit.Task {
+	return admit.Task{
+		Request: id.Request(fmt.Sprint(n)), Workspace: id.Workspace(fmt.Sprint("w", w)), Pipeline: "p",
+		Stages: []string{"a"}, Weight: 1, Priority: 3, Deadline: prove.Epoch.Add(time.Hour),
+	}
+}
+
+// block makes the queue busy, so that further tasks wait.
+func block(q *admit.Queue) {
+	first := task(-1, -1)
+	first.Priority = 0
+	q.Offer(prove.Epoch, first)
+	q.Requeue(prove.Epoch, first)
+}
+
+// shares offers a backlog of each workspace with its weight and returns how many of count picks each one got.
+func shares(q *admit.Queue, weights []int, count int) []int {
+	n := 0
+	for range count {
+		for w, weight := range weights {
+			t := task(n, w)
+			t.Weight = weight
+			q.Offer(prove.Epoch, t)
+			n++
+		}
+	}
+	got := make([]int, len(weights))
+	if t, _ := q.Next(prove.Epoch, anything); t.Request != "-1" {
+		panic("the task that blocks is not first")
+	}
+	for range count {
+		t, ok := q.Next(prove.Epoch, anything)
+		if !ok {
+			break
+		}
+		for w := range weights {
+			if t.Workspace == id.Workspace(fmt.Sprint("w", w)) {
+				got[w]++
+			}
+		}
+		q.Finish(t.Request)
+	}
+	return got
+}
+
+// unfair names a workspace outside the bounds of fair order by finish tags, which hold for any number of picks: it is
+// less than one task behind its share, and ahead by at most its share of one task of each other workspace.
+func unfair(weights []int, count int, opts ...admit.Option) error {
+	q := newQueue(append(opts, admit.WithCapacity(10000))...)
+	block(q)
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	for w, n := range shares(q, weights, count) {
+		part := float64(weights[w]) / float64(total)
+		d := float64(n) - float64(count)*part
+		if d > float64(len(weights)-1)*part+1e-9 || d <= -1 {
+			return fmt.Errorf("workspace %d with weight %d of %d: %d of %d picks", w, weights[w], total, n, count)
+		}
+	}
+	return nil
+}
+
+// TestWeightedShares guards against a workspace that gets more or less than its weight while all have a backlog.
+func TestWeightedShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 9), 2, 6).Draw(t, "weights")
+		if err := unfair(weights, rapid.IntRange(1, 150).Draw(t, "count")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestSharesNeedWeights shows that the oracle sees the failure when weights are ignored.
+func TestSharesNeedWeights(t *testing.T) {
+	NewWithT(t).Expect(unfair([]int{1, 9}, 50)).NotTo(HaveOccurred())
+	NewWithT(t).Expect(unfair([]int{1, 9}, 50, admit.WithoutWeights())).To(HaveOccurred())
+}
+
+// model is the oracle of the state machine: what was queued and not handed back.
+type model struct {
+	q       *admit.Queue
+	now     time.Time
+	queued  map[id.Request]admit.Task
+	running map[id.Request]admit.Task
+	next    int
+}
+
+// late names a queued task whose deadline has passed.
+func (m *model) late() error {
+	for r, t := range m.queued {
+		if !m.now.Before(t.Deadline) {
+			return fmt.Errorf("task %s is queued %s after its deadline", r, m.now.Sub(t.Deadline))
+		}
+	}
+	return nil
+}
+
+func (m *model) advance(d time.Duration) {
+	end := m.now.Add(d)
+	for {
+		wake := m.q.Wake()
+		if wake.IsZero() || wake.After(end) {
+			break
+		}
+		if wake.After(m.now) {
+			m.now = wake
+		}
+		for _, t := range m.q.Expired(m.now) {
+			delete(m.queued, t.Request)
+		}
+	}
+	m.now = end
+}
+
+func (m *model) offer(t admit.Task) admit.Verdict {
+	v := m.q.Offer(m.now, t)
+	switch v.Kind {
+	case admit.Run:
+		m.running[t.Request] = t
+	case admit.Queued:
+		m.queued[t.Request] = t
+	}
+	return v
+}
+
+func (m *model) check(t *rapid.T) {
+	if err := m.late(); err != nil {
+		t.Fatal(err)
+	}
+	if m.q.Len() != len(m.queued) || m.q.Running() != len(m.running) || m.q.Len() > 20 {
+		t.Fatalf("%d queued and %d running, want %d and %d", m.q.Len(), m.q.Running(), len(m.queued), len(m.running))
+	}
+	counts := map[id.Workspace]int{}
+	for _, r := range m.running {
+		if counts[r.Workspace]++; counts[r.Workspace] > r.Limit {
+			t.Fatalf("%d requests of %s run, limit %d", counts[r.Workspace], r.Workspace, r.Limit)
+		}
+	}
+}
+
+// TestHistories guards against tasks that get lost, run twice, pass their deadline unreported or exceed a limit.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			q: newQueue(admit.WithCapacity(20)), now: prove.Epoch,
+			queued: map[id.Request]admit.Task{}, running: map[id.Request]admit.Task{},
+		}
+		slots := rapid.IntRange(1, 10).Draw(t, "slots")
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check,
+			"offer": func(t *rapid.T) {
+				m.next++
+				w := rapid.IntRange(0, 3).Draw(t, "workspace")
+				k := task(m.next, w)
+				k.Limit, k.Weight, k.Priority = 2+w, 1+w, rapid.IntRange(0, 7).Draw(t, "priority")
+				k.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
+				v := m.offer(k)
+				if v.Kind == admit.Refuse && v.RetryAfter <= 0 {
+					t.Fatal("a refusal without a time to come back")
+				}
+				if v.Kind == admit.Run && len(m.running) > slots {
+					delete(m.running, k.Request)
+					m.queued[k.Request] = k
+					m.q.Requeue(m.now, k)
+				}
+			},
+			"next": func(t *rapid.T) {
+				k, ok := m.q.Next(m.now, func(admit.Task) bool { return len(m.running) < slots })
+				if _, waits := m.queued[k.Request]; ok && !waits {
+					t.Fatalf("task %s was not queued", k.Request)
+				}
+				if ok {
+					delete(m.queued, k.Request)
+					m.running[k.Request] = k
+				}
+			},
+			"finish": func(*rapid.T) {
+				for n := range m.next + 1 {
+					r := id.Request(fmt.Sprint(n))
+					if _, ok := m.running[r]; ok {
+						m.q.Observe("p", "a", 300*time.Millisecond)
+						m.q.Finish(r)
+						delete(m.running, r)
+						return
+					}
+				}
+			},
+			"gone": func(*rapid.T) {
+				for n := m.next; n > 0; n-- {
+					r := id.Request(fmt.Sprint(n))
+					if _, ok := m.queued[r]; ok {
+						m.q.Finish(r)
+						delete(m.queued, r)
+						return
+					}
+				}
+			},
+			"time": func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+		})
+		for range 100 { // everything that waits gets out
+			k, ok := m.q.Next(m.now, anything)
+			if ok {
+				delete(m.queued, k.Request)
+				m.q.Finish(k.Request)
+			}
+		}
+		for r := range m.running {
+			m.q.Finish(r)
+		}
+		for range 100 {
+			if k, ok := m.q.Next(m.now, anything); ok {
+				delete(m.queued, k.Request)
+				m.q.Finish(k.Request)
+			}
+		}
+		if m.q.Len() != 0 || len(m.queued) != 0 {
+			t.Fatalf("%d tasks stay queued for ever", m.q.Len())
+		}
+	})
+}
+
+// TestExpiryIsNeeded shows that the oracle sees a task that passes its deadline unreported.
+func TestExpiryIsNeeded(t *testing.T) {
+	for without, opts := range map[bool][]admit.Option{true: {admit.WithoutExpiry()}, false: nil} {
+		m := &model{q: newQueue(opts...), now: prove.Epoch, queued: map[id.Request]admit.Task{}, running: map[id.Request]admit.Task{}}
+		block(m.q)
+		k := task(1, 1)
+		k.Deadline = m.now.Add(time.Second)
+		NewWithT(t).Expect(m.offer(k).Kind).To(Equal(admit.Queued))
+		m.advance(time.Second)
+		NewWithT(t).Expect(m.late() != nil).To(Equal(without))
+	}
+}
+
+// lowServed reports whether a task of low priority starts while more urgent ones arrive all the time.
+func lowServed(opts ...admit.Option) bool {
+	q, now := newQueue(opts...), prove.Epoch
+	block(q)
+	low := task(0, 0)
+	low.Priority = 7
+	q.Offer(now, low)
+	for n := range 200 {
+		k := task(n+1, 1)
+		k.Priority = 0
+		q.Offer(now, k)
+		now = now.Add(50 * time.Millisecond)
+		if got, _ := q.Next(now, anything); got.Request == low.Request {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLowPriorityIsServed guards against starvation, and shows that the oracle sees it without aging.
+func TestLowPriorityIsServed(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(lowServed()).To(BeTrue())
+	g.Expect(lowServed(admit.WithoutAging())).To(BeFalse())
+}
+
+// TestPriorityOrder guards against a less urgent task that starts first, and against one pipeline blocking another.
+func TestPriorityOrder(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	block(q)
+	for n, p := range []int{7, 0, 3, 1} {
+		k := task(n, n)
+		k.Priority = p
+		if p == 1 {
+			k.Pipeline = "other"
+		}
+		q.Offer(prove.Epoch, k)
+	}
+	var got []int
+	for range 3 {
+		k, _ := q.Next(prove.Epoch, func(t admit.Task) bool { return t.Request != "-1" && t.Pipeline == "p" })
+		got = append(got, k.Priority)
+	}
+	g.Expect(got).To(Equal([]int{0, 3, 7}))
+}
+
+// TestRefusal guards against refusals without evidence and against late ones with evidence.
+func TestRefusal(t *testing.T) {
+	g := NewWithT(t)
+	now := prove.Epoch
+	q := newQueue()
+	k := task(1, 1)
+	k.Deadline = now.Add(time.Second)
+	g.Expect(q.Offer(now, k).Kind).To(Equal(admit.Run))
+	for range 19 {
+		q.Observe("p", "a", 2*time.Second)
+	}
+	k.Request = "2"
+	g.Expect(q.Offer(now, k).Kind).To(Equal(admit.Run), "19 samples are no evidence")
+	q.Observe("p", "a", 2*time.Second)
+	k.Request = "3"
+	v := q.Offer(now, k)
+	g.Expect(v.Kind).To(Equal(admit.Refuse))
+	g.Expect(v.RetryAfter).To(BeNumerically("~", time.Second, 300*time.Millisecond))
+	g.Expect(newQueue(admit.Baselines("noadmit")).Offer(now, k).Kind).To(Equal(admit.Run))
+
+	// The evidence decays: a minute and more later the same task is admitted.
+	q.Step(now.Add(2*time.Minute), event.Tick{})
+	g.Expect(q.Estimate("p", []string{"a"})).To(BeZero())
+}
+
+// TestQueueWait guards against a wait estimate that is not drawn from the measured service rate, and against a light
+// workspace that is refused because a heavy one fills the queue.
+func TestQueueWait(t *testing.T) {
+	g := NewWithT(t)
+	q, now := newQueue(admit.WithCapacity(100)), prove.Epoch
+	block(q)
+	for n := range 100 {
+		q.Offer(now, task(n, 0))
+	}
+	full := q.Offer(now, task(1000, 0))
+	g.Expect(full.Kind).To(Equal(admit.Refuse))
+	for range 50 { // ten requests end in a second
+		now = now.Add(100 * time.Millisecond)
+		k, _ := q.Next(now, anything)
+		q.Finish(k.Request)
+	}
+	k := task(2000, 0)
+	k.Deadline = now.Add(3 * time.Second)
+	v := q.Offer(now, k) // 51 wait: about 5 s
+	g.Expect(v.Kind).To(Equal(admit.Refuse))
+	g.Expect(v.RetryAfter).To(BeNumerically("~", 2*time.Second, 500*time.Millisecond))
+	k.Workspace = "light"
+	g.Expect(q.Offer(now, k).Kind).To(Equal(admit.Queued))
+}
+
+// TestRetryBudget guards against retries that multiply the load of a failing service.
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	allowed := 0
+	for range 1000 {
+		if q.Retry(prove.Epoch, "p") {
+			allowed++
+		}
+	}
+	g.Expect(allowed).To(Equal(3))
+	q.SetRetries("p", 0.5)
+	for range 4 {
+		q.Success("p")
+	}
+	g.Expect(q.Retry(prove.Epoch, "p")).To(BeTrue())
+	g.Expect(q.Retry(prove.Epoch, "p")).To(BeTrue())
+	g.Expect(q.Retry(prove.Epoch, "p")).To(BeFalse())
+}
+
+// BenchmarkAdmit measures an offer, a pick and an end with a backlog of 512 tasks over many workspaces.
+func BenchmarkAdmit(b *testing.B) {
+	for _, workspaces := range []int{10, 1000, 21000} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			q, now := newQueue(), prove.Epoch
+			rng := rand.New(rand.NewPCG(1, 2))
+			tasks := make([]admit.Task, 4096)
+			for i := range tasks {
+				tasks[i] = task(i, rng.IntN(workspaces))
+				tasks[i].Pipeline = id.Pipeline(fmt.Sprint("p", i%16))
+				tasks[i].Priority = i % 8
+			}
+			free := tasks[512:]
+			offer := func(k admit.Task) {
+				if q.Offer(now, k).Kind == admit.Run {
+					q.Requeue(now, k)
+				}
+			}
+			for _, k := range tasks[:512] {
+				offer(k)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Microsecond)
+				at := i % len(free)
+				offer(free[at])
+				k, ok := q.Next(now, anything)
+				if !ok {
+					b.Fatal("empty")
+				}
+				q.Finish(k.Request)
+				free[at] = k
+			}
+		})
+	}
+}
