store: client of the platform's object API, watches and VM list

Cause: the decision logic needs the outcome of each platform operation as one of five codes, where "unavailable" must never cover a write that may have taken effect. Ruled out: the error types of net/http, which do not tell whether a request was written; httptrace events alone, because the transport's write goroutine can still write a request after it was reported as failed. Conclusion: a write that may have left this process is lost, one that did not is unavailable; a first watch answer and a gap both ask for a new read.

--- /dev/null
+++ b/io/sse/doc.go
@@ -0,0 +1,2 @@
+// Package sse reads and writes server-sent events.
+package sse
--- /dev/null
+++ b/io/sse/sse.go
@@ -0,0 +1,99 @@
+package sse
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+)
+
+// Event is one server-sent event.
+type Event struct {
+	Name string
+	Data []byte
+}
+
+// Parser splits a byte stream into events; it keeps what is incomplete for the next chunk.
+type Parser struct {
+	limit int
+	line  []byte
+	name  string
+	data  []byte
+	has   bool // a data line was seen, even if it was empty
+	cr    bool // the last byte was a carriage return, which may be half of a line end
+}
+
+// NewParser returns a parser that refuses events larger than limit bytes.
+func NewParser(limit int) *Parser { return &Parser{limit: limit} }
+
+// Feed returns the events that a chunk completes.
+func (p *Parser) Feed(chunk []byte) ([]Event, error) {
+	var out []Event
+	for len(chunk) > 0 {
+		if p.cr && chunk[0] == '\n' {
+			p.cr = false
+			chunk = chunk[1:]
+			continue
+		}
+		p.cr = false
+		at := bytes.IndexAny(chunk, "\r\n")
+		if at < 0 {
+			return out, p.extend(chunk)
+		}
+		if err := p.extend(chunk[:at]); err != nil {
+			return out, err
+		}
+		p.cr = chunk[at] == '\r'
+		chunk = chunk[at+1:]
+		if ev, ok := p.end(); ok {
+			out = append(out, ev)
+		}
+	}
+	return out, nil
+}
+
+func (p *Parser) extend(part []byte) error {
+	if len(p.line)+len(p.data)+len(part) > p.limit {
+		return fmt.Errorf("server-sent event larger than %d bytes", p.limit)
+	}
+	p.line = append(p.line, part...)
+	return nil
+}
+
+// end handles the line that is now complete; an empty line completes an event.
+func (p *Parser) end() (Event, bool) {
+	line := p.line
+	p.line = p.line[:0]
+	if len(line) == 0 {
+		ev := Event{Name: p.name, Data: p.data}
+		has := p.has
+		p.name, p.data, p.has = "", nil, false
+		return ev, has
+	}
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
+	case "event":
+		p.name = string(value)
+	case "data":
+		if p.has {
+			p.data = append(p.data, '\n')
+		}
+		p.data = append(p.data, value...)
+		p.has = true
+	}
+	return Event{}, false
+}
+
+// Write writes one event; each line of data becomes a data field.
+func Write(w io.Writer, name string, data []byte) error {
+	var buf bytes.Buffer
+	fmt.Fprintf(&buf, "event: %s\n", name)
+	for line := range bytes.SplitSeq(data, []byte("\n")) {
+		buf.WriteString("data: ")
+		buf.Write(line)
+		buf.WriteByte('\n')
+	}
+	buf.WriteByte('\n')
+	_, err := w.Write(buf.Bytes())
+	return err
+}
--- /dev/null
+++ b/io/store/doc.go
@@ -0,0 +1,2 @@
+// Package store is the client of the platform: object API, watches and VM list.
+package store
--- /dev/null
+++ b/io/store/store.go
@@ -0,0 +1,388 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bluebellflow/core/event"
+	"bluebellflow/io/sent"
+	"bluebellflow/io/tasks"
+)
+
+const (
+	// MaxValue is the largest object that the platform stores, in bytes.
+	MaxValue = 1 << 20
+	// maxAnswer bounds an answer to a list, a watch or a read of the VM list, in bytes.
+	maxAnswer = 8 << 20
+	// maxPending bounds the operations and watches that wait for an answer at once.
+	maxPending = 1024
+	// maxConns bounds the connections to the platform; waiting watches hold one each.
+	maxConns = 64
+)
+
+// Client carries out platform operations and hands their outcomes to the decision logic.
+type Client struct {
+	base    string
+	deliver func(event.Event)
+	http    *http.Client
+	limit   *rate.Limiter
+	tasks   *tasks.Group
+	vars    *expvar.Map
+	report  func(error)
+
+	timeout time.Duration // for one operation, its wait for the rate limit included
+	wait    time.Duration // longest wait of a watch
+	poll    time.Duration // between two reads of the VM list
+	backoff time.Duration // first pause after a failed watch or VM list
+
+	mu      sync.Mutex
+	watched map[string]bool
+}
+
+// Option changes a client's defaults.
+type Option func(*Client)
+
+// WithRate limits the calls a second and the burst of calls.
+func WithRate(perSecond float64, burst int) Option {
+	return func(c *Client) { c.limit = rate.NewLimiter(rate.Limit(perSecond), burst) }
+}
+
+// WithTimes sets the timeout of an operation, the longest wait of a watch and the pause between reads of the VM list.
+func WithTimes(timeout, wait, poll time.Duration) Option {
+	return func(c *Client) { c.timeout, c.wait, c.poll = timeout, wait, poll }
+}
+
+// WithBackoff sets the first pause after a failed watch or read of the VM list; it doubles up to 32 times that.
+func WithBackoff(first time.Duration) Option { return func(c *Client) { c.backoff = first } }
+
+// WithVars counts calls and outcomes in the given map.
+func WithVars(vars *expvar.Map) Option { return func(c *Client) { c.vars = vars } }
+
+// WithReport passes on errors that have no operation to answer, such as a malformed VM list.
+func WithReport(report func(error)) Option { return func(c *Client) { c.report = report } }
+
+// New returns a client of the platform at an address; outcomes go to deliver, which must not block.
+func New(platform netip.AddrPort, deliver func(event.Event), opts ...Option) *Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	c := &Client{
+		base:    "http://" + platform.String(),
+		deliver: deliver,
+		limit:   rate.NewLimiter(50, 100),
+		tasks:   tasks.New(maxPending),
+		vars:    new(expvar.Map),
+		report:  func(error) {},
+		timeout: time.Second,
+		wait:    20 * time.Second,
+		poll:    time.Second,
+		backoff: 100 * time.Millisecond,
+		watched: map[string]bool{},
+	}
+	c.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         sent.Dial(dialer.DialContext),
+			MaxConnsPerHost:     maxConns,
+			MaxIdleConnsPerHost: maxConns,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Run polls the VM list until the context ends; it returns after all operations have ended.
+func (c *Client) Run(ctx context.Context) error {
+	c.pollVMs(ctx)
+	c.tasks.Close()
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+// Do carries out an operation without blocking; the outcome arrives as event.Result, a watch's as event.Changed.
+func (c *Client) Do(call event.Call) {
+	if err := checkName(call.Op, call.Name); err != nil {
+		c.finish(event.Result{Call: call, Code: event.CodeUnavailable}, err)
+		return
+	}
+	if call.Op == event.OpWatch && !c.claimWatch(call.Name) {
+		return
+	}
+	started := c.tasks.Go(func(ctx context.Context) {
+		if call.Op == event.OpWatch {
+			c.watch(ctx, call.Name)
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+		result, err := c.operate(ctx, call)
+		c.finish(result, err)
+	})
+	if !started {
+		c.finish(event.Result{Call: call, Code: event.CodeUnavailable}, fmt.Errorf("%d operations are waiting", maxPending))
+	}
+}
+
+// claimWatch reports whether the prefix is not watched yet.
+func (c *Client) claimWatch(prefix string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watched[prefix] {
+		return false
+	}
+	c.watched[prefix] = true
+	return true
+}
+
+func (c *Client) finish(result event.Result, err error) {
+	if err != nil {
+		c.report(fmt.Errorf("platform: %s: %w", describe(result.Call), err))
+	}
+	c.vars.Add("platform_"+codeName(result.Code), 1)
+	c.deliver(result)
+}
+
+func (c *Client) operate(ctx context.Context, call event.Call) (event.Result, error) {
+	switch call.Op {
+	case event.OpGet:
+		return c.get(ctx, call)
+	case event.OpPut:
+		return c.put(ctx, call)
+	case event.OpList:
+		return c.list(ctx, call)
+	default:
+		return event.Result{Call: call, Code: event.CodeUnavailable}, fmt.Errorf("unknown operation %d", call.Op)
+	}
+}
+
+func (c *Client) get(ctx context.Context, call event.Call) (event.Result, error) {
+	result := event.Result{Call: call}
+	answer, err := c.exchange(ctx, http.MethodGet, "/objects/"+call.Name, nil, nil, MaxValue)
+	if err != nil {
+		result.Code = answer.code
+		return result, err
+	}
+	switch answer.status {
+	case http.StatusOK:
+		version, err := parseVersion(answer.header.Get("ETag"))
+		if err != nil {
+			result.Code = event.CodeLost
+			return result, err
+		}
+		result.Code = event.CodeOK
+		result.Objects = []event.Object{{Name: call.Name, Version: version, Value: answer.body}}
+		return result, nil
+	case http.StatusNotFound:
+		result.Code = event.CodeMissing
+		return result, nil
+	}
+	result.Code = codeOf(answer.status)
+	return result, statusError(answer)
+}
+
+func (c *Client) put(ctx context.Context, call event.Call) (event.Result, error) {
+	result := event.Result{Call: call, Code: event.CodeUnavailable}
+	if len(call.Value) > MaxValue {
+		return result, fmt.Errorf("value of %d bytes, limit %d", len(call.Value), MaxValue)
+	}
+	header := http.Header{"If-None-Match": {"*"}}
+	if call.Version > 0 {
+		header = http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(call.Version, 10))}}
+	}
+	answer, err := c.exchange(ctx, http.MethodPut, "/objects/"+call.Name, header, call.Value, maxAnswer)
+	if err != nil {
+		result.Code = answer.code
+		return result, err
+	}
+	switch answer.status {
+	case http.StatusOK:
+		version, err := parseVersion(answer.header.Get("ETag"))
+		if err != nil {
+			// The write took effect, but its version is unknown: the owner has to read it back.
+			result.Code = event.CodeLost
+			return result, err
+		}
+		result.Code = event.CodeOK
+		result.Objects = []event.Object{{Name: call.Name, Version: version}}
+		return result, nil
+	case http.StatusPreconditionFailed:
+		result.Code = event.CodeConflict
+		return result, nil
+	}
+	result.Code = codeOf(answer.status)
+	return result, statusError(answer)
+}
+
+func (c *Client) list(ctx context.Context, call event.Call) (event.Result, error) {
+	result := event.Result{Call: call}
+	answer, err := c.exchange(ctx, http.MethodGet, "/objects?prefix="+url.QueryEscape(call.Name), nil, nil, maxAnswer)
+	if err != nil {
+		result.Code = answer.code
+		return result, err
+	}
+	if answer.status != http.StatusOK {
+		result.Code = codeOf(answer.status)
+		return result, statusError(answer)
+	}
+	objects, err := decodeList(answer.body)
+	if err != nil {
+		result.Code = event.CodeLost
+		return result, err
+	}
+	result.Code, result.Objects = event.CodeOK, objects
+	return result, nil
+}
+
+// answer is what came back; code is set only if nothing usable did.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	code   event.Code
+}
+
+// exchange makes one call within the rate limit. The error says that there is no complete answer.
+func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) (answer, error) {
+	if err := c.limit.Wait(ctx); err != nil {
+		return answer{code: event.CodeUnavailable}, fmt.Errorf("wait for the rate limit: %w", err)
+	}
+	c.vars.Add("platform_calls", 1)
+	tracked, tracker := sent.Track(ctx)
+	req, err := http.NewRequestWithContext(tracked, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{code: event.CodeUnavailable}, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if tracker.Seal() {
+			return answer{code: event.CodeLost}, err
+		}
+		return answer{code: event.CodeUnavailable}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return answer{code: event.CodeLost}, fmt.Errorf("read answer: %w", err)
+	}
+	if int64(len(raw)) > limit {
+		return answer{code: event.CodeLost}, fmt.Errorf("answer larger than %d bytes", limit)
+	}
+	return answer{status: resp.StatusCode, header: resp.Header, body: raw}, nil
+}
+
+// codeOf maps a status that is not the expected answer. Only the statuses that the platform
+// documents as having no effect prove that nothing happened.
+func codeOf(status int) event.Code {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestEntityTooLarge:
+		return event.CodeUnavailable
+	}
+	return event.CodeLost
+}
+
+func statusError(a answer) error {
+	if after := a.header.Get("Retry-After"); after != "" {
+		return fmt.Errorf("status %d, retry after %s s", a.status, after)
+	}
+	return fmt.Errorf("status %d", a.status)
+}
+
+func codeName(c event.Code) string {
+	names := map[event.Code]string{
+		event.CodeOK: "ok", event.CodeConflict: "conflict", event.CodeMissing: "missing",
+		event.CodeUnavailable: "unavailable", event.CodeLost: "lost",
+	}
+	return names[c]
+}
+
+func describe(call event.Call) string {
+	ops := map[event.Op]string{event.OpGet: "get", event.OpPut: "put", event.OpList: "list", event.OpWatch: "watch"}
+	return ops[call.Op] + " " + strconv.Quote(call.Name)
+}
+
+// checkName refuses names that the platform does not accept; a prefix may be empty.
+func checkName(op event.Op, name string) error {
+	if name == "" && (op == event.OpGet || op == event.OpPut) {
+		return fmt.Errorf("object without a name")
+	}
+	for _, r := range name {
+		if !strings.ContainsRune("/-_.", r) && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') {
+			return fmt.Errorf("character %q in an object name", r)
+		}
+	}
+	if strings.HasPrefix(name, "/") || strings.Contains(name, "//") || strings.Contains("/"+name+"/", "/../") || strings.Contains("/"+name+"/", "/./") {
+		return fmt.Errorf("name %q would be changed in a URL path", name)
+	}
+	return nil
+}
+
+func parseVersion(tag string) (uint64, error) {
+	raw, ok := strings.CutPrefix(tag, `"`)
+	raw, closed := strings.CutSuffix(raw, `"`)
+	version, err := strconv.ParseUint(raw, 10, 64)
+	if !ok || !closed || err != nil || version == 0 {
+		return 0, fmt.Errorf("ETag %q is not a quoted version", tag)
+	}
+	return version, nil
+}
+
+type named struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+func (n named) check() error {
+	if n.Name == "" || n.Version == 0 {
+		return fmt.Errorf("object %q with version %d", n.Name, n.Version)
+	}
+	return nil
+}
+
+func decodeList(raw []byte) ([]event.Object, error) {
+	var list struct {
+		Objects []named `json:"objects"`
+	}
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return nil, fmt.Errorf("decode list: %w", err)
+	}
+	objects := make([]event.Object, 0, len(list.Objects))
+	for _, o := range list.Objects {
+		if err := o.check(); err != nil {
+			return nil, fmt.Errorf("decode list: %w", err)
+		}
+		objects = append(objects, event.Object{Name: o.Name, Version: o.Version})
+	}
+	return objects, nil
+}
+
+// pause waits for a time of between half and all of d, so that clients do not return together.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d/2+1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/store/store_test.go
@@ -0,0 +1,229 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/core/event"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds how long a test waits for something that must happen; no assertion depends on less.
+const patience = 10 * time.Second
+
+// start runs a client against a handler; what it delivers and reports comes out of the channels.
+func start(t *testing.T, handler http.HandlerFunc, opts ...Option) (*Client, chan event.Event, chan error) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	c, events, errs := startAt(t, addr, opts...)
+	t.Cleanup(server.Close)
+	return c, events, errs
+}
+
+func startAt(t *testing.T, addr netip.AddrPort, opts ...Option) (*Client, chan event.Event, chan error) {
+	t.Helper()
+	events, errs := make(chan event.Event, 1000), make(chan error, 1000)
+	base := []Option{
+		WithReport(func(err error) { errs <- err }), WithBackoff(time.Millisecond),
+		WithTimes(patience, patience, time.Hour),
+	}
+	c := New(addr, func(ev event.Event) { events <- ev }, append(base, opts...)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = c.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return c, events, errs
+}
+
+// next waits for an event of one type and skips all others.
+func next[T event.Event](t *testing.T, events <-chan event.Event) T {
+	t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case ev := <-events:
+			if got, ok := ev.(T); ok {
+				return got
+			}
+		case <-timeout:
+			var want T
+			t.Fatalf("no %T", want)
+		}
+	}
+}
+
+func status(code int, header ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/vms" {
+			_, _ = w.Write([]byte(`{"vms":[]}`))
+			return
+		}
+		for i := 0; i+1 < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// TestOutcomes guards against an outcome that says more than is known: above all against calling a
+// write without effect that may have had one.
+func TestOutcomes(t *testing.T) {
+	put := event.Call{Op: event.OpPut, Name: "a/b", Version: 3, Value: []byte("v")}
+	get := event.Call{Op: event.OpGet, Name: "a/b"}
+	list := event.Call{Op: event.OpList, Name: "a/"}
+	cases := map[string]struct {
+		call    event.Call
+		handler http.HandlerFunc
+		want    event.Code
+	}{
+		"put":                    {put, status(200, "ETag", `"4"`), event.CodeOK},
+		"put conflict":           {put, status(412), event.CodeConflict},
+		"put too large":          {put, status(413), event.CodeUnavailable},
+		"put over the rate":      {put, status(429, "Retry-After", "1"), event.CodeUnavailable},
+		"put down":               {put, status(503), event.CodeUnavailable},
+		"put failed":             {put, status(500), event.CodeLost},
+		"put without version":    {put, status(200), event.CodeLost},
+		"put bad version":        {put, status(200, "ETag", "4"), event.CodeLost},
+		"put redirected":         {put, status(307, "Location", "/objects/c"), event.CodeLost},
+		"put unanswered":         {put, hangUp, event.CodeLost},
+		"put beyond the limit":   {event.Call{Op: event.OpPut, Name: "a", Value: make([]byte, MaxValue+1)}, status(200, "ETag", `"1"`), event.CodeUnavailable},
+		"put with a bad name":    {event.Call{Op: event.OpPut, Name: "a/../b"}, status(200, "ETag", `"1"`), event.CodeUnavailable},
+		"get":                    {get, status(200, "ETag", `"4"`), event.CodeOK},
+		"get missing":            {get, status(404), event.CodeMissing},
+		"get unanswered":         {get, hangUp, event.CodeLost},
+		"list that is not JSON":  {list, status(200), event.CodeLost},
+		"operation that is none": {event.Call{Op: 99, Name: "a"}, status(200), event.CodeUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			client, events, _ := start(t, c.handler)
+			client.Do(c.call)
+			got := next[event.Result](t, events)
+			g := NewWithT(t)
+			g.Expect(got.Code).To(Equal(c.want))
+			g.Expect(got.Call).To(Equal(c.call))
+			if c.want == event.CodeOK {
+				g.Expect(got.Objects[0].Version).To(Equal(uint64(4)))
+			}
+		})
+	}
+}
+
+// TestUnreachable guards against calling a write lost that never left this process.
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	addr := netip.MustParseAddrPort(listener.Addr().String())
+	g.Expect(listener.Close()).To(Succeed())
+	client, events, _ := startAt(t, addr)
+	client.Do(event.Call{Op: event.OpPut, Name: "a"})
+	g.Expect(next[event.Result](t, events).Code).To(Equal(event.CodeUnavailable))
+}
+
+// TestRate guards against calls beyond the platform's limit: a call that gets no turn in time was not made.
+func TestRate(t *testing.T) {
+	var calls atomic.Int32
+	client, events, _ := start(t, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		status(200, "ETag", `"1"`)(w, r)
+	}, WithRate(1e-6, 1))
+	g := NewWithT(t)
+	g.Eventually(calls.Load, patience).Should(Equal(int32(1)), "the first read of the VM list takes the only turn")
+	client.Do(event.Call{Op: event.OpPut, Name: "a"})
+	g.Expect(next[event.Result](t, events).Code).To(Equal(event.CodeUnavailable))
+	g.Expect(calls.Load()).To(Equal(int32(1)))
+}
+
+// TestWatch guards against missed changes: after the first answer, a gap, a failure and a store that started anew.
+func TestWatch(t *testing.T) {
+	answers := []string{
+		`{"seq":5}`,
+		`{"seq":7,"changes":[{"name":"p/a","version":2},{"name":"p/b","version":1}]}`,
+		`not JSON`,
+		`{"seq":9,"gap":true}`,
+		`{"seq":1,"changes":[{"name":"","version":1}]}`,
+		`{"seq":1}`,
+	}
+	var afters []string
+	client, events, errs := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/watch" {
+			status(200)(w, r)
+			return
+		}
+		if len(afters) == len(answers) {
+			<-r.Context().Done()
+			return
+		}
+		afters = append(afters, r.URL.Query().Get("after"))
+		_, _ = w.Write([]byte(answers[len(afters)-1]))
+	})
+	client.Do(event.Call{Op: event.OpWatch, Name: "p/"})
+	client.Do(event.Call{Op: event.OpWatch, Name: "p/"}) // a second watch of the prefix changes nothing
+	g := NewWithT(t)
+	for _, want := range []event.Changed{{}, {Name: "p/a", Version: 2}, {Name: "p/b", Version: 1}, {}, {}} {
+		g.Expect(next[event.Changed](t, events)).To(Equal(want))
+	}
+	g.Expect(afters).To(Equal([]string{"0", "5", "7", "7", "9", "9"}))
+	g.Expect(errs).To(Receive(MatchError(ContainSubstring("decode watch"))))
+	g.Expect(errs).To(Receive(MatchError(ContainSubstring(`object "" with version 1`))))
+}
+
+// TestVMs guards against one bad entry that hides the leaving markers of all others.
+func TestVMs(t *testing.T) {
+	const good = `{"name":"b1","kind":"backend","addr":"127.0.0.1:1","domain":"d","region":"r","pool":"p","leaving":true}`
+	for name, bad := range map[string]string{
+		"no name": `{"kind":"entry","addr":"127.0.0.1:1","domain":"d"}`, "kind": `{"name":"x","kind":"z","addr":"127.0.0.1:1","domain":"d"}`,
+		"address": `{"name":"x","kind":"entry","addr":"nowhere","domain":"d"}`, "no address": `{"name":"x","kind":"entry","domain":"d"}`,
+		"no domain": `{"name":"x","kind":"entry","addr":"127.0.0.1:1"}`, "no pool": `{"name":"x","kind":"backend","addr":"127.0.0.1:1","domain":"d"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			list, err := decodeVMs(fmt.Appendf(nil, `{"vms":[%s,%s]}`, bad, good))
+			g := NewWithT(t)
+			g.Expect(err).To(MatchError(ContainSubstring("entry 0")))
+			g.Expect(list).To(HaveLen(1))
+			g.Expect(list[0].Leaving).To(BeTrue())
+		})
+	}
+	_, err := decodeVMs([]byte(`{}`))
+	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("no field vms")))
+}
+
+// FuzzDecode guards against a panic on any answer of the platform, and against invalid entries that are passed on.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"vms":[{"name":"b1","kind":"backend","addr":"127.0.0.1:1","domain":"d","pool":"p"}]}`))
+	f.Add([]byte(`{"seq":3,"changes":[{"name":"a","version":1}],"gap":true}`))
+	f.Add([]byte(`{"objects":[{"name":"a","version":0}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		list, _ := decodeVMs(raw)
+		for _, vm := range list {
+			if err := checkVM(vm); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, errWatch := decodeWatch(raw)
+		_, errList := decodeList(raw)
+		_, errVersion := parseVersion(string(raw))
+		if errVersion == nil && bytes.ContainsAny(raw, "-+ ") {
+			t.Fatalf("version %q", raw)
+		}
+		_ = errors.Join(errWatch, errList)
+	})
+}
--- /dev/null
+++ b/io/store/watch.go
@@ -0,0 +1,171 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"bluebellflow/core/event"
+)
+
+// maxDoublings bounds the growth of the pause between failed calls.
+const maxDoublings = 5
+
+// position is how far a watch has come.
+type position struct {
+	seq    uint64
+	synced bool // the platform has told where the sequence stands
+}
+
+// watch follows a prefix with long polls until the context ends.
+func (c *Client) watch(ctx context.Context, prefix string) {
+	var at position
+	for failures := 0; ctx.Err() == nil; {
+		next, err := c.watchOnce(ctx, prefix, at)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			c.report(fmt.Errorf("platform: watch %q: %w", prefix, err))
+			if !pause(ctx, c.backoff<<min(failures, maxDoublings)) {
+				return
+			}
+			failures++
+			continue
+		}
+		at, failures = next, 0
+		// A store without any write has sequence 0, which the platform answers without waiting.
+		if at.seq == 0 && !pause(ctx, c.backoff) {
+			return
+		}
+	}
+}
+
+// watchOnce makes one long poll and returns the position to continue from.
+func (c *Client) watchOnce(ctx context.Context, prefix string, at position) (position, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.wait+c.timeout)
+	defer cancel()
+	path := fmt.Sprintf("/watch?prefix=%s&after=%d&wait=%d", url.QueryEscape(prefix), at.seq, c.wait.Milliseconds())
+	answer, err := c.exchange(ctx, http.MethodGet, path, nil, nil, maxAnswer)
+	if err != nil {
+		return at, err
+	}
+	if answer.status != http.StatusOK {
+		return at, statusError(answer)
+	}
+	news, err := decodeWatch(answer.body)
+	if err != nil {
+		return at, err
+	}
+	for _, change := range news.Changes {
+		c.deliver(event.Changed{Name: change.Name, Version: change.Version})
+	}
+	// The answer to sequence 0 only tells where the sequence stands, and a sequence that went back
+	// belongs to another store: in both cases changes may have been missed.
+	fresh := !at.synced || (at.seq == 0 && news.Seq > 0)
+	if news.Gap || fresh || news.Seq < at.seq {
+		c.deliver(event.Changed{})
+	}
+	return position{seq: news.Seq, synced: true}, nil
+}
+
+type watchAnswer struct {
+	Seq     uint64  `json:"seq"`
+	Changes []named `json:"changes"`
+	Gap     bool    `json:"gap"`
+}
+
+func decodeWatch(raw []byte) (watchAnswer, error) {
+	var news watchAnswer
+	if err := json.Unmarshal(raw, &news); err != nil {
+		return watchAnswer{}, fmt.Errorf("decode watch: %w", err)
+	}
+	for _, change := range news.Changes {
+		if err := change.check(); err != nil {
+			return watchAnswer{}, fmt.Errorf("decode watch: %w", err)
+		}
+	}
+	return news, nil
+}
+
+// pollVMs reads the VM list at intervals until the context ends.
+func (c *Client) pollVMs(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; {
+		next := c.poll
+		if err := c.readVMs(ctx); err != nil && ctx.Err() == nil {
+			c.report(fmt.Errorf("platform: VM list: %w", err))
+			next = max(next, c.backoff<<min(failures, maxDoublings))
+			failures++
+		} else {
+			failures = 0
+		}
+		if !pause(ctx, next) {
+			return
+		}
+	}
+}
+
+func (c *Client) readVMs(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	answer, err := c.exchange(ctx, http.MethodGet, "/vms", nil, nil, maxAnswer)
+	if err != nil {
+		return err
+	}
+	if answer.status != http.StatusOK {
+		return statusError(answer)
+	}
+	list, err := decodeVMs(answer.body)
+	if list != nil {
+		c.deliver(event.VMs{List: list})
+	}
+	return err
+}
+
+// decodeVMs returns the valid entries and the errors of all others. One bad entry must not hide
+// the leaving markers of the rest.
+func decodeVMs(raw []byte) ([]event.VM, error) {
+	var answer struct {
+		VMs *[]json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		return nil, fmt.Errorf("decode: %w", err)
+	}
+	if answer.VMs == nil {
+		return nil, errors.New("decode: no field vms")
+	}
+	list := make([]event.VM, 0, len(*answer.VMs))
+	var errs []error
+	for i, one := range *answer.VMs {
+		var vm event.VM
+		err := json.Unmarshal(one, &vm)
+		if err == nil {
+			err = checkVM(vm)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("entry %d: %w", i, err))
+			continue
+		}
+		list = append(list, vm)
+	}
+	return list, errors.Join(errs...)
+}
+
+func checkVM(vm event.VM) error {
+	switch {
+	case vm.Name == "":
+		return errors.New("VM without a name")
+	case vm.Kind != "entry" && vm.Kind != "backend":
+		return fmt.Errorf("VM %s: unknown kind %q", vm.Name, vm.Kind)
+	case !vm.Addr.IsValid():
+		return fmt.Errorf("VM %s: no address", vm.Name)
+	case vm.FailureDomain == "":
+		return fmt.Errorf("VM %s: no failure domain", vm.Name)
+	case vm.Kind == "backend" && vm.Pool == "":
+		return fmt.Errorf("VM %s: no pool", vm.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/tasks/doc.go
@@ -0,0 +1,2 @@
+// Package tasks runs a bounded number of goroutines that end together.
+package tasks
