backend: client of backend servers

Cause: the decision logic needs each failure of an attempt as one of five kinds; a non-idempotent stage runs again only after unsent and rejected. Ruled out: treating every status 4xx as not run: the protocol promises it only for 429 and 503, and no effect only for 500. Conclusion: failures say no more than is known; every other status than 200, 429, 500 and 503 is reported as broken.

--- /dev/null
+++ b/io/backend/poll.go
@@ -0,0 +1,290 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+const (
+	// maxPolls bounds the polls in flight, so that servers that do not answer cannot hold up the others for long.
+	maxPolls = 32
+	// farFactor is how many times less often servers of other failure domains are polled.
+	farFactor = 4
+	// maxCounter bounds the counts in a load report; more cannot be a count of attempts.
+	maxCounter = 1 << 20
+)
+
+// polling is what the client knows about the servers that it polls.
+type polling struct {
+	interval time.Duration
+	limit    *rate.Limiter
+
+	mu      sync.Mutex
+	targets map[id.Server]*target
+}
+
+type target struct {
+	addr  netip.AddrPort
+	near  bool // in this node's failure domain
+	due   time.Time
+	busy  bool
+	gone  bool
+	start id.Start
+	seq   uint64 // last cache event seen
+	plain bool   // the server has no cache events
+}
+
+func newPolling() polling {
+	return polling{
+		interval: 500 * time.Millisecond,
+		// 40 polls of about 300 bytes a second stay within a node's budget of 16 KB/s for control.
+		limit:   rate.NewLimiter(40, 40),
+		targets: map[id.Server]*target{},
+	}
+}
+
+// WithPolling sets the pause between two polls of a server of the own failure domain, and the most
+// polls a second over all servers. Servers of other failure domains are polled a quarter as often.
+func WithPolling(interval time.Duration, perSecond float64) Option {
+	return func(c *Client) {
+		c.polling.interval = interval
+		c.polling.limit = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+	}
+}
+
+// Servers replaces the set of polled servers by the backend servers of a VM list.
+func (c *Client) Servers(list []event.VM) {
+	c.polling.mu.Lock()
+	defer c.polling.mu.Unlock()
+	kept := make(map[id.Server]*target, len(list))
+	for _, vm := range list {
+		if vm.Kind != "backend" {
+			continue
+		}
+		name := id.Server(vm.Name)
+		old, known := c.polling.targets[name]
+		if !known || old.addr != vm.Addr {
+			old = &target{addr: vm.Addr}
+		}
+		old.near = vm.FailureDomain == c.domain
+		kept[name] = old
+	}
+	for name, t := range c.polling.targets {
+		t.gone = kept[name] != t
+	}
+	c.polling.targets = kept
+}
+
+// poll asks servers for their load at intervals until the context ends.
+func (c *Client) poll(ctx context.Context) {
+	ticker := time.NewTicker(max(c.polling.interval/8, time.Millisecond))
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, maxPolls)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, due := range c.due(now, maxPolls-len(slots)) {
+				slots <- struct{}{}
+				running.Go(func() {
+					c.pollServer(ctx, due.name, due.target)
+					<-slots
+				})
+			}
+		}
+	}
+}
+
+type dueTarget struct {
+	name   id.Server
+	target *target
+}
+
+// due returns at most count servers whose poll is due and marks them as busy.
+func (c *Client) due(now time.Time, count int) []dueTarget {
+	c.polling.mu.Lock()
+	defer c.polling.mu.Unlock()
+	var out []dueTarget
+	for name, t := range c.polling.targets {
+		if len(out) >= count {
+			break
+		}
+		if t.busy || now.Before(t.due) || !c.polling.limit.AllowN(now, 1) {
+			continue
+		}
+		t.busy = true
+		t.due = now.Add(c.polling.interval)
+		if !t.near {
+			t.due = now.Add(farFactor * c.polling.interval)
+		}
+		out = append(out, dueTarget{name, t})
+	}
+	return out
+}
+
+func (c *Client) pollServer(ctx context.Context, name id.Server, t *target) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	err := c.pollLoad(ctx, name, t)
+	if err == nil {
+		err = c.pollCache(ctx, name, t)
+	}
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		c.vars.Add("polls_failed", 1)
+		c.report(fmt.Errorf("backend server %s: %w", name, err))
+	}
+	c.polling.mu.Lock()
+	t.busy = false
+	c.polling.mu.Unlock()
+}
+
+func (c *Client) pollLoad(ctx context.Context, name id.Server, t *target) error {
+	c.vars.Add("polls", 1)
+	answer, err := c.exchange(ctx, http.MethodGet, t.addr, "/v1/load", nil)
+	if err != nil {
+		return err
+	}
+	if answer.status != http.StatusOK {
+		return fmt.Errorf("load: status %d", answer.status)
+	}
+	report, err := decodeLoad(answer.body)
+	if err != nil {
+		return err
+	}
+	if report.Start != t.start {
+		t.start, t.seq, t.plain = report.Start, 0, false
+	}
+	report.Server = name
+	c.deliverPolled(t, report)
+	return nil
+}
+
+// deliverPolled drops what comes from a server that is no longer listed.
+func (c *Client) deliverPolled(t *target, ev event.Event) {
+	c.polling.mu.Lock()
+	gone := t.gone
+	c.polling.mu.Unlock()
+	if !gone {
+		c.deliver(ev)
+	}
+}
+
+type loadBody struct {
+	Start   id.Start   `json:"start"`
+	Version id.Version `json:"version"`
+	Running int        `json:"running"`
+	Waiting int        `json:"waiting"`
+	Limit   int        `json:"limit"`
+	Warm    bool       `json:"warm"`
+	Leaving bool       `json:"leaving"`
+	At      float64    `json:"at"`
+}
+
+func decodeLoad(raw []byte) (event.Report, error) {
+	var b loadBody
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return event.Report{}, fmt.Errorf("decode load: %w", err)
+	}
+	if b.Start == "" {
+		return event.Report{}, errors.New("decode load: no start identity")
+	}
+	for _, n := range []int{b.Running, b.Waiting, b.Limit} {
+		if n < 0 || n > maxCounter {
+			return event.Report{}, fmt.Errorf("decode load: running %d, waiting %d, limit %d", b.Running, b.Waiting, b.Limit)
+		}
+	}
+	if b.At <= 0 || b.At > math.MaxInt64/1e6 {
+		return event.Report{}, fmt.Errorf("decode load: time %g", b.At)
+	}
+	return event.Report{
+		Start: b.Start, Version: b.Version, Running: b.Running, Waiting: b.Waiting,
+		Limit: b.Limit, Warm: b.Warm, Leaving: b.Leaving, At: time.UnixMicro(int64(b.At * 1e3)),
+	}, nil
+}
+
+// pollCache asks for cache events after the last one seen; a server without them is not asked again until it restarts.
+func (c *Client) pollCache(ctx context.Context, name id.Server, t *target) error {
+	if t.plain {
+		return nil
+	}
+	answer, err := c.exchange(ctx, http.MethodGet, t.addr, "/v1/cache?after="+strconv.FormatUint(t.seq, 10), nil)
+	if err != nil {
+		return err
+	}
+	if answer.status == http.StatusNotFound {
+		t.plain = true
+		return nil
+	}
+	if answer.status != http.StatusOK {
+		return fmt.Errorf("cache: status %d", answer.status)
+	}
+	cached, err := decodeCache(answer.body)
+	if err != nil {
+		return err
+	}
+	count := uint64(len(cached.Added) + len(cached.Gone))
+	if count == 0 {
+		return nil
+	}
+	t.seq = cached.Seq + count - 1
+	cached.Server, cached.At = name, c.now()
+	c.deliverPolled(t, cached)
+	return nil
+}
+
+type cacheBody struct {
+	Start id.Start `json:"start"`
+	Seq   uint64   `json:"seq"`
+	Added []string `json:"added"`
+	Gone  []string `json:"gone"`
+}
+
+func decodeCache(raw []byte) (event.Cached, error) {
+	var b cacheBody
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return event.Cached{}, fmt.Errorf("decode cache: %w", err)
+	}
+	if b.Start == "" {
+		return event.Cached{}, errors.New("decode cache: no start identity")
+	}
+	added, err := hashes(b.Added)
+	if err != nil {
+		return event.Cached{}, err
+	}
+	gone, err := hashes(b.Gone)
+	if err != nil {
+		return event.Cached{}, err
+	}
+	if len(added)+len(gone) > 0 && (b.Seq == 0 || b.Seq > math.MaxInt64) {
+		return event.Cached{}, fmt.Errorf("decode cache: sequence %d", b.Seq)
+	}
+	return event.Cached{Start: b.Start, Seq: b.Seq, Added: added, Gone: gone}, nil
+}
+
+func hashes(raw []string) ([]uint64, error) {
+	out := make([]uint64, 0, len(raw))
+	for _, text := range raw {
+		h, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("decode cache: prefix hash %q", text)
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/io/backend/run.go
@@ -0,0 +1,332 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/io/sent"
+	"bluebellflow/io/sse"
+)
+
+type runBody struct {
+	Attempt  string     `json:"attempt"`
+	Stage    string     `json:"stage"`
+	Version  id.Version `json:"version"`
+	Input    []byte     `json:"input"`
+	Prior    []byte     `json:"prior"`
+	Offset   int        `json:"offset"`
+	Stream   bool       `json:"stream"`
+	Priority int        `json:"priority"`
+	Key      string     `json:"key"`
+}
+
+// Dispatch runs an attempt without blocking; it ends with one event.Done or event.Fail unless it is cancelled.
+func (c *Client) Dispatch(d event.Dispatch) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline.Sub(c.now()))
+	c.mu.Lock()
+	_, repeated := c.running[d.Attempt]
+	if !repeated {
+		c.running[d.Attempt] = cancel
+	}
+	c.mu.Unlock()
+	if repeated {
+		cancel()
+		c.report(fmt.Errorf("attempt %d dispatched twice", d.Attempt))
+		return
+	}
+	c.vars.Add("attempts", 1)
+	started := c.attempts.Go(func(group context.Context) {
+		defer cancel()
+		stop := context.AfterFunc(group, cancel)
+		defer stop()
+		c.end(c.run(ctx, d))
+	})
+	if !started {
+		cancel()
+		c.end(event.Fail{Attempt: d.Attempt, Kind: event.FailUnsent, Reason: "too many attempts in flight"})
+	}
+}
+
+// end delivers the last event of an attempt unless the attempt was cancelled.
+func (c *Client) end(ev event.Event) {
+	var attempt id.Attempt
+	switch ev := ev.(type) {
+	case event.Done:
+		attempt = ev.Attempt
+		c.vars.Add("attempts_done", 1)
+	case event.Fail:
+		attempt = ev.Attempt
+		c.vars.Add("attempts_"+failName(ev.Kind), 1)
+	}
+	c.mu.Lock()
+	_, running := c.running[attempt]
+	delete(c.running, attempt)
+	c.mu.Unlock()
+	if running {
+		c.deliver(ev)
+	}
+}
+
+// active reports whether the attempt has not been cancelled.
+func (c *Client) active(a id.Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, running := c.running[a]
+	return running
+}
+
+func failName(k event.FailKind) string {
+	names := map[event.FailKind]string{
+		event.FailUnsent: "unsent", event.FailBroken: "broken", event.FailTimeout: "timeout",
+		event.FailRejected: "rejected", event.FailError: "error",
+	}
+	return names[k]
+}
+
+// run makes the call and returns the event that ends the attempt.
+func (c *Client) run(ctx context.Context, d event.Dispatch) event.Event {
+	fail := event.Fail{Attempt: d.Attempt}
+	left := d.Deadline.Sub(c.now())
+	if left <= 0 {
+		fail.Kind, fail.Reason = event.FailUnsent, "deadline passed before the attempt was sent"
+		return fail
+	}
+	body, err := json.Marshal(runBody{
+		Attempt: c.name(d.Attempt), Stage: d.Stage, Version: d.Version, Input: d.Input, Prior: d.Prior,
+		Offset: d.Offset, Stream: d.Stream, Priority: d.Priority, Key: d.Key,
+	})
+	if err != nil {
+		fail.Kind, fail.Reason = event.FailUnsent, err.Error()
+		return fail
+	}
+	tracked, tracker := sent.Track(ctx)
+	req, err := http.NewRequestWithContext(tracked, http.MethodPost, "http://"+d.Addr.String()+"/v1/run", bytes.NewReader(body))
+	if err != nil {
+		fail.Kind, fail.Reason = event.FailUnsent, err.Error()
+		return fail
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Request-Timeout", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		fail.Reason = err.Error()
+		fail.Kind = event.FailUnsent
+		if tracker.Seal() {
+			fail.Kind = afterSent(err)
+		}
+		return fail
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.answer(d, resp)
+}
+
+// afterSent separates a missing answer from a broken connection.
+func afterSent(err error) event.FailKind {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return event.FailTimeout
+	}
+	return event.FailBroken
+}
+
+// meta is what a run's answer says about its server.
+type meta struct {
+	start   id.Start
+	took    time.Duration
+	leaving bool
+}
+
+func parseMeta(h http.Header) (meta, error) {
+	m := meta{start: id.Start(h.Get("Bluebellflow-Start")), leaving: h.Get("Bluebellflow-Leaving") == "1"}
+	raw := h.Get("Bluebellflow-Took")
+	if raw == "" {
+		return m, nil
+	}
+	took, err := millis(raw)
+	if err != nil {
+		return m, fmt.Errorf("header Bluebellflow-Took: %w", err)
+	}
+	m.took = took
+	return m, nil
+}
+
+// millis parses decimal milliseconds. More than a day is refused because it would overflow sums of service times.
+func millis(raw string) (time.Duration, error) {
+	ms, err := strconv.ParseFloat(raw, 64)
+	if err != nil || math.IsNaN(ms) || ms < 0 || ms > 86_400_000 {
+		return 0, fmt.Errorf("%q is not a time in milliseconds", raw)
+	}
+	return time.Duration(ms * float64(time.Millisecond)), nil
+}
+
+// answer maps a response to the event that ends the attempt, and delivers the parts of a stream.
+func (c *Client) answer(d event.Dispatch, resp *http.Response) event.Event {
+	about, err := parseMeta(resp.Header)
+	if err != nil {
+		c.report(fmt.Errorf("backend server %s: %w", d.Server, err))
+	}
+	fail := event.Fail{Attempt: d.Attempt, Start: about.start, Status: resp.StatusCode, Reason: resp.Status}
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+		fail.Kind = event.FailRejected
+		return fail
+	case resp.StatusCode == http.StatusInternalServerError:
+		fail.Kind = event.FailError
+		return fail
+	case resp.StatusCode != http.StatusOK:
+		// Only 429, 503 and 500 promise that nothing took effect.
+		fail.Kind = event.FailBroken
+		return fail
+	}
+	var done event.Done
+	if d.Stream {
+		done, err = c.stream(d, resp.Body)
+	} else {
+		done.Data, err = output(resp)
+	}
+	if err != nil {
+		fail.Kind, fail.Reason = afterSent(err), err.Error()
+		return fail
+	}
+	done.Attempt, done.Start, done.Leaving = d.Attempt, about.start, about.leaving
+	if done.Took == 0 {
+		done.Took = about.took
+	}
+	return done
+}
+
+// output reads a whole answer. An answer that ends only with its connection cannot be told from a truncated one.
+func output(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errors.New("answer without Content-Length")
+	}
+	if resp.ContentLength > MaxOutput {
+		return nil, fmt.Errorf("answer of %d bytes, limit %d", resp.ContentLength, MaxOutput)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxOutput+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if len(raw) > MaxOutput {
+		return nil, fmt.Errorf("answer larger than %d bytes", MaxOutput)
+	}
+	return raw, nil
+}
+
+// stream delivers one event.Part for each read and returns the contents of the end event.
+func (c *Client) stream(d event.Dispatch, body io.Reader) (event.Done, error) {
+	parser := sse.NewParser(maxEvent)
+	buf := make([]byte, readSize)
+	for {
+		n, err := body.Read(buf)
+		events, bad := parser.Feed(buf[:n])
+		batch := batch{attempt: d.Attempt, deliver: c.deliver}
+		if !c.active(d.Attempt) {
+			return event.Done{}, errors.New("attempt cancelled")
+		}
+		done, ended, wrong := batch.take(events)
+		switch {
+		case wrong != nil:
+			return event.Done{}, wrong
+		case ended:
+			_, _ = io.CopyN(io.Discard, body, readSize) // reads the end of the body so that the connection is kept
+			return done, nil
+		case bad != nil:
+			return event.Done{}, bad
+		case errors.Is(err, io.EOF):
+			return event.Done{}, errors.New("stream without its end event")
+		case err != nil:
+			return event.Done{}, fmt.Errorf("read stream: %w", err)
+		}
+	}
+}
+
+type partData struct {
+	Seq    int    `json:"seq"`
+	Tokens int    `json:"tokens"`
+	Text   string `json:"text"`
+}
+
+type endData struct {
+	Tokens int     `json:"tokens"`
+	Took   float64 `json:"took"`
+}
+
+func decodePart(raw []byte) (partData, error) {
+	var p partData
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return p, fmt.Errorf("decode part: %w", err)
+	}
+	if p.Seq < 0 || p.Tokens <= 0 || p.Seq > math.MaxInt32 || p.Tokens > math.MaxInt32 {
+		return p, fmt.Errorf("decode part: seq %d, tokens %d", p.Seq, p.Tokens)
+	}
+	return p, nil
+}
+
+func decodeEnd(raw []byte) (event.Done, error) {
+	var e endData
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return event.Done{}, fmt.Errorf("decode end: %w", err)
+	}
+	if e.Tokens < 0 || e.Tokens > math.MaxInt32 {
+		return event.Done{}, fmt.Errorf("decode end: tokens %d", e.Tokens)
+	}
+	took, err := millis(strconv.FormatFloat(e.Took, 'f', -1, 64))
+	if err != nil {
+		return event.Done{}, fmt.Errorf("decode end: took %w", err)
+	}
+	return event.Done{Tokens: e.Tokens, Took: took}, nil
+}
+
+// batch joins the adjacent parts of one read, so that a fast stream costs few steps.
+type batch struct {
+	attempt id.Attempt
+	deliver func(event.Event)
+	part    event.Part
+}
+
+// take delivers the parts among the events and reports whether the end event came.
+func (b *batch) take(events []sse.Event) (event.Done, bool, error) {
+	defer b.flush()
+	for _, ev := range events {
+		switch ev.Name {
+		case "part":
+			p, err := decodePart(ev.Data)
+			if err != nil {
+				return event.Done{}, false, err
+			}
+			b.add(p)
+		case "end":
+			done, err := decodeEnd(ev.Data)
+			return done, err == nil, err
+		}
+	}
+	return event.Done{}, false, nil
+}
+
+func (b *batch) add(p partData) {
+	if b.part.Tokens > 0 && b.part.Seq+b.part.Tokens != p.Seq {
+		b.flush()
+	}
+	if b.part.Tokens == 0 {
+		b.part = event.Part{Attempt: b.attempt, Seq: p.Seq}
+	}
+	b.part.Tokens += p.Tokens
+	b.part.Data = append(b.part.Data, p.Text...)
+}
+
+func (b *batch) flush() {
+	if b.part.Tokens > 0 {
+		b.deliver(b.part)
+	}
+	b.part = event.Part{}
+}
