mesh: peer sessions over yamux

Cause: nodes need one session for each pair, on which heartbeats do not wait behind bulk messages and a hostile peer harms only its own session. Ruled out: closing the loser of two simultaneous dials at once. Change: package mesh with two streams in each direction, bounded queues that drop and count, dialing with backoff and jitter, Link events, and mutual TLS whose certificates must name the node. Conclusion: both ends keep the session that the node with the smaller name dialed; malformed input ends the session that carried it.

--- /dev/null
+++ b/io/mesh/mesh_test.go
@@ -0,0 +1,365 @@
+package mesh
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"expvar"
+	"fmt"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds how long a test waits for something that must happen; no assertion depends on less.
+const patience = 10 * time.Second
+
+type note struct {
+	Text string `protobuf:"bytes,1,opt,name=text"`
+}
+
+func (n note) Check() error {
+	if n.Text == "" {
+		return errors.New("no text")
+	}
+	return nil
+}
+
+func codec() *wire.Codec { return wire.New(map[uint32]event.Body{1: note{}}) }
+
+// member is one node of a test with what it delivered.
+type member struct {
+	mesh   *Mesh
+	addr   netip.AddrPort
+	events chan event.Event
+	vars   *expvar.Map
+	stop   func()
+}
+
+// book finds the addresses of the nodes of a test.
+type book struct {
+	mu    sync.Mutex
+	addrs map[id.Node]netip.AddrPort
+}
+
+func (b *book) find(name id.Node) (netip.AddrPort, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	addr, ok := b.addrs[name]
+	return addr, ok
+}
+
+func join(t testing.TB, b *book, name id.Node, incarnation int, opts ...Option) *member {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &member{
+		addr: netip.MustParseAddrPort(listener.Addr().String()), events: make(chan event.Event, 10000), vars: new(expvar.Map),
+	}
+	self := event.Self{Node: name, Incarnation: id.Incarnation(fmt.Sprintf("%032x", incarnation)), Addr: m.addr}
+	times := DefaultTimes()
+	times.Backoff, times.Stale, times.Dial = time.Millisecond, patience, patience
+	opts = append([]Option{WithVars(m.vars), WithTimes(times)}, opts...)
+	m.mesh = New(self, codec(), b.find, func(ev event.Event) { m.events <- ev }, opts...)
+	m.mesh.Use(listener)
+	b.mu.Lock()
+	b.addrs[name] = m.addr
+	b.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = m.mesh.Run(ctx) })
+	m.stop = func() { cancel(); running.Wait() }
+	t.Cleanup(m.stop)
+	return m
+}
+
+func newBook() *book { return &book{addrs: map[id.Node]netip.AddrPort{}} }
+
+func next[T event.Event](t testing.TB, events <-chan event.Event) T {
+	t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case ev := <-events:
+			if got, ok := ev.(T); ok {
+				return got
+			}
+		case <-timeout:
+			var want T
+			t.Fatalf("no %T", want)
+		}
+	}
+}
+
+func (m *member) say(to id.Node, text string) {
+	m.mesh.Send(event.Send{To: to, Body: note{Text: text}}, 5, 6)
+}
+
+// TestSend guards against a message that arrives changed or from the wrong sender, small or large.
+func TestSend(t *testing.T) {
+	for name, size := range map[string]int{"control": 10, "bulk": 3 << 20} {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			a, z := join(t, b, "a", 1), join(t, b, "z", 2)
+			text := strings.Repeat("x", size)
+			a.say("z", text)
+			g := NewWithT(t)
+			g.Expect(next[event.Link](t, z.events)).To(Equal(event.Link{Peer: "a", Up: true}))
+			want := event.Receive{From: "a", Incarnation: a.mesh.self.Incarnation, Revision: 5, Domains: 6, Body: note{Text: text}}
+			g.Expect(next[event.Receive](t, z.events)).To(Equal(want))
+			z.say("a", "back")
+			g.Expect(next[event.Receive](t, a.events).From).To(Equal(id.Node("z")))
+			g.Expect(a.mesh.Peers()).To(Equal(1))
+			a.mesh.Flush(context.Background())
+		})
+	}
+}
+
+// TestOneSession guards against two sessions, and against a link that seems to fail, when both nodes dial at once.
+func TestOneSession(t *testing.T) {
+	for round := range 10 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			b := newBook()
+			a, z := join(t, b, "a", 1), join(t, b, "z", 2)
+			var both sync.WaitGroup
+			both.Go(func() { a.say("z", "1") })
+			both.Go(func() { z.say("a", "2") })
+			both.Wait()
+			next[event.Receive](t, a.events)
+			next[event.Receive](t, z.events)
+			g := NewWithT(t)
+			g.Eventually(a.mesh.Peers, patience).Should(Equal(1))
+			g.Eventually(z.mesh.Peers, patience).Should(Equal(1))
+			g.Eventually(func() bool { return a.dialer("z") == z.dialer("a") }, patience).Should(BeTrue())
+		})
+	}
+}
+
+func (m *member) dialer(name id.Node) id.Node {
+	m.mesh.mu.Lock()
+	defer m.mesh.mu.Unlock()
+	if p := m.mesh.peers[name]; p != nil && p.session != nil {
+		return p.session.dialer()
+	}
+	return ""
+}
+
+// TestReconnect guards against a peer that stays unreachable after its process was replaced.
+func TestReconnect(t *testing.T) {
+	b := newBook()
+	a, z := join(t, b, "a", 1), join(t, b, "z", 2)
+	a.say("z", "first")
+	next[event.Receive](t, z.events)
+	z.stop()
+	g := NewWithT(t)
+	g.Expect(next[event.Link](t, a.events).Up).To(BeTrue())
+	g.Expect(next[event.Link](t, a.events).Up).To(BeFalse())
+	again := join(t, b, "z", 3)
+	g.Eventually(func() int { a.say("z", "second"); return len(again.events) }, patience).Should(BeNumerically(">", 0))
+	g.Expect(next[event.Receive](t, again.events).Body).To(Equal(note{Text: "second"}))
+}
+
+// TestDrops guards against queues without bounds, and against drops that nobody can see.
+func TestDrops(t *testing.T) {
+	b := newBook()
+	a := join(t, b, "a", 1)
+	for range controlQueue + 3 {
+		a.say("nobody", "x")
+	}
+	a.say("a", "to itself")
+	a.mesh.Send(event.Send{To: "nobody", Body: stranger{}}, 0, 0)
+	g := NewWithT(t)
+	g.Expect(a.vars.Get("peer_dropped_full").String()).To(Equal("3"))
+	g.Expect(a.vars.Get("peer_dropped_self").String()).To(Equal("1"))
+	g.Expect(a.vars.Get("peer_dropped_encode").String()).To(Equal("1"))
+}
+
+type stranger struct{}
+
+func (stranger) Check() error { return nil }
+
+// TestHostile guards against a hostile connection that disturbs more than itself.
+func TestHostile(t *testing.T) {
+	b := newBook()
+	errs := make(chan error, 1000)
+	a := join(t, b, "a", 1, WithReport(func(err error) { errs <- err }))
+	good := join(t, b, "good", 2)
+	evil := event.Self{Node: "evil", Incarnation: id.Incarnation(fmt.Sprintf("%032x", 3))}
+	envelope := func(from id.Node) []byte {
+		raw, err := codec().Encode(wire.Envelope{From: from, Incarnation: evil.Incarnation}, note{Text: "x"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return frame(raw)
+	}
+	cases := map[string]struct {
+		hello hello
+		bytes []byte
+		want  string
+	}{
+		"empty name":     {hello{Incarnation: evil.Incarnation}, nil, "node name"},
+		"incarnation":    {hello{Node: "evil", Incarnation: "x"}, nil, "incarnation"},
+		"own name":       {hello{Node: "a", Incarnation: evil.Incarnation}, nil, "claims the name"},
+		"unknown stream": {hello{Node: "evil", Incarnation: evil.Incarnation, Lane: 9}, nil, "unknown stream kind"},
+		"huge frame":     {hello{Node: "evil", Incarnation: evil.Incarnation}, []byte{0xff, 0xff, 0xff, 0xff}, "limit"},
+		"empty frame":    {hello{Node: "evil", Incarnation: evil.Incarnation}, []byte{0, 0, 0, 0}, "empty frame"},
+		"garbage":        {hello{Node: "evil", Incarnation: evil.Incarnation}, frame([]byte("garbage")), "decode"},
+		"other's name":   {hello{Node: "evil", Incarnation: evil.Incarnation}, envelope("good"), "in the session of evil"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", a.addr.String())
+			g := NewWithT(t)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			mux, err := good.mesh.open(conn, true)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer mux.Close()
+			stream, err := mux.Open()
+			g.Expect(err).NotTo(HaveOccurred())
+			first, err := encodeHello(c.hello)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = stream.Write(append(first, c.bytes...))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(mux.CloseChan(), patience).Should(BeClosed(), "the hostile session is closed")
+			g.Eventually(errs, patience).Should(Receive(MatchError(ContainSubstring(c.want))))
+		})
+	}
+	good.say("a", "still here")
+	NewWithT(t).Expect(next[event.Receive](t, a.events).From).To(Equal(id.Node("good")))
+}
+
+// certificates writes a CA and a certificate for each name, and returns the files of each.
+func certificates(t *testing.T, names ...string) []Files {
+	t.Helper()
+	dir := t.TempDir()
+	write := func(name, kind string, raw []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	make := func(template, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*ecdsa.PrivateKey, []byte) {
+		key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if signer == nil {
+			signer = key
+		}
+		raw, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return key, raw
+	}
+	ca := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "CA"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	caKey, caRaw := make(ca, ca, nil)
+	caPath := write("ca.pem", "CERTIFICATE", caRaw)
+	var out []Files
+	for i, name := range names {
+		leaf := &x509.Certificate{
+			SerialNumber: big.NewInt(int64(i + 2)), DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour),
+			KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		}
+		key, raw := make(leaf, ca, caKey)
+		der, err := x509.MarshalECPrivateKey(key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, Files{
+			Certificate: write(fmt.Sprint(i, ".pem"), "CERTIFICATE", raw), Key: write(fmt.Sprint(i, ".key"), "EC PRIVATE KEY", der), CA: caPath,
+		})
+	}
+	return out
+}
+
+// TestTLS guards against a node without a certificate, or with that of another node, that joins the mesh.
+func TestTLS(t *testing.T) {
+	b := newBook()
+	g := NewWithT(t)
+	var secure []Option
+	for _, files := range certificates(t, "a", "z", "other") {
+		config, err := LoadTLS(files)
+		g.Expect(err).NotTo(HaveOccurred())
+		secure = append(secure, WithTLS(config))
+	}
+	errs := make(chan error, 1000)
+	a := join(t, b, "a", 1, secure[0], WithReport(func(err error) { errs <- err }))
+	z := join(t, b, "z", 2, secure[1])
+	a.say("z", "secret")
+	g.Expect(next[event.Receive](t, z.events).Body).To(Equal(note{Text: "secret"}))
+	impostor := join(t, b, "fake", 3, secure[2])
+	impostor.say("a", "lie")
+	g.Eventually(errs, patience).Should(Receive(MatchError(ContainSubstring("not fake"))))
+	plain := join(t, b, "plain", 4)
+	plain.say("a", "lie")
+	g.Eventually(errs, patience).Should(Receive(MatchError(ContainSubstring("TLS"))))
+	g.Expect(a.mesh.Peers()).To(Equal(1))
+	_, err := LoadTLS(Files{Certificate: "missing"})
+	g.Expect(err).To(MatchError(ContainSubstring("load certificate")))
+}
+
+// FuzzFrame guards against a panic or an allocation beyond the limit on arbitrary bytes of a peer.
+func FuzzFrame(f *testing.F) {
+	first, err := encodeHello(hello{Node: "a", Incarnation: id.Incarnation(fmt.Sprintf("%032x", 1))})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(first)
+	f.Add([]byte{0, 0, 0, 1, 0xff})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		got, err := readFrame(strings.NewReader(string(raw)), maxHello)
+		if err != nil {
+			return
+		}
+		if len(got) > maxHello {
+			t.Fatalf("%d bytes", len(got))
+		}
+		if h, err := decodeHello(got); err == nil && h.check() != nil {
+			t.Fatal("unchecked hello")
+		}
+	})
+}
+
+// BenchmarkRoundTrip measures a message to a peer and back.
+func BenchmarkRoundTrip(b *testing.B) {
+	addrs := newBook()
+	a, z := join(b, addrs, "a", 1), join(b, addrs, "z", 2)
+	a.say("z", "x")
+	next[event.Receive](b, z.events)
+	b.ReportAllocs()
+	for b.Loop() {
+		a.say("z", "ping")
+		next[event.Receive](b, z.events)
+		z.say("a", "pong")
+		next[event.Receive](b, a.events)
+	}
+}
--- /dev/null
+++ b/io/mesh/peer.go
@@ -0,0 +1,205 @@
+package mesh
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+// maxDoublings bounds the growth of the pause between failed dials.
+const maxDoublings = 5
+
+// message is an encoded frame and the time at which it was queued.
+type message struct {
+	raw []byte
+	at  time.Time
+}
+
+// peer is another node: what waits to be sent to it, and the session if there is one.
+type peer struct {
+	name   id.Node
+	queues [lanes]chan message
+	// writing counts the messages that were taken from a queue and are not written yet.
+	writing atomic.Int64
+
+	addrMu sync.Mutex
+	addr   netip.AddrPort
+
+	// Guarded by Mesh.mu.
+	session  *session
+	dialing  bool
+	failures int // failed dials and short sessions in a row
+	used     time.Time
+}
+
+func (p *peer) setAddr(addr netip.AddrPort) {
+	p.addrMu.Lock()
+	defer p.addrMu.Unlock()
+	p.addr = addr
+}
+
+func (p *peer) getAddr() netip.AddrPort {
+	p.addrMu.Lock()
+	defer p.addrMu.Unlock()
+	return p.addr
+}
+
+// dial starts dialing a peer unless it has a session or is being dialed.
+func (m *Mesh) dial(p *peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.session != nil || p.dialing {
+		return
+	}
+	p.dialing = m.tasks.Go(func(ctx context.Context) { m.dialLoop(ctx, p) })
+}
+
+// dialLoop dials until there is a session or nothing was sent to the peer for a while.
+func (m *Mesh) dialLoop(ctx context.Context, p *peer) {
+	defer m.dialEnded(p)
+	for m.wanted(p) {
+		if failures := m.failuresOf(p); failures > 0 && !pause(ctx, m.times.Backoff<<min(failures-1, maxDoublings)) {
+			return
+		}
+		if !m.wanted(p) {
+			return
+		}
+		err := m.dialOnce(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			m.failed(p)
+			m.vars.Add("peer_dial_failed", 1)
+			m.report(fmt.Errorf("dial peer %s: %w", p.name, err))
+		}
+	}
+}
+
+// wanted reports whether the peer still needs a session. A peer that nobody sends to any more is forgotten.
+func (m *Mesh) wanted(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.session != nil {
+		return false
+	}
+	if time.Since(p.used) <= m.times.Idle {
+		return true
+	}
+	if m.peers[p.name] == p {
+		delete(m.peers, p.name)
+	}
+	return false
+}
+
+func (m *Mesh) dialEnded(p *peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.dialing = false
+}
+
+func (m *Mesh) failuresOf(p *peer) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return p.failures
+}
+
+func (m *Mesh) failed(p *peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.failures++
+}
+
+func (m *Mesh) dialOnce(ctx context.Context, p *peer) error {
+	addr := p.getAddr()
+	if !addr.IsValid() {
+		return errors.New("no address known")
+	}
+	dialer := net.Dialer{Timeout: m.times.Dial}
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return err
+	}
+	if m.tls != nil {
+		config := m.tls.Clone()
+		config.ServerName = string(p.name)
+		conn = tls.Client(conn, config)
+	}
+	if err := m.establish(ctx, conn, p.name); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	return nil
+}
+
+// adopt makes a session the peer's only one, or reports that it lost against another. Both ends
+// reach the same choice: of two sessions between the same processes the one that the node with the
+// smaller name dialed stays, and of two dialed by the same node the later one.
+func (m *Mesh) adopt(s *session) (kept bool) {
+	p := m.peer(s.peer.Node)
+	m.mu.Lock()
+	old := p.session
+	if old != nil && old.peer.Incarnation == s.peer.Incarnation && old.dialer() != s.dialer() && old.dialer() < s.dialer() {
+		m.mu.Unlock()
+		return false
+	}
+	p.session = s
+	m.mu.Unlock()
+	s.owner = p
+	if old == nil {
+		m.vars.Add("peers", 1)
+		m.deliver(event.Link{Peer: p.name, Up: true})
+		return true
+	}
+	if old.peer.Incarnation != s.peer.Incarnation {
+		m.deliver(event.Link{Peer: p.name, Up: false})
+		m.deliver(event.Link{Peer: p.name, Up: true})
+	}
+	old.retire(m.times.Replace)
+	return true
+}
+
+// ended forgets a session; the link is down unless another session has replaced it.
+func (m *Mesh) ended(s *session) {
+	p := s.owner
+	if p == nil {
+		return
+	}
+	m.mu.Lock()
+	current := p.session == s
+	if current {
+		p.session = nil
+		if time.Since(s.since) < m.times.Idle {
+			p.failures++
+		} else {
+			p.failures = 0
+		}
+	}
+	m.mu.Unlock()
+	if current {
+		m.vars.Add("peers", -1)
+		m.deliver(event.Link{Peer: p.name, Up: false})
+	}
+}
+
+// pause waits for a time of between half and all of d, so that nodes do not dial together.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d/2+1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/mesh/session.go
@@ -0,0 +1,337 @@
+package mesh
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"bluebellflow/core/id"
+	"bluebellflow/core/wire"
+)
+
+// session is one connection to a peer with a control and a bulk stream in each direction.
+type session struct {
+	mesh   *Mesh
+	conn   net.Conn
+	mux    *yamux.Session
+	peer   hello
+	dialed bool // this node dialed
+	since  time.Time
+	owner  *peer
+
+	once     sync.Once
+	end      chan struct{} // closed when the session is to end
+	mute     sync.Once
+	replaced chan struct{} // closed when nothing more is to be written
+}
+
+// dialer names the node that dialed the session.
+func (s *session) dialer() id.Node {
+	if s.dialed {
+		return s.mesh.self.Node
+	}
+	return s.peer.Node
+}
+
+// stop ends the session.
+func (s *session) stop() { s.once.Do(func() { close(s.end) }) }
+
+// retire stops writing and ends the session after what it still carries has had time to arrive.
+func (s *session) retire(after time.Duration) {
+	s.mute.Do(func() { close(s.replaced) })
+	started := s.mesh.tasks.Go(func(ctx context.Context) {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-s.end:
+		case <-timer.C:
+		}
+		s.stop()
+	})
+	if !started {
+		s.stop()
+	}
+}
+
+// establish exchanges names over a new connection and starts its session. want is the peer that was
+// dialed, or empty for a connection that was accepted.
+func (m *Mesh) establish(ctx context.Context, conn net.Conn, want id.Node) error {
+	deadline := time.Now().Add(m.times.Dial)
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if secured, ok := conn.(*tls.Conn); ok {
+		if err := secured.HandshakeContext(ctx); err != nil {
+			return fmt.Errorf("TLS: %w", err)
+		}
+	}
+	mux, err := m.open(conn, want != "")
+	if err != nil {
+		return err
+	}
+	s := &session{mesh: m, conn: conn, mux: mux, dialed: want != "", since: time.Now(), end: make(chan struct{}), replaced: make(chan struct{})}
+	if err := s.start(deadline, want); err != nil {
+		_ = mux.Close()
+		return err
+	}
+	return nil
+}
+
+func (m *Mesh) open(conn net.Conn, dialed bool) (*yamux.Session, error) {
+	config := yamux.DefaultConfig()
+	config.AcceptBacklog = int(lanes)
+	config.KeepAliveInterval = m.times.KeepAlive
+	config.ConnectionWriteTimeout = m.times.Write
+	config.StreamOpenTimeout = m.times.Write
+	config.StreamCloseTimeout = m.times.Write
+	config.LogOutput = nil
+	config.Logger = log.New(io.Discard, "", 0)
+	if dialed {
+		return yamux.Client(conn, config)
+	}
+	return yamux.Server(conn, config)
+}
+
+// start opens this node's streams, reads the peer's name from its first one and starts the goroutines.
+func (s *session) start(deadline time.Time, want id.Node) error {
+	var out [lanes]net.Conn
+	for l := range lanes {
+		stream, err := s.openStream(l, deadline)
+		if err != nil {
+			return err
+		}
+		out[l] = stream
+	}
+	in, name, err := s.acceptStream(deadline)
+	if err != nil {
+		return err
+	}
+	s.peer = name
+	if err := s.checkPeer(want); err != nil {
+		return err
+	}
+	if err := s.conn.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	kept := s.mesh.adopt(s)
+	if err := s.serve(out, in); err != nil {
+		return err
+	}
+	if !kept {
+		// The peer may have used this session before it learned of the other one of the pair.
+		s.retire(s.mesh.times.Replace)
+	}
+	return nil
+}
+
+func (s *session) openStream(l lane, deadline time.Time) (net.Conn, error) {
+	stream, err := s.mux.Open()
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	first, err := encodeHello(hello{Node: s.mesh.self.Node, Incarnation: s.mesh.self.Incarnation, Lane: uint32(l)})
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.SetWriteDeadline(deadline); err != nil {
+		return nil, err
+	}
+	if _, err := stream.Write(first); err != nil {
+		return nil, fmt.Errorf("write hello: %w", err)
+	}
+	return stream, nil
+}
+
+func (s *session) acceptStream(deadline time.Time) (net.Conn, hello, error) {
+	stream, err := s.mux.Accept()
+	if err != nil {
+		return nil, hello{}, fmt.Errorf("accept stream: %w", err)
+	}
+	if err := stream.SetReadDeadline(deadline); err != nil {
+		return nil, hello{}, err
+	}
+	raw, err := readFrame(stream, maxHello)
+	if err != nil {
+		return nil, hello{}, fmt.Errorf("read hello: %w", err)
+	}
+	h, err := decodeHello(raw)
+	if err != nil {
+		return nil, hello{}, err
+	}
+	return stream, h, stream.SetReadDeadline(time.Time{})
+}
+
+// checkPeer refuses a peer that is not the one dialed, that claims this node's name, or whose
+// certificate names another node.
+func (s *session) checkPeer(want id.Node) error {
+	if want != "" && s.peer.Node != want {
+		return fmt.Errorf("dialed %s, found %s", want, s.peer.Node)
+	}
+	if s.peer.Node == s.mesh.self.Node {
+		return fmt.Errorf("peer claims the name %s of this node", s.peer.Node)
+	}
+	secured, ok := s.conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	chain := secured.ConnectionState().PeerCertificates
+	if len(chain) == 0 {
+		return errors.New("peer without certificate")
+	}
+	if err := chain[0].VerifyHostname(string(s.peer.Node)); err != nil {
+		return fmt.Errorf("peer %s: %w", s.peer.Node, err)
+	}
+	return nil
+}
+
+// serve starts the session's goroutines; the first that ends closes the session.
+func (s *session) serve(out [lanes]net.Conn, in net.Conn) error {
+	jobs := []func() error{
+		func() error { return s.read(in) },
+		func() error { return s.acceptOther() },
+	}
+	for l := range lanes {
+		if s.owner != nil {
+			jobs = append(jobs, func() error { return s.write(out[l], s.owner, l) })
+		}
+	}
+	var running sync.WaitGroup
+	running.Add(len(jobs))
+	for _, job := range jobs {
+		started := s.mesh.tasks.Go(func(context.Context) {
+			defer running.Done()
+			if err := job(); err != nil {
+				s.fail(err)
+			}
+			s.stop()
+		})
+		if !started {
+			running.Done()
+			s.stop()
+		}
+	}
+	started := s.mesh.tasks.Go(func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+		case <-s.end:
+		case <-s.mux.CloseChan():
+		}
+		s.stop()
+		_ = s.mux.Close()
+		running.Wait()
+		s.mesh.ended(s)
+	})
+	if !started {
+		s.stop()
+		_ = s.mux.Close()
+		s.mesh.ended(s)
+		return errors.New("too many sessions")
+	}
+	return nil
+}
+
+// fail reports why a session ends, unless it was ended here or the peer closed it.
+func (s *session) fail(err error) {
+	select {
+	case <-s.end:
+		return
+	default:
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrSessionShutdown) {
+		return
+	}
+	s.mesh.vars.Add("peer_sessions_failed", 1)
+	s.mesh.report(fmt.Errorf("session with %s: %w", s.peer.Node, err))
+}
+
+// acceptOther reads the peer's second stream and refuses any further one.
+func (s *session) acceptOther() error {
+	stream, h, err := s.acceptStream(time.Now().Add(s.mesh.times.Dial))
+	if err != nil {
+		return err
+	}
+	if h.Node != s.peer.Node || h.Incarnation != s.peer.Incarnation || h.Lane == s.peer.Lane {
+		return fmt.Errorf("second stream names %s, kind %d", h.Node, h.Lane)
+	}
+	started := s.mesh.tasks.Go(func(context.Context) {
+		s.fail(s.read(stream))
+		s.stop()
+	})
+	if !started {
+		return errors.New("too many sessions")
+	}
+	if _, err := s.mux.Accept(); err != nil {
+		return err
+	}
+	return errors.New("peer opened a third stream")
+}
+
+// read delivers the messages of one stream. Anything malformed ends the session.
+func (s *session) read(stream io.Reader) error {
+	for {
+		raw, err := readFrame(stream, wire.MaxMessage)
+		if err != nil {
+			return err
+		}
+		ev, err := s.mesh.codec.Decode(raw)
+		if err != nil {
+			return err
+		}
+		if ev.From != s.peer.Node || ev.Incarnation != s.peer.Incarnation {
+			return fmt.Errorf("message from %s in the session of %s", ev.From, s.peer.Node)
+		}
+		s.mesh.vars.Add("peer_messages_received", 1)
+		s.mesh.vars.Add("peer_bytes_received", int64(prefixSize+len(raw)))
+		s.mesh.deliver(ev)
+	}
+}
+
+// write sends what is queued until the session ends.
+func (s *session) write(stream net.Conn, p *peer, l lane) error {
+	for {
+		select {
+		case <-s.end:
+			return nil
+		case <-s.replaced:
+			<-s.end
+			return nil
+		case msg := <-p.queues[l]:
+			p.writing.Add(1)
+			err := s.writeOne(stream, msg)
+			p.writing.Add(-1)
+			if err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// writeOne writes a message, or drops one that waited too long: an old heartbeat would make a node
+// look alive that is not.
+func (s *session) writeOne(stream net.Conn, msg message) error {
+	if time.Since(msg.at) > s.mesh.times.Stale {
+		s.mesh.drop("stale")
+		return nil
+	}
+	if err := stream.SetWriteDeadline(time.Now().Add(s.mesh.times.Write)); err != nil {
+		return err
+	}
+	if _, err := stream.Write(msg.raw); err != nil {
+		s.mesh.drop("write")
+		return err
+	}
+	s.mesh.vars.Add("peer_messages_sent", 1)
+	s.mesh.vars.Add("peer_bytes_sent", int64(len(msg.raw)))
+	return nil
+}
