callers: HTTP interface of callers

Cause: callers need an answer that they can tell from a truncated one, and problems that say exactly what is known. Ruled out: 504 for an unknown outcome, which clients and proxies retry without the key; an http.Server write timeout, which would also cut answers that wait for the decision logic. Conclusion: only event end or "end":true marks a complete answer; a caller that hangs up or does not read becomes event.Gone.

--- /dev/null
+++ b/io/ask/ask_test.go
@@ -0,0 +1,35 @@
+package ask_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/io/ask"
+)
+
+// TestDesk guards against answers that reach the wrong command, come twice, or block the event loop.
+func TestDesk(t *testing.T) {
+	g := NewWithT(t)
+	var desk *ask.Desk
+	desk = ask.New(func(ev event.Event) {
+		n := ev.(event.Command).Number
+		desk.Answer(event.Answer{Number: n + 100, Value: "other"})
+		desk.Answer(event.Answer{Number: n, Value: n})
+		desk.Answer(event.Answer{Number: n, Value: "again"})
+	})
+	build := func(n uint64) event.Event { return event.Command{Number: n} }
+	for want := uint64(1); want <= 3; want++ {
+		answer, err := desk.Do(context.Background(), build)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Value).To(Equal(want))
+	}
+	silent := ask.New(func(event.Event) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := silent.Do(ctx, build)
+	g.Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+}
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -29,17 +29,17 @@
 
 const incarnation = "00112233445566778899aabbccddeeff"
 
-func startClient(t *testing.T) (*Client, chan event.Event, chan error) {
+func startClient(t *testing.T) (*Client, chan event.Event) {
 	t.Helper()
-	events, errs := make(chan event.Event, 1000), make(chan error, 1000)
+	events := make(chan event.Event, 1000)
 	self := event.Self{Node: "n1", Incarnation: incarnation, FailureDomain: "d1"}
-	base := []Option{WithReport(func(err error) { errs <- err }), WithTimeout(patience), WithPolling(time.Millisecond, 1e6)}
+	base := []Option{WithTimeout(patience), WithPolling(time.Millisecond, 1e6)}
 	c := New(self, func(ev event.Event) { events <- ev }, base...)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = c.Run(ctx) })
 	t.Cleanup(func() { cancel(); running.Wait() })
-	return c, events, errs
+	return c, events
 }
 
 func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
@@ -100,7 +100,7 @@
 		w.Header().Set("Bluebellflow-Leaving", "1")
 		_, _ = w.Write([]byte("output"))
 	})
-	client, events, _ := startClient(t)
+	client, events := startClient(t)
 	client.Dispatch(dispatch(addr, false))
 	_, end := last(t, events)
 	g := NewWithT(t)
@@ -157,7 +157,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			client, events, _ := startClient(t)
+			client, events := startClient(t)
 			client.Dispatch(dispatch(serve(t, c.handler), c.stream))
 			_, end := last(t, events)
 			NewWithT(t).Expect(end).To(HaveField("Kind", c.want))
@@ -172,7 +172,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	addr := netip.MustParseAddrPort(listener.Addr().String())
 	g.Expect(listener.Close()).To(Succeed())
-	client, events, _ := startClient(t)
+	client, events := startClient(t)
 	client.Dispatch(dispatch(addr, false))
 	_, end := last(t, events)
 	g.Expect(end).To(HaveField("Kind", event.FailUnsent))
@@ -189,7 +189,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	client, events, _ := startClient(t)
+	client, events := startClient(t)
 	d := dispatch(addr, false)
 	d.Deadline = time.Now().Add(300 * time.Millisecond)
 	client.Dispatch(d)
@@ -207,7 +207,7 @@
 		fmt.Fprint(out, "event: end\ndata: {\"tokens\":10,\"took\":3}\n\n")
 		_ = out.Flush()
 	})
-	client, events, _ := startClient(t)
+	client, events := startClient(t)
 	client.Dispatch(dispatch(addr, true))
 	parts, end := last(t, events)
 	g := NewWithT(t)
@@ -231,7 +231,7 @@
 		close(running)
 		<-r.Context().Done()
 	})
-	client, events, _ := startClient(t)
+	client, events := startClient(t)
 	g := NewWithT(t)
 	client.Dispatch(dispatch(addr, false))
 	g.Eventually(running, patience).Should(BeClosed())
@@ -247,7 +247,7 @@
 		200: event.CodeOK, 409: event.CodeConflict, 429: event.CodeUnavailable, 503: event.CodeUnavailable, 500: event.CodeLost,
 	} {
 		t.Run(http.StatusText(code), func(t *testing.T) {
-			client, events, _ := startClient(t)
+			client, events := startClient(t)
 			order := event.Order{Owner: "move", Seq: 4, Server: "s1", Addr: serve(t, status(code)), Kind: "load", Version: "v2", Fence: 9}
 			client.Order(order)
 			_, end := last(t, events)
@@ -271,7 +271,7 @@
 		}
 		w.WriteHeader(http.StatusNotFound)
 	})
-	client, events, _ := startClient(t)
+	client, events := startClient(t)
 	client.Servers([]event.VM{
 		{Name: "s1", Kind: "backend", Addr: addr, FailureDomain: "d1"}, {Name: "n2", Kind: "entry", Addr: addr, FailureDomain: "d1"},
 	})
--- /dev/null
+++ b/io/callers/callers_test.go
@@ -0,0 +1,275 @@
+package callers_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/core/event"
+	"bluebellflow/io/ask"
+	"bluebellflow/io/callers"
+	"bluebellflow/io/problem"
+	"bluebellflow/io/sse"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds how long a test waits for something that must happen; no assertion depends on less.
+const patience = 10 * time.Second
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// site is a server with a scripted decision logic behind it.
+type site struct {
+	server *callers.Server
+	http   *httptest.Server
+	events chan event.Event
+}
+
+func start(t *testing.T, decide func(s *callers.Server, ev event.Event), opts ...callers.Option) *site {
+	t.Helper()
+	s := &site{events: make(chan event.Event, 100)}
+	deliver := func(ev event.Event) {
+		s.events <- ev
+		if decide != nil {
+			decide(s.server, ev)
+		}
+	}
+	self := event.Self{Node: "n1", Incarnation: "00112233445566778899aabbccddeeff"}
+	base := []callers.Option{callers.WithNow(func() time.Time { return epoch }), callers.WithLimits(100, 10, 8*time.Second)}
+	s.server = callers.New(self, deliver, append(base, opts...)...)
+	s.http = httptest.NewServer(s.server.Handler())
+	t.Cleanup(s.http.Close)
+	return s
+}
+
+// call sends a request and returns the answer with its whole body.
+func (s *site) call(t *testing.T, method, path, body string, headers ...string) (*http.Response, []byte) {
+	t.Helper()
+	req, err := http.NewRequest(method, s.http.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Add(headers[i], headers[i+1])
+	}
+	resp, err := s.http.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, raw
+}
+
+// reply answers every request with the same replies.
+func reply(replies ...event.Reply) func(*callers.Server, event.Event) {
+	return func(s *callers.Server, ev event.Event) {
+		arrive, ok := ev.(event.Arrive)
+		if !ok {
+			return
+		}
+		for _, r := range replies {
+			r.Request = arrive.Request
+			s.Reply(r)
+		}
+	}
+}
+
+func expectProblem(t *testing.T, resp *http.Response, raw []byte, status int, kind event.ProblemKind) problem.Document {
+	t.Helper()
+	g := NewWithT(t)
+	var doc problem.Document
+	g.Expect(json.Unmarshal(raw, &doc)).To(Succeed(), string(raw))
+	g.Expect(resp.StatusCode).To(Equal(status), string(raw))
+	g.Expect(resp.Header.Get("Content-Type")).To(Equal(problem.ContentType))
+	g.Expect(doc.Type).To(Equal(problem.TypePrefix + string(kind)))
+	return doc
+}
+
+// TestArrive guards against headers that do not reach the decision logic.
+func TestArrive(t *testing.T) {
+	s := start(t, reply(event.Reply{Data: []byte("ou")}, event.Reply{Data: []byte("t"), End: true, Tokens: 2}))
+	resp, raw := s.call(t, "POST", "/v1/pipelines/quotes", "body",
+		"Bluebellflow-Workspace", "wien", "Idempotency-Key", `"k1"`, "Priority", "u=1, i", "Request-Timeout", "1.5")
+	g := NewWithT(t)
+	var arrive event.Event
+	g.Expect(s.events).To(Receive(&arrive))
+	name := resp.Header.Get("Bluebellflow-Request")
+	g.Expect(arrive).To(Equal(event.Arrive{
+		Request: "00112233445566778899aabbccddeeff.1", Workspace: "wien", Pipeline: "quotes", Priority: 1,
+		Deadline: epoch.Add(1500 * time.Millisecond), Key: "k1", Body: []byte("body"),
+	}))
+	g.Expect(name).To(Equal("00112233445566778899aabbccddeeff.1"))
+	g.Expect(raw).To(MatchJSON(`{"request":"` + name + `","output":"out","tokens":2,"end":true}`))
+}
+
+// TestBinaryOutput guards against bytes that are not text and would be changed in JSON.
+func TestBinaryOutput(t *testing.T) {
+	s := start(t, reply(event.Reply{Data: []byte{0xff, 0}, End: true}))
+	_, raw := s.call(t, "POST", "/v1/pipelines/p", "", "Bluebellflow-Workspace", "w")
+	NewWithT(t).Expect(string(raw)).To(ContainSubstring(`"output":"/wA=","encoding":"base64"`))
+}
+
+// TestStream guards against an end marker that is missing, or present after a problem.
+func TestStream(t *testing.T) {
+	part := event.Reply{Data: []byte("a\nb")}
+	for name, c := range map[string]struct {
+		last event.Reply
+		want string
+	}{
+		"end":     {event.Reply{End: true, Tokens: 3}, "end"},
+		"problem": {event.Reply{Problem: &event.Problem{Kind: event.Failed}, End: true}, "problem"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, reply(part, c.last))
+			resp, raw := s.call(t, "POST", "/v1/pipelines/p", "", "Bluebellflow-Workspace", "w", "Accept", "text/event-stream")
+			g := NewWithT(t)
+			g.Expect(resp.Header.Get("Content-Type")).To(Equal("text/event-stream"))
+			events, err := sse.NewParser(1 << 10).Feed(raw)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(events).To(HaveLen(2))
+			g.Expect(events[0]).To(Equal(sse.Event{Name: "part", Data: []byte(`{"text":"a\nb"}`)}))
+			g.Expect(events[1].Name).To(Equal(c.want))
+		})
+	}
+}
+
+// TestProblems guards against a status or Retry-After from which a caller would draw the wrong conclusion.
+func TestProblems(t *testing.T) {
+	for kind, status := range map[event.ProblemKind]int{
+		event.Refused: 503, event.Unknown: 409, event.Failed: 502, event.Deadline: 504, event.Invalid: 400,
+	} {
+		for _, accept := range []string{"application/json", "text/event-stream"} {
+			t.Run(string(kind)+" "+accept, func(t *testing.T) {
+				s := start(t, reply(event.Reply{Problem: &event.Problem{Kind: kind, Detail: "why", RetryAfter: 1200 * time.Millisecond}}))
+				resp, raw := s.call(t, "POST", "/v1/pipelines/p", "", "Bluebellflow-Workspace", "w", "Accept", accept)
+				doc := expectProblem(t, resp, raw, status, kind)
+				g := NewWithT(t)
+				g.Expect(doc.Detail).To(Equal("why"))
+				g.Expect(doc.Instance).To(Equal(resp.Header.Get("Bluebellflow-Request")))
+				g.Expect(resp.Header.Get("Retry-After")).To(Equal("2"))
+			})
+		}
+	}
+}
+
+// TestRejects guards against requests that are wrong and reach the decision logic.
+func TestRejects(t *testing.T) {
+	const path = "/v1/pipelines/p"
+	cases := map[string]struct {
+		method, path, body string
+		headers            []string
+		status             int
+		detail             string
+	}{
+		"no workspace":       {"POST", path, "", nil, 400, "Bluebellflow-Workspace: missing"},
+		"bad workspace":      {"POST", path, "", []string{"Bluebellflow-Workspace", "a b"}, 400, "not allowed"},
+		"two workspaces":     {"POST", path, "", []string{"Bluebellflow-Workspace", "a", "Bluebellflow-Workspace", "b"}, 400, "more than once"},
+		"long pipeline":      {"POST", "/v1/pipelines/" + strings.Repeat("p", 200), "", nil, 400, "pipeline: 200 bytes"},
+		"urgency":            {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Priority", "u=8"}, 400, "Priority"},
+		"timeout":            {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Request-Timeout", "1e9"}, 400, "Request-Timeout"},
+		"zero timeout":       {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Request-Timeout", "0"}, 400, "Request-Timeout"},
+		"endless timeout":    {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Request-Timeout", "99999"}, 400, "limit 3600"},
+		"open key":           {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Idempotency-Key", `"x`}, 400, "Idempotency-Key"},
+		"long key":           {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Idempotency-Key", strings.Repeat("x", 300)}, 400, "limit 255"},
+		"unacceptable":       {"POST", path, "", []string{"Bluebellflow-Workspace", "w", "Accept", "image/png"}, 406, "Accept"},
+		"large body":         {"POST", path, strings.Repeat("x", 101), []string{"Bluebellflow-Workspace", "w"}, 413, "larger than 100 bytes"},
+		"unknown path":       {"POST", "/v2/x", "", nil, 404, "/v2/x"},
+		"wrong method":       {"GET", path, "", nil, 405, "GET"},
+		"keys not supported": {"POST", "/v1/keys", "", nil, 501, "issues no keys"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, nil)
+			resp, raw := s.call(t, c.method, c.path, c.body, c.headers...)
+			doc := expectProblem(t, resp, raw, c.status, event.Invalid)
+			g := NewWithT(t)
+			g.Expect(doc.Detail).To(ContainSubstring(c.detail))
+			g.Expect(s.events).To(BeEmpty())
+		})
+	}
+}
+
+// TestBusy guards against requests without bounds: one that is refused here was not run.
+func TestBusy(t *testing.T) {
+	s := start(t, nil, callers.WithBusy(func() bool { return true }))
+	resp, raw := s.call(t, "POST", "/v1/pipelines/p", "", "Bluebellflow-Workspace", "w")
+	expectProblem(t, resp, raw, 503, event.Refused)
+	NewWithT(t).Expect(s.events).To(BeEmpty())
+}
+
+// TestGone guards against work for a caller that hung up.
+func TestGone(t *testing.T) {
+	s := start(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.http.URL+"/v1/pipelines/p", bytes.NewReader(nil))
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Bluebellflow-Workspace", "w")
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.http.Client().Do(req) //nolint:bodyclose // the request is cancelled
+		done <- err
+	}()
+	var arrive event.Event
+	g.Eventually(s.events, patience).Should(Receive(&arrive))
+	cancel()
+	g.Eventually(s.events, patience).Should(Receive(Equal(event.Gone{Request: arrive.(event.Arrive).Request})))
+	g.Expect(errors.Is(<-done, context.Canceled)).To(BeTrue())
+	s.server.Reply(event.Reply{Request: arrive.(event.Arrive).Request, End: true}) // must not block or panic
+	g.Eventually(s.server.Open, patience).Should(BeZero())
+}
+
+type keysCommand struct {
+	event.Command
+	count int
+}
+
+// TestKeys guards against keys that are issued in the wrong number or without the decision logic.
+func TestKeys(t *testing.T) {
+	var desk *ask.Desk
+	desk = ask.New(func(ev event.Event) {
+		c := ev.(keysCommand)
+		desk.Answer(event.Answer{Number: c.Number, Value: make([]string, c.count)})
+	})
+	s := start(t, nil, callers.WithKeys(desk, func(n uint64, count int) event.Event {
+		return keysCommand{event.Command{Number: n}, count}
+	}))
+	for body, want := range map[string]string{"": `{"keys":[""]}`, `{"count":2}`: `{"keys":["",""]}`} {
+		_, raw := s.call(t, "POST", "/v1/keys", body)
+		NewWithT(t).Expect(raw).To(MatchJSON(want))
+	}
+	for _, body := range []string{"x", `{"count":0}`, `{"count":1001}`, strings.Repeat(" ", 1000)} {
+		resp, raw := s.call(t, "POST", "/v1/keys", body)
+		expectProblem(t, resp, raw, 400, event.Invalid)
+	}
+}
+
+// TestHealth guards against a load balancer that sends callers to a node that is not ready.
+func TestHealth(t *testing.T) {
+	s := start(t, nil)
+	g := NewWithT(t)
+	for _, ready := range []bool{false, true, false} {
+		s.server.Ready(ready)
+		resp, _ := s.call(t, "GET", "/readyz", "")
+		g.Expect(resp.StatusCode == http.StatusOK).To(Equal(ready))
+		alive, _ := s.call(t, "GET", "/healthz", "")
+		g.Expect(alive.StatusCode).To(Equal(http.StatusOK))
+	}
+	_, raw := s.call(t, "GET", "/debug/vars", "")
+	g.Expect(json.Valid(raw)).To(BeTrue())
+}
--- /dev/null
+++ b/io/callers/header_test.go
@@ -0,0 +1,32 @@
+package callers
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// FuzzHeaders guards against a panic, and against values out of range that reach the decision logic.
+func FuzzHeaders(f *testing.F) {
+	f.Add("w", `"key"`, "u=3, i", "1.5", "text/event-stream")
+	f.Add("a/b", "key", "u=;x,=", ".", "*/*;q=0, application/json")
+	f.Fuzz(func(t *testing.T, workspace, key, priority, timeout, accept string) {
+		h, err := parseHeaders(http.Header{
+			"Bluebellflow-Workspace": {workspace}, "Idempotency-Key": {key}, "Priority": {priority},
+			"Request-Timeout": {timeout}, "Accept": {accept},
+		})
+		if err != nil {
+			return
+		}
+		if h.workspace == "" || len(h.key) > maxKey || h.priority < 0 || h.priority > lowestPriority {
+			t.Fatalf("%+v", h)
+		}
+		if timeout != "" && (h.timeout < time.Millisecond || h.timeout > maxTimeout) {
+			t.Fatalf("timeout %s", h.timeout)
+		}
+		if _, err := parseKeysBody(strings.NewReader(key)); err == nil && key != "" && !strings.Contains(strings.ToLower(key), "count") {
+			t.Fatalf("keys body %q accepted", key)
+		}
+	})
+}
--- /dev/null
+++ b/io/problem/doc.go
@@ -0,0 +1,2 @@
+// Package problem writes RFC 9457 problem documents.
+package problem
--- /dev/null
+++ b/io/problem/problem.go
@@ -0,0 +1,72 @@
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bluebellflow/core/event"
+)
+
+const (
+	// TypePrefix is what the type of every problem starts with; the kind follows.
+	TypePrefix = "urn:bluebellflow:problems/"
+	// ContentType is the media type of a problem document.
+	ContentType = "application/problem+json"
+)
+
+// Document is an RFC 9457 problem document.
+type Document struct {
+	Type       string `json:"type"`
+	Title      string `json:"title"`
+	Status     int    `json:"status"`
+	Detail     string `json:"detail,omitempty"`
+	Instance   string `json:"instance,omitempty"`
+	RetryAfter int    `json:"retry_after,omitempty"` // seconds; the same as in the Retry-After header
+}
+
+// titles are the short, unchanging summaries of the kinds.
+var titles = map[event.ProblemKind]string{
+	event.Refused:  "The request was not run and had no effect.",
+	event.Unknown:  "The outcome is not known; ask again with the same key.",
+	event.Failed:   "The request ran and failed.",
+	event.Deadline: "The deadline passed before the answer was complete.",
+	event.Invalid:  "The request is not valid and was not run.",
+}
+
+// New returns the document of a problem; instance identifies the request and may be empty.
+func New(p event.Problem, status int, instance string) Document {
+	title, known := titles[p.Kind]
+	if !known {
+		title = http.StatusText(status)
+	}
+	return Document{
+		Type: TypePrefix + string(p.Kind), Title: title, Status: status, Detail: p.Detail,
+		Instance: instance, RetryAfter: Seconds(p.RetryAfter),
+	}
+}
+
+// Seconds rounds a pause up to whole seconds, the unit of Retry-After; 0 stays 0.
+func Seconds(d time.Duration) int {
+	if d <= 0 {
+		return 0
+	}
+	return int((d + time.Second - 1) / time.Second)
+}
+
+// Write answers an HTTP request with the document.
+func (d Document) Write(w http.ResponseWriter) {
+	if d.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(d.RetryAfter))
+	}
+	w.Header().Set("Content-Type", ContentType)
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(d.Status)
+	_ = json.NewEncoder(w).Encode(d)
+}
+
+// Invalid answers that a request was wrong and not run.
+func Invalid(w http.ResponseWriter, status int, detail string) {
+	New(event.Problem{Kind: event.Invalid, Detail: detail}, status, "").Write(w)
+}
