admin: administration API

Cause: operators need drain, restore, moves and configuration at any node, and exact reports of what could not be done. Ruled out: command types of the decision packages in this package, which would tie the API to all of them; a table of constructors is passed in. Conclusion: a command without an answer is reported as unknown, a read as deadline; a refusal without Retry-After is a conflict.

--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,387 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/io/ask"
+	"bluebellflow/io/problem"
+)
+
+const (
+	// Prefix is the path under which all resources are.
+	Prefix = "/admin/v1"
+	// MaxConfig bounds a settings tree in bytes; 21,000 workspaces of a few hundred bytes fit.
+	MaxConfig = 32 << 20
+	// maxBody bounds all other request bodies in bytes.
+	maxBody = 64 << 10
+	// maxName bounds names in paths, queries and bodies, in bytes.
+	maxName = 128
+	// defaultTimeout is how long a command may take before its outcome is reported as unknown.
+	defaultTimeout = 15 * time.Second
+)
+
+// Asker passes commands to the decision logic; *ask.Desk implements it.
+type Asker interface {
+	Do(ctx context.Context, build func(number uint64) event.Event) (event.Answer, error)
+}
+
+// Question is what explain is asked.
+type Question struct {
+	Workspace     id.Workspace
+	Pipeline      id.Pipeline
+	FailureDomain id.FailureDomain
+	Key           string
+}
+
+// Move is the beginning of a version rollout.
+type Move struct {
+	Name     string     `json:"name"`
+	Pool     id.Pool    `json:"pool"`
+	From     id.Version `json:"from"`
+	To       id.Version `json:"to"`
+	FinishBy time.Time  `json:"finish_by"`
+}
+
+// Commands builds the operator commands of the decision logic. A nil entry answers 501. Revision is
+// the configuration that the operator has seen, 0 for any.
+type Commands struct {
+	Config  func(number uint64, seen id.Revision) event.Event
+	Apply   func(number uint64, source []byte, expect id.Revision) event.Event
+	Explain func(number uint64, seen id.Revision, q Question) event.Event
+	Status  func(number uint64, seen id.Revision) event.Event
+	Drain   func(number uint64, domain id.FailureDomain, by string) event.Event
+	Restore func(number uint64, domain id.FailureDomain, by string) event.Event
+	Begin   func(number uint64, m Move) event.Event
+	Moves   func(number uint64) event.Event
+}
+
+// API serves the administration API.
+type API struct {
+	asker    Asker
+	commands Commands
+	now      func() time.Time
+	timeout  time.Duration
+}
+
+// Option changes an API's defaults.
+type Option func(*API)
+
+// WithNow replaces the clock.
+func WithNow(now func() time.Time) Option { return func(a *API) { a.now = now } }
+
+// WithTimeout sets how long a command may take before its outcome is reported as unknown.
+func WithTimeout(d time.Duration) Option { return func(a *API) { a.timeout = d } }
+
+// New returns the API for the given commands.
+func New(asker Asker, commands Commands, opts ...Option) *API {
+	a := &API{asker: asker, commands: commands, now: time.Now, timeout: defaultTimeout}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// Handler returns the routes under /admin/v1.
+func (a *API) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(Prefix+"/config", a.route(a.config)).Methods(http.MethodGet)
+	r.HandleFunc(Prefix+"/config", a.route(a.apply)).Methods(http.MethodPut)
+	r.HandleFunc(Prefix+"/explain", a.route(a.explain)).Methods(http.MethodGet)
+	r.HandleFunc(Prefix+"/status", a.route(a.status)).Methods(http.MethodGet)
+	r.HandleFunc(Prefix+"/domains/{domain}/drain", a.route(a.drain)).Methods(http.MethodPost)
+	r.HandleFunc(Prefix+"/domains/{domain}/restore", a.route(a.restore)).Methods(http.MethodPost)
+	r.HandleFunc(Prefix+"/moves", a.route(a.moves)).Methods(http.MethodGet)
+	r.HandleFunc(Prefix+"/moves", a.route(a.begin)).Methods(http.MethodPost)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		problem.Invalid(w, http.StatusNotFound, "no resource "+req.URL.Path)
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		problem.Invalid(w, http.StatusMethodNotAllowed, "method "+req.Method+" is not allowed for "+req.URL.Path)
+	})
+	return r
+}
+
+// build makes a command for a number.
+type build func(number uint64) event.Event
+
+// requestError is a request that was rejected before it became a command.
+type requestError struct {
+	status int
+	detail string
+}
+
+// Error returns what is wrong with the request.
+func (e *requestError) Error() string { return e.detail }
+
+func wrong(format string, args ...any) error {
+	return &requestError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+func missing(name string) error {
+	return &requestError{http.StatusNotImplemented, "this node does not support " + name}
+}
+
+// route parses a request into a command, asks the decision logic and writes the answer.
+func (a *API) route(parse func(*http.Request) (build, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		command, err := parse(req)
+		if err != nil {
+			status := http.StatusBadRequest
+			var bad *requestError
+			if errors.As(err, &bad) {
+				status = bad.status
+			}
+			problem.Invalid(w, status, err.Error())
+			return
+		}
+		ctx, cancel := context.WithTimeout(req.Context(), a.timeout)
+		defer cancel()
+		answer, err := a.asker.Do(ctx, command)
+		if err != nil {
+			answer.Fault = fault(req.Method, err)
+		}
+		if answer.Fault != nil {
+			problem.New(*answer.Fault, Status(*answer.Fault), "").Write(w)
+			return
+		}
+		writeValue(w, answer.Value)
+	}
+}
+
+// fault says what is known about a command without an answer.
+func fault(method string, err error) *event.Problem {
+	if errors.Is(err, ask.ErrBusy) {
+		return &event.Problem{Kind: event.Refused, Detail: err.Error(), RetryAfter: time.Second}
+	}
+	if method == http.MethodGet {
+		return &event.Problem{Kind: event.Deadline, Detail: "no answer in time", RetryAfter: time.Second}
+	}
+	return &event.Problem{Kind: event.Unknown, Detail: "no answer in time; the command may still take effect, see status"}
+}
+
+// Status returns the HTTP status of a command's problem. A refusal with a time to return is an
+// overload or an outage; one without is a conflict, such as a lost race against another operator.
+func Status(p event.Problem) int {
+	switch p.Kind {
+	case event.Invalid:
+		return http.StatusUnprocessableEntity
+	case event.Refused:
+		if p.RetryAfter > 0 {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusConflict
+	case event.Unknown, event.Deadline:
+		return http.StatusGatewayTimeout
+	case event.Failed:
+		return http.StatusBadGateway
+	}
+	return http.StatusInternalServerError
+}
+
+func writeValue(w http.ResponseWriter, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		p := event.Problem{Kind: event.Failed, Detail: "encode answer: " + err.Error()}
+		problem.New(p, http.StatusInternalServerError, "").Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = w.Write(append(raw, '\n'))
+}
+
+func (a *API) config(req *http.Request) (build, error) {
+	if a.commands.Config == nil {
+		return nil, missing("reading the configuration")
+	}
+	seen, err := revision(req)
+	return func(n uint64) event.Event { return a.commands.Config(n, seen) }, err
+}
+
+func (a *API) apply(req *http.Request) (build, error) {
+	if a.commands.Apply == nil {
+		return nil, missing("apply")
+	}
+	expect, err := parseRevision("If-Match", strings.Trim(req.Header.Get("If-Match"), `"`))
+	if err != nil {
+		return nil, err
+	}
+	source, err := readBody(req, MaxConfig)
+	if err != nil {
+		return nil, err
+	}
+	if len(source) == 0 {
+		return nil, wrong("empty configuration")
+	}
+	return func(n uint64) event.Event { return a.commands.Apply(n, source, expect) }, nil
+}
+
+func (a *API) explain(req *http.Request) (build, error) {
+	if a.commands.Explain == nil {
+		return nil, missing("explain")
+	}
+	seen, err := revision(req)
+	if err != nil {
+		return nil, err
+	}
+	query := req.URL.Query()
+	for name, values := range query {
+		switch name {
+		case "workspace", "pipeline", "domain", "key":
+			if len(values) > 1 || len(values[0]) > maxName {
+				return nil, wrong("parameter %s: given more than once or longer than %d bytes", name, maxName)
+			}
+		default:
+			return nil, wrong("unknown parameter %q; known are workspace, pipeline, domain and key", name)
+		}
+	}
+	q := Question{
+		Workspace: id.Workspace(query.Get("workspace")), Pipeline: id.Pipeline(query.Get("pipeline")),
+		FailureDomain: id.FailureDomain(query.Get("domain")), Key: query.Get("key"),
+	}
+	return func(n uint64) event.Event { return a.commands.Explain(n, seen, q) }, nil
+}
+
+func (a *API) status(req *http.Request) (build, error) {
+	if a.commands.Status == nil {
+		return nil, missing("status")
+	}
+	seen, err := revision(req)
+	return func(n uint64) event.Event { return a.commands.Status(n, seen) }, err
+}
+
+func (a *API) drain(req *http.Request) (build, error) {
+	return domainCommand(req, "drain", a.commands.Drain)
+}
+
+func (a *API) restore(req *http.Request) (build, error) {
+	return domainCommand(req, "restore", a.commands.Restore)
+}
+
+func domainCommand(req *http.Request, name string, make func(uint64, id.FailureDomain, string) event.Event) (build, error) {
+	if make == nil {
+		return nil, missing(name)
+	}
+	domain := mux.Vars(req)["domain"]
+	if err := checkName("failure domain", domain); err != nil {
+		return nil, err
+	}
+	var order struct {
+		By string `json:"by"`
+	}
+	if err := decodeBody(req, &order); err != nil {
+		return nil, err
+	}
+	// The name is shown to the operator who loses a race.
+	if err := checkName("by", order.By); err != nil {
+		return nil, err
+	}
+	return func(n uint64) event.Event { return make(n, id.FailureDomain(domain), order.By) }, nil
+}
+
+func (a *API) moves(*http.Request) (build, error) {
+	if a.commands.Moves == nil {
+		return nil, missing("listing moves")
+	}
+	return func(n uint64) event.Event { return a.commands.Moves(n) }, nil
+}
+
+func (a *API) begin(req *http.Request) (build, error) {
+	if a.commands.Begin == nil {
+		return nil, missing("moves")
+	}
+	var m Move
+	if err := decodeBody(req, &m); err != nil {
+		return nil, err
+	}
+	if err := a.checkMove(m); err != nil {
+		return nil, err
+	}
+	return func(n uint64) event.Event { return a.commands.Begin(n, m) }, nil
+}
+
+func (a *API) checkMove(m Move) error {
+	for _, field := range []struct{ name, value string }{
+		{"name", m.Name}, {"pool", string(m.Pool)}, {"from", string(m.From)}, {"to", string(m.To)},
+	} {
+		if err := checkName(field.name, field.value); err != nil {
+			return err
+		}
+	}
+	if m.From == m.To {
+		return wrong("from and to are both %q", m.From)
+	}
+	if !m.FinishBy.After(a.now()) {
+		return wrong("finish_by %s is not in the future", m.FinishBy.Format(time.RFC3339))
+	}
+	return nil
+}
+
+// revision reads the configuration revision that the operator has seen.
+func revision(req *http.Request) (id.Revision, error) {
+	return parseRevision("Bluebellflow-Revision", req.Header.Get("Bluebellflow-Revision"))
+}
+
+func parseRevision(header, raw string) (id.Revision, error) {
+	if raw == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(raw, 10, 64)
+	if err != nil {
+		return 0, wrong("header %s: %q is not a revision", header, raw)
+	}
+	return id.Revision(n), nil
+}
+
+// checkName accepts names of printable ASCII without spaces and slashes.
+func checkName(what, name string) error {
+	if name == "" || len(name) > maxName {
+		return wrong("%s: %d bytes, want 1 to %d", what, len(name), maxName)
+	}
+	for _, r := range name {
+		if r <= ' ' || r > '~' || r == '/' {
+			return wrong("%s: character %q is not allowed", what, r)
+		}
+	}
+	return nil
+}
+
+func readBody(req *http.Request, limit int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
+	if err != nil {
+		return nil, wrong("read body: %v", err)
+	}
+	if int64(len(raw)) > limit {
+		return nil, &requestError{http.StatusRequestEntityTooLarge, fmt.Sprintf("body larger than %d bytes", limit)}
+	}
+	return raw, nil
+}
+
+// decodeBody reads one JSON object and refuses unknown fields, which are often misspelled ones.
+func decodeBody(req *http.Request, into any) error {
+	raw, err := readBody(req, maxBody)
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(raw)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return wrong("decode body: %v", err)
+	}
+	if decoder.More() {
+		return wrong("decode body: more than one JSON value")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/admin/admin_test.go
@@ -0,0 +1,193 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/io/admin"
+	"bluebellflow/io/ask"
+	"bluebellflow/io/problem"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// command is what a constructor made of a request.
+type command struct {
+	event.Command
+	Name string
+	Args []any
+}
+
+func make(name string, n uint64, args ...any) event.Event {
+	return command{event.Command{Number: n}, name, args}
+}
+
+func commands() admin.Commands {
+	return admin.Commands{
+		Config: func(n uint64, seen id.Revision) event.Event { return make("config", n, seen) },
+		Apply: func(n uint64, source []byte, expect id.Revision) event.Event {
+			return make("apply", n, string(source), expect)
+		},
+		Explain: func(n uint64, seen id.Revision, q admin.Question) event.Event { return make("explain", n, seen, q) },
+		Status:  func(n uint64, seen id.Revision) event.Event { return make("status", n, seen) },
+		Drain:   func(n uint64, d id.FailureDomain, by string) event.Event { return make("drain", n, d, by) },
+		Restore: func(n uint64, d id.FailureDomain, by string) event.Event { return make("restore", n, d, by) },
+		Begin:   func(n uint64, m admin.Move) event.Event { return make("begin", n, m) },
+		Moves:   func(n uint64) event.Event { return make("moves", n) },
+	}
+}
+
+// serve answers one request; decide returns the answer to its command.
+func serve(t *testing.T, c admin.Commands, decide func(command) event.Answer, method, path, body string, headers ...string) (*http.Response, string, []command) {
+	t.Helper()
+	var got []command
+	var desk *ask.Desk
+	desk = ask.New(func(ev event.Event) {
+		got = append(got, ev.(command))
+		if decide == nil {
+			return
+		}
+		answer := decide(ev.(command))
+		answer.Number = ev.(command).Number
+		desk.Answer(answer)
+	})
+	api := admin.New(desk, c, admin.WithNow(func() time.Time { return epoch }), admin.WithTimeout(50*time.Millisecond))
+	req := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	api.Handler().ServeHTTP(w, req)
+	raw, err := io.ReadAll(w.Result().Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w.Result(), string(raw), got
+}
+
+const move = `{"name":"m1","pool":"llm","from":"v1","to":"v2","finish_by":"2026-01-01T01:00:00Z"}`
+
+// TestCommands guards against a request that becomes the wrong command.
+func TestCommands(t *testing.T) {
+	cases := map[string]struct {
+		method, path, body, header, value string
+		name                              string
+		args                              []any
+	}{
+		"config":  {"GET", "/config", "", "Bluebellflow-Revision", "4", "config", []any{id.Revision(4)}},
+		"apply":   {"PUT", "/config", "{}", "If-Match", `"7"`, "apply", []any{"{}", id.Revision(7)}},
+		"explain": {"GET", "/explain?workspace=w&pipeline=p&domain=d&key=k", "", "", "", "explain", []any{id.Revision(0), admin.Question{Workspace: "w", Pipeline: "p", FailureDomain: "d", Key: "k"}}},
+		"status":  {"GET", "/status", "", "", "", "status", []any{id.Revision(0)}},
+		"drain":   {"POST", "/domains/linz/drain", `{"by":"eva"}`, "", "", "drain", []any{id.FailureDomain("linz"), "eva"}},
+		"restore": {"POST", "/domains/linz/restore", `{"by":"eva"}`, "", "", "restore", []any{id.FailureDomain("linz"), "eva"}},
+		"moves":   {"GET", "/moves", "", "", "", "moves", nil},
+		"begin":   {"POST", "/moves", move, "", "", "begin", []any{admin.Move{Name: "m1", Pool: "llm", From: "v1", To: "v2", FinishBy: epoch.Add(time.Hour)}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			decide := func(command) event.Answer { return event.Answer{Value: map[string]int{"revision": 8}} }
+			resp, raw, got := serve(t, commands(), decide, c.method, "/admin/v1"+c.path, c.body, c.header, c.value)
+			g := NewWithT(t)
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK), raw)
+			g.Expect(raw).To(MatchJSON(`{"revision":8}`))
+			g.Expect(got).To(Equal([]command{{event.Command{Number: 1}, c.name, c.args}}))
+		})
+	}
+}
+
+// TestRejects guards against operators' mistakes that take effect.
+func TestRejects(t *testing.T) {
+	cases := map[string]struct {
+		method, path, body, header, value string
+		status                            int
+		detail                            string
+	}{
+		"no operator":       {"POST", "/domains/linz/drain", `{}`, "", "", 400, "by: 0 bytes"},
+		"misspelled field":  {"POST", "/domains/linz/drain", `{"bye":"eva"}`, "", "", 400, "unknown field"},
+		"two values":        {"POST", "/domains/linz/drain", `{"by":"eva"}{}`, "", "", 400, "more than one"},
+		"bad domain":        {"POST", "/domains/li%20nz/drain", `{"by":"eva"}`, "", "", 400, "failure domain"},
+		"bad revision":      {"GET", "/status", "", "Bluebellflow-Revision", "x", 400, "not a revision"},
+		"bad expectation":   {"PUT", "/config", "{}", "If-Match", "x", 400, "If-Match"},
+		"empty tree":        {"PUT", "/config", "", "", "", 400, "empty configuration"},
+		"same version":      {"POST", "/moves", strings.Replace(move, "v2", "v1", 1), "", "", 400, "both"},
+		"past":              {"POST", "/moves", strings.Replace(move, "T01", "T00", 1), "", "", 400, "not in the future"},
+		"large move":        {"POST", "/moves", strings.Repeat(" ", 70000), "", "", 413, "larger"},
+		"unknown parameter": {"GET", "/explain?pool=x", "", "", "", 400, "unknown parameter"},
+		"unknown path":      {"GET", "/nothing", "", "", "", 404, "/nothing"},
+		"wrong method":      {"DELETE", "/config", "", "", "", 405, "DELETE"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			resp, raw, got := serve(t, commands(), nil, c.method, "/admin/v1"+c.path, c.body, c.header, c.value)
+			g := NewWithT(t)
+			g.Expect(resp.StatusCode).To(Equal(c.status), raw)
+			g.Expect(resp.Header.Get("Content-Type")).To(Equal(problem.ContentType))
+			g.Expect(raw).To(ContainSubstring(c.detail))
+			g.Expect(got).To(BeEmpty())
+		})
+	}
+}
+
+// TestFaults guards against an operator who is told more than is known about a command.
+func TestFaults(t *testing.T) {
+	cases := map[string]struct {
+		fault  *event.Problem
+		status int
+		kind   event.ProblemKind
+	}{
+		"lost race":   {&event.Problem{Kind: event.Refused, Detail: "drained by eva"}, 409, event.Refused},
+		"outage":      {&event.Problem{Kind: event.Refused, RetryAfter: time.Second}, 503, event.Refused},
+		"bad tree":    {&event.Problem{Kind: event.Invalid}, 422, event.Invalid},
+		"unknown":     {&event.Problem{Kind: event.Unknown}, 504, event.Unknown},
+		"no answer":   {nil, 504, event.Unknown},
+		"not support": {nil, 501, event.Invalid},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var decide func(command) event.Answer
+			if c.fault != nil {
+				decide = func(command) event.Answer { return event.Answer{Fault: c.fault} }
+			}
+			table := commands()
+			if c.status == 501 {
+				table.Drain = nil
+			}
+			resp, raw, _ := serve(t, table, decide, "POST", "/admin/v1/domains/linz/drain", `{"by":"eva"}`)
+			g := NewWithT(t)
+			var doc problem.Document
+			g.Expect(json.Unmarshal([]byte(raw), &doc)).To(Succeed())
+			g.Expect(resp.StatusCode).To(Equal(c.status))
+			g.Expect(doc.Type).To(Equal(problem.TypePrefix + string(c.kind)))
+		})
+	}
+}
+
+// FuzzBodies guards against a panic on any operator's body, and against commands without the required fields.
+func FuzzBodies(f *testing.F) {
+	f.Add(move)
+	f.Add(`{"by":"eva"}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		for _, path := range []string{"/moves", "/domains/d/drain"} {
+			decide := func(command) event.Answer { return event.Answer{} }
+			_, _, got := serve(t, commands(), decide, "POST", "/admin/v1"+path, body)
+			for _, c := range got {
+				if m, ok := c.Args[0].(admin.Move); ok && (m.Name == "" || m.From == m.To) {
+					t.Fatalf("%+v", m)
+				}
+			}
+		}
+	})
+}
