runtime: event loop and node

Ruled out: a bounded channel as the event queue, which would deadlock when a carrier delivers from within the loop; writing log lines from the loop, which a blocked standard error would stop. Change: package runtime with Loop (steps, timers, metrics, panics, logs) and Node (all parts in one run group that stops together); clock, carriers, logger and metrics belong to the node.

--- /dev/null
+++ b/io/runtime/logs.go
@@ -0,0 +1,119 @@
+package runtime
+
+import (
+	"expvar"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+
+	"bluebellflow/core/event"
+)
+
+const (
+	// logQueue bounds the lines that wait for the log's output.
+	logQueue = 4096
+	// reportsPerSecond and reportBurst bound the logged errors of carriers: a backend server that is
+	// down fails several polls a second.
+	reportsPerSecond = 5
+	reportBurst      = 20
+	// lastLines is how long the end of a process waits for a blocked log output.
+	lastLines = 2 * time.Second
+)
+
+// logWriter writes log lines in a goroutine of its own, because a blocked standard error must not
+// hold up the decision logic. Lines beyond the queue are dropped and counted.
+type logWriter struct {
+	logger *log.Logger
+	vars   *expvar.Map
+	limit  *rate.Limiter
+	lines  chan func()
+	once   sync.Once
+	end    chan struct{}
+	done   chan struct{}
+}
+
+func newLogWriter(logger *log.Logger, vars *expvar.Map) *logWriter {
+	if logger == nil {
+		logger = log.New(io.Discard)
+	}
+	return &logWriter{
+		logger: logger, vars: vars, limit: rate.NewLimiter(reportsPerSecond, reportBurst),
+		lines: make(chan func(), logQueue), end: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
+func (w *logWriter) start() {
+	go func() {
+		defer close(w.done)
+		for {
+			select {
+			case write := <-w.lines:
+				write()
+			case <-w.end:
+				w.drain()
+				return
+			}
+		}
+	}()
+}
+
+// drain writes what is queued when the loop ends.
+func (w *logWriter) drain() {
+	for {
+		select {
+		case write := <-w.lines:
+			write()
+		default:
+			return
+		}
+	}
+}
+
+func (w *logWriter) stop() {
+	w.once.Do(func() { close(w.end) })
+	timer := time.NewTimer(lastLines)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
+}
+
+func (w *logWriter) add(write func()) {
+	select {
+	case w.lines <- write:
+	default:
+		w.vars.Add("log_lines_dropped", 1)
+	}
+}
+
+// line logs a decision.
+func (w *logWriter) line(a event.Log) {
+	w.add(func() {
+		w.logger.Info(a.Kind, "request", a.Request, "stage", a.Stage, "choice", a.Choice, "reason", a.Reason)
+	})
+}
+
+func (w *logWriter) report(err error) {
+	w.vars.Add("errors", 1)
+	if !w.limit.Allow() {
+		return
+	}
+	w.add(func() { w.logger.Warn("carrier", "error", err) })
+}
+
+// panic logs a failed step. It waits for room in the queue, because the process ends after it.
+func (w *logWriter) panic(p *StepPanic) {
+	timer := time.NewTimer(lastLines)
+	defer timer.Stop()
+	write := func() {
+		w.logger.Error("panic in step", "panic", p.Value, "event", describe(p.Event), "stack", string(p.Stack))
+	}
+	select {
+	case w.lines <- write:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/io/runtime/loop.go
@@ -0,0 +1,304 @@
+package runtime
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+const (
+	// maxQueue is the queue length above which messages of peers are dropped and callers are refused.
+	// Outcomes of the node's own actions are never dropped: the decision logic waits for them.
+	maxQueue = 16384
+	// maxLoggedEvent bounds the event that is logged with a panic, in bytes.
+	maxLoggedEvent = 4096
+)
+
+// Decider is the decision logic of a node.
+type Decider interface {
+	Step(now time.Time, ev event.Event) []event.Action
+	Next() time.Time
+}
+
+// Versions is implemented by a decider that stamps its messages with the newest configuration
+// revision and domain-record version that it knows.
+type Versions interface {
+	Versions() (id.Revision, uint64)
+}
+
+// Platform carries out platform operations; *store.Client implements it.
+type Platform interface{ Do(event.Call) }
+
+// Servers reaches the backend servers; *backend.Client implements it.
+type Servers interface {
+	Dispatch(event.Dispatch)
+	Cancel(event.Cancel)
+	Order(event.Order)
+	Servers([]event.VM)
+}
+
+// Peers reaches the other nodes; *mesh.Mesh implements it.
+type Peers interface {
+	Send(s event.Send, revision id.Revision, domains uint64)
+}
+
+// Callers receives answers; *callers.Server implements it.
+type Callers interface {
+	Reply(event.Reply)
+	Ready(bool)
+}
+
+// Operators receives the answers to commands; *ask.Desk implements it.
+type Operators interface{ Answer(event.Answer) }
+
+// Carriers carry out the actions of the decision logic. Their methods must not block.
+type Carriers struct {
+	Platform  Platform
+	Servers   Servers
+	Peers     Peers
+	Callers   Callers
+	Operators Operators
+}
+
+// StepPanic is a panic of the decision logic.
+type StepPanic struct {
+	Event event.Event
+	Value any
+	Stack []byte
+}
+
+// Error names the event in whose step the panic occurred.
+func (p *StepPanic) Error() string { return fmt.Sprintf("panic in step of %T: %v", p.Event, p.Value) }
+
+// Loop steps the decision logic in one goroutine.
+type Loop struct {
+	decider  Decider
+	clock    Clock
+	carriers Carriers
+	logger   *log.Logger
+	logs     *logWriter
+	vars     *expvar.Map
+
+	mu    sync.Mutex
+	queue []event.Event
+	wake  chan struct{}
+
+	last    time.Time
+	longest time.Duration
+}
+
+// LoopOption changes a loop's defaults.
+type LoopOption func(*Loop)
+
+// WithClock replaces the machine's clock.
+func WithClock(c Clock) LoopOption { return func(l *Loop) { l.clock = c } }
+
+// WithLogger replaces the logger, which otherwise discards everything.
+func WithLogger(logger *log.Logger) LoopOption { return func(l *Loop) { l.logger = logger } }
+
+// WithVars counts steps and actions in the given map.
+func WithVars(vars *expvar.Map) LoopOption { return func(l *Loop) { l.vars = vars } }
+
+// NewLoop returns a loop. The carriers may be set later with Carry, because they deliver to the loop.
+func NewLoop(decider Decider, opts ...LoopOption) *Loop {
+	l := &Loop{decider: decider, clock: SystemClock{}, vars: new(expvar.Map), wake: make(chan struct{}, 1)}
+	for _, o := range opts {
+		o(l)
+	}
+	l.logs = newLogWriter(l.logger, l.vars)
+	return l
+}
+
+// Carry sets who carries out the actions; it must be called before Run.
+func (l *Loop) Carry(c Carriers) { l.carriers = c }
+
+// Deliver queues an event for the decision logic without blocking.
+func (l *Loop) Deliver(ev event.Event) {
+	_, fromPeer := ev.(event.Receive)
+	l.mu.Lock()
+	if fromPeer && len(l.queue) >= maxQueue {
+		l.mu.Unlock()
+		l.vars.Add("events_dropped", 1)
+		return
+	}
+	l.queue = append(l.queue, ev)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Length returns the number of queued events.
+func (l *Loop) Length() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue)
+}
+
+// Busy reports whether the queue is too long for new requests.
+func (l *Loop) Busy() bool { return l.Length() >= maxQueue }
+
+func (l *Loop) take() []event.Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.queue
+	l.queue = nil
+	return out
+}
+
+// Run steps the decision logic until it asks to exit, panics, or the context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	l.logs.start()
+	defer l.logs.stop()
+	// The first step lets the decision logic start its own calls and timers.
+	exit, err := l.step(event.Tick{})
+	for err == nil && !exit {
+		events := l.take()
+		for _, ev := range events {
+			if exit, err = l.step(ev); exit || err != nil {
+				break
+			}
+		}
+		if len(events) == 0 {
+			exit, err = l.idle(ctx)
+		}
+	}
+	return err
+}
+
+// idle waits for the next event or timer; a timer that is due is stepped at once.
+func (l *Loop) idle(ctx context.Context) (bool, error) {
+	var timer <-chan time.Time
+	if next := l.decider.Next(); !next.IsZero() {
+		left := next.Sub(l.now())
+		if left <= 0 {
+			return l.step(event.Tick{})
+		}
+		expired, release := l.clock.After(left)
+		defer release()
+		timer = expired
+	}
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-l.wake:
+		return false, nil
+	case <-timer:
+		return l.step(event.Tick{})
+	}
+}
+
+// now never goes back, even if the machine's clock is set back.
+func (l *Loop) now() time.Time {
+	if now := l.clock.Now(); now.After(l.last) {
+		l.last = now
+	}
+	return l.last
+}
+
+// step hands one event to the decision logic and carries out what it decides.
+func (l *Loop) step(ev event.Event) (exit bool, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			failure := &StepPanic{Event: ev, Value: value, Stack: debug.Stack()}
+			l.logs.panic(failure)
+			err = failure
+		}
+	}()
+	if vms, ok := ev.(event.VMs); ok {
+		l.carriers.Servers.Servers(vms.List)
+	}
+	now := l.now()
+	begin := time.Now()
+	actions := l.decider.Step(now, ev)
+	l.measure(time.Since(begin))
+	for _, a := range actions {
+		if again, ok := event.IsInternal(a); ok {
+			if exit, err = l.step(again); exit || err != nil {
+				return exit, err
+			}
+			continue
+		}
+		if l.carry(a) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func (l *Loop) measure(took time.Duration) {
+	l.vars.Add("steps", 1)
+	l.vars.Add("step_ns", took.Nanoseconds())
+	if took > l.longest {
+		l.vars.Add("step_ns_max", (took - l.longest).Nanoseconds())
+		l.longest = took
+	}
+}
+
+// carry passes an action to its carrier and reports whether it was Exit.
+func (l *Loop) carry(a event.Action) bool {
+	switch a := a.(type) {
+	case event.Dispatch:
+		l.carriers.Servers.Dispatch(a)
+	case event.Cancel:
+		l.carriers.Servers.Cancel(a)
+	case event.Order:
+		l.carriers.Servers.Order(a)
+	case event.Reply:
+		l.carriers.Callers.Reply(a)
+	case event.Ready:
+		l.carriers.Callers.Ready(a.Ready)
+	case event.Send:
+		revision, domains := l.versions()
+		l.carriers.Peers.Send(a, revision, domains)
+	case event.Call:
+		l.carriers.Platform.Do(a)
+	case event.Answer:
+		l.carriers.Operators.Answer(a)
+	case event.Log:
+		l.logs.line(a)
+	case event.Exit:
+		return true
+	default:
+		l.logs.report(fmt.Errorf("action %T has no carrier", a))
+	}
+	return false
+}
+
+func (l *Loop) versions() (id.Revision, uint64) {
+	if v, ok := l.decider.(Versions); ok {
+		return v.Versions()
+	}
+	return 0, 0
+}
+
+// Report logs an error of a carrier. Repeated errors are logged at a bounded rate and counted.
+func (l *Loop) Report(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	l.logs.report(err)
+}
+
+// describe renders an event for the log of a panic.
+func describe(ev event.Event) string {
+	raw, err := json.Marshal(ev)
+	if err != nil {
+		return fmt.Sprintf("%T, not encodable: %v", ev, err)
+	}
+	if len(raw) > maxLoggedEvent {
+		return string(raw[:maxLoggedEvent]) + "…"
+	}
+	return string(raw)
+}
--- /dev/null
+++ b/io/runtime/loop_test.go
@@ -0,0 +1,226 @@
+package runtime
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"expvar"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds how long a test waits for something that must happen; no assertion depends on less.
+const patience = 10 * time.Second
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// script is a decision logic that a test writes down as a function.
+type script struct {
+	step func(now time.Time, ev event.Event) []event.Action
+	next func() time.Time
+}
+
+func (s script) Step(now time.Time, ev event.Event) []event.Action { return s.step(now, ev) }
+
+func (s script) Next() time.Time {
+	if s.next == nil {
+		return time.Time{}
+	}
+	return s.next()
+}
+
+func (s script) Versions() (id.Revision, uint64) { return 5, 6 }
+
+// handClock stands still; a timer fires at once and moves it.
+type handClock struct{ now time.Time }
+
+func (c *handClock) Now() time.Time { return c.now }
+
+func (c *handClock) After(d time.Duration) (<-chan time.Time, func()) {
+	c.now = c.now.Add(d)
+	fired := make(chan time.Time, 1)
+	fired <- c.now
+	return fired, func() {}
+}
+
+// carried records what reaches the carriers.
+type carried struct{ got []any }
+
+func (c *carried) Do(a event.Call)           { c.got = append(c.got, a) }
+func (c *carried) Dispatch(a event.Dispatch) { c.got = append(c.got, a) }
+func (c *carried) Cancel(a event.Cancel)     { c.got = append(c.got, a) }
+func (c *carried) Order(a event.Order)       { c.got = append(c.got, a) }
+func (c *carried) Servers(list []event.VM)   { c.got = append(c.got, list) }
+func (c *carried) Reply(a event.Reply)       { c.got = append(c.got, a) }
+func (c *carried) Ready(ready bool)          { c.got = append(c.got, ready) }
+func (c *carried) Answer(a event.Answer)     { c.got = append(c.got, a) }
+func (c *carried) Send(a event.Send, r id.Revision, d uint64) {
+	c.got = append(c.got, a, r, d)
+}
+
+func (c *carried) all() Carriers {
+	return Carriers{Platform: c, Servers: c, Peers: c, Callers: c, Operators: c}
+}
+
+type inner struct {
+	event.Internal
+	n int
+}
+
+// TestCarry guards against actions that are lost or reach the wrong carrier, in the order of the decision logic.
+func TestCarry(t *testing.T) {
+	g := NewWithT(t)
+	actions := []event.Action{
+		event.Dispatch{Attempt: 1},
+		event.Cancel{Attempt: 2},
+		event.Order{Seq: 3},
+		event.Reply{Request: "r"},
+		event.Ready{Ready: true},
+		event.Send{To: "n"},
+		event.Call{Seq: 4},
+		event.Answer{Number: 5},
+		inner{n: 6},
+	}
+	var c carried
+	var vars expvar.Map
+	var again int
+	l := NewLoop(script{step: func(_ time.Time, ev event.Event) []event.Action {
+		switch ev := ev.(type) {
+		case event.VMs:
+			return actions
+		case inner:
+			again = ev.n
+			return []event.Action{event.Exit{}}
+		}
+		return nil
+	}}, WithVars(&vars))
+	l.Carry(c.all())
+	list := []event.VM{{Name: "b"}}
+	l.Deliver(event.VMs{List: list})
+	g.Expect(l.Run(context.Background())).To(Succeed())
+	want := []any{list}
+	for _, a := range actions[:5] {
+		want = append(want, a)
+	}
+	want[5] = true // Ready is passed on as its value
+	want = append(want, actions[5], id.Revision(5), uint64(6), actions[6], actions[7])
+	g.Expect(c.got).To(Equal(want))
+	g.Expect(again).To(Equal(6))
+	g.Expect(vars.Get("steps").String()).To(Equal("3"))
+}
+
+// TestTimers guards against timers that do not fire, fire early, or see time go back.
+func TestTimers(t *testing.T) {
+	g := NewWithT(t)
+	clock := &handClock{now: epoch}
+	var seen []time.Time
+	due := epoch
+	l := NewLoop(script{
+		step: func(now time.Time, _ event.Event) []event.Action {
+			seen = append(seen, now)
+			switch len(seen) {
+			case 4:
+				clock.now = epoch.Add(-time.Hour)
+			case 6:
+				return []event.Action{event.Exit{}}
+			}
+			due = now.Add(time.Second)
+			if len(seen) == 5 {
+				due = now
+			}
+			return nil
+		},
+		next: func() time.Time { return due },
+	}, WithClock(clock))
+	g.Expect(l.Run(context.Background())).To(Succeed())
+	for i := 1; i < len(seen); i++ {
+		g.Expect(seen[i]).To(BeTemporally(">=", seen[i-1]))
+	}
+	g.Expect(seen[3]).To(BeTemporally("==", epoch.Add(3*time.Second)))
+}
+
+// TestPanic guards against a failed step whose cause cannot be found, or after which the process goes on.
+func TestPanic(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l := NewLoop(script{step: func(_ time.Time, ev event.Event) []event.Action {
+		if _, ok := ev.(event.Gone); ok {
+			panic("boom")
+		}
+		return []event.Action{event.Log{Kind: "route", Request: "r1", Stage: "s", Choice: "b1", Reason: "least"}}
+	}}, WithLogger(log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter})))
+	l.Carry((&carried{}).all())
+	l.Deliver(event.Gone{Request: "culprit"})
+	err := l.Run(context.Background())
+	var failure *StepPanic
+	g.Expect(errors.As(err, &failure)).To(BeTrue())
+	g.Expect(failure.Value).To(Equal("boom"))
+	g.Expect(out.String()).To(ContainSubstring("culprit"))
+	g.Expect(out.String()).To(ContainSubstring("msg=route request=r1 stage=s choice=b1 reason=least"))
+}
+
+// TestQueue guards against a queue that grows without bounds by peers, and against dropped outcomes.
+func TestQueue(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLoop(script{})
+	for range maxQueue + 10 {
+		l.Deliver(event.Receive{})
+	}
+	g.Expect(l.Length()).To(Equal(maxQueue))
+	g.Expect(l.Busy()).To(BeTrue())
+	l.Deliver(event.Done{})
+	g.Expect(l.Length()).To(Equal(maxQueue + 1))
+}
+
+// blocked is an output that never returns before it is released.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// TestBlockedLog guards against a log output that holds up the decision logic.
+func TestBlockedLog(t *testing.T) {
+	g := NewWithT(t)
+	out := blocked{make(chan struct{})}
+	var vars expvar.Map
+	steps := 0
+	l := NewLoop(script{
+		step: func(time.Time, event.Event) []event.Action {
+			steps++
+			if steps == logQueue+10 {
+				close(out.release)
+				return []event.Action{event.Exit{}}
+			}
+			return []event.Action{event.Log{Kind: "route"}}
+		},
+		next: func() time.Time { return epoch },
+	}, WithLogger(log.New(out)), WithVars(&vars))
+	g.Expect(l.Run(context.Background())).To(Succeed())
+	g.Expect(vars.Get("log_lines_dropped")).NotTo(BeNil())
+}
+
+// TestReport guards against a log that is flooded by a carrier's repeated errors.
+func TestReport(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l := NewLoop(script{step: func(time.Time, event.Event) []event.Action { return []event.Action{event.Exit{}} }}, WithLogger(log.New(&out)))
+	for range 1000 {
+		l.Report(errors.New("down"))
+	}
+	l.Report(context.Canceled)
+	g.Expect(l.Run(context.Background())).To(Succeed())
+	g.Expect(strings.Count(out.String(), "down")).To(BeNumerically("<", 1000))
+	g.Expect(out.String()).NotTo(ContainSubstring("canceled"))
+}
--- /dev/null
+++ b/io/runtime/node.go
@@ -0,0 +1,274 @@
+package runtime
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/wire"
+	"bluebellflow/io/admin"
+	"bluebellflow/io/ask"
+	"bluebellflow/io/backend"
+	"bluebellflow/io/callers"
+	"bluebellflow/io/mesh"
+	"bluebellflow/io/store"
+)
+
+const (
+	// headerTimeout is how long an HTTP client may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an unused HTTP connection is kept.
+	idleTimeout = time.Minute
+	// maxHeader bounds the headers of a request in bytes.
+	maxHeader = 32 << 10
+	// lastAnswers is how long the end of a node waits for answers to be written.
+	lastAnswers = 2 * time.Second
+	// lastMessages is how long the end of a node waits for messages to peers to be written.
+	lastMessages = 200 * time.Millisecond
+)
+
+// ErrKilled means that a node was ended before its decision logic asked to exit.
+var ErrKilled = errors.New("ended at once, without waiting for requests in progress")
+
+// Config describes one node.
+type Config struct {
+	// Self is the node's identity; Self.Addr is the address to listen on for peers. Port 0 is replaced
+	// by the port chosen before Build is called.
+	Self event.Self
+	// Build makes the decision logic, and the function that finds the address of a peer. The function is
+	// called only between two steps.
+	Build func(self event.Self) (Decider, mesh.Resolve)
+	// Codec encodes the messages between nodes.
+	Codec *wire.Codec
+	// Platform is the address of the platform's object API and VM list.
+	Platform netip.AddrPort
+	// Callers and Admin are the addresses to listen on for callers and operators; an invalid Admin
+	// address turns the administration API off.
+	Callers, Admin netip.AddrPort
+	// TLS names the files for mutual TLS between nodes; nil means plain TCP.
+	TLS *mesh.Files
+	// Commands and Keys build the commands of the decision logic.
+	Commands admin.Commands
+	Keys     callers.Keys
+	// Clock and Logger default to the machine's clock and to no log.
+	Clock  Clock
+	Logger *log.Logger
+	// Options of the packages that carry out the actions.
+	Store   []store.Option
+	Backend []backend.Option
+	Mesh    []mesh.Option
+	Caller  []callers.Option
+}
+
+// Node is one running node: the loop and all that carries out its actions. Several nodes can run in one process.
+type Node struct {
+	loop    *Loop
+	vars    *expvar.Map
+	mesh    *mesh.Mesh
+	store   *store.Client
+	backend *backend.Client
+	callers *callers.Server
+	servers []*webServer
+	addrs   [3]netip.AddrPort // peers, callers, operators
+	kill    context.CancelCauseFunc
+	killed  context.Context
+}
+
+// New opens the addresses of a node; nothing is served before Run.
+func New(cfg Config) (*Node, error) {
+	if cfg.Build == nil || cfg.Codec == nil {
+		return nil, errors.New("node without decision logic or codec")
+	}
+	n := &Node{vars: new(expvar.Map)}
+	n.killed, n.kill = context.WithCancelCause(context.Background())
+	clock := cfg.Clock
+	if clock == nil {
+		clock = SystemClock{}
+	}
+	var options []mesh.Option
+	if cfg.TLS != nil {
+		secured, err := mesh.LoadTLS(*cfg.TLS)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, mesh.WithTLS(secured))
+	}
+	// The loop needs the decision logic, which needs the peer address, which the mesh chooses; the
+	// mesh in turn delivers to the loop, but not before Run.
+	deliver := func(ev event.Event) { n.loop.Deliver(ev) }
+	report := func(err error) { n.loop.Report(err) }
+	options = append(options, mesh.WithVars(n.vars), mesh.WithReport(report))
+	listener, addr, err := listen(cfg.Self.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	cfg.Self.Addr = addr
+	decider, resolve := cfg.Build(cfg.Self)
+	n.loop = NewLoop(decider, WithVars(n.vars), WithClock(clock), WithLogger(cfg.Logger))
+	n.mesh = mesh.New(cfg.Self, cfg.Codec, resolve, deliver, append(options, cfg.Mesh...)...)
+	n.mesh.Use(listener)
+	n.addrs[0] = addr
+	n.store = store.New(cfg.Platform, deliver, append([]store.Option{store.WithVars(n.vars), store.WithReport(report)}, cfg.Store...)...)
+	n.backend = backend.New(cfg.Self, deliver, append([]backend.Option{
+		backend.WithVars(n.vars), backend.WithReport(report), backend.WithNow(clock.Now),
+	}, cfg.Backend...)...)
+	desk := ask.New(deliver)
+	n.callers = callers.New(cfg.Self, deliver, append([]callers.Option{
+		callers.WithVars(n.vars), callers.WithNow(clock.Now), callers.WithBusy(n.loop.Busy), callers.WithKeys(desk, cfg.Keys),
+	}, cfg.Caller...)...)
+	if err := n.openWeb(cfg, admin.New(desk, cfg.Commands, admin.WithNow(clock.Now))); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	n.loop.Carry(Carriers{Platform: n.store, Servers: n.backend, Peers: n.mesh, Callers: n.callers, Operators: desk})
+	n.vars.Set("queue", expvar.Func(func() any { return n.loop.Length() }))
+	n.vars.Set("requests_open", expvar.Func(func() any { return n.callers.Open() }))
+	return n, nil
+}
+
+func listen(addr netip.AddrPort) (net.Listener, netip.AddrPort, error) {
+	if !addr.IsValid() {
+		return nil, addr, errors.New("no address")
+	}
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, addr, err
+	}
+	return listener, listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (n *Node) openWeb(cfg Config, api *admin.API) error {
+	callers, err := newWebServer(cfg.Callers, n.callers.Handler(), n.loop)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	n.servers = append(n.servers, callers)
+	n.addrs[1] = callers.addr
+	if !cfg.Admin.IsValid() {
+		return nil
+	}
+	operators, err := newWebServer(cfg.Admin, api.Handler(), n.loop)
+	if err != nil {
+		_ = callers.listener.Close()
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	n.servers = append(n.servers, operators)
+	n.addrs[2] = operators.addr
+	return nil
+}
+
+// PeerAddr returns the address at which the node listens for peers.
+func (n *Node) PeerAddr() netip.AddrPort { return n.addrs[0] }
+
+// CallerAddr returns the address at which the node listens for callers.
+func (n *Node) CallerAddr() netip.AddrPort { return n.addrs[1] }
+
+// AdminAddr returns the address of the administration API; it is invalid if the API is off.
+func (n *Node) AdminAddr() netip.AddrPort { return n.addrs[2] }
+
+// Vars returns the node's metrics.
+func (n *Node) Vars() *expvar.Map { return n.vars }
+
+// Stop asks the decision logic for a graceful shutdown; Run returns after it.
+func (n *Node) Stop() { n.loop.Deliver(event.Stop{}) }
+
+// Kill ends Run with ErrKilled without waiting for requests in progress.
+func (n *Node) Kill() { n.kill(ErrKilled) }
+
+// Run serves until the decision logic exits, something fails, or Kill is called; all parts end together.
+func (n *Node) Run() error {
+	var group run.Group
+	addContext(&group, n.runLoop)
+	addContext(&group, n.mesh.Run)
+	addContext(&group, n.store.Run)
+	addContext(&group, n.backend.Run)
+	for _, s := range n.servers {
+		group.Add(s.serve, func(err error) { s.stop(err) })
+	}
+	return group.Run()
+}
+
+// runLoop runs the loop and then gives the last messages to peers time to leave.
+func (n *Node) runLoop(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(n.killed, func() { cancel(ErrKilled) })()
+	if err := n.loop.Run(ctx); err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			return cause
+		}
+		return err
+	}
+	ctx, done := context.WithTimeout(ctx, lastMessages)
+	defer done()
+	n.mesh.Flush(ctx)
+	return nil
+}
+
+func addContext(group *run.Group, do func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return do(ctx) }, func(error) { cancel() })
+}
+
+// webServer is one HTTP server of a node.
+type webServer struct {
+	http     *http.Server
+	listener net.Listener
+	addr     netip.AddrPort
+}
+
+func newWebServer(addr netip.AddrPort, handler http.Handler, loop *Loop) (*webServer, error) {
+	listener, addr, err := listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &webServer{
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+			ErrorLog:          stdlog.New(reportWriter{loop}, "", 0),
+		},
+		listener: listener,
+		addr:     addr,
+	}, nil
+}
+
+func (s *webServer) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop lets answers finish after a graceful exit, and closes all connections after a failure.
+func (s *webServer) stop(reason error) {
+	if reason == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+		defer cancel()
+		if s.http.Shutdown(ctx) == nil {
+			return
+		}
+	}
+	_ = s.http.Close()
+}
+
+// reportWriter passes the lines of an HTTP server's log on to the loop's log.
+type reportWriter struct{ loop *Loop }
+
+// Write reports one line.
+func (w reportWriter) Write(line []byte) (int, error) {
+	w.loop.Report(fmt.Errorf("HTTP server: %s", line))
+	return len(line), nil
+}
