permit, member: tests for recovery after faults and for a clock that is behind

Cause: the histories of package permit showed only that no server is overloaded, which a holder that never lends satisfies too; the raised generation of a node whose clock is behind was not tested.

Ruled out: a bound on the time to warm under faults, because a holder whose domain has no majority lends nothing on purpose.

Change: each history ends with healed faults, after which the server must be warm on every node within 45 s; TestClockBehind. 40 histories by default, because each one is longer now.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -306,6 +306,30 @@
 	}
 }
 
+// TestClockBehind guards against a restarted node that stays out of the views because its clock is behind the one of
+// its earlier process.
+func TestClockBehind(t *testing.T) {
+	g := NewWithT(t)
+	inc := func(seed uint64) id.Incarnation { return id.NewIncarnation(rand.New(rand.NewPCG(seed, 2))) }
+	self := event.Self{
+		Node: "n", Incarnation: inc(1), FailureDomain: "d", Addr: netip.MustParseAddrPort("10.0.0.1:1"),
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+	m := member.New(self, member.WithSeeds(event.VM{Name: "o", Kind: "entry", FailureDomain: "d", Addr: self.Addr}))
+	now := prove.Epoch
+	m.Step(now, event.Tick{})
+	old := member.Record{ID: "n", Incarnation: inc(3), Generation: 1 << 50, FailureDomain: "d", Addr: "10.0.0.1:1"}
+	m.Step(now, event.Receive{From: "o", Incarnation: inc(4), Body: member.Tell{Records: []member.Record{old}}})
+	now = m.Next()
+	for _, a := range m.Step(now, event.Tick{}) {
+		if s, ok := a.(event.Send); ok {
+			g.Expect(s.Body.(member.Beat).Self[0].Generation).To(BeNumerically(">", old.Generation))
+			return
+		}
+	}
+	t.Fatal("no heartbeat")
+}
+
 // TestBodiesRoundTrip guards against a field that the wire loses and against bodies that skip their checks.
 func TestBodiesRoundTrip(t *testing.T) {
 	g := NewWithT(t)
--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -21,6 +21,7 @@
 // TestMain fixes the seed, so that each run checks the same histories unless -rapid.seed asks for others.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20260101")
+	_ = flag.Set("rapid.checks", "40") // a history spans minutes of virtual time
 	m.Run()
 }
 
@@ -227,7 +228,8 @@
 	return ""
 }
 
-// TestNeverOverloaded guards against nodes that together send a cold server more than it can handle.
+// TestNeverOverloaded guards against nodes that together send a cold server more than it can handle, and against a
+// server that stays cold for ever.
 func TestNeverOverloaded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRig(rapid.Uint64().Draw(t, "seed"), 6, 2)
@@ -282,6 +284,23 @@
 			"run":  func(t *rapid.T) { r.Run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond) },
 			"long": func(*rapid.T) { r.Run(13 * time.Second) },
 		})
+		// Once the faults end, the server becomes warm on every node.
+		r.Heal()
+		r.Network.Loss, r.Network.Repeat, r.slow = 0, 0, false
+		for _, n := range r.Names() {
+			if !r.Up(n) {
+				r.Start(n)
+			}
+		}
+		r.Run(45 * time.Second) // freezes of 20 s, suspicion, the lifetime of permits
+		if r.fault != nil {
+			t.Fatal(r.fault)
+		}
+		for _, n := range r.Names() {
+			if !r.Stepper(n).(*unit).permits.Warm("s1") {
+				t.Fatalf("the server is still cold on %s", n)
+			}
+		}
 	})
 }
 
