lines: events and actions as JSON lines

Cause: an external driver needs the decision logic's entry point over a pipe. Ruled out: one type per line kind in the encoding, which would repeat package event; the names of the Go types are used instead. Change: package lines with a registry of events and message bodies, and Run. Conclusion: unknown types and fields are refused, and time may not go back.

--- /dev/null
+++ b/io/lines/lines.go
@@ -0,0 +1,230 @@
+package lines
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+// maxLine bounds one event in bytes; it holds the largest object of the platform in base64.
+const maxLine = 16 << 20
+
+// Decider is the decision logic that Run drives.
+type Decider interface {
+	Step(now time.Time, ev event.Event) []event.Action
+	Next() time.Time
+}
+
+// Line is one event or action. Type is the name of its Go type, such as "event.Arrive".
+type Line struct {
+	At    time.Time `json:"at"`
+	Type  string    `json:"type"`
+	Value any       `json:"value"`
+}
+
+// typed is a value of an interface type together with the name of its type.
+type typed struct {
+	Type  string          `json:"type"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Registry knows the types of events and of message bodies by their names.
+type Registry struct {
+	events map[string]reflect.Type
+	bodies map[string]reflect.Type
+}
+
+// New returns a registry of all events of package event, further events such as operator commands, and message bodies.
+func New(commands []event.Event, bodies []event.Body) *Registry {
+	r := &Registry{events: map[string]reflect.Type{}, bodies: map[string]reflect.Type{}}
+	known := []event.Event{
+		event.Arrive{},
+		event.Gone{},
+		event.Part{},
+		event.Done{},
+		event.Fail{},
+		event.Report{},
+		event.Cached{},
+		event.Receive{},
+		event.Link{},
+		event.Result{},
+		event.Changed{},
+		event.VMs{},
+		event.Ordered{},
+		event.Tick{},
+		event.Stop{},
+	}
+	for _, ev := range append(known, commands...) {
+		r.events[name(ev)] = reflect.TypeOf(ev)
+	}
+	for _, body := range bodies {
+		r.bodies[name(body)] = reflect.TypeOf(body)
+	}
+	return r
+}
+
+func name(v any) string { return fmt.Sprintf("%T", v) }
+
+// strict decodes one JSON value and refuses fields that the type does not have.
+func strict(raw []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more than one value")
+	}
+	return nil
+}
+
+// Decode reads an event and its time.
+func (r *Registry) Decode(raw []byte) (time.Time, event.Event, error) {
+	var line struct {
+		At time.Time `json:"at"`
+		typed
+	}
+	if err := strict(raw, &line); err != nil {
+		return time.Time{}, nil, fmt.Errorf("decode line: %w", err)
+	}
+	if line.At.IsZero() {
+		return time.Time{}, nil, errors.New("decode line: no time")
+	}
+	t, known := r.events[line.Type]
+	if !known {
+		return time.Time{}, nil, fmt.Errorf("decode line: unknown event %q", line.Type)
+	}
+	if t == reflect.TypeFor[event.Receive]() {
+		ev, err := r.receive(line.Value)
+		return line.At, ev, err
+	}
+	value := reflect.New(t)
+	if len(line.Value) > 0 {
+		if err := strict(line.Value, value.Interface()); err != nil {
+			return time.Time{}, nil, fmt.Errorf("decode %s: %w", line.Type, err)
+		}
+	}
+	ev, ok := value.Elem().Interface().(event.Event)
+	if !ok {
+		return time.Time{}, nil, fmt.Errorf("decode %s: not an event", line.Type)
+	}
+	return line.At, ev, nil
+}
+
+// receive decodes a message, whose body carries the name of its own type.
+func (r *Registry) receive(raw []byte) (event.Event, error) {
+	var message struct {
+		From        id.Node
+		Incarnation id.Incarnation
+		Revision    id.Revision
+		Domains     uint64
+		Body        typed
+	}
+	if err := strict(raw, &message); err != nil {
+		return nil, fmt.Errorf("decode event.Receive: %w", err)
+	}
+	t, known := r.bodies[message.Body.Type]
+	if !known {
+		return nil, fmt.Errorf("decode event.Receive: unknown body %q", message.Body.Type)
+	}
+	value := reflect.New(t)
+	if err := strict(message.Body.Value, value.Interface()); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", message.Body.Type, err)
+	}
+	body, ok := value.Elem().Interface().(event.Body)
+	if !ok {
+		return nil, fmt.Errorf("decode %s: not a message body", message.Body.Type)
+	}
+	if err := body.Check(); err != nil {
+		return nil, fmt.Errorf("check %s: %w", message.Body.Type, err)
+	}
+	return event.Receive{
+		From: message.From, Incarnation: message.Incarnation, Revision: message.Revision, Domains: message.Domains, Body: body,
+	}, nil
+}
+
+// Encode returns the line of an action.
+func Encode(at time.Time, a event.Action) ([]byte, error) {
+	line := Line{At: at, Type: name(a), Value: a}
+	if send, ok := a.(event.Send); ok {
+		raw, err := json.Marshal(send.Body)
+		if err != nil {
+			return nil, fmt.Errorf("encode %T: %w", send.Body, err)
+		}
+		line.Value = struct {
+			To   id.Node
+			Body typed
+		}{send.To, typed{Type: name(send.Body), Value: raw}}
+	}
+	raw, err := json.Marshal(line)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", a, err)
+	}
+	return raw, nil
+}
+
+// Run steps the decision logic with each event of the input, and writes its actions and the time of its next timer.
+func (r *Registry) Run(d Decider, in io.Reader, out io.Writer) error {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLine)
+	w := bufio.NewWriter(out)
+	var last time.Time
+	for number := 1; scanner.Scan(); number++ {
+		if len(bytes.TrimSpace(scanner.Bytes())) == 0 {
+			continue
+		}
+		at, ev, err := r.Decode(scanner.Bytes())
+		if err == nil && at.Before(last) {
+			err = fmt.Errorf("time goes back from %s to %s", last.Format(time.RFC3339Nano), at.Format(time.RFC3339Nano))
+		}
+		if err != nil {
+			return errors.Join(fmt.Errorf("line %d: %w", number, err), w.Flush())
+		}
+		last = at
+		if err := step(d, at, ev, w); err != nil {
+			return err
+		}
+		raw, err := json.Marshal(Line{At: at, Type: "next", Value: d.Next()})
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(append(raw, '\n')); err != nil {
+			return err
+		}
+		// The process at the other end waits for the actions before it sends the next event.
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("read events: %w", err)
+	}
+	return nil
+}
+
+func step(d Decider, at time.Time, ev event.Event, w io.Writer) error {
+	for _, a := range d.Step(at, ev) {
+		if again, ok := event.IsInternal(a); ok {
+			if err := step(d, at, again, w); err != nil {
+				return err
+			}
+			continue
+		}
+		raw, err := Encode(at, a)
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(append(raw, '\n')); err != nil {
+			return err
+		}
+	}
+	return nil
+}
