cli: commands of the program bluebellflow

Cause: operators need a command line, and processes need to be started and stopped. Ruled out: commands that import the settings and decision packages, which are written at the same time; adapter.go holds the interface that stands for them. Change: package cmd/cli with serve, check, explain, apply, status, drain, restore, move, demo and step, exit codes, and tables or JSON; a main of one line. Figures: go test -race passes with 16 local commands, 6 remote ones, 9 kinds of failing nodes and both kinds of stop.

--- a/cmd/bluebellflow/main.go
+++ b/cmd/bluebellflow/main.go
@@ -1,4 +1,10 @@
 // Command bluebellflow runs a node and the operators' commands.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"bluebellflow/cmd/cli"
+)
+
+func main() { os.Exit(cli.Main(os.Args[1:], cli.Standard(), cli.Default())) }
--- /dev/null
+++ b/cmd/cli/cli_test.go
@@ -0,0 +1,271 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/cmd/cli"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/wire"
+	"bluebellflow/io/admin"
+	"bluebellflow/io/lines"
+	"bluebellflow/io/mesh"
+	"bluebellflow/io/problem"
+	"bluebellflow/io/runtime"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds how long a test waits for something that must happen; no assertion depends on less.
+const patience = 10 * time.Second
+
+// fake is a system with one finding, and decision logic that exits on Stop unless it is stubborn.
+type fake struct {
+	platform netip.AddrPort
+	stubborn bool
+}
+
+var finding = cli.Finding{File: "f", Line: 3, Column: 5, Message: "unknown key"}
+
+func (fake) Check(_ string, source []byte) error {
+	if strings.Contains(string(source), "bad") {
+		return cli.Findings{finding}
+	}
+	return nil
+}
+
+func (fake) Explain(_ string, _ []byte, q admin.Question) (any, error) {
+	return map[string]string{"key": q.Key, "value": "8s"}, nil
+}
+
+func (f fake) Node(_ string, source []byte) (runtime.Config, error) {
+	if strings.Contains(string(source), "bad") {
+		return runtime.Config{}, cli.Findings{finding}
+	}
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	return runtime.Config{
+		Self: event.Self{Node: "n1", Addr: local}, Codec: wire.New(nil), Platform: f.platform, Callers: local,
+		Build: func(event.Self) (runtime.Decider, mesh.Resolve) {
+			return f, func(id.Node) (netip.AddrPort, bool) { return netip.AddrPort{}, false }
+		},
+	}, nil
+}
+
+func (f fake) Step(_ time.Time, ev event.Event) []event.Action {
+	if _, stop := ev.(event.Stop); stop && !f.stubborn {
+		return []event.Action{event.Exit{}}
+	}
+	return nil
+}
+
+func (fake) Next() time.Time { return time.Time{} }
+
+func (f fake) Stepper(event.Self) (runtime.Decider, *lines.Registry, error) {
+	return f, lines.New(nil, nil), nil
+}
+
+func (fake) Demo(_ context.Context, out io.Writer) error {
+	_, err := io.WriteString(out, "demo\n")
+	return err
+}
+
+// buffer is an output that may be read while the command writes.
+type buffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// call runs one command and returns its exit code and outputs.
+func call(system cli.System, input string, args ...string) (code int, out, errs string) {
+	var stdout, stderr buffer
+	code = cli.Main(args, cli.Streams{In: strings.NewReader(input), Out: &stdout, Err: &stderr}, system)
+	return code, stdout.String(), stderr.String()
+}
+
+func file(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestLocal guards against exit codes and outputs on which operators' scripts rely.
+func TestLocal(t *testing.T) {
+	good, bad := file(t, "{}"), file(t, "bad")
+	tick := `{"at":"2026-01-01T00:00:00Z","type":"event.Stop"}`
+	cases := map[string]struct {
+		system cli.System
+		input  string
+		args   []string
+		code   int
+		want   string
+	}{
+		"help":             {fake{}, "", []string{"--help"}, cli.ExitDone, "Exit codes"},
+		"command help":     {fake{}, "", []string{"drain", "--help"}, cli.ExitDone, "loses a race"},
+		"no command":       {fake{}, "", nil, cli.ExitUsage, "see bluebellflow --help"},
+		"unknown flag":     {fake{}, "", []string{"status", "--nothing"}, cli.ExitUsage, "--nothing"},
+		"check":            {fake{}, "", []string{"check", good}, cli.ExitDone, "no findings"},
+		"check findings":   {fake{}, "", []string{"check", bad}, cli.ExitInvalid, "f:3:5: unknown key"},
+		"check JSON":       {fake{}, "", []string{"check", "--json", bad}, cli.ExitInvalid, `[{"file":"f","line":3,"column":5,"message":"unknown key"}]`},
+		"check no file":    {fake{}, "", []string{"check", good + "x"}, cli.ExitInvalid, "no such file"},
+		"explain":          {fake{}, "", []string{"explain", good, "--key", "deadline"}, cli.ExitDone, "value  8s"},
+		"serve findings":   {fake{}, "", []string{"serve", bad}, cli.ExitInvalid, "unknown key"},
+		"step":             {fake{}, tick, []string{"step"}, cli.ExitDone, `"type":"event.Exit"`},
+		"step bad input":   {fake{}, "x", []string{"step"}, cli.ExitInvalid, "line 1"},
+		"demo":             {fake{}, "", []string{"demo"}, cli.ExitDone, "demo"},
+		"check missing":    {cli.Default(), "", []string{"check", good}, cli.ExitMissing, "not part of this build"},
+		"demo missing":     {cli.Default(), "", []string{"demo"}, cli.ExitMissing, "not part of this build"},
+		"move without end": {fake{}, "", []string{"move", "m", "--pool=p", "--from=a", "--to=b"}, cli.ExitUsage, "finish-by"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			code, out, errs := call(c.system, c.input, c.args...)
+			g := NewWithT(t)
+			g.Expect(out + errs).To(ContainSubstring(c.want))
+			g.Expect(code).To(Equal(c.code))
+		})
+	}
+}
+
+// TestRemote guards against commands that ask the node for something else than the operator meant.
+func TestRemote(t *testing.T) {
+	path := file(t, "{}")
+	cases := map[string]struct {
+		args                []string
+		method, path, body  string
+		header, headerValue string
+	}{
+		"apply":   {[]string{"apply", path, "--expect", "7"}, "PUT", "/admin/v1/config", "{}", "If-Match", `"7"`},
+		"status":  {[]string{"status", "--seen", "7"}, "GET", "/admin/v1/status", "", "Bluebellflow-Revision", "7"},
+		"explain": {[]string{"explain", "--workspace=w", "--key=k"}, "GET", "/admin/v1/explain?key=k&workspace=w", "", "", ""},
+		"drain":   {[]string{"drain", "linz", "--by", "eva"}, "POST", "/admin/v1/domains/linz/drain", `{"by":"eva"}`, "", ""},
+		"restore": {[]string{"restore", "linz", "--by", "eva"}, "POST", "/admin/v1/domains/linz/restore", `{"by":"eva"}`, "", ""},
+		"move": {
+			[]string{"move", "m", "--pool=p", "--from=a", "--to=b", "--finish-by=2026-06-01T18:00:00Z"},
+			"POST", "/admin/v1/moves",
+			`{"name":"m","pool":"p","from":"a","to":"b","finish_by":"2026-06-01T18:00:00Z"}`, "", "",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var got *http.Request
+			var body []byte
+			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				got = r
+				body, _ = io.ReadAll(r.Body)
+				_, _ = io.WriteString(w, `{"revision":8,"nodes":[{"name":"n1","up":true},{"name":"n2","note":"a\nb"}]}`)
+			}))
+			defer node.Close()
+			code, out, errs := call(fake{}, "", append(c.args, "--node", node.URL)...)
+			g.Expect(code).To(Equal(cli.ExitDone), errs)
+			g.Expect(got.Method + " " + got.URL.String()).To(Equal(c.method + " " + c.path))
+			g.Expect(string(body)).To(Equal(c.body))
+			if c.header != "" {
+				g.Expect(got.Header.Get(c.header)).To(Equal(c.headerValue))
+			}
+			g.Expect(out).To(Equal("revision  8\n\nnodes\nNAME  NOTE  UP\nn1          true\nn2    a b   \n"))
+			_, out, _ = call(fake{}, "", append(c.args, "--json", "--node", node.URL)...)
+			g.Expect(json.Valid([]byte(out))).To(BeTrue())
+		})
+	}
+}
+
+// TestRemoteFailures guards against an operator who takes a command for refused that may have taken effect.
+func TestRemoteFailures(t *testing.T) {
+	answer := func(kind event.ProblemKind, status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			problem.New(event.Problem{Kind: kind, Detail: "why", RetryAfter: time.Second}, status, "").Write(w)
+		}
+	}
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		code    int
+		want    string
+	}{
+		"conflict":    {answer(event.Refused, 409), cli.ExitRefused, "why (try again after 1 s)"},
+		"invalid":     {answer(event.Invalid, 422), cli.ExitInvalid, "why"},
+		"unknown":     {answer(event.Unknown, 504), cli.ExitUnknown, "why"},
+		"failed":      {answer(event.Failed, 502), cli.ExitFailed, "why"},
+		"unsupported": {answer(event.Invalid, 501), cli.ExitMissing, "why"},
+		"no problem":  {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, cli.ExitFailed, "without a problem document"},
+		"not JSON":    {func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") }, cli.ExitFailed, "not JSON"},
+		"hung up":     {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, cli.ExitUnknown, "EOF"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			node := httptest.NewServer(c.handler)
+			defer node.Close()
+			code, _, errs := call(fake{}, "", "drain", "linz", "--by", "eva", "--node", node.URL)
+			g := NewWithT(t)
+			g.Expect(errs).To(ContainSubstring(c.want))
+			g.Expect(code).To(Equal(c.code))
+		})
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	code, _, _ := call(fake{}, "", "drain", "linz", "--by", "eva", "--node", "http://"+listener.Addr().String())
+	g.Expect(code).To(Equal(cli.ExitUnreachable))
+}
+
+// TestServe guards against a planned stop that fails, and against a second signal that waits.
+func TestServe(t *testing.T) {
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"vms":[]}`) }))
+	defer platform.Close()
+	addr := netip.MustParseAddrPort(platform.Listener.Addr().String())
+	for name, c := range map[string]struct {
+		stubborn bool
+		signals  int
+		code     int
+	}{
+		"graceful": {false, 1, cli.ExitDone},
+		"at once":  {true, 2, cli.ExitFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			signals := make(chan os.Signal, 2)
+			var out, errs buffer
+			streams := cli.Streams{Out: &out, Err: &errs, Signals: func() <-chan os.Signal { return signals }}
+			path, result := file(t, "{}"), make(chan int, 1)
+			go func() { result <- cli.Main([]string{"serve", path}, streams, fake{addr, c.stubborn}) }()
+			g := NewWithT(t)
+			g.Eventually(errs.String, patience).Should(ContainSubstring("msg=serve node=n1"))
+			for range c.signals {
+				signals <- syscall.SIGTERM
+			}
+			g.Eventually(result, patience).Should(Receive(Equal(c.code)))
+		})
+	}
+}
--- /dev/null
+++ b/cmd/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the program bluebellflow.
+package cli
--- /dev/null
+++ b/cmd/cli/remote.go
@@ -0,0 +1,190 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/io/admin"
+	"bluebellflow/io/problem"
+	"bluebellflow/io/sent"
+)
+
+const (
+	// remoteTimeout is longer than a node waits for the outcome of a command.
+	remoteTimeout = 30 * time.Second
+	// maxAnswer bounds a node's answer in bytes.
+	maxAnswer = 64 << 20
+)
+
+// request is a call of the administration API.
+type request struct {
+	method, path string
+	body         []byte
+	header       http.Header
+}
+
+// call asks the node and returns the value of its answer.
+func (e *env) call(r request) (json.RawMessage, error) {
+	dialer := &net.Dialer{Timeout: 3 * time.Second}
+	transport := &http.Transport{DialContext: sent.Dial(dialer.DialContext), DisableKeepAlives: true}
+	client := &http.Client{Transport: transport, Timeout: remoteTimeout}
+	ctx, tracker := sent.Track(e.ctx)
+	req, err := http.NewRequestWithContext(ctx, r.method, strings.TrimRight(e.node, "/")+admin.Prefix+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, &exitError{ExitUsage, err}
+	}
+	for name, values := range r.header {
+		req.Header[name] = values
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		code := ExitUnreachable
+		if tracker.Seal() && r.method != http.MethodGet {
+			code = ExitUnknown
+		}
+		return nil, &exitError{code, err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, &exitError{ExitUnknown, fmt.Errorf("read answer: %w", err)}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, problemError(resp.StatusCode, raw)
+	}
+	if !json.Valid(raw) {
+		return nil, errors.New("the node's answer is not JSON")
+	}
+	return raw, nil
+}
+
+// problemError turns a problem document into an error with its exit code.
+func problemError(status int, raw []byte) error {
+	var doc problem.Document
+	if err := json.Unmarshal(raw, &doc); err != nil || !strings.HasPrefix(doc.Type, problem.TypePrefix) {
+		return fmt.Errorf("status %d without a problem document", status)
+	}
+	code := ExitFailed
+	switch event.ProblemKind(strings.TrimPrefix(doc.Type, problem.TypePrefix)) {
+	case event.Invalid:
+		code = ExitInvalid
+	case event.Refused:
+		code = ExitRefused
+	case event.Unknown:
+		code = ExitUnknown
+	}
+	if status == http.StatusNotImplemented {
+		code = ExitMissing
+	}
+	message := doc.Title
+	if doc.Detail != "" {
+		message = doc.Detail
+	}
+	if doc.RetryAfter > 0 {
+		message += fmt.Sprintf(" (try again after %d s)", doc.RetryAfter)
+	}
+	return &exitError{code, errors.New(message)}
+}
+
+// show asks the node and writes the value of its answer.
+func (e *env) show(r request) error {
+	raw, err := e.call(r)
+	if err != nil {
+		return err
+	}
+	return e.write(raw)
+}
+
+// showPosted posts a JSON body and writes the value of the answer.
+func (e *env) showPosted(path string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return e.show(request{method: http.MethodPost, path: path, body: raw})
+}
+
+func (e *env) explainRemote(q admin.Question) error {
+	query := url.Values{}
+	for name, value := range map[string]string{
+		"workspace": string(q.Workspace), "pipeline": string(q.Pipeline), "domain": string(q.FailureDomain), "key": q.Key,
+	} {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	return e.show(request{method: http.MethodGet, path: "/explain?" + query.Encode()})
+}
+
+type applyCommand struct {
+	File   string      `arg:"" help:"Settings file, JSON with comments."`
+	Expect id.Revision `help:"Commit only if this revision is in force; 0 for any."`
+}
+
+// Run commits a configuration.
+func (c *applyCommand) Run(e *env) error {
+	source, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	header := http.Header{}
+	if c.Expect > 0 {
+		header.Set("If-Match", fmt.Sprintf("%q", fmt.Sprint(c.Expect)))
+	}
+	return e.show(request{method: http.MethodPut, path: "/config", body: source, header: header})
+}
+
+type statusCommand struct {
+	Seen id.Revision `help:"Wait until the node knows this configuration revision."`
+}
+
+// Run shows the state of the system.
+func (c *statusCommand) Run(e *env) error {
+	header := http.Header{}
+	if c.Seen > 0 {
+		header.Set("Bluebellflow-Revision", fmt.Sprint(c.Seen))
+	}
+	return e.show(request{method: http.MethodGet, path: "/status", header: header})
+}
+
+type domainFlags struct {
+	Domain id.FailureDomain `arg:"" help:"Failure domain."`
+	By     string           `help:"Who gives the order; shown to an operator who loses a race." env:"USER" required:""`
+}
+
+func (f *domainFlags) order(e *env, verb string) error {
+	return e.showPosted("/domains/"+url.PathEscape(string(f.Domain))+"/"+verb, map[string]string{"by": f.By})
+}
+
+type drainCommand struct{ domainFlags }
+
+// Run drains a failure domain.
+func (c *drainCommand) Run(e *env) error { return c.order(e, "drain") }
+
+type restoreCommand struct{ domainFlags }
+
+// Run restores a failure domain.
+func (c *restoreCommand) Run(e *env) error { return c.order(e, "restore") }
+
+type moveCommand struct {
+	Name     string     `arg:"" help:"Name of the move; a version that was rolled back needs a new one."`
+	Pool     id.Pool    `help:"Pool whose servers change." required:""`
+	From     id.Version `help:"Version that serves now." required:""`
+	To       id.Version `help:"Version that is to serve." required:""`
+	FinishBy time.Time  `help:"When all traffic must have moved, in RFC 3339." required:""`
+}
+
+// Run begins a version rollout.
+func (c *moveCommand) Run(e *env) error {
+	return e.showPosted("/moves", admin.Move{Name: c.Name, Pool: c.Pool, From: c.From, To: c.To, FinishBy: c.FinishBy})
+}
