mesh, admin: tests without races against the clock

Cause: TestHostile failed once with "session shutdown": the node may close a hostile session before the test's write returns. TestFaults waited at most 50 ms for answers that a busy machine may delay. Ruled out: a pause before the hostile bytes, which would only make it rarer. Change: the write may fail with exactly that error, and what the node found is checked as before; only the case without an answer has a short timeout. Conclusion: the checks are as strict as before.

--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -64,7 +64,11 @@
 		answer.Number = ev.(command).Number
 		desk.Answer(answer)
 	})
-	api := admin.New(desk, c, admin.WithNow(func() time.Time { return epoch }), admin.WithTimeout(50*time.Millisecond))
+	timeout := time.Minute
+	if decide == nil {
+		timeout = time.Millisecond // no answer will come
+	}
+	api := admin.New(desk, c, admin.WithNow(func() time.Time { return epoch }), admin.WithTimeout(timeout))
 	req := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -21,6 +21,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
@@ -241,8 +242,10 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			first, err := encodeHello(c.hello)
 			g.Expect(err).NotTo(HaveOccurred())
-			_, err = stream.Write(append(first, c.bytes...))
-			g.Expect(err).NotTo(HaveOccurred())
+			// The node may close the session before Write returns; what it found is checked below.
+			if _, err = stream.Write(append(first, c.bytes...)); !errors.Is(err, yamux.ErrSessionShutdown) {
+				g.Expect(err).NotTo(HaveOccurred())
+			}
 			g.Eventually(mux.CloseChan(), patience).Should(BeClosed(), "the hostile session is closed")
 			g.Eventually(errs, patience).Should(Receive(MatchError(ContainSubstring(c.want))))
 		})
