backend: poll limit apart for the own failure domain

Cause: at 1,900 runners one limit over all servers would let those of 31 other failure domains take nearly all polls from the own one. Ruled out: a higher limit, which would exceed a node's budget of 16 KB/s. Change: three quarters of the polls go to the own failure domain; the longest overdue server comes first; a poll with cache events counts twice. Conclusion: what a node sees late of a far server reaches it by gossip.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -51,7 +51,7 @@
 	vars        *expvar.Map
 	report      func(error)
 	timeout     time.Duration // for cancellations, orders and polls
-	polling     polling
+	polling     *polling
 
 	mu      sync.Mutex
 	running map[id.Attempt]context.CancelFunc
--- a/io/backend/poll.go
+++ b/io/backend/poll.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,10 +28,11 @@
 	maxCounter = 1 << 20
 )
 
-// polling is what the client knows about the servers that it polls.
+// polling is what the client knows about the servers that it polls. Servers of other failure domains
+// have a limit of their own, because there may be thirty times as many of them.
 type polling struct {
-	interval time.Duration
-	limit    *rate.Limiter
+	interval  time.Duration
+	near, far *rate.Limiter
 
 	mu      sync.Mutex
 	targets map[id.Server]*target
@@ -47,13 +49,21 @@
 	plain bool   // the server has no cache events
 }
 
-func newPolling() polling {
-	return polling{
-		interval: 500 * time.Millisecond,
-		// 40 polls of about 300 bytes a second stay within a node's budget of 16 KB/s for control.
-		limit:   rate.NewLimiter(40, 40),
-		targets: map[id.Server]*target{},
-	}
+// defaultPolls is the most polls a second: 40 of about 300 bytes stay within a node's budget of
+// 16 KB/s for control. What one node learns of a leaving server reaches the others by gossip.
+const defaultPolls = 40
+
+func newPolling() *polling {
+	p := &polling{interval: 500 * time.Millisecond, targets: map[id.Server]*target{}}
+	p.limit(defaultPolls)
+	return p
+}
+
+// limit divides the polls a second: three quarters for the own failure domain, one for all others.
+func (p *polling) limit(perSecond float64) {
+	burst := max(2, int(perSecond))
+	p.near = rate.NewLimiter(rate.Limit(perSecond*3/4), burst)
+	p.far = rate.NewLimiter(rate.Limit(perSecond/4), burst)
 }
 
 // WithPolling sets the pause between two polls of a server of the own failure domain, and the most
@@ -61,7 +71,7 @@
 func WithPolling(interval time.Duration, perSecond float64) Option {
 	return func(c *Client) {
 		c.polling.interval = interval
-		c.polling.limit = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		c.polling.limit(perSecond)
 	}
 }
 
@@ -90,7 +100,7 @@
 
 // poll asks servers for their load at intervals until the context ends.
 func (c *Client) poll(ctx context.Context) {
-	ticker := time.NewTicker(max(c.polling.interval/8, time.Millisecond))
+	ticker := time.NewTicker(max(c.polling.interval/4, time.Millisecond))
 	defer ticker.Stop()
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -116,28 +126,47 @@
 	target *target
 }
 
-// due returns at most count servers whose poll is due and marks them as busy.
+// due returns at most count servers whose poll is due, the longest overdue first, and marks them as busy.
 func (c *Client) due(now time.Time, count int) []dueTarget {
 	c.polling.mu.Lock()
 	defer c.polling.mu.Unlock()
-	var out []dueTarget
+	var waiting []dueTarget
 	for name, t := range c.polling.targets {
+		if !t.busy && !now.Before(t.due) {
+			waiting = append(waiting, dueTarget{name, t})
+		}
+	}
+	slices.SortFunc(waiting, func(a, b dueTarget) int { return a.target.due.Compare(b.target.due) })
+	var out []dueTarget
+	for _, d := range waiting {
 		if len(out) >= count {
 			break
 		}
-		if t.busy || now.Before(t.due) || !c.polling.limit.AllowN(now, 1) {
-			continue
-		}
-		t.busy = true
-		t.due = now.Add(c.polling.interval)
-		if !t.near {
-			t.due = now.Add(farFactor * c.polling.interval)
+		if c.polling.admit(now, d.target) {
+			out = append(out, d)
 		}
-		out = append(out, dueTarget{name, t})
 	}
 	return out
 }
 
+// admit takes a poll from the limit, two if the server is asked for cache events too.
+func (p *polling) admit(now time.Time, t *target) bool {
+	limit, pause := p.near, p.interval
+	if !t.near {
+		limit, pause = p.far, farFactor*p.interval
+	}
+	calls := 2
+	if t.plain {
+		calls = 1
+	}
+	if !limit.AllowN(now, calls) {
+		return false
+	}
+	t.busy = true
+	t.due = now.Add(pause)
+	return true
+}
+
 func (c *Client) pollServer(ctx context.Context, name id.Server, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
