--- a/core/node/status.go
+++ b/core/node/status.go
@@ -53,7 +53,7 @@
 	Revision id.Revision      `json:"revision"`
 	Rejected id.Revision      `json:"rejected,omitempty"` // newest revision that this node got and that did not check
 	Ready    bool             `json:"ready"`
-	Nodes    []NodeReport     `json:"nodes"`
+	Nodes    []PeerReport     `json:"nodes"`
 	Silent   []id.Node        `json:"silent"` // nodes in the view that did not answer
 	Domains  []domain.Record  `json:"domains"`
 	Moves    []move.Status    `json:"moves"`
@@ -61,8 +61,8 @@
 	Requests request.Counters `json:"requests"`
 }
 
-// NodeReport is what another node says of itself.
-type NodeReport struct {
+// PeerReport is what another node says of itself.
+type PeerReport struct {
 	Node     id.Node          `json:"node"`
 	Domain   id.FailureDomain `json:"domain"`
 	Heard    bool             `json:"heard"`
@@ -115,8 +115,8 @@
 	return r
 }
 
-func (n *Node) reportOf(m member.Node) NodeReport {
-	r := NodeReport{Node: m.ID, Domain: m.FailureDomain, Leaving: m.Leaving}
+func (n *Node) reportOf(m member.Node) PeerReport {
+	r := PeerReport{Node: m.ID, Domain: m.FailureDomain, Leaving: m.Leaving}
 	if m.ID == n.self.Node {
 		r.Heard, r.Revision, r.Open, r.Ready = true, n.config.Revision(), uint64(n.requests.Open()), n.ready
 	}
@@ -142,7 +142,7 @@
 	if !ok {
 		return nil
 	}
-	at := slices.IndexFunc(p.report.Nodes, func(r NodeReport) bool { return r.Node == from })
+	at := slices.IndexFunc(p.report.Nodes, func(r PeerReport) bool { return r.Node == from })
 	if at < 0 || p.report.Nodes[at].Heard {
 		return nil
 	}
--- a/core/prove/callers.go
+++ b/core/prove/callers.go
@@ -149,7 +149,8 @@
 			return
 		}
 	}
-	limit := s.At.Add(c.plan(s.Arrive).Deadline + grace)
+	// A frozen process cannot answer; it must once it wakes.
+	limit := c.world.Awake(s.Node, s.At.Add(c.plan(s.Arrive).Deadline)).Add(grace)
 	if s.End == nil && c.world.Now.After(limit) {
 		c.violate("%s: no answer by its deadline", s.Arrive.Request)
 	}
--- a/core/prove/world.go
+++ b/core/prove/world.go
@@ -60,6 +60,7 @@
 	calls   uint64    // incarnation count, to drop answers meant for an earlier process
 	tick    time.Time // time of the tick that is queued, zero for none
 	watched []string
+	pauses  []pause // all freezes, in order
 }
 
 // New returns an empty world whose every draw comes from the seed.
@@ -121,10 +122,23 @@
 func (w *World) Freeze(name id.Node, d time.Duration) {
 	if until := w.Now.Add(d); until.After(w.nodes[name].frozen) {
 		w.nodes[name].frozen = until
+		w.nodes[name].pauses = append(w.nodes[name].pauses, pause{w.Now, until})
 	}
 	w.note("freeze %s for %s", name, d)
 }
 
+type pause struct{ from, to time.Time }
+
+// Awake returns the first time not before t at which the node's process is not frozen.
+func (w *World) Awake(name id.Node, t time.Time) time.Time {
+	for _, p := range w.nodes[name].pauses {
+		if !t.Before(p.from) && t.Before(p.to) {
+			t = p.to
+		}
+	}
+	return t
+}
+
 // Cut drops messages from one node to another, in this direction only.
 func (w *World) Cut(from, to id.Node) { w.cuts[[2]id.Node{from, to}] = true }
 
--- a/core/request/fail.go
+++ b/core/request/fail.go
@@ -159,10 +159,14 @@
 	}
 }
 
-// heardStart continues the requests whose attempts a server broke, now that its start identity is known.
+// heardStart continues the requests whose attempts a server broke, once it shows a new start identity. The old
+// one proves nothing, because the report may be older than the crash.
 func (r *Requests) heardStart(now time.Time, server id.Server, start id.Start, out *actions) {
 	r.noteStart(server, start)
-	r.resolve(now, server, func(w watch) bool { return w.start != start }, out)
+	watches := r.watches[server]
+	if len(watches) > 0 && watches[len(watches)-1].start != start {
+		r.resolve(now, server, func(w watch) bool { return w.start != start }, out)
+	}
 }
 
 // serverDown continues the requests whose attempts a server broke, now that it refuses connections.
@@ -193,6 +197,12 @@
 		return
 	}
 	r.counters.Retries++
+	r.askGuard(now, o, out)
+}
+
+// askGuard gives up the turn that a suspect may have, and asks for a new verdict.
+func (r *Requests) askGuard(now time.Time, o *open, out *actions) {
 	o.phase = guarding
+	out.add(r.parts.Guard.Finish(now, o.arrive.Request, o.print)...)
 	out.add(r.parts.Guard.Ask(now, o.arrive.Request, o.print)...)
 }
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -37,7 +37,7 @@
 	deadline time.Time
 	phase    phase
 	admitted bool
-	alone    bool // suspected of crashing servers: runs with nothing else on the server
+	alone    time.Time // suspected of crashing servers: until then it may run, with nothing else on the server
 
 	stage     int
 	prior     []byte     // output of the stage before
@@ -161,7 +161,7 @@
 	if !ok || o.phase != guarding {
 		return
 	}
-	o.alone = ev.Verdict == crash.Alone
+	o.alone = ev.Until
 	if ev.Verdict == crash.Refuse {
 		out.log("guard", o, "refuse", "requests with this content crashed backend servers")
 		r.refuse(now, o, "requests with this content crashed backend servers", ev.RetryAfter, out)
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -60,6 +60,10 @@
 		r.giveUp(now, o, event.Deadline, "the time left did not suffice for the remaining stages", 0, out)
 		return
 	}
+	if !o.alone.IsZero() && !o.alone.After(now) {
+		r.askGuard(now, o, out)
+		return
+	}
 	o.phase = placing
 	if o.waited.IsZero() {
 		o.waited = now
@@ -156,7 +160,7 @@
 	attempt := r.last
 	choice, more := r.parts.Router.Place(now, attempt, route.Query{
 		Request: o.arrive.Request, Stage: s.Name, Pool: s.Pool, Version: o.version,
-		Prefix: o.prefix, Avoid: o.avoid, Alone: o.alone, Deadline: o.deadline,
+		Prefix: o.prefix, Avoid: o.avoid, Alone: !o.alone.IsZero(), Deadline: o.deadline,
 	})
 	out.add(more...)
 	if choice.Verdict != route.Chosen {
@@ -167,6 +171,9 @@
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
 		began: now, until: o.deadline, load: len(r.attempts), start: choice.Server.Start, hedge: hedge,
 	}
+	if !o.alone.IsZero() && o.alone.Before(t.until) {
+		t.until = o.alone
+	}
 	if s.Timeout > 0 && now.Add(s.Timeout).Before(t.until) {
 		t.until = now.Add(s.Timeout)
 	}
@@ -198,7 +205,7 @@
 }
 
 func (r *Requests) mayHedge(o *open) bool {
-	return o.plan.Hedge > 0 && !o.onlyOnce() && !o.alone && len(o.tries) == 1 && o.delivered == 0
+	return o.plan.Hedge > 0 && !o.onlyOnce() && o.alone.IsZero() && len(o.tries) == 1 && o.delivered == 0
 }
 
 // hedge sends a second attempt beside a slow one, if the retry budget allows it.
