serve: whole nodes from settings, embedded fleets and the demo

Cause: the decision logic and the packages that carry out its actions were never joined; the commands serve, check, explain, step and demo had no implementation.

Ruled out: addresses of peers from the view alone. A rule that only the last stage may be an action: both users begin pipelines with idempotent look-ups; only an action that runs at most once must be last.

Change: io/serve, cmd/system, lab/embed (nodes of an experiment in one process, with cuts between domains), lab/demo, reads that wait for the revision that an operator has seen, a load query that fails as event.Down, the failure domain in requests to backend servers, and messages of an unknown kind that no longer end a session.

Conclusion: the path runs end to end; rollouts are still refused.

--- a/cmd/bluebellflow/main.go
+++ b/cmd/bluebellflow/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"bluebellflow/cmd/cli"
+	"bluebellflow/cmd/system"
 )
 
-func main() { os.Exit(cli.Main(os.Args[1:], cli.Standard(), cli.Default())) }
+func main() { os.Exit(cli.Main(os.Args[1:], cli.Standard(), system.System{})) }
--- a/cmd/cli/cli.go
+++ b/cmd/cli/cli.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"bluebellflow/core/settings"
 )
 
 // The exit codes of the program; docs/operators.md lists them.
@@ -21,13 +23,12 @@
 	ExitRefused     = 4
 	ExitUnknown     = 5
 	ExitUnreachable = 6
-	ExitMissing     = 7
 )
 
 const description = `Serves multi-stage model pipelines, and gives operators control over a running system.
 
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 invalid settings or request, 4 refused or conflict,
-5 outcome unknown, 6 node unreachable, 7 not part of this build.`
+5 outcome unknown, 6 node unreachable.`
 
 // exitError is an error with the exit code that it leads to.
 type exitError struct {
@@ -117,7 +118,7 @@
 	if err == nil {
 		return ExitDone
 	}
-	var findings Findings
+	var findings settings.Findings
 	if errors.As(err, &findings) {
 		return ExitInvalid // the findings were already written
 	}
@@ -126,8 +127,6 @@
 	switch {
 	case errors.As(err, &exit):
 		return exit.code
-	case errors.Is(err, ErrMissing):
-		return ExitMissing
 	}
 	return ExitFailed
 }
--- a/cmd/cli/local.go
+++ b/cmd/cli/local.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/settings"
 	"bluebellflow/core/id"
 	"bluebellflow/io/admin"
 	"bluebellflow/io/runtime"
@@ -27,7 +28,7 @@
 
 // showFindings writes the findings of an error, if it has any, and returns the error.
 func (e *env) showFindings(err error) error {
-	var findings Findings
+	var findings settings.Findings
 	if !errors.As(err, &findings) {
 		return err
 	}
@@ -54,7 +55,7 @@
 		return e.showFindings(err)
 	}
 	if e.json {
-		return e.write(Findings{})
+		return e.write(settings.Findings{})
 	}
 	_, err = fmt.Fprintln(e.streams.Out, c.File+": no findings")
 	return err
--- a/cmd/cli/remote.go
+++ b/cmd/cli/remote.go
@@ -83,9 +83,6 @@
 	case event.Unknown:
 		code = ExitUnknown
 	}
-	if status == http.StatusNotImplemented {
-		code = ExitMissing
-	}
 	message := doc.Title
 	if doc.Detail != "" {
 		message = doc.Detail
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -5,6 +5,10 @@
 	"os"
 
 	"bluebellflow/lab/cli"
+	"bluebellflow/lab/embed"
+	"bluebellflow/lab/experiment"
 )
 
-func main() { os.Exit(cli.Main()) }
+func main() {
+	os.Exit(cli.Main(cli.WithNodes("bluebellflow", func() experiment.Fleet { return embed.New() })))
+}
--- a/core/member/members.go
+++ b/core/member/members.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -122,6 +123,19 @@
 // View returns the present view; it contains at least the own node.
 func (m *Members) View() *View { return m.view }
 
+// Addr returns the peer address of a node, also of one that is listed but has not been heard of.
+func (m *Members) Addr(name id.Node) (netip.AddrPort, bool) {
+	p, ok := m.peers[name]
+	switch {
+	case !ok:
+		return netip.AddrPort{}, false
+	case p.known:
+		addr := p.record.node().Addr
+		return addr, addr.IsValid()
+	}
+	return p.vm.Addr, p.vm.Addr.IsValid()
+}
+
 // Next returns the time of the next timer.
 func (m *Members) Next() time.Time {
 	if m.sweepAt.IsZero() || m.nextBeat.Before(m.sweepAt) {
--- a/core/move/move.go
+++ b/core/move/move.go
@@ -14,6 +14,14 @@
 	Moves struct{}
 	// Status is the state of one rollout.
 	Status struct{}
+	// Begin asks for a rollout that is finished or taken back by a given time.
+	Begin struct {
+		event.Command
+		Name     string
+		Pool     id.Pool
+		From, To id.Version
+		By       time.Time
+	}
 	// Sample is the outcome of one attempt.
 	Sample struct {
 		Pool     id.Pool
@@ -29,7 +37,12 @@
 func New(event.Self, ...Option) *Moves { return &Moves{} }
 
 // Step handles one event.
-func (*Moves) Step(time.Time, event.Event) []event.Action { return nil }
+func (*Moves) Step(_ time.Time, ev event.Event) []event.Action {
+	if b, ok := ev.(Begin); ok {
+		return []event.Action{event.Answer{Number: b.Number, Fault: &event.Problem{Kind: event.Refused, Detail: "rollouts are not decided yet"}}}
+	}
+	return nil
+}
 
 // Next returns the time of the next timer, zero for none.
 func (*Moves) Next() time.Time { return time.Time{} }
--- a/core/node/bodies.go
+++ b/core/node/bodies.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"maps"
+	"slices"
+
 	"bluebellflow/core/claim"
 	"bluebellflow/core/config"
 	"bluebellflow/core/crash"
@@ -13,14 +16,30 @@
 
 // Codec returns the codec for all messages between nodes. A number never changes its meaning, because nodes
 // of two releases talk to each other while VMs are replaced.
-func Codec() *wire.Codec {
-	return wire.New(map[uint32]event.Body{
-		1: member.Beat{}, 2: member.Ask{}, 3: member.Tell{},
-		10: config.Have{}, 11: config.Ask{}, 12: config.Offer{}, 13: config.Fetch{}, 14: config.Supply{},
-		20: domain.Sum{}, 21: domain.Records{},
-		30: claim.Want{}, 31: claim.Told{}, 32: claim.Query{}, 33: claim.Outcome{}, 34: claim.Stored{},
-		40: crash.Counts{}, 41: crash.Want{}, 42: crash.Given{}, 43: crash.Hold{}, 44: crash.Held{}, 45: crash.Free{},
-		50: permit.Need{}, 51: permit.Grant{}, 52: permit.State{}, 53: permit.Query{}, 54: permit.Holding{},
-		70: Ask{}, 71: Tell{},
-	})
+func Codec() *wire.Codec { return wire.New(bodies) }
+
+// Bodies returns an example of each message body.
+func Bodies() []event.Body {
+	var out []event.Body
+	for _, kind := range slices.Sorted(maps.Keys(bodies)) {
+		out = append(out, bodies[kind])
+	}
+	return out
+}
+
+// Commands returns an example of each operator command.
+func Commands() []event.Event {
+	return []event.Event{
+		Status{}, Explain{}, Issue{}, Read{}, config.Apply{}, domain.Drain{}, domain.Restore{},
+	}
+}
+
+var bodies = map[uint32]event.Body{
+	1: member.Beat{}, 2: member.Ask{}, 3: member.Tell{},
+	10: config.Have{}, 11: config.Ask{}, 12: config.Offer{}, 13: config.Fetch{}, 14: config.Supply{},
+	20: domain.Sum{}, 21: domain.Records{},
+	30: claim.Want{}, 31: claim.Told{}, 32: claim.Query{}, 33: claim.Outcome{}, 34: claim.Stored{},
+	40: crash.Counts{}, 41: crash.Want{}, 42: crash.Given{}, 43: crash.Hold{}, 44: crash.Held{}, 45: crash.Free{},
+	50: permit.Need{}, 51: permit.Grant{}, 52: permit.State{}, 53: permit.Query{}, 54: permit.Holding{},
+	70: Ask{}, 71: Tell{},
 }
--- a/core/node/command.go
+++ b/core/node/command.go
@@ -14,7 +14,12 @@
 
 type (
 	// Status asks what the node knows of the whole system.
-	Status struct{ event.Command }
+	Status struct {
+		event.Command
+		Seen id.Revision // the operator has seen this revision; the answer waits until this node has it
+	}
+	// Moves asks for the rollouts that the node knows.
+	Moves struct{ event.Command }
 	// Explain asks for an effective value and the ancestor that it comes from.
 	Explain struct {
 		event.Command
@@ -22,6 +27,7 @@
 		Pipeline  id.Pipeline
 		Domain    id.FailureDomain
 		Key       string
+		Seen      id.Revision
 	}
 	// Issue asks for one-time keys.
 	Issue struct {
@@ -29,7 +35,10 @@
 		Count int
 	}
 	// Read asks for the configuration in force.
-	Read struct{ event.Command }
+	Read struct {
+		event.Command
+		Seen id.Revision
+	}
 )
 
 // Configuration is the answer to Read.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"bluebellflow/core/admit"
@@ -56,6 +57,7 @@
 	modules  []module
 
 	polls    map[uint64]*poll
+	held     []heldCommand
 	polled   uint64
 	ready    bool
 	stopped  time.Time // when Stop came, zero before
@@ -123,10 +125,13 @@
 
 // own handles the events that concern the composition, and translates between packages.
 func (n *Node) own(now time.Time, ev event.Event) []event.Action {
+	if out, hold := n.hold(now, ev); hold {
+		return out
+	}
 	switch ev := ev.(type) {
 	case config.Changed:
 		n.setRetries(ev.Tree)
-		return []event.Action{poolLimits(ev.Tree)}
+		return append(n.release(now), poolLimits(ev.Tree))
 	case domain.Changed:
 		return []event.Action{route.DomainState{
 			Domain: ev.Domain, Open: ev.State != domain.Drained, Cold: ev.State == domain.Ramping,
@@ -138,7 +143,9 @@
 	case event.Receive:
 		return n.message(ev)
 	case event.Tick:
-		return n.overdue(now)
+		return append(n.overdue(now), n.release(now)...)
+	case Moves:
+		return []event.Action{event.Answer{Number: ev.Number, Value: n.moves.Status()}}
 	case Explain:
 		return []event.Action{n.explain(ev)}
 	case Issue:
@@ -190,6 +197,11 @@
 // Next returns the time of the earliest timer, zero for none.
 func (n *Node) Next() time.Time {
 	next := n.waitNext
+	for _, h := range n.held {
+		if next.IsZero() || h.until.Before(next) {
+			next = h.until
+		}
+	}
 	for _, p := range n.polls {
 		if next.IsZero() || p.until.Before(next) {
 			next = p.until
@@ -207,5 +219,8 @@
 // Versions returns what every message of this node carries: the newest configuration and domain records that it knows.
 func (n *Node) Versions() (id.Revision, uint64) { return n.config.Revision(), n.domains.Version() }
 
+// Resolve returns the peer address of a node that was listed or heard of.
+func (n *Node) Resolve(name id.Node) (netip.AddrPort, bool) { return n.members.Addr(name) }
+
 // Ready reports whether the balancer may send callers to this node.
 func (n *Node) Ready() bool { return n.ready }
--- a/core/settings/sections.go
+++ b/core/settings/sections.go
@@ -130,8 +130,9 @@
 			r.report(one.StartOffset, "%s: duplicate stage %q", what, s.Name)
 		}
 		seen.Add(s.Name)
-		if s.Kind == Action && i < len(list)-1 {
-			r.report(one.StartOffset, "%s: action stage %q is not last", what, s.Name)
+		if s.Kind == Action && !s.Idempotent && i < len(list)-1 {
+			// A later stage could fail after the action took effect, and the caller would not learn of it.
+			r.report(one.StartOffset, "%s: action stage %q runs at most once and is not last", what, s.Name)
 		}
 		r.places[stagePath(what, s.Name, "pool")] = r.places["pool of the stage"]
 		r.places[stagePath(what, s.Name, "timeout")] = r.places["timeout of the stage"]
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -51,7 +51,7 @@
 	Pool     id.Pool    `json:"pool"`
 	From     id.Version `json:"from"`
 	To       id.Version `json:"to"`
-	FinishBy time.Time  `json:"finish_by"`
+	FinishBy time.Time  `json:"by"`
 }
 
 // Commands builds the operator commands of the decision logic. A nil entry answers 501. Revision is
@@ -324,7 +324,7 @@
 		return wrong("from and to are both %q", m.From)
 	}
 	if !m.FinishBy.After(a.now()) {
-		return wrong("finish_by %s is not in the future", m.FinishBy.Format(time.RFC3339))
+		return wrong("by %s is not in the future", m.FinishBy.Format(time.RFC3339))
 	}
 	return nil
 }
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -60,6 +60,9 @@
 // Option changes a client's defaults.
 type Option func(*Client)
 
+// DomainHeader names the failure domain of the node that sends a request.
+const DomainHeader = "Bluebellflow-Domain"
+
 // WithNow replaces the clock against which deadlines are measured.
 func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
@@ -191,6 +194,9 @@
 	sent   bool // some byte of the call may have reached the server
 }
 
+// mark tells a backend server which failure domain a request comes from.
+func (c *Client) mark(req *http.Request) { req.Header.Set(DomainHeader, string(c.domain)) }
+
 // exchange makes a short call with a bounded answer.
 func (c *Client) exchange(ctx context.Context, method string, addr netip.AddrPort, path string, body []byte) (answer, error) {
 	tracked, tracker := sent.Track(ctx)
@@ -201,6 +207,7 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	c.mark(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return answer{sent: tracker.Seal()}, err
--- a/io/backend/poll.go
+++ b/io/backend/poll.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -176,6 +177,7 @@
 	}
 	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		c.vars.Add("polls_failed", 1)
+		c.deliverPolled(t, event.Down{Server: name, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		c.report(fmt.Errorf("backend server %s: %w", name, err))
 	}
 	c.polling.mu.Lock()
--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -117,6 +117,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Request-Timeout", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	c.mark(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		fail.Reason = err.Error()
--- a/io/mesh/session.go
+++ b/io/mesh/session.go
@@ -285,6 +285,10 @@
 			return err
 		}
 		ev, err := s.mesh.codec.Decode(raw)
+		if errors.Is(err, wire.ErrKind) {
+			s.mesh.vars.Add("peer_messages_unknown", 1)
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/io/serve/serve.go
@@ -0,0 +1,85 @@
+package serve
+
+import (
+	"time"
+
+	"bluebellflow/core/config"
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/move"
+	"bluebellflow/core/node"
+	"bluebellflow/core/settings"
+	"bluebellflow/io/admin"
+	"bluebellflow/io/callers"
+	"bluebellflow/io/lines"
+	"bluebellflow/io/mesh"
+	"bluebellflow/io/runtime"
+)
+
+// callerTimeout is the deadline of a request that names none; the settings may set an earlier one.
+const callerTimeout = 8 * time.Second
+
+// Config returns the configuration of the node that the settings describe.
+func Config(n settings.Node, opts ...node.Option) runtime.Config {
+	return runtime.Config{
+		Self: event.Self{
+			Node: n.Name, FailureDomain: n.FailureDomain, Region: n.Region, Addr: n.Peer,
+		},
+		Build: func(self event.Self) (runtime.Decider, mesh.Resolve) {
+			decider := node.New(self, opts...)
+			return decider, decider.Resolve
+		},
+		Codec:    node.Codec(),
+		Platform: n.Platform,
+		Callers:  n.Caller,
+		Admin:    n.Admin,
+		Commands: Commands(),
+		Keys: func(number uint64, count int) event.Event {
+			return node.Issue{Command: event.Command{Number: number}, Count: count}
+		},
+		Caller: []callers.Option{callers.WithLimits(int64(n.Limits.Body), n.Limits.Open, callerTimeout)},
+	}
+}
+
+// Commands returns the builders of all operator commands.
+func Commands() admin.Commands {
+	command := func(number uint64) event.Command { return event.Command{Number: number} }
+	return admin.Commands{
+		Config: func(number uint64, seen id.Revision) event.Event {
+			return node.Read{Command: command(number), Seen: seen}
+		},
+		Apply: func(number uint64, source []byte, expect id.Revision) event.Event {
+			// The file is parsed here, on the goroutine of the request, to keep a long parse out of the event loop.
+			tree, err := settings.Parse("settings", source)
+			if err != nil {
+				tree = nil
+			}
+			return config.Apply{Command: command(number), Source: source, Tree: tree, Expect: expect}
+		},
+		Explain: func(number uint64, seen id.Revision, q admin.Question) event.Event {
+			return node.Explain{
+				Command: command(number), Seen: seen,
+				Workspace: q.Workspace, Pipeline: q.Pipeline, Domain: q.FailureDomain, Key: q.Key,
+			}
+		},
+		Status: func(number uint64, seen id.Revision) event.Event {
+			return node.Status{Command: command(number), Seen: seen}
+		},
+		Drain: func(number uint64, d id.FailureDomain, by string) event.Event {
+			return domain.Drain{Command: command(number), Domain: d, By: by}
+		},
+		Restore: func(number uint64, d id.FailureDomain, by string) event.Event {
+			return domain.Restore{Command: command(number), Domain: d, By: by}
+		},
+		Begin: func(number uint64, m admin.Move) event.Event {
+			return move.Begin{
+				Command: command(number), Name: m.Name, Pool: m.Pool, From: m.From, To: m.To, By: m.FinishBy,
+			}
+		},
+		Moves: func(number uint64) event.Event { return node.Moves{Command: command(number)} },
+	}
+}
+
+// Lines returns the registry that drives the decision logic over a pipe.
+func Lines() *lines.Registry { return lines.New(node.Commands(), node.Bodies()) }
--- /dev/null
+++ b/lab/embed/doc.go
@@ -0,0 +1,2 @@
+// Package embed runs whole bluebellflow nodes inside the process of an experiment, beside the stand-ins.
+package embed
--- /dev/null
+++ b/lab/embed/fleet.go
@@ -0,0 +1,318 @@
+package embed
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bluebellflow/core/admit"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/node"
+	"bluebellflow/core/route"
+	"bluebellflow/core/settings"
+	"bluebellflow/io/admin"
+	"bluebellflow/io/mesh"
+	"bluebellflow/io/runtime"
+	"bluebellflow/io/serve"
+	"bluebellflow/lab/experiment"
+)
+
+const (
+	// settle is how long a fleet that starts all at once needs: a permit holder waits out the permits of
+	// processes that it may have followed, and then the servers are warmed up.
+	settle = 10 * time.Second
+	// applyEvery and applyFor bound the tries to apply the first settings.
+	applyEvery = 200 * time.Millisecond
+	applyFor   = 10 * time.Second
+	// maxAnswer bounds an answer of the administration API in bytes.
+	maxAnswer = 64 << 20
+)
+
+// Fleet is a set of whole nodes in this process; it implements experiment.Fleet.
+type Fleet struct {
+	logger *log.Logger
+	wait   time.Duration
+
+	mu    sync.Mutex
+	nodes []*member
+	setup experiment.Setup
+	cut   id.Set[id.FailureDomain]
+}
+
+var _ experiment.Fleet = (*Fleet)(nil)
+
+// Option changes a Fleet.
+type Option func(*Fleet)
+
+// WithLogger logs the decisions of all nodes.
+func WithLogger(l *log.Logger) Option { return func(f *Fleet) { f.logger = l } }
+
+// WithoutSettling returns from Start as soon as every node is ready.
+func WithoutSettling() Option { return func(f *Fleet) { f.wait = 0 } }
+
+// New returns a fleet without nodes.
+func New(opts ...Option) *Fleet {
+	f := &Fleet{cut: id.NewSet[id.FailureDomain](), wait: settle}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// member is one node and its process-like life.
+type member struct {
+	name   id.Node
+	domain id.FailureDomain
+	run    *runtime.Node
+	done   chan struct{}
+	err    error
+	ended  bool
+}
+
+// Start starts the deployment's nodes, applies its settings and waits until the servers can be warmed up.
+func (f *Fleet) Start(ctx context.Context, s experiment.Setup) error {
+	f.setup = s
+	source, err := Settings(s.World.Description)
+	if err != nil {
+		return err
+	}
+	d := s.World.Description
+	begun := time.Now()
+	for i := range d.Nodes {
+		domain := d.Domains[i%len(d.Domains)]
+		if err := f.add(id.Node(fmt.Sprintf("%s-%d", domain, i/len(d.Domains)+1)), domain, uint64(i)); err != nil {
+			return err
+		}
+	}
+	if err := f.apply(ctx, source); err != nil {
+		return err
+	}
+	return sleep(ctx, time.Until(begun.Add(f.wait)))
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(max(d, 0)):
+		return nil
+	}
+}
+
+// add starts one node and lists it.
+func (f *Fleet) add(name id.Node, domain id.FailureDomain, number uint64) error {
+	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	cfg := serve.Config(settings.Node{
+		Name: name, FailureDomain: domain, Region: f.setup.World.Description.Region,
+		Peer: loopback, Caller: loopback, Admin: loopback, Platform: f.setup.World.PlatformAddr(domain),
+		Limits: settings.Limits{Body: 1 << 20, Open: 4096, Grace: 30 * time.Second},
+	}, options(f.setup.Policy)...)
+	cfg.Self.Rand = rand.New(rand.NewPCG(f.setup.Seed, number))
+	cfg.Self.Incarnation = id.NewIncarnation(cfg.Self.Rand)
+	cfg.Logger = f.logger
+	build := cfg.Build
+	cfg.Build = func(self event.Self) (runtime.Decider, mesh.Resolve) {
+		decider, resolve := build(self)
+		return &cuttable{Decider: decider, fleet: f, domain: domain}, resolve
+	}
+	running, err := runtime.New(cfg)
+	if err != nil {
+		return fmt.Errorf("node %s: %w", name, err)
+	}
+	m := &member{name: name, domain: domain, run: running, done: make(chan struct{})}
+	go func() {
+		defer close(m.done)
+		m.err = running.Run()
+	}()
+	f.mu.Lock()
+	f.nodes = append(f.nodes, m)
+	f.mu.Unlock()
+	f.setup.World.SetEntry(event.VM{
+		Name: string(name), Addr: running.PeerAddr(), FailureDomain: domain, Region: f.setup.World.Description.Region,
+	})
+	return nil
+}
+
+// options turns the name of a policy into options; "default" is the whole system.
+func options(policy string) []node.Option {
+	return []node.Option{
+		node.WithRoute(route.Baselines(policy)),
+		node.WithAdmit(admit.Baselines(policy)),
+	}
+}
+
+// apply gives the nodes their first settings.
+func (f *Fleet) apply(ctx context.Context, source []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, applyFor)
+	defer cancel()
+	for {
+		status, answer, err := f.Admin(ctx, http.MethodPut, "config", source)
+		if err == nil && status/100 == 2 {
+			return nil
+		}
+		if sleep(ctx, applyEvery) != nil {
+			return fmt.Errorf("apply settings: status %d, %s: %w", status, answer, errors.Join(err, ctx.Err()))
+		}
+	}
+}
+
+// Entries returns the addresses of the callers' interface of the nodes that run.
+func (f *Fleet) Entries() map[id.FailureDomain][]netip.AddrPort {
+	out := map[id.FailureDomain][]netip.AddrPort{}
+	for _, m := range f.running() {
+		out[m.domain] = append(out[m.domain], m.run.CallerAddr())
+	}
+	return out
+}
+
+func (f *Fleet) running() []*member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.nodes), func(m *member) bool { return m.ended })
+}
+
+// Nodes returns the names of all nodes.
+func (f *Fleet) Nodes() []id.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []id.Node
+	for _, m := range f.nodes {
+		out = append(out, m.name)
+	}
+	return out
+}
+
+func (f *Fleet) take(name id.Node) (*member, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.nodes {
+		if m.name == name && !m.ended {
+			m.ended = true
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("no running node %q", name)
+}
+
+// Kill ends a node at once.
+func (f *Fleet) Kill(name id.Node) error {
+	m, err := f.take(name)
+	if err != nil {
+		return err
+	}
+	m.run.Kill()
+	<-m.done
+	return nil
+}
+
+// Stop stops a node gracefully and takes it off the VM list afterwards.
+func (f *Fleet) Stop(ctx context.Context, name id.Node) error {
+	m, err := f.take(name)
+	if err != nil {
+		return err
+	}
+	m.run.Stop()
+	select {
+	case <-m.done:
+		f.setup.World.RemoveEntry(string(name))
+		return m.err
+	case <-ctx.Done():
+		m.run.Kill()
+		<-m.done
+		return fmt.Errorf("node %s did not stop: %w", name, ctx.Err())
+	}
+}
+
+// Cut separates the nodes of a failure domain from all others, or connects them again.
+func (f *Fleet) Cut(d id.FailureDomain, cut bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cut {
+		f.cut.Add(d)
+	} else {
+		f.cut.Delete(d)
+	}
+	return nil
+}
+
+// blocked reports whether a node of the domain cannot reach a peer.
+func (f *Fleet) blocked(from id.FailureDomain, peer id.Node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.cut) == 0 {
+		return false
+	}
+	for _, m := range f.nodes {
+		if m.name == peer {
+			return m.domain != from && (f.cut.Has(from) || f.cut.Has(m.domain))
+		}
+	}
+	return false
+}
+
+// Admin makes a call to the administration API of the first node that runs.
+func (f *Fleet) Admin(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	running := f.running()
+	if len(running) == 0 {
+		return 0, nil, errors.New("no node runs")
+	}
+	url := fmt.Sprintf("http://%s%s/%s", running[0].run.AdminAddr(), admin.Prefix, path)
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	return resp.StatusCode, answer, err
+}
+
+// Close ends all nodes.
+func (f *Fleet) Close(context.Context) error {
+	for _, m := range f.running() {
+		if err := f.Kill(m.name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cuttable is a node's decision logic behind a network that can be cut.
+type cuttable struct {
+	runtime.Decider
+	fleet  *Fleet
+	domain id.FailureDomain
+}
+
+// Versions passes on what the node stamps its messages with.
+func (c *cuttable) Versions() (id.Revision, uint64) {
+	if v, ok := c.Decider.(runtime.Versions); ok {
+		return v.Versions()
+	}
+	return 0, 0
+}
+
+// Step drops the messages from and to nodes that cannot be reached.
+func (c *cuttable) Step(now time.Time, ev event.Event) []event.Action {
+	if m, ok := ev.(event.Receive); ok && c.fleet.blocked(c.domain, m.From) {
+		return nil
+	}
+	return slices.DeleteFunc(c.Decider.Step(now, ev), func(a event.Action) bool {
+		m, ok := a.(event.Send)
+		return ok && c.fleet.blocked(c.domain, m.To)
+	})
+}
