domain: drain, restore and merge of failure-domain records

Cause: a drained domain must be seen as drained on every reachable node within 3 s, also while the platform is out of reach, and of two operators who race only one may be told that the change is theirs.

Change: every update of the object carries its own identifier and is read back, or put again, after a lost answer.

Conclusion: the oracles hold and each notices its missing mechanism.

--- /dev/null
+++ b/core/domain/commit.go
@@ -0,0 +1,408 @@
+package domain
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/retry"
+)
+
+// retryAfter is what operators are told when the platform cannot be reached.
+const retryAfter = 5 * time.Second
+
+// stage is the progress of a commit.
+type stage uint8
+
+const (
+	idle     stage = iota
+	reading0       // the object is being read
+	putting        // the object is being written
+	pausing        // a retry is due later
+)
+
+// task is a command without an answer, or a provisional drain that is being committed.
+type task struct {
+	number   uint64
+	domain   id.FailureDomain
+	by       string
+	drain    bool
+	change   string
+	base     uint64 // epoch that the operator's node knew; the change gets the next one
+	record   Record // what is being written
+	came     time.Time
+	answered bool
+}
+
+// committing is the commit in progress; it takes all tasks that wait into one update of the object.
+type committing struct {
+	queue   []task
+	batch   []task
+	stage   stage
+	call    uint64 // the read or the update in flight
+	doubt   bool   // the update may have taken effect or may still do so
+	version uint64
+	update  string // identifies the update, to read it back
+	raw     []byte
+	retry   retry.Timer
+	due     time.Time // when the next task without an answer becomes provisional or is refused
+	count   uint64
+}
+
+func (m *committing) deadline() time.Time { return m.due }
+
+func (s *Domains) command(now time.Time, t task) {
+	if t.domain == "" || len(t.domain) > maxName || len(t.by) > maxName || !s.known(t.domain) {
+		s.refuse(t, event.Invalid, fmt.Sprintf("no domain %.40q, or an operator's name of more than %d bytes", t.domain, maxName))
+		return
+	}
+	m := &s.commit
+	m.count++
+	t.change = fmt.Sprintf("%s.%d", s.self.Incarnation, m.count)
+	t.base = s.records[t.domain].Epoch
+	t.came = now
+	m.queue = append(m.queue, t)
+	if m.stage == pausing && m.retry.Tries() > 0 && t.drain {
+		// The platform has just failed; a drain does not wait for it to fail again.
+		s.provisional(now)
+		return
+	}
+	s.commitNext(now)
+}
+
+// commitNext starts a commit if none is in progress and there is something to commit.
+func (s *Domains) commitNext(now time.Time) {
+	m := &s.commit
+	if m.stage == idle && (len(m.queue) > 0 || len(s.uncommitted()) > 0) {
+		s.readBase(now)
+	}
+}
+
+// uncommitted returns the provisional records that this node has to commit: its own, and as a watcher all others,
+// because the node that accepted a drain may be gone.
+func (s *Domains) uncommitted() []Record {
+	var out []Record
+	watcher := s.watcher()
+	for _, d := range sortedKeys(s.records) {
+		r := s.records[d]
+		if r.Provisional && (watcher || strings.HasPrefix(r.Change, string(s.self.Incarnation))) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (s *Domains) readBase(now time.Time) {
+	s.commit.stage = reading0
+	s.commit.call = s.call(now, forBase, event.Call{Op: event.OpGet, Name: objectName})
+}
+
+func (s *Domains) pause(now time.Time) {
+	s.commit.stage = pausing
+	s.commit.retry.Fail(now, s.self.Rand)
+}
+
+func (s *Domains) baseRead(now time.Time, ev event.Result) {
+	m := &s.commit
+	if m.stage != reading0 || m.call != ev.Call.Seq {
+		return
+	}
+	o, version, err := objectOf(ev)
+	if err != nil || ev.Code != event.CodeOK && ev.Code != event.CodeMissing {
+		s.pause(now)
+		s.provisional(now)
+		return
+	}
+	if !s.settle(now, o, version) {
+		return
+	}
+	s.absorb(now, o)
+	s.plan(now, o, version)
+}
+
+// settle decides what became of a batch whose update was lost; it returns false if it is still open.
+func (s *Domains) settle(now time.Time, o object, version uint64) bool {
+	m := &s.commit
+	switch {
+	case !m.doubt:
+		s.requeue()
+	case slices.Contains(o.Updates, m.update):
+		s.won()
+	case version == m.version:
+		// The lost update may still take effect, so nothing else may be said before an equal one decides.
+		s.write(now)
+		return false
+	case o.covers(version - m.version):
+		s.requeue()
+	default:
+		for _, t := range m.batch {
+			s.refuse(t, event.Unknown, "so many changes followed that the outcome cannot be read back")
+		}
+	}
+	m.batch, m.doubt = nil, false
+	return true
+}
+
+// requeue puts the batch back. Drains that were answered as provisional are found again among the records.
+func (s *Domains) requeue() {
+	m := &s.commit
+	m.queue = slices.Concat(slices.DeleteFunc(m.batch, func(t task) bool { return t.answered }), m.queue)
+	m.batch = nil
+}
+
+// plan builds the next object from the tasks that wait, at most one for each domain.
+func (s *Domains) plan(now time.Time, o object, version uint64) {
+	m := &s.commit
+	touched := id.NewSet[id.FailureDomain]()
+	var later []task
+	for _, t := range m.queue {
+		if touched.Has(t.domain) {
+			later = append(later, t)
+			continue
+		}
+		if s.decided(o, t) {
+			continue
+		}
+		t.record = Record{
+			Domain: t.domain, Epoch: t.base + 1, Drained: t.drain, By: t.by, At: now.UnixMilli(), Change: t.change,
+		}
+		touched.Add(t.domain)
+		m.batch = append(m.batch, t)
+	}
+	m.queue = later
+	for _, r := range s.uncommitted() {
+		if !touched.Has(r.Domain) {
+			m.batch = append(m.batch, task{domain: r.Domain, answered: true, record: committable(r, o.record(r.Domain))})
+		}
+	}
+	if len(m.batch) == 0 {
+		m.stage = idle
+		m.retry.Clear()
+		return
+	}
+	m.count++
+	m.update = fmt.Sprintf("%s.%d", s.self.Incarnation, m.count)
+	changes := make([]Record, len(m.batch))
+	for i, t := range m.batch {
+		changes[i] = t.record
+	}
+	raw, err := json.Marshal(o.with(m.update, changes))
+	if err != nil {
+		s.log("failed", "encode domains: %v", err)
+		s.requeue()
+		s.pause(now)
+		return
+	}
+	m.raw, m.version = raw, version
+	s.write(now)
+}
+
+// decided answers a task for which the platform's record leaves nothing to do.
+func (s *Domains) decided(o object, t task) bool {
+	cur := o.record(t.domain)
+	switch {
+	case cur.Epoch > t.base:
+		s.conflict(t, o.winner(t.domain, t.base+1))
+		return true
+	case cur.Epoch == t.base && cur.Drained == t.drain:
+		s.answer(t, Outcome{Domain: t.domain, State: stateOf(cur), Epoch: cur.Epoch, By: cur.By})
+		return true
+	}
+	return false
+}
+
+// committable turns a provisional drain into the record to commit. A drain wins against a restore of the same epoch
+// that was committed meanwhile, and gets an epoch of its own for that.
+func committable(r, cur Record) Record {
+	r.Provisional = false
+	if cur.Epoch == r.Epoch {
+		r.Epoch++
+	}
+	return r
+}
+
+func (s *Domains) write(now time.Time) {
+	m := &s.commit
+	m.stage = putting
+	m.call = s.call(now, forPut, event.Call{Op: event.OpPut, Name: objectName, Version: m.version, Value: m.raw})
+}
+
+func (s *Domains) put(now time.Time, ev event.Result) {
+	m := &s.commit
+	// The result of an update that was given up must not be taken for that of the update in progress.
+	if m.stage != putting || m.call != ev.Call.Seq {
+		return
+	}
+	code := ev.Code
+	if s.noCondition && code == event.CodeConflict {
+		code = event.CodeOK
+	}
+	switch code {
+	case event.CodeOK:
+		s.won()
+		var fresh []Record
+		for _, t := range m.batch {
+			if s.merge(now, t.record) {
+				fresh = append(fresh, t.record)
+			}
+		}
+		s.spread(fresh)
+		m.batch, m.doubt, m.stage = nil, false, idle
+		m.retry.Clear()
+		s.commitNext(now)
+	case event.CodeConflict:
+		s.readBase(now)
+	case event.CodeLost:
+		m.doubt = true
+		s.readBase(now)
+	default:
+		s.pause(now)
+		s.provisional(now)
+	}
+}
+
+// won answers the tasks of a batch that was committed.
+func (s *Domains) won() {
+	for _, t := range s.commit.batch {
+		r := t.record
+		s.log("committed", "domain %s %s, epoch %d, by %s", r.Domain, r.verb(), r.Epoch, r.By)
+		s.answer(t, Outcome{Domain: r.Domain, State: stateOf(r), Epoch: r.Epoch, By: r.By, Won: true})
+	}
+}
+
+// stateOf is the state right after a change; a restored domain ramps.
+func stateOf(r Record) State {
+	switch {
+	case r.Drained:
+		return Drained
+	case r.Epoch == 0:
+		return Active
+	}
+	return Ramping
+}
+
+// provisional accepts all drains that wait without the platform.
+func (s *Domains) provisional(now time.Time) {
+	m := &s.commit
+	keep := m.queue[:0:0]
+	for _, t := range m.queue {
+		if !t.drain {
+			keep = append(keep, t)
+			continue
+		}
+		s.accept(now, t, false)
+	}
+	m.queue = keep
+	for i, t := range m.batch {
+		if t.drain && !t.answered {
+			s.accept(now, t, m.doubt || m.stage == putting)
+			m.batch[i].answered = true
+		}
+	}
+}
+
+// accept answers a drain with what this node knows, and makes it provisional if nobody else has changed the domain.
+func (s *Domains) accept(now time.Time, t task, doubt bool) {
+	cur := s.records[t.domain]
+	switch {
+	case cur.Epoch > t.base && !cur.Provisional && cur.Change != t.change:
+		if doubt && cur.Epoch > t.base+1 {
+			s.refuse(t, event.Unknown, fmt.Sprintf("the platform did not confirm the drain, and %s %s the domain since", cur.By, cur.verb()))
+			return
+		}
+		s.conflict(t, cur)
+		return
+	case !cur.Drained:
+		cur = Record{Domain: t.domain, Epoch: t.base + 1, Drained: true, By: t.by, At: now.UnixMilli(), Change: t.change, Provisional: true}
+		s.merge(now, cur)
+		s.spread([]Record{cur})
+	}
+	s.answer(t, Outcome{
+		Domain: t.domain, State: Drained, Epoch: cur.Epoch, By: cur.By,
+		Won: cur.Change == t.change && !cur.Provisional, Provisional: cur.Provisional,
+	})
+}
+
+func (s *Domains) answer(t task, o Outcome) {
+	if !t.answered {
+		s.out = append(s.out, event.Answer{Number: t.number, Value: o})
+	}
+}
+
+func (s *Domains) conflict(t task, winner Record) {
+	s.refuse(t, event.Refused, fmt.Sprintf("conflict: %s %s domain %s first, epoch %d", winner.By, winner.verb(), t.domain, winner.Epoch))
+}
+
+func (s *Domains) refuse(t task, kind event.ProblemKind, detail string) {
+	if t.answered {
+		return
+	}
+	s.log("refused", "domain %s: %s", t.domain, detail)
+	s.out = append(s.out, event.Answer{Number: t.number, Fault: &event.Problem{Kind: kind, Detail: detail}})
+}
+
+func (s *Domains) commitTimers(now time.Time) {
+	m := &s.commit
+	if m.retry.Due(now) && m.stage == pausing {
+		s.readBase(now)
+	}
+	s.expireTasks(now)
+}
+
+// expireTasks makes drains provisional that have waited long enough, and answers restores whose time is over.
+func (s *Domains) expireTasks(now time.Time) {
+	m := &s.commit
+	late := func(t task) bool { return !t.answered && !s.dueAt(t).After(now) }
+	if slices.ContainsFunc(m.queue, func(t task) bool { return t.drain && late(t) }) ||
+		slices.ContainsFunc(m.batch, func(t task) bool { return t.drain && late(t) }) {
+		s.provisional(now)
+	}
+	m.queue = slices.DeleteFunc(m.queue, func(t task) bool {
+		if !late(t) {
+			return false
+		}
+		s.unreachable(t)
+		return true
+	})
+	for i, t := range m.batch {
+		if !late(t) {
+			continue
+		}
+		if m.doubt || m.stage == putting {
+			s.refuse(t, event.Unknown, "the platform did not confirm the restore; read the state to see whether it was made")
+			m.batch[i].answered = true
+		}
+	}
+	if !m.doubt && m.stage != putting {
+		m.batch = slices.DeleteFunc(m.batch, func(t task) bool {
+			if !late(t) {
+				return false
+			}
+			s.unreachable(t)
+			return true
+		})
+	}
+	m.due = time.Time{}
+	for _, t := range slices.Concat(m.queue, m.batch) {
+		if !t.answered {
+			m.due = retry.Earliest(m.due, s.dueAt(t))
+		}
+	}
+}
+
+func (s *Domains) dueAt(t task) time.Time {
+	if t.drain {
+		return t.came.Add(patience)
+	}
+	return t.came.Add(s.timeout)
+}
+
+func (s *Domains) unreachable(t task) {
+	detail := "the domain was not restored: a restore needs the platform, which cannot be reached"
+	s.log("refused", "domain %s: %s", t.domain, detail)
+	s.out = append(s.out, event.Answer{Number: t.number, Fault: &event.Problem{Kind: event.Refused, Detail: detail, RetryAfter: retryAfter}})
+}
--- /dev/null
+++ b/core/domain/domain_test.go
@@ -0,0 +1,194 @@
+package domain_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/wire"
+)
+
+// mentions reports whether a history names an operator; the quotes keep operator1 and operator10 apart.
+func mentions(history, by string) bool { return strings.Contains(history, `"`+by+`"`) }
+
+func seeded(seed uint64) draw { return rand.New(rand.NewPCG(seed, 0)).IntN }
+
+// TestFaults guards against a drain that is not seen within its bound, an epoch that two operators win or that
+// falls, and a refused command that has an effect.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(rt, "seed"))
+		if v := f.play(func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "draw") }); v != "" {
+			rt.Fatal(v)
+		}
+	})
+}
+
+// TestSeeds runs more schedules than rapid does, because most of the time of a rapid run is spent on drawing.
+func TestSeeds(t *testing.T) {
+	checked := 0
+	for seed := range uint64(400) {
+		f := newFleet(seed)
+		if v := f.play(seeded(seed)); v != "" {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		checked += f.checked
+	}
+	NewWithT(t).Expect(checked).To(BeNumerically(">", 1000), "the schedules leave too few nodes reachable")
+}
+
+// TestProofsNotice guards against oracles that see nothing: each mechanism is left out and must be missed.
+func TestProofsNotice(t *testing.T) {
+	for name, c := range map[string]struct {
+		opt  domain.Option
+		want string
+	}{
+		"condition": {domain.WithoutCondition(), "were both told that they won"},
+		"gossip":    {domain.WithoutGossip(), "does not see the drain"},
+		"merge":     {domain.WithoutMerge(), "went back from epoch"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(100) {
+				if v := newFleet(seed, c.opt).play(seeded(seed)); strings.Contains(v, c.want) {
+					t.Logf("seed %d: %s", seed, v)
+					return
+				}
+			}
+			t.Fatal("no violation found")
+		})
+	}
+}
+
+// TestRace guards against a conflict answer that does not name the winner.
+func TestRace(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	one, two := f.ask("n0", "d1", true), f.ask("n1", "d1", true)
+	f.w.Run(100 * time.Millisecond)
+	winner, loser := one, two
+	if f.answers[winner].Fault != nil {
+		winner, loser = two, one
+	}
+	g.Expect(f.answers[winner].Value).To(Equal(domain.Outcome{
+		Domain: "d1", State: domain.Drained, Epoch: 1, By: f.asked[winner].by, Won: true,
+	}))
+	g.Expect(f.answers[loser].Fault.Kind).To(Equal(event.Refused))
+	g.Expect(f.answers[loser].Fault.Detail).To(Equal("conflict: " + f.asked[winner].by + " drained domain d1 first, epoch 1"))
+	again := f.ask("n2", "d1", true)
+	f.w.Run(100 * time.Millisecond)
+	g.Expect(f.answers[again].Value).To(Equal(domain.Outcome{Domain: "d1", State: domain.Drained, Epoch: 1, By: f.asked[winner].by}))
+}
+
+// TestOutage guards against a drain that needs the platform, a restore that does not, and a provisional drain that
+// is never committed although the node that accepted it is gone.
+func TestOutage(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	f.w.Platform.Down = true
+	drain := f.ask("n0", "d1", true)
+	f.w.Run(time.Second)
+	g.Expect(f.answers[drain].Value).To(HaveField("Provisional", true))
+	for _, n := range f.w.Names() {
+		g.Expect(f.w.Stepper(n).(stepper).State(f.w.Now, "d1")).To(Equal(domain.Drained))
+	}
+	f.w.Kill("n0")
+	f.views(0)
+	restore := f.ask("n1", "d1", false)
+	f.w.Run(timeout + time.Second)
+	g.Expect(f.answers[restore].Fault.Kind).To(Equal(event.Refused))
+	g.Expect(f.answers[restore].Fault.RetryAfter).To(BeNumerically(">", 0))
+	f.w.Platform.Down = false
+	f.w.Run(3 * time.Second)
+	g.Expect(string(f.w.Platform.Objects["domains"].Value)).To(ContainSubstring(f.asked[drain].by))
+	f.agree()
+	g.Expect(f.violated).To(BeEmpty())
+}
+
+// TestRamp guards against a ramp that never ends, or that starts again on a node that learns of it late.
+func TestRamp(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	f.ask("n0", "d1", true)
+	f.w.Run(time.Second)
+	f.ask("n1", "d1", false)
+	f.w.Run(time.Second)
+	state := func(n id.Node) domain.State { return f.w.Stepper(n).(stepper).State(f.w.Now, "d1") }
+	g.Expect(state("n3")).To(Equal(domain.Ramping))
+	f.w.Kill("n4")
+	f.w.Run(25 * time.Second)
+	f.w.Start("n4")
+	f.views(0)
+	f.w.Run(time.Second)
+	g.Expect(state("n4")).To(Equal(domain.Ramping))
+	f.w.Run(4 * time.Second)
+	g.Expect(state("n3")).To(Equal(domain.Active))
+	g.Expect(state("n4")).To(Equal(domain.Active))
+}
+
+// TestMergeWins guards against a restore that undoes a drain of the same epoch, made where the platform was out of reach.
+func TestMergeWins(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	f.ask("n1", "d1", true)
+	f.w.Run(time.Second)
+	f.ask("n1", "d1", false)
+	f.w.Run(time.Second)
+	f.w.CutDomain("d0")
+	f.w.Platform.Cut.Add("d0")
+	f.ask("n0", "d1", true) // provisional, epoch 3
+	f.ask("n1", "d1", true) // committed, epoch 3
+	f.w.Run(time.Second)
+	f.w.Heal()
+	clear(f.w.Platform.Cut)
+	f.w.Run(3 * time.Second)
+	f.agree()
+	g.Expect(f.violated).To(BeEmpty())
+	g.Expect(f.w.Stepper("n0").(stepper).record("d1")).To(And(HaveField("By", "operator4"), HaveField("Epoch", uint64(3))))
+}
+
+// TestMessages guards against a body that does not survive the wire, or a check that accepts what it should not.
+func TestMessages(t *testing.T) {
+	codec := wire.New(map[uint32]event.Body{1: domain.Sum{}, 2: domain.Records{}})
+	env := wire.Envelope{From: "n", Incarnation: id.NewIncarnation(rand.New(rand.NewPCG(1, 1)))}
+	good := domain.Record{Domain: "d", Epoch: 3, Drained: true, By: "x", At: 1767225600000, Change: "c", Provisional: true}
+	for _, body := range []event.Body{
+		domain.Sum{Hash: 1 << 63, Ready: true}, domain.Records{List: []domain.Record{good, {Domain: "e", Epoch: 1, Change: "f"}}, Ready: true},
+	} {
+		raw, err := codec.Encode(env, body)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		got, err := codec.Decode(raw)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		NewWithT(t).Expect(got.Body).To(Equal(body))
+	}
+	active, nameless, long := good, good, good
+	active.Drained, nameless.Domain, long.By = false, "", strings.Repeat("x", 129)
+	for _, r := range []domain.Record{active, nameless, long} {
+		NewWithT(t).Expect(domain.Records{List: []domain.Record{r}}.Check()).NotTo(Succeed())
+	}
+}
+
+// BenchmarkState measures the query that routing makes for each candidate.
+func BenchmarkState(b *testing.B) {
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	f.ask("n0", "d1", true)
+	f.w.Run(time.Second)
+	s := f.w.Stepper("n3").(stepper)
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.State(f.w.Now, "d1") != domain.Drained {
+			b.Fatal("not drained")
+		}
+	}
+}
--- /dev/null
+++ b/core/domain/world_test.go
@@ -0,0 +1,300 @@
+package domain_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/prove"
+)
+
+const (
+	// drainBound is the bound for a drain to be seen on every reachable node.
+	drainBound   = 3 * time.Second
+	viewLag      = 1500 * time.Millisecond
+	nodes        = 7
+	domains      = 3
+	timeout      = 10 * time.Second
+	shortTimeout = 1200 * time.Millisecond
+	maxSteps     = 25
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260103", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// stepper stamps messages with the version of the records, as a whole node does.
+type stepper struct{ *domain.Domains }
+
+func (s stepper) Versions() (id.Revision, uint64) { return 0, s.Version() }
+
+func (s stepper) record(d id.FailureDomain) domain.Record {
+	for _, r := range s.Records() {
+		if r.Domain == d {
+			return r
+		}
+	}
+	return domain.Record{}
+}
+
+// asked is a command and the process that got it.
+type asked struct {
+	node   id.Node
+	life   id.Incarnation
+	up     bool
+	domain id.FailureDomain
+	by     string
+	drain  bool
+}
+
+// fleet is a few nodes in a world, and the oracles over them.
+type fleet struct {
+	w         *prove.World
+	asked     map[uint64]asked
+	answers   map[uint64]event.Answer
+	won       map[string]string // operator by domain and epoch
+	epochs    map[string]uint64 // by process and domain
+	disturbed map[id.Node]time.Time
+	cut       map[id.FailureDomain]bool
+	cutEnd    map[id.FailureDomain]time.Time
+	checked   int // drains whose bound was checked on another node
+	violated  string
+}
+
+func newFleet(seed uint64, opts ...domain.Option) *fleet {
+	if seed%2 == 1 {
+		opts = append(opts, domain.WithTimeout(shortTimeout))
+	}
+	f := &fleet{
+		w: prove.New(seed), asked: map[uint64]asked{}, answers: map[uint64]event.Answer{}, won: map[string]string{},
+		epochs: map[string]uint64{}, disturbed: map[id.Node]time.Time{},
+		cut: map[id.FailureDomain]bool{}, cutEnd: map[id.FailureDomain]time.Time{},
+	}
+	f.w.Outside = func(_ *prove.World, _ id.Node, a event.Action) {
+		if a, ok := a.(event.Answer); ok {
+			f.answered(a)
+		}
+	}
+	f.w.Watch = func(w *prove.World, from id.Node, a event.Action) {
+		if a, ok := a.(domain.Changed); ok {
+			f.changed(w, from, a)
+		}
+	}
+	for i := range nodes {
+		self := event.Self{Node: id.Node(fmt.Sprintf("n%d", i)), FailureDomain: id.FailureDomain(fmt.Sprintf("d%d", i%domains))}
+		f.w.Add(self, func(self event.Self) prove.Stepper { return stepper{domain.New(self, opts...)} })
+	}
+	f.views(0)
+	return f
+}
+
+func (f *fleet) violate(format string, args ...any) {
+	if f.violated == "" {
+		f.violated = fmt.Sprintf("%s: ", f.w.Now.Sub(prove.Epoch)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (f *fleet) changed(w *prove.World, from id.Node, a domain.Changed) {
+	key := string(w.Self(from).Incarnation) + string(a.Domain)
+	epoch := w.Stepper(from).(stepper).record(a.Domain).Epoch
+	if epoch < f.epochs[key] {
+		f.violate("%s went back from epoch %d to %d of %s", from, f.epochs[key], epoch, a.Domain)
+	}
+	f.epochs[key] = epoch
+}
+
+func (f *fleet) answered(a event.Answer) {
+	if _, twice := f.answers[a.Number]; twice {
+		f.violate("command %d answered twice", a.Number)
+	}
+	f.answers[a.Number] = a
+	cmd := f.asked[a.Number]
+	o, ok := a.Value.(domain.Outcome)
+	if !ok {
+		return
+	}
+	if o.Won {
+		key := fmt.Sprintf("%s epoch %d", o.Domain, o.Epoch)
+		if other, twice := f.won[key]; twice {
+			f.violate("%s and %s were both told that they won %s", other, cmd.by, key)
+		}
+		f.won[key] = cmd.by
+	}
+	if cmd.drain {
+		from := f.w.Now
+		f.w.At(drainBound, func() { f.seen(cmd, o, from) })
+	}
+}
+
+// seen checks that a drain that was answered some time ago is seen on every node that was reachable since.
+func (f *fleet) seen(cmd asked, o domain.Outcome, from time.Time) {
+	for _, name := range f.w.Names() {
+		d, own := f.w.Self(name).FailureDomain, f.w.Self(cmd.node).FailureDomain
+		separated := d != own && (f.cut[d] || f.cut[own] || f.cutEnd[d].After(from) || f.cutEnd[own].After(from))
+		if !f.w.Up(name) || !f.w.Up(cmd.node) || separated || f.disturbed[name].After(from) || f.disturbed[cmd.node].After(from) {
+			continue
+		}
+		s := f.w.Stepper(name).(stepper)
+		if s.record(cmd.domain).Epoch <= o.Epoch && s.State(f.w.Now, cmd.domain) != domain.Drained {
+			f.violate("%s does not see the drain of %s that was answered at %s", name, cmd.domain, from.Sub(prove.Epoch))
+		}
+		f.checked++
+	}
+}
+
+// views tells all live nodes which nodes live, some time after it changed.
+func (f *fleet) views(after time.Duration) {
+	f.w.At(after, func() {
+		view := &member.View{}
+		for _, name := range f.w.Names() {
+			if f.w.Up(name) {
+				view.Nodes = append(view.Nodes, member.Node{ID: name, FailureDomain: f.w.Self(name).FailureDomain})
+			}
+		}
+		for _, n := range view.Nodes {
+			f.w.Inject(n.ID, member.ViewChanged{View: view}, 0)
+		}
+	})
+}
+
+func (f *fleet) ask(to id.Node, d id.FailureDomain, drain bool) uint64 {
+	number := uint64(len(f.asked) + 1)
+	cmd := asked{to, f.w.Self(to).Incarnation, f.w.Up(to), d, fmt.Sprintf("operator%d", number), drain}
+	f.asked[number] = cmd
+	if drain {
+		f.w.Inject(to, domain.Drain{Command: event.Command{Number: number}, Domain: d, By: cmd.by}, 0)
+	} else {
+		f.w.Inject(to, domain.Restore{Command: event.Command{Number: number}, Domain: d, By: cmd.by}, 0)
+	}
+	return number
+}
+
+// draw returns a number below n; rapid and plain seeds both provide it.
+type draw func(n int) int
+
+// play runs a drawn schedule of commands and faults, then heals everything and applies the oracles.
+func (f *fleet) play(d draw) string {
+	f.w.Run(time.Second)
+	for range 5 + d(maxSteps) {
+		f.step(d)
+		f.w.Run(time.Duration(1+d(12)*d(12)*8) * time.Millisecond)
+	}
+	f.heal()
+	f.w.Run(timeout + drainBound)
+	f.agree()
+	return f.violated
+}
+
+func (f *fleet) heal() {
+	f.healCuts()
+	f.w.Network.Loss, f.w.Network.Repeat = 0, 0
+	p := f.w.Platform
+	p.Down, p.LoseAnswer, p.LoseCall, p.LateEffect, p.WatchGap = false, 0, 0, 0, 0
+	clear(p.Cut)
+	f.views(0)
+}
+
+func (f *fleet) healCuts() {
+	f.w.Heal()
+	for d := range f.cut {
+		f.cutEnd[d] = f.w.Now
+	}
+	clear(f.cut)
+}
+
+// agree checks, when nothing is cut and all is settled, that all nodes know what the platform knows, that every
+// command has one answer, and that commands that were refused had no effect.
+func (f *fleet) agree() {
+	var first []domain.Record
+	for _, name := range f.w.Names() {
+		s := f.w.Stepper(name).(stepper)
+		if !f.w.Up(name) {
+			continue
+		}
+		if first == nil {
+			first = s.Records()
+		}
+		if !s.Ready() || fmt.Sprint(first) != fmt.Sprint(s.Records()) {
+			f.violate("%s knows %v, another node %v", name, s.Records(), first)
+		}
+		for _, r := range s.Records() {
+			if r.Provisional {
+				f.violate("%s still has the provisional %v", name, r)
+			}
+		}
+	}
+	var history strings.Builder
+	for _, o := range f.w.Platform.History["domains"] {
+		history.Write(o.Value)
+	}
+	for number, cmd := range f.asked {
+		a, ok := f.answers[number]
+		switch {
+		case !ok && cmd.up && f.w.Up(cmd.node) && f.w.Self(cmd.node).Incarnation == cmd.life:
+			f.violate("command %d has no answer", number)
+		case ok && a.Fault != nil && a.Fault.Kind == event.Refused && mentions(history.String(), cmd.by):
+			f.violate("command %d was answered %q and had an effect", number, a.Fault.Detail)
+		}
+	}
+}
+
+func (f *fleet) step(d draw) {
+	w := f.w
+	node := w.Names()[d(len(w.Names()))]
+	own := w.Self(node).FailureDomain
+	target := id.FailureDomain(fmt.Sprintf("d%d", d(domains)))
+	p := w.Platform
+	switch d(17) {
+	case 0, 1, 2, 3:
+		f.ask(node, target, true)
+	case 4, 5:
+		f.ask(node, target, false)
+	case 6:
+		f.ask(node, target, d(2) == 0)
+		f.ask(w.Names()[d(len(w.Names()))], target, d(2) == 0)
+	case 7:
+		if w.Up(node) {
+			w.Kill(node)
+		} else {
+			w.Start(node)
+		}
+		f.disturbed[node] = w.Now.Add(time.Nanosecond)
+		f.views(viewLag)
+	case 8:
+		pause := time.Duration(d(2000)) * time.Millisecond
+		w.Freeze(node, pause)
+		f.disturbed[node] = w.Now.Add(pause)
+	case 9, 10:
+		w.CutDomain(own)
+		f.cut[own] = true
+	case 11:
+		f.healCuts()
+	case 12:
+		p.Down = !p.Down
+	case 13:
+		if p.Cut.Has(own) {
+			p.Cut.Delete(own)
+		} else {
+			p.Cut.Add(own)
+		}
+	case 14:
+		p.LoseAnswer, p.LateEffect, p.LoseCall = float64(d(4))/4, float64(d(4))/8, float64(d(3))/8
+	case 15:
+		p.WatchGap = float64(d(3)) / 2
+	case 16:
+		w.Network.Loss, w.Network.Repeat = float64(d(4))/8, float64(d(3))/4
+	}
+}
