--- a/cmd/cli/cli_test.go
+++ b/cmd/cli/cli_test.go
@@ -22,8 +22,8 @@
 
 	"bluebellflow/cmd/cli"
 	"bluebellflow/core/event"
-	"bluebellflow/core/settings"
 	"bluebellflow/core/id"
+	"bluebellflow/core/settings"
 	"bluebellflow/core/wire"
 	"bluebellflow/io/admin"
 	"bluebellflow/io/lines"
--- a/cmd/cli/local.go
+++ b/cmd/cli/local.go
@@ -11,8 +11,8 @@
 	"github.com/charmbracelet/log"
 
 	"bluebellflow/core/event"
-	"bluebellflow/core/settings"
 	"bluebellflow/core/id"
+	"bluebellflow/core/settings"
 	"bluebellflow/io/admin"
 	"bluebellflow/io/runtime"
 )
--- a/lab/embed/settings.go
+++ b/lab/embed/settings.go
@@ -19,11 +19,11 @@
 
 type (
 	tree struct {
-		Root       root                           `json:"root"`
-		Pools      map[id.Pool]pool               `json:"pools"`
-		Regions    map[id.Region]region           `json:"regions"`
-		Pipelines  map[id.Pipeline]pipeline       `json:"pipelines"`
-		Workspaces map[id.Workspace]workspace     `json:"workspaces"`
+		Root       root                       `json:"root"`
+		Pools      map[id.Pool]pool           `json:"pools"`
+		Regions    map[id.Region]region       `json:"regions"`
+		Pipelines  map[id.Pipeline]pipeline   `json:"pipelines"`
+		Workspaces map[id.Workspace]workspace `json:"workspaces"`
 	}
 	root struct {
 		Deadline string  `json:"deadline"`
