--- a/cmd/cli/cli.go
+++ b/cmd/cli/cli.go
@@ -124,8 +124,7 @@
 	}
 	_, _ = fmt.Fprintln(streams.Err, "bluebellflow:", err)
 	var exit *exitError
-	switch {
-	case errors.As(err, &exit):
+	if errors.As(err, &exit) {
 		return exit.code
 	}
 	return ExitFailed
