domain: a node that knows no records waits before it accepts a drain

Cause: a fuzz run found that a drain by a node that had just started was answered as a lost race against a change made long before. During an outage the same node would have accepted the drain as provisional with epoch 1, which every node with later epochs ignores.

Ruled out: refusing commands until the node is ready, because the records are usually there within milliseconds.

Change: such a command takes the epoch of the first records that the node learns, from the platform or a peer, and is refused after the timeout if there are none. The hash of the records is computed once for each change. Fuzz targets cover the objects that config and domain read.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -13,6 +13,7 @@
 	"bluebellflow/core/config"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/prove"
 	"bluebellflow/core/settings"
 	"bluebellflow/core/wire"
 )
@@ -186,3 +187,25 @@
 		NewWithT(t).Expect(body.Check()).NotTo(Succeed())
 	}
 }
+
+// FuzzHead guards against a head on the platform that stops a node, or that is answered as a success.
+func FuzzHead(f *testing.F) {
+	f.Add([]byte(`{"revision":1,"parts":{"root":"00112233445566778899aabbccddeeff"},"changes":[{"id":"a.1","revision":1}]}`))
+	f.Add([]byte(`{"revision":18446744073709551615}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		w := prove.New(1)
+		w.Platform.Objects["config/head"] = event.Object{Name: "config/head", Version: 1, Value: raw}
+		w.Add(event.Self{Node: "n0"}, func(self event.Self) prove.Stepper { return stepper{config.New(self)} })
+		w.Inject("n0", config.Apply{Source: []byte(`{}`), Expect: 7}, time.Millisecond)
+		answers := 0
+		w.Outside = func(_ *prove.World, _ id.Node, a event.Action) {
+			if _, ok := a.(event.Answer); ok {
+				answers++
+			}
+		}
+		w.Run(timeout + time.Second)
+		if answers != 1 {
+			t.Fatalf("%d answers", answers)
+		}
+	})
+}
--- a/core/domain/commit.go
+++ b/core/domain/commit.go
@@ -34,6 +34,7 @@
 	change   string
 	base     uint64 // epoch that the operator's node knew; the change gets the next one
 	record   Record // what is being written
+	blind    bool   // the node knew no records yet, so base is set by the first that it learns
 	came     time.Time
 	answered bool
 }
@@ -64,6 +65,7 @@
 	m.count++
 	t.change = fmt.Sprintf("%s.%d", s.self.Incarnation, m.count)
 	t.base = s.records[t.domain].Epoch
+	t.blind = !s.ready
 	t.came = now
 	m.queue = append(m.queue, t)
 	if m.stage == pausing && m.retry.Tries() > 0 && t.drain {
@@ -164,6 +166,9 @@
 			later = append(later, t)
 			continue
 		}
+		if t.blind {
+			t.base, t.blind = s.records[t.domain].Epoch, false
+		}
 		if s.decided(o, t) {
 			continue
 		}
@@ -290,10 +295,14 @@
 	m := &s.commit
 	keep := m.queue[:0:0]
 	for _, t := range m.queue {
-		if !t.drain {
+		if !t.drain || t.blind && !s.ready {
+			// A node that knows no records would give the drain an epoch that all others ignore.
 			keep = append(keep, t)
 			continue
 		}
+		if t.blind {
+			t.base = s.records[t.domain].Epoch
+		}
 		s.accept(now, t, false)
 	}
 	m.queue = keep
@@ -395,7 +404,7 @@
 }
 
 func (s *Domains) dueAt(t task) time.Time {
-	if t.drain {
+	if t.drain && (s.ready || !t.blind) {
 		return t.came.Add(patience)
 	}
 	return t.came.Add(s.timeout)
@@ -403,6 +412,9 @@
 
 func (s *Domains) unreachable(t task) {
 	detail := "the domain was not restored: a restore needs the platform, which cannot be reached"
+	if t.drain {
+		detail = "the domain was not drained: this node has just started and can reach neither the platform nor another node"
+	}
 	s.log("refused", "domain %s: %s", t.domain, detail)
 	s.out = append(s.out, event.Answer{Number: t.number, Fault: &event.Problem{Kind: event.Refused, Detail: detail, RetryAfter: retryAfter}})
 }
--- a/core/domain/domain.go
+++ b/core/domain/domain.go
@@ -105,6 +105,7 @@
 	told    map[id.FailureDomain]State     // last state that the other packages heard of
 	fresh   map[id.FailureDomain]time.Time // when a drain was learned, while it is still repeated
 	version uint64
+	hash    uint64 // of the records, 0 if it has to be computed again
 	ready   bool
 
 	seq    uint64
@@ -286,6 +287,7 @@
 	}
 	s.records[r.Domain] = r
 	s.version += weight(r) - weight(old)
+	s.hash = 0
 	delete(s.until, r.Domain)
 	delete(s.fresh, r.Domain)
 	if r.Drained {
--- a/core/domain/domain_test.go
+++ b/core/domain/domain_test.go
@@ -1,6 +1,7 @@
 package domain_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"bluebellflow/core/domain"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/prove"
 	"bluebellflow/core/wire"
 )
 
@@ -113,6 +115,29 @@
 	g.Expect(f.violated).To(BeEmpty())
 }
 
+// TestBlind guards against a drain by a node that knows no records yet: its epoch would be too low to count.
+func TestBlind(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	f.ask("n1", "d1", true)
+	f.w.Run(time.Second)
+	f.ask("n1", "d1", false)
+	f.w.Run(time.Second)
+	f.w.Platform.Down = true
+	f.w.Kill("n0")
+	f.views(0)
+	f.w.Run(time.Second) // the others no longer send to it
+	f.w.Start("n0")
+	drain := f.ask("n0", "d1", true)
+	f.w.Run(time.Second)
+	g.Expect(f.answers).NotTo(HaveKey(drain))
+	f.views(0)
+	f.w.Run(time.Second)
+	g.Expect(f.answers[drain].Value).To(HaveField("Epoch", uint64(3)))
+	g.Expect(f.w.Stepper("n4").(stepper).State(f.w.Now, "d1")).To(Equal(domain.Drained))
+}
+
 // TestRamp guards against a ramp that never ends, or that starts again on a node that learns of it late.
 func TestRamp(t *testing.T) {
 	g := NewWithT(t)
@@ -192,3 +217,55 @@
 		}
 	}
 }
+
+// BenchmarkStep measures a comparison with a peer that has the same records, which is what nearly all messages are.
+func BenchmarkStep(b *testing.B) {
+	f := newFleet(2)
+	f.w.Run(time.Second)
+	s := f.w.Stepper("n3").(stepper)
+	var list []domain.Record
+	for i := range 32 {
+		list = append(list, domain.Record{Domain: id.FailureDomain(fmt.Sprintf("d%02d", i)), Epoch: 1, Drained: true, Change: "c"})
+	}
+	out := s.Step(f.w.Now, event.Receive{From: "n1", Body: domain.Records{List: list}})
+	out = append(out, s.Step(f.w.Now.Add(time.Second), event.Tick{})...)
+	var sum event.Body
+	for _, a := range out {
+		if send, ok := a.(event.Send); ok {
+			if body, ok := send.Body.(domain.Sum); ok {
+				sum = body
+			}
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Step(f.w.Now, event.Receive{From: "n1", Body: sum})
+	}
+}
+
+// FuzzObject guards against a value on the platform that stops a node, or that makes a drain ineffective. With a
+// value that cannot be read and without peers the node knows no epochs, and the drain has to be refused.
+func FuzzObject(f *testing.F) {
+	f.Add([]byte(`{"records":[{"domain":"d","epoch":1,"drained":true,"by":"x","at":1,"change":"c"}],"updates":["u"],"wins":[]}`))
+	f.Add([]byte(`{"records":[{"domain":"b"},{"domain":"a"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		w := prove.New(1)
+		w.Platform.Objects["domains"] = event.Object{Name: "domains", Version: 1, Value: raw}
+		w.Add(event.Self{Node: "n0"}, func(self event.Self) prove.Stepper { return stepper{domain.New(self)} })
+		w.Inject("n0", domain.Drain{Command: event.Command{Number: 1}, Domain: "d"}, time.Millisecond)
+		var answers []event.Answer
+		w.Outside = func(_ *prove.World, _ id.Node, a event.Action) {
+			if a, ok := a.(event.Answer); ok {
+				answers = append(answers, a)
+			}
+		}
+		w.Run(timeout + time.Second)
+		s := w.Stepper("n0").(stepper)
+		if drained := s.State(w.Now, "d") == domain.Drained; drained != s.Ready() {
+			t.Fatalf("drained %t, ready %t", drained, s.Ready())
+		}
+		if len(answers) != 1 || (answers[0].Fault == nil) != s.Ready() {
+			t.Fatalf("answers %v", answers)
+		}
+	})
+}
--- a/core/domain/gossip.go
+++ b/core/domain/gossip.go
@@ -61,7 +61,12 @@
 	}
 }
 
-func (s *Domains) sum() Sum { return Sum{Hash: hash(s.records), Ready: s.ready} }
+func (s *Domains) sum() Sum {
+	if s.hash == 0 {
+		s.hash = hash(s.records)
+	}
+	return Sum{Hash: s.hash, Ready: s.ready}
+}
 
 // compareOne compares records with a watcher of this domain and, in every other round, with a random node.
 func (s *Domains) compareOne() {
