--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -82,7 +82,7 @@
 		`9:21: pipeline a: its parents form a cycle`,
 		`10:23: pipeline b.deadline: 0s is outside 1ms to 1m0s`,
 		`11:21: pipeline c.weight: 0 is outside 1 to 1000`,
-		`12:7: pipeline c: action stage "action" is not last`,
+		`12:7: pipeline c: action stage "action" runs at most once and is not last`,
 		`13:36: pipeline c: stage generate: no pool "engine"`,
 		`13:57: pipeline c: stage generate: timeout 9s is over the deadline 8s`,
 	}
