--- /dev/null
+++ b/core/move/control.go
@@ -0,0 +1,373 @@
+package move
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+)
+
+const (
+	retryWait  = 500 * time.Millisecond
+	orderRetry = 2 * time.Second
+)
+
+// control does what only the controller may do: take over, renew, change the share, order, conclude.
+func (m *Moves) control(now time.Time, r *rollout) []event.Action {
+	mine := r.Incarnation == m.self.Incarnation
+	if !mine {
+		first, ok := m.view.Owner(prefix+r.Name, nil)
+		// A holder's lease counts from before its last update was sent, so it ends before this node
+		// has seen the same version for a whole lease.
+		expired := r.Holder == "" || now.Sub(r.seen) > m.lease || m.freeTakeover
+		if !ok || first.ID != m.self.Node || !expired {
+			return nil
+		}
+		next := r.Record
+		next.Fence++
+		next.Holder, next.Incarnation, next.Renewed = m.self.Node, m.self.Incarnation, now
+		return []event.Action{m.put(now, r, next)}
+	}
+	next := r.Record
+	next.Renewed = now
+	if !now.Before(r.until) {
+		return []event.Action{m.put(now, r, next)} // nothing else until the update proves that nobody took over
+	}
+	out := m.orders(now, r)
+	if m.conclude(now, r, &next) || m.raise(now, r, &next) || now.After(r.until.Add(-m.lease*2/3)) {
+		return append(out, m.put(now, r, next))
+	}
+	return out
+}
+
+// raise takes the next step if its time has come and the evidence allows it.
+func (m *Moves) raise(now time.Time, r *rollout, next *Record) bool {
+	if r.State != Running || r.stopped || r.Share >= whole {
+		return false
+	}
+	left := r.By.Sub(now)
+	if left <= 0 {
+		next.State, next.Share, next.Reason = Stopping, 0, "the finish-by time has passed without enough evidence"
+		return true
+	}
+	at := slices.IndexFunc(steps[:], func(s int) bool { return s > r.Share })
+	step := steps[at]
+	// The steps that remain share the time that is left, with one part in reserve.
+	dwell := min(m.maxDwell, left/time.Duration(len(steps)-at+1))
+	score, _ := r.evidence.judge(now)
+	if now.Sub(r.since) < dwell || score > bound/2 || (step > little && !r.evidence.complete()) {
+		return false
+	}
+	next.Share = step
+	return true
+}
+
+// conclude writes the outcome once it is true.
+func (m *Moves) conclude(now time.Time, r *rollout, next *Record) bool {
+	switch {
+	case r.State == Stopping:
+		// Two beats give every node that can be heard the time to say that it has stopped.
+		if now.Sub(r.since) < m.heard || !m.nodesAt(now, r, 0, false) {
+			return false
+		}
+		next.State = Back
+		return true
+	case r.State == Running && r.Share == whole && !r.stopped:
+		if !m.nodesAt(now, r, whole, true) {
+			r.allAt = time.Time{}
+			return false
+		}
+		if r.allAt.IsZero() {
+			r.allAt = now
+		}
+		if !m.idle(r) {
+			return false
+		}
+		next.State = Done
+		return true
+	}
+	return false
+}
+
+// nodesAt reports whether the other nodes apply a share; with all set, each node of the view must have been heard.
+func (m *Moves) nodesAt(now time.Time, r *rollout, share int, all bool) bool {
+	if m.view == nil {
+		return false
+	}
+	for _, n := range m.view.Nodes {
+		if n.ID == m.self.Node {
+			continue
+		}
+		k, ok := r.heard[n.ID]
+		silent := !ok || now.Sub(k.at) > m.heard
+		if (silent && all) || (!silent && k.applied != share) {
+			return false
+		}
+	}
+	return true
+}
+
+// idle reports whether the old version's servers have said that nothing is in flight since all traffic went to the new one.
+func (m *Moves) idle(r *rollout) bool {
+	for name, s := range m.servers {
+		if s.Pool != r.Pool || s.Version != r.From {
+			continue
+		}
+		rep, ok := m.reports[name]
+		if !ok || rep.Running+rep.Waiting > 0 || !rep.At.After(r.allAt.Add(time.Second)) {
+			return false
+		}
+	}
+	return true
+}
+
+// orders tells the new version's servers to load it.
+func (m *Moves) orders(now time.Time, r *rollout) []event.Action {
+	if r.State != Running || r.stopped || now.Before(r.ordersAt) {
+		return nil
+	}
+	var out []event.Action
+	for _, name := range slices.Sorted(maps.Keys(m.servers)) {
+		s := m.servers[name]
+		o := r.ordered[name]
+		if s.Pool != r.Pool || s.Version != r.To || s.Leaving || (o.ok && o.start == s.Start) || now.Sub(o.at) < orderRetry {
+			continue
+		}
+		r.ordered[name] = order{start: s.Start, fence: r.Fence, at: now}
+		m.seq++
+		out = append(out, event.Order{
+			Owner: owner, Seq: m.seq, Server: name, Addr: s.Addr, Kind: "load", Version: r.To, Fence: r.Fence,
+		})
+	}
+	return out
+}
+
+func (m *Moves) wasOrdered(_ time.Time, ev event.Ordered) {
+	for _, r := range m.moves {
+		o, ok := r.ordered[ev.Order.Server]
+		if !ok || r.To != ev.Order.Version || o.fence != ev.Order.Fence {
+			continue
+		}
+		if ev.Code == event.CodeConflict && r.Fence == ev.Order.Fence {
+			r.stale, r.until = true, time.Time{} // a newer controller has been there
+		}
+		o.ok = ev.Code == event.CodeOK
+		r.ordered[ev.Order.Server] = o
+	}
+}
+
+func (m *Moves) call(c event.Call, name string) event.Call {
+	m.seq++
+	c.Owner, c.Seq = owner, m.seq
+	if name != "" {
+		c.Name = prefix + name
+		m.calls[c.Seq] = name
+	}
+	return c
+}
+
+func (m *Moves) list() event.Action {
+	m.listAt = time.Time{}
+	c := m.call(event.Call{Op: event.OpList, Name: prefix}, "")
+	m.listed = c.Seq
+	return c
+}
+
+func (m *Moves) get(now time.Time, r *rollout) event.Action {
+	r.busy, r.stale, r.sent, r.next = true, false, now, nil
+	return m.call(event.Call{Op: event.OpGet}, r.Name)
+}
+
+func (m *Moves) put(now time.Time, r *rollout, next Record) event.Action {
+	r.busy, r.sent, r.next = true, now, &next
+	raw, _ := json.Marshal(next) // text, numbers and times always encode
+	return m.call(event.Call{Op: event.OpPut, Version: r.version, Value: raw}, r.Name)
+}
+
+func (m *Moves) changed(now time.Time, ev event.Changed) []event.Action {
+	if ev.Name == "" {
+		if m.listed == 0 {
+			return []event.Action{m.list()}
+		}
+		m.listAt = now.Add(retryWait)
+		return nil
+	}
+	if len(ev.Name) <= len(prefix) || ev.Name[:len(prefix)] != prefix {
+		return nil
+	}
+	name := ev.Name[len(prefix):]
+	r := m.moves[name]
+	if r == nil {
+		return []event.Action{m.call(event.Call{Op: event.OpGet}, name)}
+	}
+	if ev.Version > r.version {
+		if r.busy {
+			r.stale = true
+			return nil
+		}
+		return []event.Action{m.get(now, r)}
+	}
+	return nil
+}
+
+func (m *Moves) result(now time.Time, ev event.Result) []event.Action {
+	if ev.Call.Op == event.OpList {
+		return m.wasListed(now, ev)
+	}
+	name, ok := m.calls[ev.Call.Seq]
+	if !ok {
+		return nil
+	}
+	delete(m.calls, ev.Call.Seq)
+	if b, ok := m.began[ev.Call.Seq]; ok {
+		delete(m.began, ev.Call.Seq)
+		return m.wasBegun(now, b, ev)
+	}
+	r := m.moves[name]
+	if ev.Call.Op == event.OpGet && ev.Code == event.CodeOK {
+		var rec Record
+		if json.Unmarshal(ev.Objects[0].Value, &rec) == nil && rec.Name == name {
+			r = m.adopt(now, rec, ev.Objects[0].Version)
+		}
+	}
+	if ev.Code == event.CodeMissing {
+		m.unread.Delete(name)
+	}
+	if r == nil {
+		if ev.Code == event.CodeUnavailable || ev.Code == event.CodeLost {
+			m.listAt = now.Add(retryWait)
+		}
+		return nil
+	}
+	r.busy = false
+	switch {
+	case ev.Call.Op == event.OpGet:
+		if ev.Code != event.CodeOK {
+			r.stale, r.retry = true, now.Add(retryWait)
+		}
+	case ev.Code == event.CodeOK:
+		return m.written(now, r, ev.Call.Version+1)
+	case ev.Code == event.CodeUnavailable:
+		r.retry = now.Add(retryWait)
+	default: // a conflict or a lost answer: the object tells
+		if m.blindOutcome && r.next != nil && !r.next.open() {
+			r.version++
+			return []event.Action{m.put(now, r, *r.next)}
+		}
+		r.stale = true
+	}
+	m.tickAt = now
+	return nil
+}
+
+func (r Record) open() bool { return r.State == Running || r.State == Stopping }
+
+// written handles an update of this node that took effect.
+func (m *Moves) written(now time.Time, r *rollout, version uint64) []event.Action {
+	before, next := r.Record, *r.next
+	m.adopt(now, next, version)
+	if next.Incarnation == m.self.Incarnation {
+		r.until = r.sent.Add(m.lease)
+		if before.Incarnation != m.self.Incarnation {
+			r.ordersAt = now
+			if before.Holder != "" && !m.freeTakeover {
+				// Servers that ignore fences are protected by waiting out what the old holder may have sent last.
+				r.ordersAt = now.Add(m.lease)
+			}
+		}
+	}
+	if before.State == next.State && before.Share == next.Share && before.Fence == next.Fence {
+		return nil
+	}
+	return []event.Action{event.Log{
+		Kind: "move", Choice: fmt.Sprintf("%s %s share %d fence %d", next.Name, next.State, next.Share, next.Fence), Reason: next.Reason,
+	}}
+}
+
+func (m *Moves) wasListed(now time.Time, ev event.Result) []event.Action {
+	if ev.Call.Seq != m.listed {
+		return nil
+	}
+	m.listed = 0
+	if ev.Code != event.CodeOK {
+		m.listAt = now.Add(retryWait)
+		return nil
+	}
+	var out []event.Action
+	for _, o := range ev.Objects {
+		name := o.Name[len(prefix):]
+		r := m.moves[name]
+		switch {
+		case r == nil:
+			m.unread.Add(name)
+			out = append(out, m.call(event.Call{Op: event.OpGet}, name))
+		case o.Version > r.version && r.busy:
+			r.stale = true
+		case o.Version > r.version:
+			out = append(out, m.get(now, r))
+		}
+	}
+	m.loaded = true
+	return out
+}
+
+// begin starts a rollout for an operator.
+func (m *Moves) begin(now time.Time, b Begin) []event.Action {
+	fault := ""
+	switch r := m.current[b.Pool]; {
+	case b.Name == "" || len(b.Name) > maxText || b.Pool == "" || b.From == "" || b.To == "" || b.From == b.To:
+		fault = "a move needs a name, a pool and two different versions"
+	case !b.By.After(now):
+		fault = "the finish-by time has passed"
+	case m.moves[b.Name] != nil:
+		fault = "there was a move of this name; a version that was rolled back needs a new name"
+	case r != nil && r.open():
+		fault = "move " + r.Name + " of this pool still runs"
+	}
+	if fault != "" {
+		return []event.Action{answer(b, nil, event.Invalid, fault)}
+	}
+	rec := Record{
+		Name: b.Name, Pool: b.Pool, From: b.From, To: b.To, By: b.By, Began: now, State: Running,
+		Order: fmt.Sprintf("%s/%d", m.self.Incarnation, b.Number),
+	}
+	raw, _ := json.Marshal(rec)
+	c := m.call(event.Call{Op: event.OpPut, Value: raw}, b.Name)
+	m.began[c.Seq] = b
+	return []event.Action{c}
+}
+
+func answer(b Begin, value any, kind event.ProblemKind, fault string) event.Action {
+	a := event.Answer{Number: b.Number, Value: value}
+	if fault != "" {
+		a.Fault = &event.Problem{Kind: kind, Detail: fault}
+	}
+	return a
+}
+
+// wasBegun answers the operator; a lost answer is resolved by reading back.
+func (m *Moves) wasBegun(now time.Time, b Begin, ev event.Result) []event.Action {
+	var rec Record
+	switch {
+	case ev.Code == event.CodeUnavailable:
+		return []event.Action{answer(b, nil, event.Refused, "the platform cannot be reached; the move was not started")}
+	case ev.Call.Op == event.OpPut && ev.Code == event.CodeOK:
+		_ = json.Unmarshal(ev.Call.Value, &rec) // written by begin
+		m.adopt(now, rec, ev.Call.Version+1)
+		return []event.Action{answer(b, rec, "", "")}
+	case ev.Call.Op == event.OpPut:
+		c := m.call(event.Call{Op: event.OpGet}, b.Name)
+		m.began[c.Seq] = b
+		return []event.Action{c}
+	case ev.Code == event.CodeOK && json.Unmarshal(ev.Objects[0].Value, &rec) == nil && rec.Name == b.Name:
+		m.adopt(now, rec, ev.Objects[0].Version)
+		if rec.Order == fmt.Sprintf("%s/%d", m.self.Incarnation, b.Number) {
+			return []event.Action{answer(b, rec, "", "")}
+		}
+		return []event.Action{answer(b, nil, event.Invalid, "there is a move of this name")}
+	}
+	return []event.Action{answer(b, nil, event.Unknown, "the move may have been started; ask for its status")}
+}
--- /dev/null
+++ b/core/move/doc.go
@@ -0,0 +1,2 @@
+// Package move shifts a pool's traffic from one version to another on evidence, and stops bad versions.
+package move
--- /dev/null
+++ b/core/move/evidence.go
@@ -0,0 +1,322 @@
+package move
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bluebellflow/core/id"
+)
+
+const (
+	slotLength = 2 * time.Second // both versions are compared within a slot and its neighbours
+	slotsKept  = 30
+	slotsLong  = 15 // slots that the old version's rates are taken from
+	allTime    = -1 // slot number of the totals
+	ringSize   = 64 // latencies of the old version kept for a route and a load
+	ringEnough = 16
+	loadBins   = 6
+	// A result is slow if it takes longer than this multiple of the old version's upper quartile at
+	// the same load; about one in ten of a usual latency distribution does.
+	slowFactor = 1.3
+	floorFail  = 0.02 // rates of the old version below these cannot be measured on little traffic
+	floorSlow  = 0.12
+	// Evidence is complete with this many results of the new version, and this many on each route
+	// that has at least a tenth of the old version's traffic.
+	enough      = 100
+	enoughRoute = 20
+	routeShare  = 10
+)
+
+// bound is the score at which a version is bad. Each test is built for a false alarm from any given
+// result on with a probability of at most exp(-10), one in 22,000; over a whole rollout of about 3,000
+// results the tests are built to stop at most one good version in 200. At 9, one good version in 1,000
+// simulated ones was stopped, at 10 none; each further point costs a bad version about one result.
+const bound = 10.0
+
+// The rates that the tests look for in a bad version.
+var (
+	badFail = [3]float64{0.08, 0.3, 0.9}
+	badSlow = [3]float64{0.35, 0.6, 0.9}
+)
+
+// cell counts the results of both versions; all fields only grow.
+type cell struct {
+	newN, newFail, newTimed, newSlow uint64
+	oldN, oldFail, oldTimed, oldSlow uint64
+}
+
+func (c *cell) fields() [8]*uint64 {
+	return [8]*uint64{&c.newN, &c.newFail, &c.newTimed, &c.newSlow, &c.oldN, &c.oldFail, &c.oldTimed, &c.oldSlow}
+}
+
+// place is a route in a slot; the empty route stands for all routes together.
+type place struct {
+	route id.Pipeline
+	slot  int64
+}
+
+// scores are cumulative sums of log-likelihood ratios that never fall below zero, so that a version
+// that turns bad late is judged like one that was bad from the start.
+type scores [6]float64
+
+// evidence compares the two versions of a rollout over all nodes.
+type evidence struct {
+	by     map[id.Incarnation]map[place]cell
+	sum    map[place]cell
+	after  map[place]scores // scores at the end of each slot
+	first  int64            // oldest slot kept
+	judged int64            // scores are known up to this slot, unless an older one has changed
+	rings  map[binKey]*ring
+	worst  float64
+	where  id.Pipeline
+}
+
+type binKey struct {
+	route id.Pipeline
+	bin   int
+}
+
+// ring holds the newest latencies of the old version on a route at a load.
+type ring struct {
+	took  []time.Duration
+	at    int
+	since int
+	limit time.Duration
+}
+
+func newEvidence() *evidence {
+	return &evidence{
+		by: map[id.Incarnation]map[place]cell{}, sum: map[place]cell{},
+		after: map[place]scores{}, rings: map[binKey]*ring{},
+	}
+}
+
+func slotOf(now time.Time) int64 { return now.UnixNano() / int64(slotLength) }
+
+func (r *ring) add(took time.Duration) {
+	if len(r.took) < ringSize {
+		r.took = append(r.took, took)
+	} else {
+		r.took[r.at] = took
+		r.at = (r.at + 1) % ringSize
+	}
+	if r.since++; r.since >= ringEnough/2 && len(r.took) >= ringEnough {
+		sorted := slices.Sorted(slices.Values(r.took))
+		r.limit = time.Duration(slowFactor * float64(sorted[len(sorted)*3/4]))
+		r.since = 0
+	}
+}
+
+func binOf(load int) int {
+	bin := 0
+	for load > 1 && bin < loadBins-1 {
+		load /= 2
+		bin++
+	}
+	return bin
+}
+
+// limit returns the latency above which a result is slow: that of the old version at the same load, or
+// at the next higher one that it has had. At a load that the old version never had there is nothing to compare.
+func (e *evidence) limit(route id.Pipeline, load int) (time.Duration, bool) {
+	for bin := binOf(load); bin < loadBins; bin++ {
+		if r := e.rings[binKey{route, bin}]; r != nil && r.limit > 0 {
+			return r.limit, true
+		}
+	}
+	return 0, false
+}
+
+// observe counts a result of this node.
+func (e *evidence) observe(now time.Time, self id.Incarnation, s Sample, isNew bool) {
+	limit, comparable := e.limit(s.Pipeline, s.Load)
+	if !isNew && !s.Failed {
+		key := binKey{s.Pipeline, binOf(s.Load)}
+		if e.rings[key] == nil {
+			e.rings[key] = &ring{}
+		}
+		e.rings[key].add(s.Took)
+	}
+	if !comparable {
+		return
+	}
+	var d cell
+	n, failed, timed, slow := &d.oldN, &d.oldFail, &d.oldTimed, &d.oldSlow
+	if isNew {
+		n, failed, timed, slow = &d.newN, &d.newFail, &d.newTimed, &d.newSlow
+	}
+	*n = 1
+	if s.Failed {
+		*failed = 1
+	} else {
+		*timed = 1
+		if s.Took > limit {
+			*slow = 1
+		}
+	}
+	slot := slotOf(now)
+	for _, p := range [4]place{{"", slot}, {s.Pipeline, slot}, {"", allTime}, {s.Pipeline, allTime}} {
+		c := e.by[self][p]
+		for i, f := range c.fields() {
+			*f += *d.fields()[i]
+		}
+		e.merge(now, self, p, c)
+	}
+}
+
+// merge takes in a counter by maximum.
+func (e *evidence) merge(now time.Time, inc id.Incarnation, p place, c cell) {
+	if p.slot != allTime && (p.slot < e.first || p.slot > slotOf(now)+2) {
+		return // too old, or from a clock that is far ahead
+	}
+	of := e.by[inc]
+	if of == nil {
+		of = map[place]cell{}
+		e.by[inc] = of
+	}
+	old := of[p]
+	if old == c {
+		return // counters are sent repeatedly
+	}
+	sum := e.sum[p]
+	for i, f := range old.fields() {
+		if v := *c.fields()[i]; v > *f {
+			*sum.fields()[i] += v - *f
+			*f = v
+			if p.slot != allTime {
+				e.judged = min(e.judged, p.slot-2) // a slot is compared with the next one too
+			}
+		}
+	}
+	of[p], e.sum[p] = old, sum
+}
+
+func (e *evidence) routes() []id.Pipeline {
+	var out []id.Pipeline
+	for p := range e.sum {
+		if p.slot == allTime {
+			out = append(out, p.route)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// judge returns the highest score and its route. Only slots that have changed are scored again.
+func (e *evidence) judge(now time.Time) (float64, id.Pipeline) {
+	last := slotOf(now) + 2 // another node's clock may be ahead
+	if e.judged >= last {
+		return e.worst, e.where
+	}
+	from := max(e.first, e.judged+1)
+	e.worst = 0
+	for _, route := range e.routes() {
+		s := e.after[place{route, from - 1}]
+		for slot := from; slot <= last; slot++ {
+			s = e.score(s, route, slot)
+			e.after[place{route, slot}] = s
+		}
+		if top := slices.Max(s[:]); top > e.worst {
+			e.worst, e.where = top, route
+		}
+	}
+	e.judged = last
+	e.forget(last - slotsKept)
+	return e.worst, e.where
+}
+
+// forget drops old slots; the old version's rates are needed a little longer than the slot itself.
+func (e *evidence) forget(keep int64) {
+	if keep <= e.first {
+		return
+	}
+	e.first = keep
+	drop := func(p place, _ cell) bool { return p.slot != allTime && p.slot < keep-slotsLong }
+	for _, of := range e.by {
+		for p, c := range of {
+			if drop(p, c) {
+				delete(of, p)
+			}
+		}
+	}
+	for p, c := range e.sum {
+		if drop(p, c) {
+			delete(e.sum, p)
+		}
+	}
+	for p := range e.after {
+		if p.slot < keep-1 {
+			delete(e.after, p)
+		}
+	}
+}
+
+// score adds one slot.
+func (e *evidence) score(s scores, route id.Pipeline, slot int64) scores {
+	c := e.sum[place{route, slot}]
+	if c.newN == 0 {
+		return s
+	}
+	var long, short cell
+	for i := slot - slotsLong; i <= slot+1; i++ {
+		o := e.sum[place{route, i}]
+		add(&long, o)
+		if i >= slot-1 {
+			add(&short, o)
+		}
+	}
+	if long.oldN < ringEnough {
+		return s
+	}
+	fail := max(floorFail, upper(long.oldFail, long.oldN), fresh(short.oldFail, short.oldN))
+	slow := max(floorSlow, upper(long.oldSlow, long.oldTimed), fresh(short.oldSlow, short.oldTimed))
+	for i := range 3 {
+		s[i] = max(0, s[i]+ratio(c.newFail, c.newN, fail, max(badFail[i], min(3*fail, 0.9))))
+		s[i+3] = max(0, s[i+3]+ratio(c.newSlow, c.newTimed, slow, max(badSlow[i], min(2*slow, 0.9))))
+	}
+	return s
+}
+
+func add(to *cell, c cell) {
+	for i, f := range to.fields() {
+		*f += *c.fields()[i]
+	}
+}
+
+// upper is a rate plus a margin of about two standard deviations.
+func upper(k, n uint64) float64 {
+	return (float64(k) + 1 + 2*math.Sqrt(float64(k))) / (float64(n) + 2)
+}
+
+// fresh is the rate right now, so that a fault which both versions share is not held against the new
+// one; with few results only what was seen counts.
+func fresh(k, n uint64) float64 {
+	if k < 2 {
+		return 0
+	}
+	return min(0.95, upper(k, n))
+}
+
+// ratio is the log-likelihood ratio of k out of n between a bad and a good rate.
+func ratio(k, n uint64, good, bad float64) float64 {
+	if n == 0 || bad < 1.5*good {
+		return 0
+	}
+	return float64(k)*math.Log(bad/good) + float64(n-k)*math.Log((1-bad)/(1-good))
+}
+
+// complete reports whether the evidence allows more than the first steps.
+func (e *evidence) complete() bool {
+	all := e.sum[place{"", allTime}]
+	if all.newN < enough || all.newTimed < enough/2 {
+		return false
+	}
+	for _, route := range e.routes() {
+		c := e.sum[place{route, allTime}]
+		if c.oldN*routeShare >= all.oldN && c.newN < enoughRoute {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/move/evidence_test.go
@@ -0,0 +1,186 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/id"
+)
+
+// fault says how much likelier a result of the new version fails, and how much longer it takes.
+type fault func(since time.Duration, route, load int) (fail, slower float64)
+
+var good = func(time.Duration, int, int) (float64, float64) { return 0, 1 }
+
+// ended is how a simulated rollout went.
+type ended struct {
+	bad     bool
+	after   time.Duration // from the first result that shows the fault
+	results int           // of the new version in that time
+	share   int
+}
+
+// simulate runs one rollout over three nodes with about 25 requests a second, in bursts, as a small
+// organisation has them. The nodes exchange their counters twice a second.
+func simulate(seed uint64, by time.Duration, bad fault) ended {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	nodes := [3]*evidence{newEvidence(), newEvidence(), newEvidence()}
+	incs := [3]id.Incarnation{"a", "b", "c"}
+	for _, e := range nodes {
+		e.first = slotOf(start)
+	}
+	share, since, burst := steps[0], start, 1.0
+	var shown time.Time
+	var out ended
+	for now := start; now.Sub(start) < by; now = now.Add(beatStep) {
+		if rng.IntN(4) == 0 {
+			burst = 0.3 + 1.9*math.Pow(rng.Float64(), 2)
+		}
+		for range poisson(rng, 25*burst*beatStep.Seconds()) {
+			node, route, load := rng.IntN(3), []int{0, 0, 0, 0, 0, 1, 1, 1, 2, 2}[rng.IntN(10)], int(burst*4*rng.Float64())
+			isNew := rng.IntN(whole) < share
+			fail, slower := 0.005, 1.0
+			if isNew {
+				more, by := bad(now.Sub(start), route, load)
+				fail, slower = fail+more, by
+				if shown.IsZero() && (more > 0 || by > 1) {
+					shown = now
+				}
+				if !shown.IsZero() {
+					out.results++
+				}
+			}
+			took := 0.1 * (1 + 0.1*float64(load)) * slower * math.Exp(0.4*rng.NormFloat64())
+			nodes[node].observe(now, incs[node], Sample{
+				Pipeline: id.Pipeline(fmt.Sprint("p", route)), Load: load,
+				Took: time.Duration(took * float64(time.Second)), Failed: rng.Float64() < fail,
+			}, isNew)
+		}
+		for i, from := range nodes {
+			for _, c := range from.cells(now, incs[i]) {
+				var in cell
+				for k, f := range in.fields() {
+					*f = c.Count[k]
+				}
+				nodes[(i+1)%3].merge(now, incs[i], place{c.Route, c.Slot}, in)
+				nodes[(i+2)%3].merge(now, incs[i], place{c.Route, c.Slot}, in)
+			}
+		}
+		score, _ := nodes[0].judge(now)
+		if score >= bound {
+			out.bad, out.after, out.share = true, now.Sub(shown), share
+			return out
+		}
+		at := slices.IndexFunc(steps[:], func(s int) bool { return s > share })
+		if at < 0 {
+			continue
+		}
+		dwell := min(time.Minute, (by-now.Sub(start))/time.Duration(len(steps)-at+1))
+		if now.Sub(since) >= dwell && score <= bound/2 && (steps[at] <= little || nodes[0].complete()) {
+			share, since = steps[at], now
+		}
+	}
+	out.share = share
+	return out
+}
+
+const beatStep = 500 * time.Millisecond
+
+func poisson(rng *rand.Rand, mean float64) int {
+	n, p := 0, rng.Float64()
+	for limit := math.Exp(-mean); p > limit; n++ {
+		p *= rng.Float64()
+	}
+	return n
+}
+
+func simulateAll(count int, by time.Duration, bad fault) []ended {
+	out := make([]ended, count)
+	var wait sync.WaitGroup
+	for worker := range 8 {
+		wait.Go(func() {
+			for i := worker; i < count; i += 8 {
+				out[i] = simulate(uint64(i), by, bad)
+			}
+		})
+	}
+	wait.Wait()
+	return out
+}
+
+// TestGoodVersions guards against noise that stops a good version, and against one that is not finished in time.
+func TestGoodVersions(t *testing.T) {
+	stopped, late := 0, 0
+	for _, e := range simulateAll(1000, 4*time.Minute, good) {
+		switch {
+		case e.bad:
+			stopped++
+		case e.share < whole:
+			late++
+		}
+	}
+	t.Logf("of 1000 good versions %d were stopped and %d were late", stopped, late)
+	g := NewWithT(t)
+	g.Expect(stopped).To(BeNumerically("<=", 5))
+	g.Expect(late).To(BeNumerically("<=", 5))
+}
+
+// TestBadVersions guards against a fault that is noticed late, and against a bad version with much traffic.
+func TestBadVersions(t *testing.T) {
+	later := 90 * time.Second
+	for _, kind := range []struct {
+		name  string
+		bad   fault
+		share int // most traffic in thousandths that it may have had
+	}{
+		{"fails at once", func(time.Duration, int, int) (float64, float64) { return 0.6, 1 }, little},
+		{"fails later", func(since time.Duration, _, _ int) (float64, float64) {
+			if since < later {
+				return 0, 1
+			}
+			return 0.6, 1
+		}, whole},
+		{"slow", func(time.Duration, int, int) (float64, float64) { return 0, 2.5 }, little},
+		{"fails only under load", func(_ time.Duration, _, load int) (float64, float64) {
+			if load < 3 {
+				return 0, 1
+			}
+			return 0.6, 1
+		}, whole},
+		{"fails only on one route", func(_ time.Duration, route, _ int) (float64, float64) {
+			if route != 2 {
+				return 0, 1
+			}
+			return 0.6, 1
+		}, little},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var delays []time.Duration
+			var results []int
+			missed, share := 0, 0
+			for _, e := range simulateAll(200, 6*time.Minute, kind.bad) {
+				if !e.bad {
+					missed++
+					continue
+				}
+				delays, results, share = append(delays, e.after), append(results, e.results), max(share, e.share)
+			}
+			slices.Sort(delays)
+			slices.Sort(results)
+			mid, tail := len(delays)/2, len(delays)*95/100
+			t.Logf("%d missed; delay %s at the median, %s at 95%%; results %d and %d; largest share %d", missed,
+				delays[mid], delays[tail], results[mid], results[tail], share)
+			g.Expect(missed).To(BeZero())
+			g.Expect(share).To(BeNumerically("<=", kind.share))
+		})
+	}
+}
--- /dev/null
+++ b/core/move/move_test.go
@@ -0,0 +1,410 @@
+package move_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/move"
+	"bluebellflow/core/prove"
+	"bluebellflow/core/wire"
+)
+
+func TestMain(m *testing.M) {
+	prove.FixSeed(1)
+	os.Exit(m.Run())
+}
+
+type sample struct {
+	event.In
+	move.Sample
+}
+
+type stepper struct{ *move.Moves }
+
+func (s stepper) Step(now time.Time, ev event.Event) []event.Action {
+	if ev, ok := ev.(sample); ok {
+		s.Observe(now, ev.Sample)
+		return nil
+	}
+	return s.Moves.Step(now, ev)
+}
+
+// trial is a fleet with one rollout and its oracles.
+type trial struct {
+	w       *prove.World
+	bad     bool
+	rate    int // requests each 100 ms
+	stopped map[id.Incarnation]bool
+	shares  map[id.Node]int
+	cutAt   map[id.Node]int // share when the platform became unreachable
+	fence   map[id.Server]uint64
+	orders  int
+	answers []event.Answer
+	faults  []string
+}
+
+func newTrial(seed uint64, nodes int, by time.Duration, opts ...move.Option) *trial {
+	c := &trial{
+		w: prove.New(seed), rate: 6, stopped: map[id.Incarnation]bool{}, shares: map[id.Node]int{},
+		cutAt: map[id.Node]int{}, fence: map[id.Server]uint64{},
+	}
+	c.w.Outside = func(_ *prove.World, from id.Node, a event.Action) {
+		switch a := a.(type) {
+		case event.Answer:
+			c.answers = append(c.answers, a)
+		case event.Order:
+			c.orders++
+			if a.Fence < c.fence[a.Server] {
+				c.fail("%s was ordered with fence %d after %d", a.Server, a.Fence, c.fence[a.Server])
+			}
+			c.fence[a.Server] = a.Fence
+			code := event.CodeUnavailable // the order is sent again
+			if c.w.Rand.IntN(10) == 0 {
+				code = event.CodeOK
+			}
+			c.w.Inject(from, event.Ordered{Order: a, Code: code}, time.Millisecond)
+		}
+	}
+	for i := range nodes {
+		self := event.Self{Node: id.Node(fmt.Sprintf("n%d", i)), FailureDomain: id.FailureDomain(fmt.Sprintf("d%d", i%3))}
+		c.w.Add(self, func(s event.Self) prove.Stepper { return stepper{move.New(s, opts...)} })
+	}
+	c.views()
+	c.traffic()
+	c.w.Inject("n0", move.Begin{Command: event.Command{Number: 1}, Name: "m", Pool: "p", From: "v1", To: "v2", By: c.w.Now.Add(by)}, 100*time.Millisecond)
+	return c
+}
+
+func (c *trial) fail(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+func (c *trial) views() {
+	for _, n := range c.w.Names() {
+		v := &member.View{}
+		for _, o := range c.w.Names() {
+			if c.w.Up(o) && c.w.Reaches(o, n) {
+				v.Nodes = append(v.Nodes, member.Node{ID: o, Incarnation: c.w.Self(o).Incarnation})
+			}
+		}
+		c.w.Inject(n, member.ViewChanged{View: v}, time.Millisecond)
+		for i, version := range []id.Version{"v1", "v2"} {
+			s := member.Server{ID: id.Server(version), Pool: "p", Version: version, Addr: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i)), Start: "s"}
+			c.w.Inject(n, member.ServerChanged{Server: s}, time.Millisecond)
+		}
+	}
+}
+
+// traffic sends requests through all nodes and their results back, for ever.
+func (c *trial) traffic() {
+	for range c.rate {
+		n := c.w.Names()[c.w.Rand.IntN(len(c.w.Names()))]
+		if !c.w.Up(n) {
+			continue
+		}
+		v := c.w.Stepper(n).(stepper).Choose(c.w.Now, "p", id.Fingerprint(c.w.Rand.Uint64()), "x")
+		s := move.Sample{
+			Pool: "p", Version: v, Pipeline: "x", Load: 1, Failed: c.bad && v == "v2" && c.w.Rand.IntN(2) == 0,
+			Took: time.Duration(80+c.w.Rand.IntN(40)) * time.Millisecond,
+		}
+		c.w.Inject(n, sample{Sample: s}, s.Took)
+	}
+	for _, n := range c.w.Names() {
+		for _, v := range []id.Version{"v1", "v2"} {
+			if c.w.Rand.IntN(10) > 0 {
+				continue
+			}
+			c.w.Inject(n, event.Report{Server: id.Server(v), Version: v, At: c.w.Now}, 0)
+		}
+		c.look(n)
+	}
+	c.w.At(100*time.Millisecond, c.traffic)
+}
+
+// look is the oracle for one node: a stop is for good, and a share never rises without the platform.
+func (c *trial) look(n id.Node) {
+	if !c.w.Up(n) {
+		delete(c.shares, n)
+		return
+	}
+	inc := c.w.Self(n).Incarnation
+	for _, s := range c.w.Stepper(n).(stepper).Status() {
+		if c.stopped[inc] && s.Applied > 0 {
+			c.fail("%s gives a stopped version %d", n, s.Applied)
+		}
+		c.stopped[inc] = c.stopped[inc] || s.Stopped || s.State == move.Back
+		if at, cut := c.cutAt[n]; cut && s.Applied > at {
+			c.fail("%s raised the share from %d to %d while it was cut off", n, at, s.Applied)
+		}
+		c.shares[n] = s.Applied
+	}
+}
+
+// history is the oracle for the object: one way through the states, exactly one outcome.
+func (c *trial) history() move.Record {
+	var last move.Record
+	outcomes := 0
+	for _, o := range c.w.Platform.History["moves/m"] {
+		var r move.Record
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			c.fail("unreadable: %s", err)
+		}
+		if r.Fence < last.Fence || (last.State == move.Stopping && r.State == move.Running) {
+			c.fail("%+v follows %+v", r, last)
+		}
+		if r.State == move.Done || r.State == move.Back {
+			outcomes++
+		}
+		last = r
+	}
+	if outcomes > 1 {
+		c.fail("%d outcomes", outcomes)
+	}
+	return last
+}
+
+// cutPlatform makes the platform unreachable for everybody, or for nobody.
+func (c *trial) cutPlatform(down bool) {
+	c.w.Platform.Down = down
+	clear(c.cutAt)
+	if down {
+		c.w.At(3*time.Second, func() { // answers that were under way have arrived by then
+			if c.w.Platform.Down {
+				for n, share := range c.shares {
+					c.cutAt[n] = share
+				}
+			}
+		})
+	}
+}
+
+func (c *trial) calm() {
+	c.w.Heal()
+	c.w.Network = prove.Network{MinDelay: time.Millisecond, MaxDelay: 2 * time.Millisecond}
+	p := c.w.Platform
+	p.LoseAnswer, p.LoseCall, p.LateEffect, p.WatchGap, p.Latency = 0, 0, 0, 0, 2*time.Millisecond
+	c.cutPlatform(false)
+	c.views()
+}
+
+func (c *trial) actions() map[string]func(*rapid.T) {
+	node := func(t *rapid.T) id.Node { return rapid.SampledFrom(c.w.Names()).Draw(t, "node") }
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			c.w.Run(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
+			c.history()
+			if len(c.faults) > 0 {
+				t.Fatal(c.faults[0])
+			}
+		},
+		"bad": func(t *rapid.T) { c.bad = rapid.IntRange(0, 3).Draw(t, "bad") == 0 },
+		"kill": func(t *rapid.T) {
+			n := node(t)
+			c.w.Kill(n)
+			delete(c.cutAt, n)
+			c.views()
+		},
+		"start": func(t *rapid.T) {
+			if n := node(t); !c.w.Up(n) {
+				c.w.Start(n)
+				c.views()
+			}
+		},
+		"freeze": func(t *rapid.T) {
+			c.w.Freeze(node(t), time.Duration(rapid.IntRange(10, 30000).Draw(t, "ms"))*time.Millisecond)
+		},
+		"cut": func(t *rapid.T) {
+			if rapid.Bool().Draw(t, "whole") {
+				c.w.CutDomain(c.w.Self(node(t)).FailureDomain)
+			}
+			c.w.Cut(node(t), node(t))
+			if rapid.Bool().Draw(t, "noticed") {
+				c.views()
+			}
+		},
+		"heal": func(*rapid.T) { c.calm() },
+		"platform": func(t *rapid.T) {
+			rate := rapid.SampledFrom([]float64{0, 0.2, 0.5})
+			p := c.w.Platform
+			p.LoseAnswer, p.LoseCall, p.LateEffect = rate.Draw(t, "answers"), rate.Draw(t, "calls"), rate.Draw(t, "late")
+			p.WatchGap = rate.Draw(t, "gap")
+			p.Latency = rapid.SampledFrom([]time.Duration{2e6, 5e8}).Draw(t, "latency")
+			c.w.Network.Loss, c.w.Network.Repeat = rate.Draw(t, "loss"), rate.Draw(t, "repeat")
+			c.cutPlatform(rapid.Bool().Draw(t, "down"))
+		},
+	}
+}
+
+// TestFaults guards against a second outcome, old orders, and traffic for a stopped version, under drawn faults.
+func TestFaults(t *testing.T) {
+	outcomes := map[move.State]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		c := newTrial(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 5).Draw(t, "nodes"), 2*time.Minute)
+		c.w.Run(time.Second)
+		t.Repeat(c.actions())
+		for _, n := range c.w.Names() {
+			if !c.w.Up(n) {
+				c.w.Start(n)
+			}
+		}
+		c.calm()
+		c.w.Run(4 * time.Minute)
+		last := c.history()
+		if last.Name != "" && last.State != move.Done && last.State != move.Back {
+			c.fail("no outcome: %+v", last)
+		}
+		if len(c.faults) > 0 {
+			t.Fatal(c.faults[0])
+		}
+		outcomes[last.State]++
+	})
+	t.Logf("outcomes: %v", outcomes)
+}
+
+// TestMechanisms guards against oracles that would not notice when a mechanism is missing.
+func TestMechanisms(t *testing.T) {
+	storm := func(seed uint64, lose float64, latency time.Duration, opts ...move.Option) []string {
+		c := newTrial(seed, 4, 2*time.Minute, opts...)
+		for i := range 40 {
+			c.bad = i > 15
+			names := c.w.Names()
+			switch i % 3 {
+			case 0:
+				c.w.Freeze(names[c.w.Rand.IntN(4)], time.Duration(2+c.w.Rand.IntN(8))*time.Second)
+			case 1:
+				c.w.CutDomain("d0")
+				c.views()
+			case 2:
+				c.w.Heal()
+				c.views()
+				n := names[c.w.Rand.IntN(4)]
+				c.w.Kill(n)
+				c.w.Start(n)
+				c.views()
+			}
+			c.w.Platform.Latency, c.w.Platform.LoseAnswer = latency, lose
+			c.w.Run(4 * time.Second)
+		}
+		c.history()
+		return c.faults
+	}
+	g := NewWithT(t)
+	for _, m := range []struct {
+		name    string
+		lose    float64
+		latency time.Duration
+		without move.Option
+	}{
+		{"lease", 0, 1500 * time.Millisecond, move.WithFreeTakeover()},
+		{"permanent stop", 0, 800 * time.Millisecond, move.WithForgottenStops()},
+		{"conditional outcome", 0.3, 800 * time.Millisecond, move.WithBlindOutcome()},
+	} {
+		var broken []string
+		for seed := range uint64(20) {
+			g.Expect(storm(seed, m.lose, m.latency)).To(BeEmpty(), "seed %d", seed)
+			broken = append(broken, storm(seed, m.lose, m.latency, m.without)...)
+		}
+		g.Expect(broken).NotTo(BeEmpty(), m.name)
+		t.Logf("%d violations without %s, such as: %s", len(broken), m.name, broken[0])
+	}
+}
+
+func TestMove(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "move")
+}
+
+var _ = Describe("a rollout", func() {
+	It("completes before its time when the version is good", func() { // guards against rollouts that come late
+		c := newTrial(1, 5, 3*time.Minute)
+		c.w.Run(3 * time.Minute)
+		Expect(c.history().State).To(Equal(move.Done))
+		Expect(c.orders).To(BeNumerically(">=", 1))
+		Expect(c.answers).To(HaveLen(1))
+		Expect(c.w.Stepper("n3").(stepper).Choose(c.w.Now, "p", 7, "x")).To(Equal(id.Version("v2")))
+		Expect(c.faults).To(BeEmpty())
+	})
+	It("is rolled back everywhere, with the platform down", func() { // guards against nodes that need the platform to stop
+		c := newTrial(1, 5, 5*time.Minute)
+		c.w.Run(90 * time.Second)
+		c.bad = true
+		c.cutPlatform(true)
+		c.w.Run(20 * time.Second)
+		for _, n := range c.w.Names() {
+			Expect(c.shares[n]).To(BeZero())
+		}
+		c.cutPlatform(false)
+		c.w.Run(20 * time.Second)
+		Expect(c.history().State).To(Equal(move.Back))
+		Expect(c.faults).To(BeEmpty())
+	})
+	It("stays at a small share without evidence", func() { // guards against a version that nobody has tried
+		c := newTrial(1, 3, 3*time.Minute)
+		c.rate = 0
+		c.w.Run(4 * time.Minute)
+		Expect(c.history().State).To(Equal(move.Back))
+		for _, o := range c.w.Platform.History["moves/m"] {
+			var r move.Record
+			Expect(json.Unmarshal(o.Value, &r)).To(Succeed())
+			Expect(r.Share).To(BeNumerically("<=", 50))
+		}
+	})
+	It("refuses a second one for its name and its pool", func() { // guards against two controllers for one pool
+		c := newTrial(1, 3, 3*time.Minute)
+		c.w.Run(time.Second)
+		for _, name := range []string{"m", "other"} {
+			c.w.Inject("n1", move.Begin{Name: name, Pool: "p", From: "v1", To: "v3", By: c.w.Now.Add(time.Hour)}, 0)
+		}
+		c.w.Run(time.Second)
+		Expect(c.answers).To(HaveLen(3))
+		Expect(c.answers[1].Fault).NotTo(BeNil())
+		Expect(c.answers[2].Fault).NotTo(BeNil())
+	})
+	It("carries its messages over the wire", func() { // guards against a field without a tag
+		codec := wire.New(map[uint32]event.Body{1: move.Beat{}})
+		inc := id.NewIncarnation(rand.New(rand.NewPCG(1, 1)))
+		body := move.Beat{Marks: []move.Mark{{
+			Name: "m", Version: 3, Applied: 50, Stopped: true, Reason: "r",
+			Cells: []move.Cell{{Route: "x", Slot: -1, Count: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}},
+		}}}
+		raw, err := codec.Encode(wire.Envelope{From: "n", Incarnation: inc}, body)
+		Expect(err).NotTo(HaveOccurred())
+		got, err := codec.Decode(raw)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Body).To(Equal(body))
+	})
+})
+
+// BenchmarkChoose measures the choice of a version while a rollout runs.
+func BenchmarkChoose(b *testing.B) {
+	c := newTrial(1, 3, time.Minute)
+	c.w.Run(time.Second)
+	s := c.w.Stepper("n0").(stepper)
+	b.ReportAllocs()
+	for i := range b.N {
+		s.Choose(c.w.Now, "p", id.Fingerprint(i), "x")
+	}
+}
+
+// BenchmarkObserve measures the count of one result.
+func BenchmarkObserve(b *testing.B) {
+	c := newTrial(1, 3, time.Minute)
+	c.w.Run(time.Second)
+	s := c.w.Stepper("n0").(stepper)
+	b.ReportAllocs()
+	for i := range b.N {
+		s.Observe(c.w.Now, move.Sample{Pool: "p", Version: "v1", Pipeline: "x", Took: time.Duration(i%64) * time.Millisecond})
+	}
+}
--- /dev/null
+++ b/core/move/moves.go
@@ -0,0 +1,382 @@
+package move
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+)
+
+const (
+	owner  = "move"
+	prefix = "moves/"
+	whole  = 1000 // share in thousandths
+	little = 50   // largest share without complete evidence
+)
+
+var steps = [...]int{10, 20, 50, 100, 250, 500, whole}
+
+// Moves controls the rollouts of a fleet together with its counterparts on the other nodes.
+type Moves struct {
+	config
+	self    event.Self
+	view    *member.View
+	moves   map[string]*rollout
+	current map[id.Pool]*rollout
+	servers map[id.Server]member.Server
+	reports map[id.Server]event.Report
+	began   map[uint64]Begin // commands that wait, by platform operation
+	calls   map[uint64]string
+	seq     uint64
+	started bool
+	loaded  bool
+	unread  id.Set[string] // rollouts that were listed and not read yet
+	listed  uint64         // sequence number of the list in flight, 0 for none
+	listAt  time.Time
+	tickAt  time.Time
+	beatAt  time.Time
+}
+
+// rollout is a move as this node knows it.
+type rollout struct {
+	Record
+	salt      uint64
+	version   uint64
+	seen      time.Time // when this node learned of the version
+	since     time.Time // when this node learned of the state and the share
+	stopped   bool
+	reason    string
+	evidence  *evidence
+	heard     map[id.Node]mark
+	busy      bool
+	sent      time.Time // when the operation in flight was sent
+	next      *Record   // what the operation in flight writes
+	retry     time.Time
+	stale     bool // must be read again
+	until     time.Time
+	ordersAt  time.Time // no command to a server before this time
+	ordered   map[id.Server]order
+	allAt     time.Time // since when every node has had the whole share
+	settledAt time.Time
+}
+
+type mark struct {
+	applied int
+	at      time.Time
+}
+
+type order struct {
+	start id.Start
+	fence uint64
+	at    time.Time
+	ok    bool
+}
+
+// New returns the rollouts of one process.
+func New(self event.Self, opts ...Option) *Moves {
+	m := &Moves{
+		config: defaults(), self: self, moves: map[string]*rollout{}, current: map[id.Pool]*rollout{},
+		servers: map[id.Server]member.Server{}, reports: map[id.Server]event.Report{},
+		began: map[uint64]Begin{}, calls: map[uint64]string{}, unread: id.NewSet[string](),
+	}
+	for _, o := range opts {
+		o(&m.config)
+	}
+	return m
+}
+
+// Loaded reports whether the rollouts were read. Before that Choose knows nothing, and the node must not be ready.
+func (m *Moves) Loaded() bool { return m.loaded && len(m.unread) == 0 }
+
+// Choose returns the version that serves a request, or "" for any. All nodes with the same share agree on it.
+func (m *Moves) Choose(_ time.Time, pool id.Pool, print id.Fingerprint, _ id.Pipeline) id.Version {
+	r := m.current[pool]
+	if r == nil {
+		return ""
+	}
+	if scramble(uint64(print)^r.salt)%whole < uint64(r.applied()) {
+		return r.To
+	}
+	return r.From
+}
+
+// scramble spreads fingerprints evenly (the finalizer of splitmix64).
+func scramble(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// applied is this node's own share of the new version.
+func (r *rollout) applied() int {
+	switch {
+	case r.stopped || r.State == Stopping || r.State == Back:
+		return 0
+	case r.State == Done:
+		return whole
+	}
+	return r.Share
+}
+
+// Observe counts the result of an attempt.
+func (m *Moves) Observe(now time.Time, s Sample) {
+	r := m.current[s.Pool]
+	if r == nil || r.State != Running || r.stopped || (s.Version != r.From && s.Version != r.To) {
+		return
+	}
+	r.evidence.observe(now, m.self.Incarnation, s, s.Version == r.To)
+}
+
+// Status returns what this node knows of all rollouts.
+func (m *Moves) Status() []Status {
+	var out []Status
+	for _, name := range slices.Sorted(maps.Keys(m.moves)) {
+		r := m.moves[name]
+		out = append(out, Status{
+			Record: r.Record, Applied: r.applied(), Stopped: r.stopped,
+			Complete: r.evidence.complete(), Score: r.evidence.worst,
+		})
+	}
+	return out
+}
+
+// Step handles an event and the timers that are due.
+func (m *Moves) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	if !m.started {
+		m.started = true
+		out = append(out, m.call(event.Call{Op: event.OpWatch, Name: prefix}, ""), m.list())
+	}
+	switch ev := ev.(type) {
+	case member.ViewChanged:
+		m.view = ev.View
+	case member.ServerChanged:
+		m.servers[ev.Server.ID] = ev.Server
+	case member.ServerGone:
+		delete(m.servers, ev.Server)
+		delete(m.reports, ev.Server)
+	case event.Report:
+		if _, ok := m.servers[ev.Server]; ok {
+			m.reports[ev.Server] = ev
+		}
+	case event.Receive:
+		if b, ok := ev.Body.(Beat); ok {
+			out = append(out, m.receive(now, ev, b)...)
+		}
+	case event.Changed:
+		out = append(out, m.changed(now, ev)...)
+	case event.Result:
+		if ev.Call.Owner == owner {
+			out = append(out, m.result(now, ev)...)
+		}
+	case event.Ordered:
+		if ev.Order.Owner == owner {
+			m.wasOrdered(now, ev)
+		}
+	case Begin:
+		out = append(out, m.begin(now, ev)...)
+	}
+	return append(out, m.timers(now)...)
+}
+
+// Next returns the time of the next timer.
+func (m *Moves) Next() time.Time {
+	next := m.listAt
+	if m.active() && (next.IsZero() || m.tickAt.Before(next)) {
+		next = m.tickAt
+	}
+	return next
+}
+
+func (m *Moves) active() bool {
+	for _, r := range m.moves {
+		if r.open() || r.stale || !r.settledAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Moves) timers(now time.Time) []event.Action {
+	var out []event.Action
+	if !m.listAt.IsZero() && !now.Before(m.listAt) {
+		out = append(out, m.list())
+	}
+	if now.Before(m.tickAt) {
+		return out
+	}
+	m.tickAt = now.Add(m.tick)
+	for _, name := range slices.Sorted(maps.Keys(m.moves)) {
+		out = append(out, m.drive(now, m.moves[name])...)
+	}
+	if !now.Before(m.beatAt) {
+		m.beatAt = now.Add(m.beat)
+		out = append(out, m.spread(now)...)
+	}
+	return out
+}
+
+// drive looks after one rollout.
+func (m *Moves) drive(now time.Time, r *rollout) []event.Action {
+	var out []event.Action
+	if r.State == Running && !r.stopped {
+		if score, route := r.evidence.judge(now); score >= bound {
+			where := "over all routes"
+			if route != "" {
+				where = "on route " + string(route)
+			}
+			out = m.stop(now, r, fmt.Sprintf("version %s is worse than %s %s", r.To, r.From, where))
+		}
+	}
+	if !r.settledAt.IsZero() && now.Sub(r.settledAt) > m.keep {
+		r.settledAt = time.Time{}
+	}
+	if r.busy || now.Before(r.retry) {
+		return out
+	}
+	if r.stale {
+		return append(out, m.get(now, r))
+	}
+	if !r.open() {
+		return out
+	}
+	if r.stopped && r.State == Running {
+		next := r.Record
+		next.State, next.Share, next.Reason = Stopping, 0, r.reason
+		return append(out, m.put(now, r, next))
+	}
+	return append(out, m.control(now, r)...)
+}
+
+// stop ends the new version's traffic from this node for good and tells everybody.
+func (m *Moves) stop(now time.Time, r *rollout, reason string) []event.Action {
+	if r.stopped {
+		return nil
+	}
+	r.stopped, r.reason = true, reason
+	m.tickAt, m.beatAt = now, now.Add(m.beat)
+	out := []event.Action{event.Log{Kind: "move", Choice: "stop " + r.Name, Reason: reason}}
+	return append(out, m.spread(now)...)
+}
+
+// spread sends what this node knows to the others.
+func (m *Moves) spread(now time.Time) []event.Action {
+	var b Beat
+	for _, name := range slices.Sorted(maps.Keys(m.moves)) {
+		r := m.moves[name]
+		if (!r.open() && r.settledAt.IsZero()) || len(b.Marks) == maxMarks {
+			continue
+		}
+		b.Marks = append(b.Marks, Mark{
+			Name: name, Version: r.version, Applied: int64(r.applied()),
+			Stopped: r.stopped || r.State == Stopping || r.State == Back, Reason: r.reason,
+			Cells: r.evidence.cells(now, m.self.Incarnation),
+		})
+	}
+	if len(b.Marks) == 0 || m.view == nil {
+		return nil
+	}
+	// In a large fleet the nodes that hear from this one are drawn anew each time.
+	at := 0
+	if len(m.view.Nodes) > m.fanout {
+		at = m.self.Rand.IntN(len(m.view.Nodes))
+	}
+	var out []event.Action
+	for i := range min(len(m.view.Nodes), m.fanout) {
+		if n := m.view.Nodes[(at+i)%len(m.view.Nodes)]; n.ID != m.self.Node {
+			out = append(out, event.Send{To: n.ID, Body: b})
+		}
+	}
+	return out
+}
+
+// cells returns the newest counters of an incarnation; they are sent repeatedly because messages get lost.
+func (e *evidence) cells(now time.Time, inc id.Incarnation) []Cell {
+	var out []Cell
+	for p, c := range e.by[inc] {
+		if p.slot != allTime && p.slot < slotOf(now)-2 {
+			continue
+		}
+		var count []uint64
+		for _, f := range c.fields() {
+			count = append(count, *f)
+		}
+		out = append(out, Cell{Route: p.route, Slot: p.slot, Count: count})
+	}
+	slices.SortFunc(out, func(a, b Cell) int { return cmp.Or(cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Route, b.Route)) })
+	return out[:min(len(out), maxCells)]
+}
+
+func (m *Moves) receive(now time.Time, ev event.Receive, b Beat) []event.Action {
+	var out []event.Action
+	for _, k := range b.Marks {
+		r := m.moves[k.Name]
+		if r == nil {
+			// The object tells what the rollout is about; until then this node serves nothing of it.
+			if m.listAt.IsZero() && m.listed == 0 {
+				m.listAt = now
+			}
+			continue
+		}
+		r.heard[ev.From] = mark{applied: int(k.Applied), at: now}
+		for _, c := range k.Cells {
+			var in cell
+			for i, f := range in.fields() {
+				*f = c.Count[i]
+			}
+			r.evidence.merge(now, ev.Incarnation, place{c.Route, c.Slot}, in)
+		}
+		if k.Stopped && r.State != Done {
+			out = append(out, m.stop(now, r, k.Reason)...)
+		}
+		if k.Version > r.version && !r.busy {
+			r.stale = true
+		}
+	}
+	return out
+}
+
+// adopt takes in a record that was read from or written to the platform.
+func (m *Moves) adopt(now time.Time, rec Record, version uint64) *rollout {
+	r := m.moves[rec.Name]
+	if r == nil {
+		r = &rollout{
+			salt: xxhash.Sum64String(rec.Name), evidence: newEvidence(),
+			heard: map[id.Node]mark{}, ordered: map[id.Server]order{},
+		}
+		r.evidence.first = slotOf(now)
+		m.moves[rec.Name] = r
+	}
+	m.unread.Delete(rec.Name)
+	if version <= r.version {
+		return r
+	}
+	if r.Share != rec.Share || r.State != rec.State || r.version == 0 {
+		r.since, r.allAt = now, time.Time{}
+	}
+	if rec.Incarnation != r.Incarnation {
+		r.until = time.Time{}
+	}
+	if m.forgetStops {
+		r.stopped = false
+	}
+	r.Record, r.version, r.seen = rec, version, now
+	if r.State == Stopping || r.State == Back {
+		r.stopped, r.reason = true, rec.Reason
+	}
+	if !r.open() && r.settledAt.IsZero() {
+		r.settledAt = now
+	}
+	if c := m.current[rec.Pool]; c == nil || cmp.Or(c.Began.Compare(rec.Began), cmp.Compare(c.Name, rec.Name)) < 0 {
+		m.current[rec.Pool] = r
+	}
+	m.tickAt = now
+	return r
+}
--- /dev/null
+++ b/core/move/options.go
@@ -0,0 +1,44 @@
+package move
+
+import "time"
+
+type config struct {
+	lease    time.Duration
+	tick     time.Duration
+	beat     time.Duration
+	maxDwell time.Duration
+	heard    time.Duration
+	keep     time.Duration
+	fanout   int
+
+	freeTakeover, forgetStops, blindOutcome bool
+}
+
+func defaults() config {
+	return config{
+		lease:    6 * time.Second,
+		tick:     250 * time.Millisecond,
+		beat:     500 * time.Millisecond, // a stop must be everywhere well within 5 s, with lost messages
+		maxDwell: time.Minute,
+		heard:    3 * time.Second,
+		keep:     10 * time.Minute,
+		fanout:   32,
+	}
+}
+
+// Option changes a default of New.
+type Option func(*config)
+
+// WithLease sets how long a controller holds a rollout without renewing it.
+func WithLease(d time.Duration) Option { return func(c *config) { c.lease = d } }
+
+// The options below remove one mechanism each. They exist to show that the tests notice its absence.
+
+// WithFreeTakeover takes over a rollout without waiting for the lease of its controller to expire.
+func WithFreeTakeover() Option { return func(c *config) { c.freeTakeover = true } }
+
+// WithForgottenStops lets a newer read of the object undo a stop.
+func WithForgottenStops() Option { return func(c *config) { c.forgetStops = true } }
+
+// WithBlindOutcome writes an outcome over whatever the object says.
+func WithBlindOutcome() Option { return func(c *config) { c.blindOutcome = true } }
