--- a/core/node/bodies.go
+++ b/core/node/bodies.go
@@ -10,6 +10,7 @@
 	"bluebellflow/core/domain"
 	"bluebellflow/core/event"
 	"bluebellflow/core/member"
+	"bluebellflow/core/move"
 	"bluebellflow/core/permit"
 	"bluebellflow/core/wire"
 )
@@ -30,7 +31,7 @@
 // Commands returns an example of each operator command.
 func Commands() []event.Event {
 	return []event.Event{
-		Status{}, Explain{}, Issue{}, Read{}, config.Apply{}, domain.Drain{}, domain.Restore{},
+		Status{}, Explain{}, Issue{}, Read{}, config.Apply{}, domain.Drain{}, domain.Restore{}, move.Begin{},
 	}
 }
 
@@ -41,5 +42,6 @@
 	30: claim.Want{}, 31: claim.Told{}, 32: claim.Query{}, 33: claim.Outcome{}, 34: claim.Stored{},
 	40: crash.Counts{}, 41: crash.Want{}, 42: crash.Given{}, 43: crash.Hold{}, 44: crash.Held{}, 45: crash.Free{},
 	50: permit.Need{}, 51: permit.Grant{}, 52: permit.State{}, 53: permit.Query{}, 54: permit.Holding{},
+	60: move.Beat{},
 	70: Ask{}, 71: Tell{},
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -177,7 +177,7 @@
 // state emits what depends on all packages together: readiness and exit.
 func (n *Node) state(now time.Time) []event.Action {
 	var out []event.Action
-	ready := n.stopped.IsZero() && n.config.Revision() > 0
+	ready := n.stopped.IsZero() && n.config.Revision() > 0 && n.moves.Loaded()
 	if ready && !n.ready {
 		out = append(out, event.Ready{Ready: true})
 	}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -17,6 +17,7 @@
 type router interface {
 	Place(now time.Time, attempt id.Attempt, q route.Query) (route.Choice, []event.Action)
 	End(now time.Time, attempt id.Attempt, o route.Outcome) []event.Action
+	InFlight(server id.Server) int
 }
 
 type queue interface {
@@ -45,7 +46,7 @@
 
 type versions interface {
 	Choose(now time.Time, pool id.Pool, fp id.Fingerprint, p id.Pipeline) id.Version
-	Observe(now time.Time, s move.Sample) []event.Action
+	Observe(now time.Time, s move.Sample)
 }
 
 type tree interface {
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -169,7 +169,7 @@
 	t := &try{
 		attempt: attempt, request: o.arrive.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
-		began: now, until: o.deadline, load: len(r.attempts), start: choice.Server.Start, hedge: hedge,
+		began: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
 	}
 	if !o.alone.IsZero() && o.alone.Before(t.until) {
 		t.until = o.alone
@@ -280,7 +280,7 @@
 	}
 	r.drop(o, t)
 	out.add(r.parts.Router.End(now, t.attempt, route.Outcome{Kind: route.Completed, Took: ev.Took, Start: ev.Start, Tokens: ev.Tokens})...)
-	out.add(r.sample(now, o, t, ev.Took, false)...)
+	r.sample(now, o, t, ev.Took, false)
 	r.chargeCrashes(now, o, t, out)
 	r.cancelOthers(now, o, nil, out)
 	r.parts.Queue.Observe(o.arrive.Pipeline, o.current().Name, now.Sub(o.entered))
@@ -301,8 +301,8 @@
 	r.advance(now, o, result, out)
 }
 
-func (r *Requests) sample(now time.Time, o *open, t *try, took time.Duration, failed bool) []event.Action {
-	return r.parts.Versions.Observe(now, move.Sample{
+func (r *Requests) sample(now time.Time, o *open, t *try, took time.Duration, failed bool) {
+	r.parts.Versions.Observe(now, move.Sample{
 		Pool: t.pool, Version: t.version, Pipeline: o.arrive.Pipeline,
 		Took: took, Failed: failed, Load: t.load,
 	})
