move: bound the routes of a rollout and free its evidence when it is over

Cause: each query sorted the routes again, and a fleet with many pipelines could make the evidence grow without a bound.

Ruled out: dropping old routes, because their totals decide whether the evidence is complete.

Conclusion: the memory of a rollout is bounded.

--- a/core/move/evidence.go
+++ b/core/move/evidence.go
@@ -16,6 +16,7 @@
 	ringSize   = 64 // latencies of the old version kept for a route and a load
 	ringEnough = 16
 	loadBins   = 6
+	maxRoutes  = 64 // a rollout is judged on; the other results count for all routes together
 	// A result is slow if it takes longer than this multiple of the old version's upper quartile at
 	// the same load; about one in ten of a usual latency distribution does.
 	slowFactor = 1.3
@@ -68,6 +69,7 @@
 	first  int64            // oldest slot kept
 	judged int64            // scores are known up to this slot, unless an older one has changed
 	rings  map[binKey]*ring
+	routes []id.Pipeline // sorted
 	worst  float64
 	where  id.Pipeline
 }
@@ -170,6 +172,9 @@
 	if p.slot != allTime && (p.slot < e.first || p.slot > slotOf(now)+2) {
 		return // too old, or from a clock that is far ahead
 	}
+	if !e.admit(p.route) {
+		return
+	}
 	of := e.by[inc]
 	if of == nil {
 		of = map[place]cell{}
@@ -192,15 +197,17 @@
 	of[p], e.sum[p] = old, sum
 }
 
-func (e *evidence) routes() []id.Pipeline {
-	var out []id.Pipeline
-	for p := range e.sum {
-		if p.slot == allTime {
-			out = append(out, p.route)
-		}
+// admit remembers a route; a rollout is judged on a bounded number of them.
+func (e *evidence) admit(route id.Pipeline) bool {
+	at, known := slices.BinarySearch(e.routes, route)
+	if known {
+		return true
 	}
-	slices.Sort(out)
-	return out
+	if len(e.routes) >= maxRoutes {
+		return false
+	}
+	e.routes = slices.Insert(e.routes, at, route)
+	return true
 }
 
 // judge returns the highest score and its route. Only slots that have changed are scored again.
@@ -211,7 +218,7 @@
 	}
 	from := max(e.first, e.judged+1)
 	e.worst = 0
-	for _, route := range e.routes() {
+	for _, route := range e.routes {
 		s := e.after[place{route, from - 1}]
 		for slot := from; slot <= last; slot++ {
 			s = e.score(s, route, slot)
@@ -312,7 +319,7 @@
 	if all.newN < enough || all.newTimed < enough/2 {
 		return false
 	}
-	for _, route := range e.routes() {
+	for _, route := range e.routes {
 		c := e.sum[place{route, allTime}]
 		if c.oldN*routeShare >= all.oldN && c.newN < enoughRoute {
 			return false
--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -237,6 +237,7 @@
 	}
 	if !r.settledAt.IsZero() && now.Sub(r.settledAt) > m.keep {
 		r.settledAt = time.Time{}
+		r.evidence = newEvidence() // nobody asks for it any more
 	}
 	if r.busy || now.Before(r.retry) {
 		return out
