request, callers: refusals and answers that are true of the request

Cause: reading the path of a resend showed three statements that could be false. A busy node refused a keyed request as not run without looking the key up. A recorded outcome whose answer was not kept was passed on as an empty whole answer. A stop waited without the bound of the settings.

Ruled out: answering unknown for an outcome that is known; the caller would ask for ever.

Change: a busy node answers unknown to a keyed request; the problem completed (410) says that the request took effect and its answer is gone; the settings' grace bounds a graceful stop.

Conclusion: TestBusy covers the first; the others are covered by the fault matrix only as far as it resends.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -142,6 +142,8 @@
 	Failed ProblemKind = "failed"
 	// Deadline means that the deadline passed before the whole answer was there; no action was taken.
 	Deadline ProblemKind = "deadline"
+	// Completed means that an earlier request with the same key took effect, and that its answer is no longer kept.
+	Completed ProblemKind = "completed"
 	// Invalid means that the request itself is wrong; it was not run.
 	Invalid ProblemKind = "invalid"
 )
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,8 @@
 	maxRounds = 10_000
 	// balancerLag is how long the platform's balancer may go on sending callers to a node that is not ready.
 	balancerLag = 2 * time.Second
+	// defaultGrace is longer than the longest deadline and the wait for the outcome of its action.
+	defaultGrace = 30 * time.Second
 	// recordWait is how long a stopping node tries to record outcomes while the platform is down.
 	recordWait = 15 * time.Second
 	// stopPoll is how often a stopping node looks whether its last request has ended.
@@ -56,6 +58,7 @@
 	requests *request.Requests
 	modules  []module
 
+	grace    time.Duration
 	polls    map[uint64]*poll
 	held     []heldCommand
 	polled   uint64
@@ -67,7 +70,7 @@
 
 // New returns a node that knows only itself.
 func New(self event.Self, opts ...Option) *Node {
-	var o options
+	o := options{grace: defaultGrace}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -81,6 +84,7 @@
 		router:  route.New(self, o.route...),
 		queue:   admit.New(self, o.admit...),
 		moves:   move.New(self, o.move...),
+		grace:   o.grace,
 		polls:   map[uint64]*poll{},
 	}
 	n.requests = request.New(self, request.Parts{
@@ -186,7 +190,8 @@
 	if n.stopped.IsZero() || n.exited {
 		return out
 	}
-	if n.requests.Open() == 0 && n.claims.Open() == 0 && (n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait) && now.Sub(n.stopped) >= balancerLag {
+	done := n.requests.Open() == 0 && n.claims.Open() == 0 && (n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait)
+	if (done && now.Sub(n.stopped) >= balancerLag) || now.Sub(n.stopped) >= n.grace {
 		n.exited = true
 		return append(out, event.Exit{})
 	}
--- a/core/node/option.go
+++ b/core/node/option.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"bluebellflow/core/admit"
 	"bluebellflow/core/claim"
 	"bluebellflow/core/config"
@@ -12,6 +14,7 @@
 )
 
 type options struct {
+	grace  time.Duration
 	member []member.Option
 	config []config.Option
 	domain []domain.Option
@@ -25,6 +28,15 @@
 // Option changes how a node is put together.
 type Option func(*options)
 
+// WithGrace bounds the time between Stop and Exit, for a VM that is taken away in any case.
+func WithGrace(d time.Duration) Option {
+	return func(o *options) {
+		if d > 0 {
+			o.grace = d
+		}
+	}
+}
+
 // WithMember passes options to package member.
 func WithMember(opts ...member.Option) Option {
 	return func(o *options) { o.member = append(o.member, opts...) }
--- a/core/request/fail.go
+++ b/core/request/fail.go
@@ -126,7 +126,7 @@
 
 // chargeCrashes counts crashes against a version if another version ran the same request well;
 // a request that crashes any version is not the version's fault.
-func (r *Requests) chargeCrashes(now time.Time, o *open, t *try, out *actions) {
+func (r *Requests) chargeCrashes(now time.Time, o *open, t *try) {
 	for _, v := range o.crashed {
 		if v != t.version {
 			r.parts.Versions.Observe(now, move.Sample{Pool: t.pool, Version: v, Pipeline: o.arrive.Pipeline, Failed: true, Load: t.load})
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -259,6 +259,10 @@
 		o.granted = true
 		r.place(now, o, out)
 	case claim.Recorded:
+		if ev.Omitted {
+			r.giveUp(now, o, event.Completed, "the key's earlier run took effect; its answer is no longer kept", 0, out)
+			return
+		}
 		out.log("claim", o, "recorded", "the key's earlier run has an answer")
 		r.finish(now, o, ev.Result, out)
 	case claim.RejectedBefore:
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -281,7 +281,7 @@
 	r.drop(o, t)
 	out.add(r.parts.Router.End(now, t.attempt, route.Outcome{Kind: route.Completed, Took: ev.Took, Start: ev.Start, Tokens: ev.Tokens})...)
 	r.sample(now, o, t, ev.Took, false)
-	r.chargeCrashes(now, o, t, out)
+	r.chargeCrashes(now, o, t)
 	r.cancelOthers(now, o, nil, out)
 	r.parts.Queue.Observe(o.arrive.Pipeline, o.current().Name, now.Sub(o.entered))
 	r.parts.Queue.Success(o.arrive.Pipeline)
--- a/io/callers/answer.go
+++ b/io/callers/answer.go
@@ -38,6 +38,8 @@
 		return http.StatusBadGateway
 	case event.Deadline:
 		return http.StatusGatewayTimeout
+	case event.Completed:
+		return http.StatusGone
 	case event.Invalid:
 		return http.StatusBadRequest
 	}
--- a/io/callers/callers.go
+++ b/io/callers/callers.go
@@ -170,9 +170,13 @@
 	}
 	x := newExchange()
 	if s.busy() || !s.enter(arrive.Request, x) {
-		s.vars.Add("problems_"+string(event.Refused), 1)
 		p := event.Problem{Kind: event.Refused, Detail: "too many requests in progress on this node", RetryAfter: busyRetry}
-		problem.New(p, http.StatusServiceUnavailable, "").Write(w)
+		if arrive.Key != "" {
+			// An earlier request with the key may have run, and this node is too busy to find out.
+			p.Kind = event.Unknown
+		}
+		s.vars.Add("problems_"+string(p.Kind), 1)
+		problem.New(p, Status(p.Kind), "").Write(w)
 		return
 	}
 	defer s.leave(arrive.Request)
--- a/io/callers/callers_test.go
+++ b/io/callers/callers_test.go
@@ -209,6 +209,9 @@
 	s := start(t, nil, callers.WithBusy(func() bool { return true }))
 	resp, raw := s.call(t, "POST", "/v1/pipelines/p", "", "Bluebellflow-Workspace", "w")
 	expectProblem(t, resp, raw, 503, event.Refused)
+	// A keyed request may have run before, so that "not run" would not be true of it.
+	resp, raw = s.call(t, "POST", "/v1/pipelines/p", "", "Bluebellflow-Workspace", "w", "Idempotency-Key", "k")
+	expectProblem(t, resp, raw, 409, event.Unknown)
 	NewWithT(t).Expect(s.events).To(BeEmpty())
 }
 
--- a/io/problem/problem.go
+++ b/io/problem/problem.go
@@ -28,11 +28,12 @@
 
 // titles are the short, unchanging summaries of the kinds.
 var titles = map[event.ProblemKind]string{
-	event.Refused:  "The request was not run and had no effect.",
-	event.Unknown:  "The outcome is not known; ask again with the same key.",
-	event.Failed:   "The request ran and failed.",
-	event.Deadline: "The deadline passed before the answer was complete.",
-	event.Invalid:  "The request is not valid and was not run.",
+	event.Refused:   "The request was not run and had no effect.",
+	event.Unknown:   "The outcome is not known; ask again with the same key.",
+	event.Failed:    "The request ran and failed.",
+	event.Deadline:  "The deadline passed before the answer was complete.",
+	event.Completed: "An earlier request with this key took effect; its answer is no longer kept.",
+	event.Invalid:   "The request is not valid and was not run.",
 }
 
 // New returns the document of a problem; instance identifies the request and may be empty.
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -22,6 +22,7 @@
 
 // Config returns the configuration of the node that the settings describe.
 func Config(n settings.Node, opts ...node.Option) runtime.Config {
+	opts = append([]node.Option{node.WithGrace(n.Limits.Grace)}, opts...)
 	return runtime.Config{
 		Self: event.Self{
 			Node: n.Name, FailureDomain: n.FailureDomain, Region: n.Region, Addr: n.Peer,
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -184,6 +184,9 @@
 		rec.Class = Unknown
 		*unknown = true
 		return a.Key != "", wait
+	case event.Completed:
+		rec.Class = Late
+		return false, 0
 	case event.Deadline:
 		rec.Class = Late
 		r.checkNotRun(a, rec)
