move: a node that starts while the platform is down learns the rollouts from peers

Cause: a node is not ready before it has read the rollouts from the platform, so that a VM replaced during an outage served nothing until its end.

Ruled out: serving without the rollouts; Choose would send work to a version that was taken back.

Change: while the first read fails, three peers are asked, those of the own domain first; only a node that has read them itself answers. What is learned is read again from the platform before a lease is taken.

Conclusion: the new spec starts a node in an outage after a stop, and it gives the stopped version nothing.

--- a/core/move/control.go
+++ b/core/move/control.go
@@ -294,6 +294,9 @@
 	m.listed = 0
 	if ev.Code != event.CodeOK {
 		m.listAt = now.Add(retryWait)
+		if !m.loaded {
+			return m.askForRollouts()
+		}
 		return nil
 	}
 	var out []event.Action
--- a/core/move/move_test.go
+++ b/core/move/move_test.go
@@ -350,6 +350,24 @@
 		Expect(c.history().State).To(Equal(move.Back))
 		Expect(c.faults).To(BeEmpty())
 	})
+	It("is known to a node that starts while the platform is down", func() { // guards against work for a version that was taken back
+		c := newTrial(1, 5, 5*time.Minute)
+		c.w.Run(90 * time.Second)
+		c.bad = true
+		c.cutPlatform(true)
+		c.w.Run(20 * time.Second)
+		c.w.Kill("n1")
+		c.w.Start("n1")
+		c.views()
+		c.w.Run(5 * time.Second)
+		fresh := c.w.Stepper("n1").(stepper)
+		Expect(fresh.Loaded()).To(BeTrue())
+		Expect(fresh.Choose(c.w.Now, "p", 7, "x")).To(Equal(id.Version("v1")))
+		c.cutPlatform(false)
+		c.w.Run(20 * time.Second)
+		Expect(c.history().State).To(Equal(move.Back))
+		Expect(c.faults).To(BeEmpty())
+	})
 	It("stays at a small share without evidence", func() { // guards against a version that nobody has tried
 		c := newTrial(1, 3, 3*time.Minute)
 		c.rate = 0
--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -167,8 +167,13 @@
 			m.reports[ev.Server] = ev
 		}
 	case event.Receive:
-		if b, ok := ev.Body.(Beat); ok {
+		switch b := ev.Body.(type) {
+		case Beat:
 			out = append(out, m.receive(now, ev, b)...)
+		case Ask:
+			out = append(out, m.tell(ev.From)...)
+		case Told:
+			m.learn(now, b)
 		}
 	case event.Changed:
 		out = append(out, m.changed(now, ev)...)
--- a/core/node/bodies.go
+++ b/core/node/bodies.go
@@ -42,6 +42,6 @@
 	30: claim.Want{}, 31: claim.Told{}, 32: claim.Query{}, 33: claim.Outcome{}, 34: claim.Stored{},
 	40: crash.Counts{}, 41: crash.Want{}, 42: crash.Given{}, 43: crash.Hold{}, 44: crash.Held{}, 45: crash.Free{},
 	50: permit.Need{}, 51: permit.Grant{}, 52: permit.State{}, 53: permit.Query{}, 54: permit.Holding{},
-	60: move.Beat{},
+	60: move.Beat{}, 61: move.Ask{}, 62: move.Told{},
 	70: Ask{}, 71: Tell{},
 }
