request: refuse only what a fresh lookup of the key says was not run

Cause: a refusal rested on the lookup made when the request arrived. A recorded outcome whose result was omitted was answered as a whole, empty answer. Ruled out: answering unknown for every refusal after a wait, because most refusals under overload would lose their meaning; claiming and voiding the key, because it costs two writes for each refusal. Change: a refusal with a lookup older than 250 ms looks again, for at most 250 ms, and answers what it finds. An omitted result is answered as unknown without Retry-After.

--- a/core/request/answer.go
+++ b/core/request/answer.go
@@ -40,6 +40,15 @@
 		return
 	}
 	kind = o.truthful(kind)
+	if kind == event.Refused && o.stale(now) {
+		r.lookAgain(now, o, refusal{detail, after}, out)
+		return
+	}
+	r.end(now, o, kind, detail, after, out)
+}
+
+// end ends a request that is not on its way to a service with a problem.
+func (r *Requests) end(now time.Time, o *open, kind event.ProblemKind, detail string, after time.Duration, out *actions) {
 	r.counters.Problems++
 	out.log("answer", o, string(kind), detail)
 	out.add(problem(o.arrive.Request, kind, detail, after))
@@ -60,6 +69,32 @@
 	return kind
 }
 
+// refusal is what a caller is told once it is known to be true.
+type refusal struct {
+	detail string
+	after  time.Duration
+}
+
+// stale reports whether the key was looked up so long ago that another request with it may have run since.
+func (o *open) stale(now time.Time) bool {
+	return needsKey(o.plan) && !o.granted && o.refusal == nil && now.Sub(o.looked) > lookFresh
+}
+
+// lookAgain looks up the key before the request is refused. If there is no answer soon, the outcome is unknown.
+func (r *Requests) lookAgain(now time.Time, o *open, why refusal, out *actions) {
+	r.leaveQueue(now, o, out)
+	r.cancelOthers(now, o, nil, out)
+	o.refusal = &why
+	o.phase = looking
+	o.looked = now
+	o.absent = false
+	if until := now.Add(lookWait); until.Before(o.deadline) {
+		o.deadline = until
+	}
+	r.timers.set(o.deadline, o.arrive.Request)
+	out.add(r.parts.Claims.Look(now, o.claim())...)
+}
+
 // giveUpAction answers a caller whose action is on its way, and goes on waiting for the outcome,
 // so that a request with the same key can be told.
 func (r *Requests) giveUpAction(now time.Time, o *open, detail string, out *actions) {
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -52,10 +52,12 @@
 	entered   time.Time // when the stage began
 	waited    time.Time // when waiting for room began
 
-	granted    bool // the claim is ours
-	dispatched bool // a non-idempotent attempt left this node
-	sent       bool // any attempt left this node
-	absent     bool // the key was not claimed when the request arrived
+	granted    bool      // the claim is ours
+	dispatched bool      // a non-idempotent attempt left this node
+	sent       bool      // any attempt left this node
+	absent     bool      // the key was not claimed when it was looked up
+	looked     time.Time // when that lookup began
+	refusal    *refusal  // what the caller is told if the key is still not claimed
 	broken     id.Server
 	verified   time.Time    // until when to wait for signs of a crash
 	crashed    []id.Version // versions whose servers crashed on the present stage
@@ -142,6 +144,7 @@
 	r.timers.set(o.deadline, ev.Request)
 	if needsKey(plan) {
 		o.phase = looking
+		o.looked = now
 		out.add(r.parts.Claims.Look(now, o.claim())...)
 		return
 	}
@@ -259,6 +262,10 @@
 		o.granted = true
 		r.place(now, o, out)
 	case claim.Recorded:
+		if ev.Omitted {
+			r.giveUp(now, o, event.Unknown, "an earlier request with this key ran; its answer was too large or too old to be kept", 0, out)
+			return
+		}
 		out.log("claim", o, "recorded", "the key's earlier run has an answer")
 		r.finish(now, o, ev.Result, out)
 	case claim.RejectedBefore:
@@ -277,8 +284,13 @@
 // unclaimed continues a request whose key nobody holds, or refuses it if the key cannot be claimed now.
 func (r *Requests) unclaimed(now time.Time, o *open, out *actions) {
 	o.absent = true
+	if o.refusal != nil {
+		r.end(now, o, event.Refused, o.refusal.detail, o.refusal.after, out)
+		return
+	}
 	if o.phase == claiming {
 		o.phase = placing
+		o.looked = now
 		r.refuse(now, o, "the key cannot be claimed now", claimRetry, out)
 		return
 	}
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -19,6 +19,8 @@
 	waitPause    = 200 * time.Millisecond // between two tries while all servers are full, should no word of room come
 	verifyWait   = 400 * time.Millisecond // two load report periods, so that a restarted server has been heard of
 	maxTries     = 6                      // attempts for one stage, so that a failing pool cannot be hammered
+	lookFresh    = 250 * time.Millisecond // age of a lookup of a key that a refusal may rest on
+	lookWait     = 250 * time.Millisecond // how long a refusal may wait for a new lookup
 	settleWait   = 10 * time.Second       // how long the outcome of an action is awaited after its caller was answered
 	hopeless     = 0.5                    // share of the estimated time below which a request is given up
 	noServerWait = 500 * time.Millisecond // how long a pool may stay without any usable server
