--- a/core/crash/guard.go
+++ b/core/crash/guard.go
@@ -299,16 +299,19 @@
 	if !g.store.next.IsZero() && !now.Before(g.store.next) {
 		out = append(out, g.read()...)
 	}
-	for _, r := range slices.Sorted(maps.Keys(g.asks)) {
+	for _, r := range g.dueAsks(now) {
 		a := g.asks[r]
 		switch {
-		case a == nil || a.next.IsZero() || now.Before(a.next):
+		case a == nil:
 		case now.Sub(a.sent) >= g.waitFor:
 			out = append(out, g.given(now, Given{Request: r, Wait: int64(g.hold)})...)
 		default:
 			out = append(out, g.want(now, r, a)...)
 		}
 	}
+	if len(g.posts) == 0 {
+		return out
+	}
 	for _, print := range slices.Sorted(maps.Keys(g.posts)) {
 		if p := g.posts[print]; p != nil {
 			out = append(out, g.overdue(now, print, p)...)
@@ -317,6 +320,19 @@
 	return out
 }
 
+// dueAsks returns the suspects whose timer is due, in a fixed order. Almost always there is none, and the timers are
+// looked at in each step.
+func (g *Guard) dueAsks(now time.Time) []id.Request {
+	var out []id.Request
+	for r, a := range g.asks {
+		if !a.next.IsZero() && !now.Before(a.next) {
+			out = append(out, r)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // spread sends the counters to a few nodes, or asks a few for theirs.
 func (g *Guard) spread(now time.Time) []event.Action {
 	g.gossipAt = now.Add(g.gossip)
