node: stop only after the events of a pause are handled

Change: a stopping node that sees a gap of 500 ms between two steps waits for another 500 ms. Start returns the start identity of a server that the node knows, for oracles.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -25,6 +25,10 @@
 	balancerLag = 2 * time.Second
 	// recordWait is how long a stopping node tries to record outcomes while the platform is down.
 	recordWait = 15 * time.Second
+	// pauseGap is the time between two steps after which a stopping node, which looks around every stopPoll, must have
+	// been frozen; what arrived meanwhile is handled during wakeWait.
+	pauseGap = 500 * time.Millisecond
+	wakeWait = 500 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether its last request has ended.
 	stopPoll = 50 * time.Millisecond
 )
@@ -59,6 +63,8 @@
 	polled   uint64
 	ready    bool
 	stopped  time.Time // when Stop came, zero before
+	woke     time.Time // when a stopping node last came out of a pause of its process
+	stepped  time.Time // the last step of a stopping node
 	exited   bool
 	waitNext time.Time
 }
@@ -179,7 +185,11 @@
 	if n.stopped.IsZero() || n.exited {
 		return out
 	}
-	if n.requests.Open() == 0 && n.claims.Open() == 0 && (n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait) && now.Sub(n.stopped) >= balancerLag {
+	if !n.stepped.IsZero() && now.Sub(n.stepped) > pauseGap {
+		n.woke = now
+	}
+	n.stepped = now
+	if n.finished(now) {
 		n.exited = true
 		return append(out, event.Exit{})
 	}
@@ -187,6 +197,13 @@
 	return out
 }
 
+// finished reports whether a stopping node has nothing left to do and gets no more requests.
+func (n *Node) finished(now time.Time) bool {
+	recorded := n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait
+	quiet := now.Sub(n.stopped) >= balancerLag && now.Sub(n.woke) >= wakeWait
+	return recorded && quiet && n.requests.Open() == 0 && n.claims.Open() == 0
+}
+
 // Next returns the time of the earliest timer, zero for none.
 func (n *Node) Next() time.Time {
 	next := n.waitNext
@@ -209,3 +226,9 @@
 
 // Ready reports whether the balancer may send callers to this node.
 func (n *Node) Ready() bool { return n.ready }
+
+// Start returns the newest start identity of a backend server that this node knows, empty for none.
+func (n *Node) Start(server id.Server) id.Start {
+	s, _ := n.members.Server(server)
+	return s.Start
+}
