prove, node: fault matrix of all steps and faults

A hook, Tap, sees each action before it is carried out, so that a fault strikes exactly before or after a transition. Oracles: answers, refusals over all sends of a key, answers at once after giving up, graceful stops, one answer to each command, configuration, domain records, drained domains, leaving and cold servers.

--- /dev/null
+++ b/core/node/matrix_test.go
@@ -0,0 +1,273 @@
+package node_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/prove"
+)
+
+var (
+	matrixFull = flag.Bool("matrix.full", false, "run every cell of the fault matrix instead of the fixed part")
+	matrixSeed = flag.Uint64("matrix.seed", 0, "run only the cell with this seed, and log its trace")
+	matrixOut  = flag.String("matrix.out", "", "write the fault matrix as a table to this file")
+)
+
+// cell is one case of the matrix: a fault at a step, and a second fault at another step.
+type cell struct {
+	step   int
+	fault  int
+	peer   bool // strikes the peer instead of the node that acts
+	after  bool // just after the action instead of just before it
+	second int  // index of the second fault, -1 for none
+	step2  int
+	nth    int // which occurrence of the step
+	seed   uint64
+}
+
+func (c cell) String() string {
+	list := allSteps()
+	where := [2][2]string{{"before", "at the peer before"}, {"after", "at the peer after"}}[btoi(c.after)][btoi(c.peer)]
+	text := fmt.Sprintf("%s %s %s (occurrence %d)", faults[c.fault].name, where, list[c.step].name, c.nth)
+	if c.second >= 0 {
+		text += fmt.Sprintf(", %s at %s", faults[c.second].name, list[c.step2].name)
+	}
+	return text + fmt.Sprintf(", seed %d", c.seed)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// allCells returns the matrix in a fixed order. The seed of a cell follows from its position.
+func allCells() []cell {
+	var out []cell
+	list := allSteps()
+	seen := calmCounts()
+	for i := range list {
+		for j, f := range faults {
+			for k := range 4 {
+				c := cell{step: i, fault: j, peer: k&1 == 1, after: k&2 == 2, second: -1}
+				if c.peer && !f.local {
+					continue
+				}
+				out = append(out, c)
+			}
+		}
+	}
+	for i := range list {
+		for j := range faults {
+			for k := j; k < len(faults); k++ {
+				n := i + j + k
+				out = append(out, cell{
+					step: i, fault: j, peer: faults[j].local && n%2 == 1, after: n%4 >= 2,
+					second: k, step2: (i + 7*j + 13*k) % len(list),
+				})
+			}
+		}
+	}
+	for i := range out {
+		out[i].seed = uint64(i + 1)
+		out[i].nth = 1 + i%min(3, max(1, seen[out[i].step]))
+	}
+	return out
+}
+
+// calmCounts returns how often each step occurs without a fault, so that no cell waits for an occurrence that never comes.
+var calmCounts = sync.OnceValue(func() map[int]int {
+	s := newSystem(1)
+	list, count := allSteps(), map[int]int{}
+	s.Tap = func(_ *prove.World, _ id.Node, a event.Action) func() {
+		for i, one := range list {
+			if one.match(a) {
+				count[i]++
+			}
+		}
+		return nil
+	}
+	s.play()
+	return count
+})
+
+// fixedPart is the part of the matrix that runs by default: each fault at each step in one of its variants, and each
+// pair of faults at one step.
+func fixedPart(all []cell) []cell {
+	rng := rand.New(rand.NewPCG(20260101, 1))
+	groups := map[[3]int][]cell{}
+	var order [][3]int
+	for _, c := range all {
+		key := [3]int{c.step, c.fault, -1}
+		if c.second >= 0 {
+			key = [3]int{-1, c.fault, c.second}
+		}
+		if groups[key] == nil {
+			order = append(order, key)
+		}
+		groups[key] = append(groups[key], c)
+	}
+	var out []cell
+	for _, key := range order {
+		out = append(out, groups[key][rng.IntN(len(groups[key]))])
+	}
+	return out
+}
+
+// trap strikes with a fault at the nth occurrence of a step, and once only.
+type trap struct {
+	step  step
+	fault fault
+	peer  bool
+	after bool
+	nth   int
+	seen  int
+	at    time.Duration // when it struck, 0 for not yet
+}
+
+// arm sets the traps; a fault that needs it ends after a while.
+func (s *system) arm(rng *rand.Rand, traps ...*trap) {
+	begin := s.Now
+	s.Tap = func(_ *prove.World, from id.Node, a event.Action) func() {
+		var later []func()
+		for _, t := range traps {
+			if t.at != 0 || s.Now.Sub(begin) > healTime-faultTime || !t.step.match(a) {
+				continue
+			}
+			if t.seen++; t.seen < t.nth {
+				continue
+			}
+			t.at = s.Now.Sub(prove.Epoch)
+			strike := func() { s.strike(t, t.where(s, rng, from, a)) }
+			if t.after {
+				later = append(later, strike)
+				continue
+			}
+			strike()
+		}
+		if len(later) == 0 {
+			return nil
+		}
+		return func() {
+			for _, strike := range later {
+				strike()
+			}
+		}
+	}
+}
+
+func (t *trap) where(s *system, rng *rand.Rand, from id.Node, a event.Action) place {
+	peer, server := peerOf(a)
+	if peer == "" || peer == from {
+		peer = otherNode(s, rng, from)
+	}
+	if server == "" {
+		server = someServer(s, rng, "")
+	}
+	if t.peer {
+		return place{node: peer, other: from, server: server}
+	}
+	return place{node: from, other: peer, server: server}
+}
+
+func (s *system) strike(t *trap, p place) {
+	t.fault.begin(s, p)
+	s.struck = append(s.struck, t.fault)
+	s.At(faultTime, func() { t.fault.end(s, p) })
+}
+
+// run plays the scenario with the faults of a cell.
+func (c cell) run() (*system, []*trap) {
+	s := newSystem(c.seed)
+	s.Tracing = *matrixSeed != 0
+	rng := rand.New(rand.NewPCG(c.seed, 99))
+	list := allSteps()
+	traps := []*trap{{step: list[c.step], fault: faults[c.fault], peer: c.peer, after: c.after, nth: c.nth}}
+	if c.second >= 0 {
+		traps = append(traps, &trap{step: list[c.step2], fault: faults[c.second], after: !c.after, nth: 1 + int(c.seed)%2})
+	}
+	s.arm(rng, traps...)
+	s.play()
+	return s, traps
+}
+
+// check returns what the oracles of all guarantees found.
+func (s *system) check() []string {
+	v := append(s.callers.Check(answerSlop), s.books.check()...)
+	if limit := s.maxCrashes(); s.backends.Crashes > limit {
+		v = append(v, fmt.Sprintf("one request's content crashed %d servers, at most %d are allowed", s.backends.Crashes, limit))
+	}
+	for name, one := range s.backends.Servers {
+		if one.Overrun > 0 {
+			v = append(v, fmt.Sprintf("cold server %s got %d attempts more than it can handle", name, one.Overrun))
+		}
+	}
+	return v
+}
+
+// maxCrashes is two, plus one attempt that may be in flight before the first crash is known. Two sides that cannot reach
+// each other cannot share their counts, so that each side has its own bound.
+func (s *system) maxCrashes() int {
+	oneSide := 3
+	for _, f := range s.struck {
+		if f.repeats {
+			oneSide++ // a second caller sends it at the same time
+		}
+	}
+	for _, f := range s.struck {
+		if f.separates {
+			return 2 * oneSide
+		}
+	}
+	return oneSide
+}
+
+// TestMatrix guards against every guarantee being broken by a fault at any step of any life cycle, or by two faults.
+func TestMatrix(t *testing.T) {
+	cells := allCells()
+	total := len(cells)
+	switch {
+	case *matrixSeed != 0:
+		cells = cells[*matrixSeed-1 : *matrixSeed]
+	case !*matrixFull:
+		cells = fixedPart(cells)
+	}
+	r := newResults()
+	t.Run("cells", func(t *testing.T) {
+		for _, c := range cells {
+			t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+				t.Parallel()
+				s, traps := c.run()
+				v := s.check()
+				for _, line := range s.Trace {
+					t.Log(line)
+				}
+				r.add(c, traps[0].at != 0, v)
+				if len(v) > 0 {
+					t.Errorf("%s\n%s\n%v", c, strings.Join(v[:min(4, len(v))], "\n"), s.callers.Tally())
+				}
+			})
+		}
+	})
+	t.Logf("%d of %d cells", len(cells), total)
+	if *matrixSeed != 0 {
+		return
+	}
+	if *matrixOut != "" {
+		if err := os.WriteFile(*matrixOut, []byte(r.table()), 0o644); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, name := range r.unreached() {
+		t.Errorf("no cell reached step %q", name)
+	}
+}
--- /dev/null
+++ b/core/node/report_test.go
@@ -0,0 +1,124 @@
+package node_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+)
+
+// tally counts the cells of one field of the table.
+type tally struct{ run, failed int }
+
+func (t tally) String() string {
+	switch {
+	case t.run == 0:
+		return ""
+	case t.failed > 0:
+		return fmt.Sprintf("**%d of %d**", t.failed, t.run)
+	}
+	return fmt.Sprint(t.run)
+}
+
+// results collects the outcomes of the cells.
+type results struct {
+	mu      sync.Mutex
+	reached map[int]int
+	cells   map[int]int
+	single  map[[2]int]tally // by step and fault
+	pairs   map[[2]int]tally // by two faults
+	failed  []string
+}
+
+func newResults() *results {
+	return &results{reached: map[int]int{}, cells: map[int]int{}, single: map[[2]int]tally{}, pairs: map[[2]int]tally{}}
+}
+
+func (r *results) add(c cell, reached bool, violations []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cells[c.step]++
+	if reached {
+		r.reached[c.step]++
+	}
+	field, key := r.single, [2]int{c.step, c.fault}
+	if c.second >= 0 {
+		field, key = r.pairs, [2]int{c.fault, c.second}
+	}
+	t := field[key]
+	t.run++
+	if len(violations) > 0 {
+		t.failed++
+		r.failed = append(r.failed, c.String()+": "+violations[0])
+	}
+	field[key] = t
+}
+
+// unreached returns the steps that no cell came to, which would prove nothing.
+func (r *results) unreached() []string {
+	var out []string
+	for i, s := range allSteps() {
+		if r.cells[i] > 0 && r.reached[i] == 0 {
+			out = append(out, s.name)
+		}
+	}
+	return out
+}
+
+// table writes the matrix in Markdown.
+func (r *results) table() string {
+	var b strings.Builder
+	total, reached := 0, 0
+	for i, n := range r.cells {
+		total += n
+		reached += r.reached[i]
+	}
+	fmt.Fprintf(&b, "%d cells, %d failed. In %d cells the step of the first fault occurred as often as the cell wants.\n\n", total, len(r.failed), reached)
+	b.WriteString("## Faults\n\n")
+	for j, f := range faults {
+		fmt.Fprintf(&b, "%d. %s\n", j+1, f.name)
+	}
+	b.WriteString("\n## One fault at each step\n\nEach field gives the number of cells that passed, or the failed ones in bold. The columns are the faults.\n\n")
+	heading(&b, "step")
+	for i, s := range allSteps() {
+		fmt.Fprintf(&b, "| %s |", s.name)
+		for j := range faults {
+			fmt.Fprintf(&b, " %s |", r.single[[2]int{i, j}])
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n## Pairs of faults\n\nThe first fault strikes at each step in turn, the second at another one.\n\n")
+	heading(&b, "first fault")
+	for j, f := range faults {
+		fmt.Fprintf(&b, "| %d %s |", j+1, f.name)
+		for k := range faults {
+			fmt.Fprintf(&b, " %s |", r.pairs[[2]int{j, k}])
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n## Cases that the oracles allow\n\n")
+	for _, e := range excuses {
+		fmt.Fprintf(&b, "- %s: %s\n", e.name, e.why)
+	}
+	return b.String()
+}
+
+func heading(b *strings.Builder, first string) {
+	fmt.Fprintf(b, "| %s |", first)
+	for j := range faults {
+		fmt.Fprintf(b, " %d |", j+1)
+	}
+	b.WriteString("\n|---|" + strings.Repeat("---|", len(faults)) + "\n")
+}
+
+// excuses names the cases that no cell is held to, with the code that allows them.
+var excuses = []struct{ name, why string }{
+	{"Frozen process (prove.World.Awake)", "a frozen process cannot see that a request has arrived and cannot answer; its deadlines count from the time at which it wakes."},
+	{"Killed process (prove.Callers.checkEnded)", "a process that was killed cannot answer; its callers see a broken connection and send again with the same key."},
+	{"Concurrent sends of one key (prove.Callers.checkRefused)", "a refusal may precede a run of another send whose caller is still waiting, because that caller gets its own answer."},
+	{"Decision before a pause (prove.Callers.checkRefused)", "a process that is frozen between a decision and the answer cannot take the decision back."},
+	{"Unheard start of a server (prove.Server.excess)", "an attempt does not count as overload if the node that sent it had not handled any report, answer or message of the server's present start at the dispatch."},
+	{"Unreachable node (node_test.books.reachable)", "a node that was cut off from the other domains, frozen or not running cannot have heard of a drain; it is held to it 3 s after that has ended."},
+	{"Waking node (node_test.books.justWoke)", "a process that wakes acts on what it knew until it has handled the events of its pause."},
+	{"Two sides (node_test.system.maxCrashes)", "two sides that cannot reach each other cannot share their counts of crashes, so that each has its own bound."},
+	{"Repeated streams (prove.Callers.repeats)", "the answer to a repeated key is the recorded result of the action; text that was streamed before it is not recorded."},
+}
--- /dev/null
+++ b/core/node/scenario_test.go
@@ -0,0 +1,211 @@
+package node_test
+
+import (
+	"fmt"
+	"time"
+
+	"bluebellflow/core/config"
+	"bluebellflow/core/domain"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/node"
+	"bluebellflow/core/prove"
+)
+
+const (
+	loadTime  = 6 * time.Second        // how long callers send
+	loadGap   = 20 * time.Millisecond  // between two requests
+	faultTime = 3 * time.Second        // how long a fault lasts that does not end by itself
+	healTime  = 9 * time.Second        // when all faults have ended
+	quietTime = 21 * time.Second       // covers deadlines, the settling of actions, and the hold of a lone attempt
+	sparse    = 500 * time.Millisecond // between load reports while nothing is sent, to spare processor time
+	dense     = 100 * time.Millisecond
+	maxSends  = 5           // of one key
+	routeLag  = time.Second // how long the balancer goes on sending to a node that is not ready
+	stopped   = id.Node("d2-n2")
+	issuer    = id.Node("d0-n0")
+)
+
+// play runs one scenario that goes through all life cycles: load on both pipelines, streams, one-time keys, a server that
+// turns cold, a drain and a restore, two configuration changes, a request that crashes servers, a leaving server,
+// a planned stop, and resends.
+func (s *system) play() {
+	s.backends.Every = dense
+	s.At(0, func() {
+		s.command(issuer, func(c event.Command) event.Event { return node.Issue{Command: c, Count: 4} })
+	})
+	s.At(300*time.Millisecond, func() { s.backends.Restart("d0-model-2") })
+	s.At(500*time.Millisecond, func() { s.drain("d1-n1", "d2") })
+	s.At(800*time.Millisecond, func() { s.setWeight("north", 3) })
+	s.At(time.Second, func() { s.poison() })
+	s.At(1200*time.Millisecond, func() { s.books.leave("d1-encoder-0") })
+	s.At(1500*time.Millisecond, func() { s.stop(stopped) })
+	s.At(2300*time.Millisecond, func() { s.backends.Restart("d1-model-3") })
+	s.At(4200*time.Millisecond, func() { s.restore("d0-n2", "d2") })
+	s.At(4500*time.Millisecond, func() { s.setWeight("south", 5) })
+	s.At(7*time.Second, func() { s.startExited() })
+	for at := time.Second; at < healTime+8*time.Second; at += time.Second {
+		s.At(at, s.resend)
+	}
+	for range int(loadTime / loadGap) {
+		if to, ok := s.entry(); ok {
+			s.impatience(s.send(to))
+		}
+		s.Run(loadGap)
+	}
+	s.Run(healTime - loadTime)
+	s.Tap = nil
+	s.healAll()
+	s.Run(4 * time.Second)
+	s.backends.Every = sparse
+	s.Run(quietTime - 4*time.Second)
+	s.books.readAll()
+	s.Run(2 * time.Second)
+}
+
+// impatience lets some callers hang up in the middle of a stream, and others send a loan again through another node while
+// the first one still runs.
+func (s *system) impatience(one *prove.Sent) {
+	switch s.sent % 20 {
+	case 0:
+		s.At(60*time.Millisecond, func() { s.callers.HangUp(one) })
+	case 10:
+		for _, after := range []time.Duration{100, 120} {
+			s.At(after*time.Millisecond, func() {
+				if to, ok := s.entry(); ok && one.End == nil {
+					s.callers.Send(to, one.Arrive)
+				}
+			})
+		}
+	}
+}
+
+// entry returns a node that the balancer sends a caller to.
+func (s *system) entry() (id.Node, bool) {
+	var open []id.Node
+	for _, n := range s.Names() {
+		if since, unready := s.books.unready[n]; s.Up(n) && (!unready || s.Now.Sub(since) < routeLag) {
+			open = append(open, n)
+		}
+	}
+	if len(open) == 0 {
+		return "", false
+	}
+	return open[s.Rand.IntN(len(open))], true
+}
+
+// command sends an operator's command to a node.
+func (s *system) command(to id.Node, make func(event.Command) event.Event) {
+	if !s.Up(to) {
+		return
+	}
+	s.commands++
+	number := 1000 + uint64(s.commands)
+	ev := make(event.Command{Number: number})
+	s.books.commanded(to, number, ev)
+	s.Inject(to, ev, 0)
+}
+
+func (s *system) drain(to id.Node, d id.FailureDomain) {
+	s.command(to, func(c event.Command) event.Event { return domain.Drain{Command: c, Domain: d, By: "one"} })
+}
+
+func (s *system) restore(to id.Node, d id.FailureDomain) {
+	s.command(to, func(c event.Command) event.Event { return domain.Restore{Command: c, Domain: d, By: "two"} })
+}
+
+// setWeight changes the configuration of one workspace.
+func (s *system) setWeight(ws id.Workspace, weight int) {
+	to, ok := s.entry()
+	if !ok {
+		return
+	}
+	source := []byte(fmt.Sprintf(`{"weight": %d}`, weight))
+	s.command(to, func(c event.Command) event.Event { return config.Apply{Command: c, Source: source, Workspace: ws} })
+}
+
+func (s *system) stop(name id.Node) {
+	if s.Up(name) {
+		s.books.stops[name] = s.Life(name)
+		s.Inject(name, event.Stop{}, 0)
+	}
+}
+
+// startExited replaces the nodes that were stopped as planned.
+func (s *system) startExited() {
+	for _, n := range s.Names() {
+		if s.Exited(n) {
+			s.Start(n)
+		}
+	}
+}
+
+// poison lets callers send a request that crashes its servers, again and again, through other nodes.
+func (s *system) poison() {
+	s.backends.Poison = "poison"
+	for i := range 6 {
+		s.At(time.Duration(i)*300*time.Millisecond, func() {
+			if to, ok := s.entry(); ok {
+				s.callers.Send(to, event.Arrive{Workspace: "north", Pipeline: "answer", Body: []byte("poison"), Priority: 3})
+			}
+		})
+	}
+}
+
+// resend sends each loan again that got no answer or an unknown one, with the same key through another node.
+func (s *system) resend() {
+	last := map[string]*prove.Sent{}
+	var keys []string
+	sends := map[string]int{}
+	for _, one := range s.callers.All {
+		if key := one.Arrive.Key; key != "" {
+			if last[key] == nil {
+				keys = append(keys, key)
+			}
+			last[key] = one
+			sends[key]++
+		}
+	}
+	for _, key := range keys {
+		one := last[key]
+		if sends[key] >= maxSends || !s.callers.Unsettled(one) {
+			continue
+		}
+		if to, ok := s.entry(); ok && to != one.Node {
+			s.callers.Send(to, one.Arrive)
+		}
+	}
+}
+
+// keysIssued lets callers use one-time keys, at the node that issued them and at another one.
+func (s *system) keysIssued(at id.Node, keys []string) {
+	for i, key := range keys {
+		to := at
+		if i%2 == 1 {
+			to = nodeName((i+1)%domains, i%nodesPerDomain)
+		}
+		if s.Up(to) {
+			s.sent++
+			s.callers.Send(to, event.Arrive{
+				Workspace: "south", Pipeline: "loan", Key: key, Body: []byte(fmt.Sprintf("request %d", s.sent)), Priority: 3,
+			})
+		}
+	}
+}
+
+// healAll ends every fault; planned stops take their course.
+func (s *system) healAll() {
+	s.Heal()
+	s.Network.Loss, s.Network.Repeat = 0, 0
+	p := s.Platform
+	p.Down, p.Latency, p.LoseAnswer, p.LateEffect, p.WatchGap = false, 2*time.Millisecond, 0, 0, 0
+	clear(p.Cut)
+	for _, b := range s.backends.Servers {
+		b.LoseDone, b.SlowBy = 0, 0
+	}
+	for _, n := range s.Names() {
+		if !s.Up(n) {
+			s.Start(n)
+		}
+	}
+}
