route: send nothing to a server between its end and its next report

Cause: a server that refused connections kept its old start identity in the router until its next report. Ruled out: counting by attempt, because two attempts that one crash breaks would count twice. Change: after a refused connection the server gets nothing until it reports a new start, or a later time.

--- a/core/route/place.go
+++ b/core/route/place.go
@@ -250,6 +250,9 @@
 		return
 	}
 	p.seen++
+	if s.down != "" && s.down == s.Start {
+		return // work that a server gets between its start and its first report cannot be attributed to that start
+	}
 	if p.now.Before(s.ejected) || s.alone || (p.q.Alone && s.inflight > 0) {
 		return
 	}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -112,7 +112,14 @@
 	switch ev := ev.(type) {
 	case member.ServerChanged:
 		out = append(out, r.room(ev.Server.Pool)...)
+	case event.Down:
+		if s, ok := r.servers[ev.Server]; ok && ev.Refused {
+			s.down, s.downAt = s.Start, now
+		}
 	case event.Report:
+		if s, ok := r.servers[ev.Server]; ok && ev.At.After(s.downAt) {
+			s.down = "" // it answers, so that nothing had ended
+		}
 		if s, ok := r.servers[ev.Server]; ok && (s.Start == ev.Start || s.Start == "") {
 			s.report(now, ev)
 			out = append(out, r.room(s.Pool)...)
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -151,6 +151,9 @@
 	samples int
 	slow    int // slow completions in a row
 
+	down   id.Start  // a start that has ended; the next one has not reported yet
+	downAt time.Time // when that was seen
+
 	failures  int // in a row
 	ejections int
 	ejected   time.Time // until when the server is put aside
