--- a/core/domain/gossip.go
+++ b/core/domain/gossip.go
@@ -61,7 +61,12 @@
 	}
 }
 
-func (s *Domains) sum() Sum { return Sum{Hash: hash(s.records), Ready: s.ready} }
+func (s *Domains) sum() Sum {
+	if s.hash == 0 {
+		s.hash = hash(s.records)
+	}
+	return Sum{Hash: s.hash, Ready: s.ready}
+}
 
 // compareOne compares records with a watcher of this domain and, in every other round, with a random node.
 func (s *Domains) compareOne() {
@@ -99,6 +104,26 @@
 	}
 }
 
+// repeat sends drains that were learned a short time ago once more to all nodes of this domain.
+func (s *Domains) repeat(now time.Time) {
+	var list []Record
+	for _, d := range sortedKeys(s.fresh) {
+		if now.Sub(s.fresh[d]) > repeatFor {
+			delete(s.fresh, d)
+			continue
+		}
+		list = append(list, s.records[d])
+	}
+	if s.view == nil || len(list) == 0 {
+		return
+	}
+	for _, n := range s.view.Nodes {
+		if n.FailureDomain == s.self.FailureDomain {
+			s.send(n.ID, Records{List: list, Ready: s.ready})
+		}
+	}
+}
+
 func (s *Domains) receive(now time.Time, ev event.Receive) {
 	if s.noGossip {
 		return
@@ -121,7 +146,7 @@
 	own := s.sum()
 	switch {
 	case own.Hash != peer.Hash:
-		s.send(from, Records{List: s.Records(), Ready: s.ready})
+		s.send(from, Records{List: s.Records(), Ready: s.ready, All: true})
 	case peer.Ready:
 		s.ready = true
 	case s.ready:
@@ -131,6 +156,7 @@
 
 func (s *Domains) learned(now time.Time, from id.Node, body Records) {
 	var fresh, better []Record
+	named := id.NewSet[id.FailureDomain]()
 	for _, r := range body.List {
 		if s.merge(now, r) {
 			fresh = append(fresh, r)
@@ -139,10 +165,16 @@
 	s.ready = s.ready || body.Ready
 	s.spread(fresh)
 	for _, r := range body.List {
+		named.Add(r.Domain)
 		if own := s.records[r.Domain]; compare(own, r) > 0 {
 			better = append(better, own)
 		}
 	}
+	for _, own := range s.Records() {
+		if body.All && !named.Has(own.Domain) {
+			better = append(better, own)
+		}
+	}
 	if len(better) > 0 {
 		s.send(from, Records{List: better, Ready: s.ready})
 	}
--- a/core/domain/message.go
+++ b/core/domain/message.go
@@ -15,6 +15,7 @@
 type Records struct {
 	List  []Record `protobuf:"bytes,1,rep,name=list"`
 	Ready bool     `protobuf:"varint,2,opt,name=ready"`
+	All   bool     `protobuf:"varint,3,opt,name=all"` // the sender has no other records, so the receiver answers with those
 }
 
 // Check bounds the number of records and checks each of them.
--- a/core/move/doc.go
+++ b/core/move/doc.go
@@ -1,2 +1,2 @@
-// Package move is the rollout of a new version of a pool; no rollout is decided yet.
+// Package move shifts a pool's traffic from one version to another on evidence, and stops bad versions.
 package move
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"bluebellflow/core/admit"
@@ -23,6 +24,8 @@
 	maxRounds = 10_000
 	// balancerLag is how long the platform's balancer may go on sending callers to a node that is not ready.
 	balancerLag = 2 * time.Second
+	// defaultGrace is longer than the longest deadline and the wait for the outcome of its action.
+	defaultGrace = 30 * time.Second
 	// recordWait is how long a stopping node tries to record outcomes while the platform is down.
 	recordWait = 15 * time.Second
 	// pauseGap is the time between two steps after which a stopping node, which looks around every stopPoll, must have
@@ -59,7 +62,9 @@
 	requests *request.Requests
 	modules  []module
 
+	grace    time.Duration
 	polls    map[uint64]*poll
+	held     []heldCommand
 	polled   uint64
 	ready    bool
 	stopped  time.Time // when Stop came, zero before
@@ -71,7 +76,7 @@
 
 // New returns a node that knows only itself.
 func New(self event.Self, opts ...Option) *Node {
-	var o options
+	o := options{grace: defaultGrace}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -85,6 +90,7 @@
 		router:  route.New(self, o.route...),
 		queue:   admit.New(self, o.admit...),
 		moves:   move.New(self, o.move...),
+		grace:   o.grace,
 		polls:   map[uint64]*poll{},
 	}
 	n.requests = request.New(self, request.Parts{
@@ -129,10 +135,13 @@
 
 // own handles the events that concern the composition, and translates between packages.
 func (n *Node) own(now time.Time, ev event.Event) []event.Action {
+	if out, hold := n.hold(now, ev); hold {
+		return out
+	}
 	switch ev := ev.(type) {
 	case config.Changed:
 		n.setRetries(ev.Tree)
-		return []event.Action{poolLimits(ev.Tree)}
+		return append(n.release(now), poolLimits(ev.Tree))
 	case domain.Changed:
 		return []event.Action{route.DomainState{
 			Domain: ev.Domain, Open: ev.State != domain.Drained, Cold: ev.State == domain.Ramping,
@@ -144,7 +153,9 @@
 	case event.Receive:
 		return n.message(ev)
 	case event.Tick:
-		return n.overdue(now)
+		return append(n.overdue(now), n.release(now)...)
+	case Moves:
+		return []event.Action{event.Answer{Number: ev.Number, Value: n.moves.Status()}}
 	case Explain:
 		return []event.Action{n.explain(ev)}
 	case Issue:
@@ -176,7 +187,7 @@
 // state emits what depends on all packages together: readiness and exit.
 func (n *Node) state(now time.Time) []event.Action {
 	var out []event.Action
-	ready := n.stopped.IsZero() && n.config.Revision() > 0
+	ready := n.stopped.IsZero() && n.config.Revision() > 0 && n.moves.Loaded()
 	if ready && !n.ready {
 		out = append(out, event.Ready{Ready: true})
 	}
@@ -197,16 +208,22 @@
 	return out
 }
 
-// finished reports whether a stopping node has nothing left to do and gets no more requests.
+// finished reports whether a stopping node has nothing left to do and gets no more requests, or must end in any case.
 func (n *Node) finished(now time.Time) bool {
 	recorded := n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait
 	quiet := now.Sub(n.stopped) >= balancerLag && now.Sub(n.woke) >= wakeWait
-	return recorded && quiet && n.requests.Open() == 0 && n.claims.Open() == 0
+	done := recorded && quiet && n.requests.Open() == 0 && n.claims.Open() == 0
+	return done || now.Sub(n.stopped) >= n.grace
 }
 
 // Next returns the time of the earliest timer, zero for none.
 func (n *Node) Next() time.Time {
 	next := n.waitNext
+	for _, h := range n.held {
+		if next.IsZero() || h.until.Before(next) {
+			next = h.until
+		}
+	}
 	for _, p := range n.polls {
 		if next.IsZero() || p.until.Before(next) {
 			next = p.until
@@ -224,6 +241,9 @@
 // Versions returns what every message of this node carries: the newest configuration and domain records that it knows.
 func (n *Node) Versions() (id.Revision, uint64) { return n.config.Revision(), n.domains.Version() }
 
+// Resolve returns the peer address of a node that was listed or heard of.
+func (n *Node) Resolve(name id.Node) (netip.AddrPort, bool) { return n.members.Addr(name) }
+
 // Ready reports whether the balancer may send callers to this node.
 func (n *Node) Ready() bool { return n.ready }
 
--- a/core/request/answer.go
+++ b/core/request/answer.go
@@ -192,7 +192,7 @@
 			r.giveUp(now, o, event.Unknown, "no answer from the service in time", claimRetry, out)
 			return
 		}
-		out.add(r.sample(now, o, t, now.Sub(t.began), true)...)
+		r.sample(now, o, t, now.Sub(t.began), true)
 		r.drop(o, t)
 		out.add(event.Cancel{Attempt: t.attempt, Server: t.server, Addr: t.addr})
 		out.add(r.parts.Router.End(now, t.attempt, route.Outcome{Kind: route.Errored, Took: now.Sub(t.began)})...)
--- a/core/request/fail.go
+++ b/core/request/fail.go
@@ -21,7 +21,7 @@
 	r.drop(o, t)
 	out.add(r.parts.Router.End(now, t.attempt, route.Outcome{Kind: outcomeOf(ev.Kind), Took: now.Sub(t.began), Start: ev.Start})...)
 	if ev.Kind == event.FailError || ev.Kind == event.FailTimeout {
-		out.add(r.sample(now, o, t, now.Sub(t.began), true)...)
+		r.sample(now, o, t, now.Sub(t.began), true)
 	}
 	r.retry(now, o, t, ev.Kind, ev.Reason, out)
 }
@@ -126,10 +126,10 @@
 
 // chargeCrashes counts crashes against a version if another version ran the same request well;
 // a request that crashes any version is not the version's fault.
-func (r *Requests) chargeCrashes(now time.Time, o *open, t *try, out *actions) {
+func (r *Requests) chargeCrashes(now time.Time, o *open, t *try) {
 	for _, v := range o.crashed {
 		if v != t.version {
-			out.add(r.parts.Versions.Observe(now, move.Sample{Pool: t.pool, Version: v, Pipeline: o.arrive.Pipeline, Failed: true, Load: t.load})...)
+			r.parts.Versions.Observe(now, move.Sample{Pool: t.pool, Version: v, Pipeline: o.arrive.Pipeline, Failed: true, Load: t.load})
 		}
 	}
 	o.crashed = nil
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -263,7 +263,7 @@
 		r.place(now, o, out)
 	case claim.Recorded:
 		if ev.Omitted {
-			r.giveUp(now, o, event.Unknown, "an earlier request with this key ran; its answer was too large or too old to be kept", 0, out)
+			r.giveUp(now, o, event.Completed, "the key's earlier run took effect; its answer is no longer kept", 0, out)
 			return
 		}
 		out.log("claim", o, "recorded", "the key's earlier run has an answer")
