--- a/core/node/node.go
+++ b/core/node/node.go
@@ -28,6 +28,10 @@
 	defaultGrace = 30 * time.Second
 	// recordWait is how long a stopping node tries to record outcomes while the platform is down.
 	recordWait = 15 * time.Second
+	// pauseGap is the time between two steps after which a stopping node, which looks around every stopPoll, must have
+	// been frozen; what arrived meanwhile is handled during wakeWait.
+	pauseGap = 500 * time.Millisecond
+	wakeWait = 500 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether its last request has ended.
 	stopPoll = 50 * time.Millisecond
 )
@@ -64,6 +68,8 @@
 	polled   uint64
 	ready    bool
 	stopped  time.Time // when Stop came, zero before
+	woke     time.Time // when a stopping node last came out of a pause of its process
+	stepped  time.Time // the last step of a stopping node
 	exited   bool
 	waitNext time.Time
 }
@@ -190,8 +196,11 @@
 	if n.stopped.IsZero() || n.exited {
 		return out
 	}
-	done := n.requests.Open() == 0 && n.claims.Open() == 0 && (n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait)
-	if (done && now.Sub(n.stopped) >= balancerLag) || now.Sub(n.stopped) >= n.grace {
+	if !n.stepped.IsZero() && now.Sub(n.stepped) > pauseGap {
+		n.woke = now
+	}
+	n.stepped = now
+	if n.finished(now) {
 		n.exited = true
 		return append(out, event.Exit{})
 	}
@@ -199,6 +208,14 @@
 	return out
 }
 
+// finished reports whether a stopping node has nothing left to do and gets no more requests, or must end in any case.
+func (n *Node) finished(now time.Time) bool {
+	recorded := n.claims.Unrecorded() == 0 || now.Sub(n.stopped) >= recordWait
+	quiet := now.Sub(n.stopped) >= balancerLag && now.Sub(n.woke) >= wakeWait
+	done := recorded && quiet && n.requests.Open() == 0 && n.claims.Open() == 0
+	return done || now.Sub(n.stopped) >= n.grace
+}
+
 // Next returns the time of the earliest timer, zero for none.
 func (n *Node) Next() time.Time {
 	next := n.waitNext
@@ -232,3 +249,9 @@
 
 // Counters returns the counts of the node's requests.
 func (n *Node) Counters() request.Counters { return n.requests.Counters() }
+
+// Start returns the newest start identity of a backend server that this node knows, empty for none.
+func (n *Node) Start(server id.Server) id.Start {
+	s, _ := n.members.Server(server)
+	return s.Start
+}
