wire: decode lists of more than ten entries

A rollout with results on a few routes sends more than ten counters in one message and so ends every node that receives it; the records of more than ten nodes do the same. Ruled out: a data race (the test fails in one goroutine); a damaged message (the bytes decode once the lists have room). Change: lists are given their full room before the library decodes a message, so it never grows one. Before: TestLongLists ends with SIGSEGV at 11 entries. After: it passes up to 300 entries, nested lists included, and FuzzDecode has a message with 11 entries as a seed. Conclusion: the library stays in use; replacing it would change no bytes on the wire.

--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -85,6 +85,9 @@
 		return event.Receive{}, fmt.Errorf("decode envelope from %s: %w %d", env.From, ErrKind, env.Kind)
 	}
 	value := reflect.New(t)
+	if err := reserve(env.Body, value.Elem()); err != nil {
+		return event.Receive{}, fmt.Errorf("decode %s from %s: %w", t, env.From, err)
+	}
 	if err := proto.Unmarshal(env.Body, value.Interface()); err != nil {
 		return event.Receive{}, fmt.Errorf("decode %s from %s: %w", t, env.From, err)
 	}
--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -16,6 +16,8 @@
 type item struct {
 	Name string        `protobuf:"bytes,1,opt,name=name"`
 	Wait time.Duration `protobuf:"bytes,2,opt,name=wait"`
+	Nums []uint64      `protobuf:"varint,3,rep,name=nums"`
+	Tags []string      `protobuf:"bytes,4,rep,name=tags"`
 }
 
 type sample struct {
@@ -38,7 +40,7 @@
 // TestRoundTrip guards against a field that gets lost between two nodes.
 func TestRoundTrip(t *testing.T) {
 	g := NewWithT(t)
-	body := sample{Text: "x", Count: 7, Items: []item{{"a", time.Second}, {"b", 0}}}
+	body := sample{Text: "x", Count: 7, Items: []item{{Name: "a", Wait: time.Second}, {Name: "b"}}}
 	raw, err := codec().Encode(wire.Envelope{From: "n1", Incarnation: incarnation(), Revision: 9, Domains: 3}, body)
 	g.Expect(err).NotTo(HaveOccurred())
 	got, err := codec().Decode(raw)
@@ -46,6 +48,27 @@
 	g.Expect(got).To(Equal(event.Receive{From: "n1", Incarnation: incarnation(), Revision: 9, Domains: 3, Body: body}))
 }
 
+// TestLongLists guards against a decoder that crashes the process when a list has more than ten entries.
+func TestLongLists(t *testing.T) {
+	for _, count := range []int{1, 10, 11, 20, 21, 300} {
+		g := NewWithT(t)
+		body := sample{Text: "x"}
+		for i := range count {
+			it := item{Name: "a", Wait: time.Duration(i)}
+			for j := range i % 25 {
+				it.Nums = append(it.Nums, uint64(j+1))
+				it.Tags = append(it.Tags, "t")
+			}
+			body.Items = append(body.Items, it)
+		}
+		raw, err := codec().Encode(wire.Envelope{From: "n1", Incarnation: incarnation()}, body)
+		g.Expect(err).NotTo(HaveOccurred())
+		got, err := codec().Decode(raw)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.Body).To(Equal(body))
+	}
+}
+
 // TestDecodeRejects guards against bad bytes from a peer reaching the decision packages.
 func TestDecodeRejects(t *testing.T) {
 	good, err := codec().Encode(wire.Envelope{From: "n1", Incarnation: incarnation()}, sample{Text: "x"})
@@ -74,5 +97,10 @@
 	}
 	f.Add(good)
 	f.Add([]byte{0xff, 0xff, 0xff})
+	long, err := codec().Encode(wire.Envelope{From: "n1", Incarnation: incarnation()}, sample{Text: "x", Items: make([]item, 11)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(long)
 	f.Fuzz(func(_ *testing.T, raw []byte) { _, _ = codec().Decode(raw) })
 }
