move: no traffic for a version that no rollout has brought in

Cause: servers of a new version that appear before the operator orders the rollout got traffic like all others, because without a rollout any version serves. Change: each pool keeps its usual version while that has servers; a node that starts takes the version with the most servers. It changes when the last server of the version has gone, or by a rollout. A node that starts while a new version without a rollout has most servers takes that one; the usual version is not recorded on the platform.

--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -26,22 +26,23 @@
 // Moves controls the rollouts of a fleet together with its counterparts on the other nodes.
 type Moves struct {
 	config
-	self    event.Self
-	view    *member.View
-	moves   map[string]*rollout
-	current map[id.Pool]*rollout
-	servers map[id.Server]member.Server
-	reports map[id.Server]event.Report
-	began   map[uint64]Begin // commands that wait, by platform operation
-	calls   map[uint64]string
-	seq     uint64
-	started bool
-	loaded  bool
-	unread  id.Set[string] // rollouts that were listed and not read yet
-	listed  uint64         // sequence number of the list in flight, 0 for none
-	listAt  time.Time
-	tickAt  time.Time
-	beatAt  time.Time
+	self     event.Self
+	view     *member.View
+	moves    map[string]*rollout
+	current  map[id.Pool]*rollout
+	servers  map[id.Server]member.Server
+	versions map[id.Pool]*versions
+	reports  map[id.Server]event.Report
+	began    map[uint64]Begin // commands that wait, by platform operation
+	calls    map[uint64]string
+	seq      uint64
+	started  bool
+	loaded   bool
+	unread   id.Set[string] // rollouts that were listed and not read yet
+	listed   uint64         // sequence number of the list in flight, 0 for none
+	listAt   time.Time
+	tickAt   time.Time
+	beatAt   time.Time
 }
 
 // rollout is a move as this node knows it.
@@ -83,7 +84,7 @@
 func New(self event.Self, opts ...Option) *Moves {
 	m := &Moves{
 		config: defaults(), self: self, moves: map[string]*rollout{}, current: map[id.Pool]*rollout{},
-		servers: map[id.Server]member.Server{}, reports: map[id.Server]event.Report{},
+		servers: map[id.Server]member.Server{}, versions: map[id.Pool]*versions{}, reports: map[id.Server]event.Report{},
 		began: map[uint64]Begin{}, calls: map[uint64]string{}, unread: id.NewSet[string](),
 	}
 	for _, o := range opts {
@@ -96,10 +97,10 @@
 func (m *Moves) Loaded() bool { return m.loaded && len(m.unread) == 0 }
 
 // Choose returns the version that serves a request, or "" for any. All nodes with the same share agree on it.
-func (m *Moves) Choose(_ time.Time, pool id.Pool, print id.Fingerprint, _ id.Pipeline) id.Version {
+func (m *Moves) Choose(now time.Time, pool id.Pool, print id.Fingerprint, _ id.Pipeline) id.Version {
 	r := m.current[pool]
 	if r == nil {
-		return ""
+		return m.usualVersion(now, pool)
 	}
 	if scramble(uint64(print)^r.salt)%whole < uint64(r.applied()) {
 		return r.To
@@ -158,9 +159,9 @@
 	case member.ViewChanged:
 		m.view = ev.View
 	case member.ServerChanged:
-		m.servers[ev.Server.ID] = ev.Server
+		m.enlist(now, ev.Server)
 	case member.ServerGone:
-		delete(m.servers, ev.Server)
+		m.unlist(ev.Server)
 		delete(m.reports, ev.Server)
 	case event.Report:
 		if _, ok := m.servers[ev.Server]; ok {
@@ -209,6 +210,9 @@
 	if !m.listAt.IsZero() && !now.Before(m.listAt) {
 		out = append(out, m.list())
 	}
+	for _, v := range m.versions {
+		m.settle(now, v)
+	}
 	if now.Before(m.tickAt) {
 		return out
 	}
--- /dev/null
+++ b/core/move/usual_test.go
@@ -0,0 +1,58 @@
+package move_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/member"
+	"bluebellflow/core/move"
+)
+
+var _ = Describe("a pool without a rollout", func() {
+	var (
+		m   *move.Moves
+		now time.Time
+	)
+	appear := func(version id.Version, from, to int) {
+		for i := from; i < to; i++ {
+			m.Step(now, member.ServerChanged{Server: member.Server{ID: id.Server(fmt.Sprintf("s%d", i)), Pool: "p", Version: version}})
+		}
+	}
+	pass := func(d time.Duration) {
+		now = now.Add(d)
+		m.Step(now, event.Tick{})
+	}
+	chosen := func() id.Version { return m.Choose(now, "p", 7, "x") }
+	BeforeEach(func() {
+		m, now = move.New(event.Self{Node: "n"}), time.Unix(1000, 0)
+	})
+
+	It("keeps its version when more servers of another appear", func() { // guards against traffic for a version that no rollout watches
+		appear("v1", 0, 3)
+		Expect(chosen()).To(BeEmpty())
+		pass(5 * time.Second)
+		appear("v2", 3, 10)
+		Expect(chosen()).To(Equal(id.Version("v1")))
+	})
+	It("takes the version of most servers when it starts", func() { // guards against an order of events that decides
+		appear("v2", 0, 2)
+		appear("v1", 2, 5)
+		Expect(chosen()).To(Equal(id.Version("v1")))
+		pass(5 * time.Second)
+		Expect(chosen()).To(Equal(id.Version("v1")))
+	})
+	It("takes another version when its own has gone", func() { // guards against an outage after servers were replaced without a rollout
+		appear("v1", 0, 2)
+		pass(5 * time.Second)
+		appear("v2", 2, 4)
+		appear("v3", 4, 5)
+		m.Step(now, member.ServerGone{Server: "s0"})
+		m.Step(now, member.ServerChanged{Server: member.Server{ID: "s1", Pool: "p", Version: "v1", Leaving: true}})
+		Expect(chosen()).To(Equal(id.Version("v2")))
+	})
+})
