route: no work for servers that do not answer, or whose domain is cut off

Cause: the router ignored unanswered load queries. While a domain was cut off it went on getting new attempts, mostly by prefix locality (5 to 24 attempts a second arrived there), and each hung until the deadline of its request, since a cancelled attempt says nothing about a server. The retry and ejection rules never saw them. Ruled out: a lack of room (the other domains were far from full); claims (most late requests had no key). Change: a server whose load query failed comes behind all others until it reports again; two such servers of another domain, with none heard since, make the whole domain unreachable, because far servers are asked only every few seconds. Idempotent attempts without a sign of life on such servers are placed anew within the retry budget; without budget they go on.

--- a/core/request/fail.go
+++ b/core/request/fail.go
@@ -126,7 +126,7 @@
 
 // chargeCrashes counts crashes against a version if another version ran the same request well;
 // a request that crashes any version is not the version's fault.
-func (r *Requests) chargeCrashes(now time.Time, o *open, t *try, out *actions) {
+func (r *Requests) chargeCrashes(now time.Time, o *open, t *try) {
 	for _, v := range o.crashed {
 		if v != t.version {
 			r.parts.Versions.Observe(now, move.Sample{Pool: t.pool, Version: v, Pipeline: o.arrive.Pipeline, Failed: true, Load: t.load})
@@ -176,6 +176,42 @@
 	}
 }
 
+// unreachable places the idempotent attempts of a server that does not answer load queries anew, because the
+// connections may hang until the deadline. An attempt younger than a query's timeout may still be on its way there.
+func (r *Requests) unreachable(now time.Time, server id.Server, out *actions) {
+	var stuck []id.Attempt
+	for name, t := range r.attempts {
+		if t.server == server && now.Sub(t.heard) >= silence {
+			stuck = append(stuck, name)
+		}
+	}
+	slices.Sort(stuck)
+	for _, name := range stuck {
+		t, ok := r.attempts[name]
+		if !ok {
+			continue
+		}
+		o := r.open[t.request]
+		if o == nil || o.onlyOnce() || o.phase != running || o.retried+1 >= maxTries {
+			continue
+		}
+		if !r.parts.Queue.Retry(now, o.arrive.Pipeline) {
+			return // the attempts go on: only the query may have been lost
+		}
+		r.cancel(now, o, t, out)
+		if len(o.tries) > 0 {
+			continue // a hedged attempt goes on
+		}
+		if !slices.Contains(o.avoid, t.server) {
+			o.avoid = append(o.avoid, t.server)
+		}
+		o.retried++
+		r.counters.Retries++
+		out.log("retry", o, string(t.server), "the backend server cannot be reached")
+		r.place(now, o, out)
+	}
+}
+
 func (r *Requests) resolve(now time.Time, server id.Server, crashed func(watch) bool, out *actions) {
 	watches := r.watches[server]
 	delete(r.watches, server)
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -128,6 +128,8 @@
 		r.heardStart(now, ev.Server, ev.Start, &out)
 	case event.Down:
 		r.serverDown(now, ev, &out)
+	case route.Unreachable:
+		r.unreachable(now, ev.Server, &out)
 	case member.ServerChanged:
 		if ev.Server.Start != "" {
 			r.heardStart(now, ev.Server.ID, ev.Server.Start, &out)
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -21,6 +21,7 @@
 	maxTries     = 6                      // attempts for one stage, so that a failing pool cannot be hammered
 	settleWait   = 10 * time.Second       // how long the outcome of an action is awaited after its caller was answered
 	hopeless     = 0.5                    // share of the estimated time below which a request is given up
+	silence      = 300 * time.Millisecond // without a part from a server that cannot be reached, before an attempt is placed anew
 	noServerWait = 500 * time.Millisecond // how long a pool may stay without any usable server
 )
 
@@ -35,6 +36,7 @@
 	stage   int
 	offset  int
 	began   time.Time
+	heard   time.Time // when its last part came
 	until   time.Time
 	load    int
 	start   id.Start // the server's start identity when the attempt was sent
@@ -169,7 +171,7 @@
 	t := &try{
 		attempt: attempt, request: o.arrive.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
-		began: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
+		began: now, heard: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
 	}
 	if !o.alone.IsZero() && o.alone.Before(t.until) {
 		t.until = o.alone
@@ -239,6 +241,7 @@
 	if o == nil {
 		return
 	}
+	t.heard = now
 	if ev.Seq+ev.Tokens <= o.delivered {
 		return // repeated
 	}
@@ -281,7 +284,7 @@
 	r.drop(o, t)
 	out.add(r.parts.Router.End(now, t.attempt, route.Outcome{Kind: route.Completed, Took: ev.Took, Start: ev.Start, Tokens: ev.Tokens})...)
 	r.sample(now, o, t, ev.Took, false)
-	r.chargeCrashes(now, o, t, out)
+	r.chargeCrashes(now, o, t)
 	r.cancelOthers(now, o, nil, out)
 	r.parts.Queue.Observe(o.arrive.Pipeline, o.current().Name, now.Sub(o.entered))
 	r.parts.Queue.Success(o.arrive.Pipeline)
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -265,6 +265,9 @@
 		return
 	}
 	score := float64(load+1)/float64(max(1, limit)) + bias
+	if !s.down.IsZero() {
+		score += downPenalty
+	}
 	if p.best == nil || score < p.score {
 		p.best, p.score = s, score
 	}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -117,6 +117,8 @@
 			s.report(now, ev)
 			out = append(out, r.room(s.Pool)...)
 		}
+	case event.Down:
+		out = append(out, r.down(now, ev)...)
 	case event.Cached:
 		r.cached(now, ev)
 	case event.Done:
@@ -262,6 +264,7 @@
 	case Completed:
 		good, sign = s.observe(o)
 		s.failures, s.ejections = 0, 0
+		s.down = time.Time{}
 	case Broken:
 		// A reset of an attempt to an earlier start says nothing about the present one.
 		sign = p.start == s.Start
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -146,6 +146,7 @@
 	others   int       // attempts of other nodes, from the last load report
 	reported time.Time // arrival of the last load report
 	measured time.Time // server time of the last load report
+	down     time.Time // since when it has not answered load queries, zero if it has
 
 	mean    float64 // smoothed service time, for each token if the stage has tokens
 	samples int
@@ -188,6 +189,7 @@
 	s.measured = ev.At
 	s.others = max(0, ev.Running+ev.Waiting-s.own(ev.At))
 	s.reported = now
+	s.down = time.Time{}
 	s.limit = ev.Limit
 }
 
