--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -25,6 +25,8 @@
 	Service    serviceCommand    `cmd:"" help:"Serve a stand-in of a plain service."`
 	Load       loadCommand       `cmd:"" help:"Send load to nodes that run elsewhere and print the outcome."`
 	Experiment experimentCommand `cmd:"" help:"Run an experiment file with nodes and stand-ins in this process."`
+	Thin       thinCommand       `cmd:"" help:"Measure the latency that a node adds to a single request."`
+	Config     configCommand     `cmd:"" help:"Measure the way of configuration changes to all nodes, and stale reads."`
 	Plot       plotCommand       `cmd:"" help:"Draw the plots of a record as SVG and print its table."`
 }
 
--- a/lab/embed/fleet.go
+++ b/lab/embed/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -281,6 +282,30 @@
 	return resp.StatusCode, answer, err
 }
 
+// Metrics returns the counters of the nodes that run.
+func (f *Fleet) Metrics() map[id.Node]map[string]int64 {
+	out := map[id.Node]map[string]int64{}
+	for _, m := range f.running() {
+		counters := map[string]int64{}
+		m.run.Vars().Do(func(kv expvar.KeyValue) {
+			if n, ok := kv.Value.(*expvar.Int); ok {
+				counters[kv.Key] = n.Value()
+			}
+		})
+		out[m.name] = counters
+	}
+	return out
+}
+
+// Operators returns the addresses of the administration API of the nodes that run.
+func (f *Fleet) Operators() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range f.running() {
+		out = append(out, m.run.AdminAddr())
+	}
+	return out
+}
+
 // Close ends all nodes.
 func (f *Fleet) Close(context.Context) error {
 	for _, m := range f.running() {
--- /dev/null
+++ b/lab/experiment/control.go
@@ -0,0 +1,97 @@
+package experiment
+
+import (
+	"strings"
+	"time"
+
+	"bluebellflow/core/id"
+	"bluebellflow/io/runtime"
+)
+
+// Control is what control costs. The figures of a node are those of the node that used most of each.
+type Control struct {
+	Nodes     int     `json:"nodes"`
+	StepShare float64 `json:"step_share"` // share of a core that decisions took
+	Peers     float64 `json:"peers"`      // bytes a second from and to other nodes
+	Platform  float64 `json:"platform"`   // bytes a second from and to the platform
+	Polls     float64 `json:"polls"`      // bytes a second of load reports, cache events, orders and cancellations
+	Calls     float64 `json:"calls"`      // platform calls a second
+	Process   float64 `json:"process"`    // cores that the process used: nodes, stand-ins and callers together
+	Memory    float64 `json:"memory"`     // bytes of the process at the end
+	Live      float64 `json:"live"`       // bytes of heap objects of the process at the end
+
+	Kinds map[string]float64 `json:"kinds"` // bytes a second that all nodes together received, by kind of message
+}
+
+// meter remembers where the counters stood at the begin.
+type meter struct {
+	at      time.Time
+	nodes   map[id.Node]map[string]int64
+	process runtime.Process
+}
+
+func (m *measurement) meter() meter {
+	return meter{at: time.Now(), nodes: metrics(m.nodes), process: runtime.ReadProcess()}
+}
+
+func metrics(f Fleet) map[id.Node]map[string]int64 {
+	if metered, ok := f.(Metered); ok {
+		return metered.Metrics()
+	}
+	return nil
+}
+
+// end returns the rates since the begin; nodes that started or ended in between are left out.
+func (m meter) end(f Fleet) Control {
+	seconds := time.Since(m.at).Seconds()
+	now := runtime.ReadProcess()
+	c := Control{
+		Process: (now.CPU - m.process.CPU).Seconds() / seconds,
+		Memory:  float64(now.Memory), Live: float64(now.Live),
+	}
+	c.Kinds = map[string]float64{}
+	for name, after := range metrics(f) {
+		before, ok := m.nodes[name]
+		if !ok {
+			continue
+		}
+		rate := func(counters ...string) float64 {
+			total := int64(0)
+			for _, k := range counters {
+				total += after[k] - before[k]
+			}
+			return float64(total) / seconds
+		}
+		c.Nodes++
+		for k := range after {
+			if kind, ok := strings.CutPrefix(k, "peer_bytes_received_"); ok {
+				c.Kinds[kind] += rate(k)
+			}
+		}
+		c.StepShare = max(c.StepShare, rate("step_ns")/float64(time.Second))
+		c.Peers = max(c.Peers, rate("peer_bytes_sent", "peer_bytes_received"))
+		c.Platform = max(c.Platform, rate("platform_bytes"))
+		c.Polls = max(c.Polls, rate("control_bytes"))
+		c.Calls = max(c.Calls, rate("platform_calls"))
+	}
+	return c
+}
+
+// control are the lines of the table for the cost of control.
+func (r Record) control() []measure {
+	if !r.any(func(run Result) bool { return run.Control.Nodes > 0 }) {
+		return nil
+	}
+	const kilo = 1024
+	const mega = kilo * kilo
+	return []measure{
+		{"node: decisions, % of a core", 2, func(r Result) float64 { return 100 * r.Control.StepShare }},
+		{"node: peers KB/s", 1, func(r Result) float64 { return r.Control.Peers / kilo }},
+		{"node: platform KB/s", 1, func(r Result) float64 { return r.Control.Platform / kilo }},
+		{"node: polls KB/s", 1, func(r Result) float64 { return r.Control.Polls / kilo }},
+		{"node: platform calls/s", 1, func(r Result) float64 { return r.Control.Calls }},
+		{"process: cores", 2, func(r Result) float64 { return r.Control.Process }},
+		{"process: memory MB", 0, func(r Result) float64 { return r.Control.Memory / mega }},
+		{"process: live heap MB", 0, func(r Result) float64 { return r.Control.Live / mega }},
+	}
+}
--- a/lab/experiment/faults.go
+++ b/lab/experiment/faults.go
@@ -3,13 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"regexp"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/tailscale/hujson"
+
 	"bluebellflow/lab/fleet"
 )
 
@@ -169,6 +175,9 @@
 		if err != nil || status != http.StatusOK {
 			return errors.Join(err, fmt.Errorf("read before the edit: status %d", status))
 		}
+		if now, err = join(now); err != nil {
+			return fmt.Errorf("read before the edit: %w", err)
+		}
 		if !bytes.Contains(now, []byte(f.Edit.Find)) {
 			return fmt.Errorf("%q is not in the present text", f.Edit.Find)
 		}
@@ -180,6 +189,36 @@
 	return err
 }
 
+// join puts the parts of a configuration, as the administration API returns them, together to one tree.
+func join(answer []byte) ([]byte, error) {
+	var configuration struct {
+		Parts map[string][]byte `json:"parts"`
+	}
+	if err := json.Unmarshal(answer, &configuration); err != nil {
+		return nil, err
+	}
+	tree := map[string]map[string]json.RawMessage{}
+	for _, name := range slices.Sorted(maps.Keys(configuration.Parts)) {
+		plain, err := hujson.Standardize(configuration.Parts[name])
+		if err != nil {
+			return nil, fmt.Errorf("part %s: %w", name, err)
+		}
+		var entries map[string]json.RawMessage
+		if err := json.Unmarshal(plain, &entries); err != nil {
+			return nil, fmt.Errorf("part %s: %w", name, err)
+		}
+		section, _, _ := strings.Cut(name, "/") // workspaces are spread over several parts
+		if section == "domains" {
+			section = "regions" // whose entries hold the domains
+		}
+		if tree[section] == nil {
+			tree[section] = map[string]json.RawMessage{}
+		}
+		maps.Copy(tree[section], entries)
+	}
+	return json.Marshal(tree)
+}
+
 // fillTimes replaces relative times by absolute ones.
 func fillTimes(body []byte, now time.Time) []byte {
 	return later.ReplaceAllFunc(body, func(m []byte) []byte {
--- a/lab/experiment/measure.go
+++ b/lab/experiment/measure.go
@@ -51,6 +51,7 @@
 	Curve    []float64        `json:"curve"`   // latency in milliseconds at curveAt
 	Samples  []Sample         `json:"samples"`
 	Broken   []load.Record    `json:"broken"` // requests with violations
+	Control  Control          `json:"control"`
 }
 
 // curveAt are the quantiles of the latency curve.
--- a/lab/experiment/nodes.go
+++ b/lab/experiment/nodes.go
@@ -15,6 +15,11 @@
 	Seed   uint64
 }
 
+// Metered is implemented by fleets whose nodes count their work; the names are those of the nodes' metrics.
+type Metered interface {
+	Metrics() map[id.Node]map[string]int64
+}
+
 // Fleet starts and controls the nodes that an experiment measures.
 // One value is used for one run: Start first, Close last.
 type Fleet interface {
--- a/lab/experiment/record.go
+++ b/lab/experiment/record.go
@@ -89,6 +89,13 @@
 	for _, p := range r.pools() {
 		list = append(list, r.poolMeasures(p)...)
 	}
+	for _, p := range r.pipelines() {
+		list = append(list, measure{string(p) + ": attainment %", 2, func(r Result) float64 {
+			return 100 * r.Summary.Pipelines[p].Attainment
+		}}, measure{string(p) + ": latency p95 ms", 0, func(r Result) float64 { return r.Summary.Pipelines[p].Latency.P95 }})
+	}
+	list = append(list, r.changes()...)
+	list = append(list, r.control()...)
 	return append(list,
 		measure{"drained domain, attempts after 3 s", 1, func(r Result) float64 { return float64(r.Drained) }},
 		measure{"platform puts", 0, func(r Result) float64 { return float64(r.Platform.Put) }},
@@ -125,7 +132,9 @@
 	for _, v := range r.versions(p) {
 		list = append(list,
 			measure{name + v + " largest share %", 1, func(r Result) float64 { return 100 * largest(r, p, v) }},
-			measure{name + v + " last share %", 1, func(r Result) float64 { return 100 * last(r, p, v) }})
+			measure{name + v + " last share %", 1, func(r Result) float64 { return 100 * last(r, p, v) }},
+			measure{name + v + " last attempt at s", 2, func(r Result) float64 { return lastAttempt(r.Samples, p, v) }},
+			measure{name + v + " attempts", 0, func(r Result) float64 { return attempts(r.Samples, p, v) }})
 	}
 	return list
 }
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -154,6 +154,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	begin := time.Now()
+	meter := m.meter()
 	faults := &schedule{faults: m.e.Faults, world: m.world, nodes: m.nodes}
 	var records []load.Record
 	var group run.Group
@@ -182,7 +183,7 @@
 		Policy: policy, Seed: seed, Summary: summary, Cost: costs(m.world), Platform: m.world.Platform.Counts(),
 		Events: faults.events, Drained: drained(faults.events, m.samples),
 		Seconds: bySecond(records, m.e.Load.Seconds.Duration()), Curve: summary.Curve(curveAt),
-		Samples: m.samples, Broken: violated(records),
+		Samples: m.samples, Broken: violated(records), Control: meter.end(m.nodes),
 	}, nil
 }
 
--- /dev/null
+++ b/lab/probe/thin.go
@@ -0,0 +1,184 @@
+package probe
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/io/backend"
+	"bluebellflow/lab/embed"
+	"bluebellflow/lab/engine"
+	"bluebellflow/lab/experiment"
+	"bluebellflow/lab/fleet"
+)
+
+const (
+	thinWarm  = 20 // requests of each kind before the measured ones
+	thinStep  = 2 * time.Millisecond
+	thinDrain = 5 * time.Second // for the nodes to end
+	maxAnswer = 64 << 20
+)
+
+// Thin is the latency of one request at a time through all stages of a pipeline.
+type Thin struct {
+	Pipeline id.Pipeline
+	Requests int
+	Direct   [3]time.Duration // p50, p95, p99 of calls to the stand-ins, stage after stage
+	Node     [3]time.Duration // the same through a node
+	Added    [3]time.Duration // of the differences between the two calls of each pair
+}
+
+// MeasureThin sends pairs of requests: one to the stand-ins, stage after stage, and one through a node.
+func MeasureThin(ctx context.Context, name id.Pipeline, requests int, seed uint64) (t Thin, err error) {
+	d := fleet.Kitab()
+	p, ok := d.Pipeline(name)
+	if !ok {
+		return t, fmt.Errorf("unknown pipeline %q", name)
+	}
+	d.Nodes = len(d.Domains)
+	// The engine's own time only adds noise to the difference, so steps are short and answers have one token.
+	world, err := fleet.Start(d, fleet.WithSeed(seed), fleet.WithProfiles(func(k engine.Kind) engine.Profile {
+		profile := engine.ProfileOf(k)
+		profile.Base, profile.PerSeq, profile.Tokens = thinStep, 0, 1
+		return profile
+	}))
+	if err != nil {
+		return t, err
+	}
+	defer func() { err = errors.Join(err, world.Close()) }()
+	nodes := embed.New()
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), thinDrain)
+		defer cancel()
+		err = errors.Join(err, nodes.Close(ctx))
+	}()
+	if err := nodes.Start(ctx, experiment.Setup{World: world, Policy: "default", Seed: seed}); err != nil {
+		return t, err
+	}
+	direct := newDirect(world, p)
+	defer direct.close()
+	entry := nodes.Entries()[d.Domains[0]][0]
+	t.Pipeline, t.Requests = name, requests
+	var one, other, added []time.Duration
+	for i := range requests + thinWarm {
+		body := fmt.Appendf(nil, `{"tokens":1,"seed":%d,"index":%d}`, seed, i)
+		first, err := direct.run(ctx, body)
+		if err != nil {
+			return t, err
+		}
+		second, err := through(ctx, entry, d.Workspaces[0].Name, p, body)
+		if err != nil {
+			return t, err
+		}
+		if i >= thinWarm {
+			one, other, added = append(one, first), append(other, second), append(added, second-first)
+		}
+	}
+	t.Direct, t.Node, t.Added = quantiles(one), quantiles(other), quantiles(added)
+	return t, nil
+}
+
+func quantiles(list []time.Duration) [3]time.Duration {
+	slices.Sort(list)
+	at := func(q float64) time.Duration { return list[min(len(list)-1, int(q*float64(len(list))))] }
+	return [3]time.Duration{at(0.5), at(0.95), at(0.99)}
+}
+
+// through sends one request to a node and reads the whole answer.
+func through(ctx context.Context, entry netip.AddrPort, ws id.Workspace, p fleet.Pipeline, body []byte) (time.Duration, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		fmt.Sprintf("http://%s/v1/pipelines/%s", entry, p.Name), bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Bluebellflow-Workspace", string(ws))
+	begin := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, raw)
+	}
+	return time.Since(begin), err
+}
+
+// direct calls the stand-ins as a node does, without deciding anything.
+type direct struct {
+	client *backend.Client
+	events chan event.Event
+	world  *fleet.Fleet
+	stages []fleet.Stage
+	last   id.Attempt
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+func newDirect(world *fleet.Fleet, p fleet.Pipeline) *direct {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &direct{
+		events: make(chan event.Event, 64), world: world, stages: p.Stages, cancel: cancel, ended: make(chan error, 1),
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	d.client = backend.New(event.Self{
+		Node: "probe", Incarnation: id.NewIncarnation(rng), FailureDomain: world.Description.Domains[0], Rand: rng,
+	}, func(ev event.Event) { d.events <- ev })
+	go func() { d.ended <- d.client.Run(ctx) }()
+	return d
+}
+
+func (d *direct) close() {
+	d.cancel()
+	_ = <-d.ended
+}
+
+func (d *direct) run(ctx context.Context, body []byte) (time.Duration, error) {
+	begin := time.Now()
+	var prior []byte
+	for _, s := range d.stages {
+		server := d.world.Servers(s.Pool)[0]
+		d.last++
+		d.client.Dispatch(event.Dispatch{
+			Attempt: d.last, Request: "probe", Server: server.VMName(), Addr: server.VM.Addr, Stage: s.Name,
+			Input: body, Prior: prior, Stream: s.Stream, Deadline: begin.Add(thinDrain),
+		})
+		text, err := d.wait(ctx)
+		if err != nil {
+			return 0, fmt.Errorf("stage %s: %w", s.Name, err)
+		}
+		prior = text
+	}
+	return time.Since(begin), nil
+}
+
+// wait returns the output of the attempt in flight.
+func (d *direct) wait(ctx context.Context) ([]byte, error) {
+	var text []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case ev := <-d.events:
+			switch ev := ev.(type) {
+			case event.Part:
+				text = append(text, ev.Data...)
+			case event.Done:
+				return append(text, ev.Data...), nil
+			case event.Fail:
+				return nil, errors.New(ev.Reason)
+			}
+		}
+	}
+}
