--- a/core/node/answers_test.go
+++ b/core/node/answers_test.go
@@ -12,7 +12,7 @@
 
 // crossed runs a load while answers are late and overtake each other, and cancelled attempts go on answering.
 func crossed(seed uint64, opts ...node.Option) *system {
-	s := newSystem(seed, opts...)
+	s := newSystemWith(seed, opts...)
 	s.load(40, 10*time.Millisecond)
 	s.backends.Jitter, s.backends.Deaf = 40*time.Millisecond, true
 	// This encoder answers just after the stage's timeout of 500 ms, while the next stage runs.
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -23,6 +23,7 @@
 	lookWait     = 250 * time.Millisecond // how long a refusal may wait for a new lookup
 	settleWait   = 10 * time.Second       // how long the outcome of an action is awaited after its caller was answered
 	hopeless     = 0.5                    // share of the estimated time below which a request is given up
+	silence      = 300 * time.Millisecond // without a part from a server that cannot be reached, before an attempt is placed anew
 	noServerWait = 500 * time.Millisecond // how long a pool may stay without any usable server
 )
 
@@ -37,6 +38,7 @@
 	stage   int
 	offset  int
 	began   time.Time
+	heard   time.Time // when its last part came
 	until   time.Time
 	load    int
 	start   id.Start // the server's start identity when the attempt was sent
@@ -171,7 +173,7 @@
 	t := &try{
 		attempt: attempt, request: o.arrive.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
-		began: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
+		began: now, heard: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
 	}
 	if !o.alone.IsZero() && o.alone.Before(t.until) {
 		t.until = o.alone
@@ -241,6 +243,7 @@
 	if o == nil {
 		return
 	}
+	t.heard = now
 	if ev.Seq+ev.Tokens <= o.delivered && !r.noOrder {
 		return // repeated
 	}
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -250,7 +250,7 @@
 		return
 	}
 	p.seen++
-	if s.down != "" && s.down == s.Start {
+	if s.ended != "" && s.ended == s.Start {
 		return // work that a server gets between its start and its first report cannot be attributed to that start
 	}
 	if p.now.Before(s.ejected) || s.alone || (p.q.Alone && s.inflight > 0) {
@@ -268,6 +268,9 @@
 		return
 	}
 	score := float64(load+1)/float64(max(1, limit)) + bias
+	if !s.down.IsZero() {
+		score += downPenalty
+	}
 	if p.best == nil || score < p.score {
 		p.best, p.score = s, score
 	}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -112,18 +112,19 @@
 	switch ev := ev.(type) {
 	case member.ServerChanged:
 		out = append(out, r.room(ev.Server.Pool)...)
-	case event.Down:
-		if s, ok := r.servers[ev.Server]; ok && ev.Refused {
-			s.down, s.downAt = s.Start, now
-		}
 	case event.Report:
-		if s, ok := r.servers[ev.Server]; ok && ev.At.After(s.downAt) {
-			s.down = "" // it answers, so that nothing had ended
+		if s, ok := r.servers[ev.Server]; ok && ev.At.After(s.endedAt) {
+			s.ended = "" // it answers, so that nothing had ended
 		}
 		if s, ok := r.servers[ev.Server]; ok && (s.Start == ev.Start || s.Start == "") {
 			s.report(now, ev)
 			out = append(out, r.room(s.Pool)...)
 		}
+	case event.Down:
+		if s, ok := r.servers[ev.Server]; ok && ev.Refused {
+			s.ended, s.endedAt = s.Start, now
+		}
+		out = append(out, r.down(now, ev)...)
 	case event.Cached:
 		r.cached(now, ev)
 	case event.Done:
@@ -269,6 +270,7 @@
 	case Completed:
 		good, sign = s.observe(o)
 		s.failures, s.ejections = 0, 0
+		s.down = time.Time{}
 	case Broken:
 		// A reset of an attempt to an earlier start says nothing about the present one.
 		sign = p.start == s.Start
