request: a node without a configuration calls no request invalid

Cause: a process that has just started listens for callers before its first configuration. A request that reaches it then was looked up in the empty tree and answered "invalid: no workspace", which tells the caller to correct a valid request. Seen in cmd/e2e after a kill and restart.

Ruled out: the balancer alone (callers may reach a node directly, and a balancer lags); a lost workspace in the settings (the same request is answered by every other node, and by this one once revision 1 is installed).

Change: before revision 1 a request without a key is refused, because nothing of it can have run. One with a key gets "unknown", because an earlier send through another node may have run and this node cannot tell.

Requests that reach a node with a configuration but without rollout records are not covered by this.

--- a/core/request/open.go
+++ b/core/request/open.go
@@ -118,6 +118,10 @@
 	if _, again := r.open[ev.Request]; again {
 		return
 	}
+	if r.parts.Settings.Revision() == 0 {
+		out.add(notConfigured(ev))
+		return
+	}
 	plan, err := r.parts.Settings.Tree().Effective(ev.Workspace, ev.Pipeline, r.self.FailureDomain)
 	if err != nil {
 		out.add(problem(ev.Request, event.Invalid, err.Error(), 0))
@@ -148,6 +152,19 @@
 	out.add(r.parts.Guard.Ask(now, ev.Request, o.print)...)
 }
 
+// configRetry is how soon a caller may come back to a node without a configuration.
+const configRetry = time.Second
+
+// notConfigured answers a request that came before the node's first configuration, as right after its start.
+// Without a key nothing can have run. With one, an earlier send may have, and only other nodes can tell.
+func notConfigured(ev event.Arrive) event.Reply {
+	kind := event.Refused
+	if ev.Key != "" {
+		kind = event.Unknown
+	}
+	return problem(ev.Request, kind, "this node has no configuration yet", configRetry)
+}
+
 func (o *open) claim() claim.Request {
 	return claim.Request{
 		Request: o.arrive.Request, Workspace: o.arrive.Workspace, Key: o.arrive.Key,
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -51,6 +51,7 @@
 
 type tree interface {
 	Tree() *settings.Tree
+	Revision() id.Revision
 }
 
 // Parts are the decision packages that a request needs.
