e2e: nine processes through a kill, a restart and graceful stops

Cause: until now all tests of whole nodes ran inside one process, so the mains, settings files, signals and exit codes were never tested together.

Ruled out: starting nodes from the product (it starts no process; the test does, and ends each by its own id); asserting on times (waits are bounded only).

Change: package cmd/e2e builds the program, starts the stand-ins in the test and nine nodes in three failure domains from settings files. It kills and restarts a node in a burst, sends every answered action again through another node, stops a node with SIGTERM in a second burst with streams open, and ends one with a second signal.

--- /dev/null
+++ b/cmd/e2e/callers_test.go
@@ -0,0 +1,259 @@
+package e2e_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/io/problem"
+	"bluebellflow/lab/answer"
+	"bluebellflow/lab/load"
+)
+
+const (
+	// maxSends bounds the sends of one request.
+	maxSends = 12
+	// sendTimeout bounds one send; it is longer than every deadline.
+	sendTimeout = 20 * time.Second
+	// resendAfter is the pause after a broken connection.
+	resendAfter = 200 * time.Millisecond
+)
+
+// reply is what one send came back with.
+type reply struct {
+	kind  event.ProblemKind // empty for a whole answer
+	text  string            // tokens of a whole answer, detail of a problem
+	retry time.Duration
+	err   error // connection refused, broken, or an answer without its end marker
+}
+
+// send is one send of a request to one node.
+type send struct {
+	to    id.Node
+	began time.Time
+	ended time.Time
+	reply
+}
+
+// request is a planned request with everything that came back.
+type request struct {
+	load.Arrival
+	sends []send
+}
+
+// String names the request in failures.
+func (r *request) String() string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "%s %d", r.Pipeline, r.Index)
+	for _, one := range r.sends {
+		fmt.Fprintf(&s, "; %s: %q %.120s %v", one.to, one.kind, one.text, one.err)
+	}
+	return s.String()
+}
+
+// last returns the final reply.
+func (r *request) last() send { return r.sends[len(r.sends)-1] }
+
+// answered reports whether the request got its whole answer.
+func (r *request) answered() bool { return r.last().err == nil && r.last().kind == "" }
+
+// caller sends requests to the nodes that pick returns. Every send has a connection of its own, because the
+// transport would otherwise send a request with a key again by itself.
+type caller struct {
+	d      *deployment
+	client *http.Client
+	pick   func(r *request) *process
+}
+
+func newCaller(d *deployment, pick func(r *request) *process) *caller {
+	return &caller{d: d, pick: pick, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// inTurn sends each request to another node than the send before.
+func inTurn(nodes []*process) func(*request) *process {
+	return func(r *request) *process { return nodes[(r.Index+len(r.sends))%len(nodes)] }
+}
+
+// burst sends all requests at their planned times until each has its final reply.
+func (c *caller) burst(plan []load.Arrival) []*request {
+	out := make([]*request, len(plan))
+	begin := time.Now()
+	var group sync.WaitGroup
+	for i, a := range plan {
+		time.Sleep(time.Until(begin.Add(a.At)))
+		r := &request{Arrival: a}
+		out[i] = r
+		group.Go(func() { c.request(r) })
+	}
+	group.Wait()
+	return out
+}
+
+// request follows the answers as docs/callers.md tells callers to.
+func (c *caller) request(r *request) {
+	for len(r.sends) < maxSends {
+		to := c.pick(r)
+		s := send{to: to.Name, began: time.Now()}
+		s.reply = c.send(r, to)
+		s.ended = time.Now()
+		r.sends = append(r.sends, s)
+		switch {
+		case s.err != nil:
+			time.Sleep(resendAfter)
+		case s.kind == event.Refused, s.kind == event.Unknown, s.kind == event.Failed && s.retry > 0:
+			c.checkNotRun(r, s)
+			time.Sleep(max(s.retry, resendAfter))
+		default:
+			c.checkNotRun(r, s)
+			return
+		}
+	}
+}
+
+// checkNotRun compares the answers that say that nothing took effect with the service's ledger.
+func (c *caller) checkNotRun(r *request, s send) {
+	if s.kind != event.Refused && s.kind != event.Deadline {
+		return
+	}
+	if n := c.effects(r); n > 0 {
+		c.d.t.Errorf("an answer says that the request was not run, but it had %d effects: %v", n, r)
+	}
+}
+
+// effects returns how often an action took effect.
+func (c *caller) effects(r *request) int {
+	if !r.Action {
+		return 0
+	}
+	return c.d.world.Ledger(r.Pool).Effect(r.Body)
+}
+
+func (c *caller) send(r *request, to *process) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	resp, err := c.open(ctx, r, to)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return read(resp)
+}
+
+func (c *caller) open(ctx context.Context, r *request, to *process) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s/v1/pipelines/%s", to.Caller, r.Pipeline)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Bluebellflow-Workspace", string(r.Workspace))
+	req.Header.Set("Request-Timeout", strconv.FormatFloat(r.Deadline.Seconds(), 'f', 3, 64))
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+	}
+	if r.Stream {
+		req.Header.Set("Accept", "text/event-stream")
+	}
+	return c.client.Do(req)
+}
+
+// read reads one answer to its end marker.
+func read(resp *http.Response) reply {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return readStream(resp.Body)
+	}
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return readProblem(raw)
+	}
+	var whole struct {
+		End bool `json:"end"`
+	}
+	if err := json.Unmarshal(raw, &whole); err != nil || !whole.End {
+		return reply{err: fmt.Errorf("answer without its end marker: %.200s", raw)}
+	}
+	return reply{text: answer.Text(raw)}
+}
+
+func readProblem(raw []byte) reply {
+	var doc problem.Document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return reply{kind: event.Failed, text: fmt.Sprintf("not a problem document: %.200s", raw)}
+	}
+	return reply{
+		kind: event.ProblemKind(strings.TrimPrefix(doc.Type, problem.TypePrefix)), text: doc.Detail,
+		retry: time.Duration(doc.RetryAfter) * time.Second,
+	}
+}
+
+// readStream joins the parts of a stream until the event that ends it.
+func readStream(body io.Reader) reply {
+	var text strings.Builder
+	name := ""
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), "event: "); ok {
+			name = value
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		switch name {
+		case "end":
+			return reply{text: text.String()}
+		case "problem":
+			return readProblem([]byte(data))
+		}
+		var part struct {
+			Text string `json:"text"`
+		}
+		if err := json.Unmarshal([]byte(data), &part); err != nil {
+			return reply{err: err}
+		}
+		text.WriteString(part.Text)
+	}
+	return reply{err: fmt.Errorf("stream without its end: %w", lines.Err())}
+}
+
+// check asserts for every request what the system guarantees: its own whole answer or a true statement, an
+// effect for an action that was answered, and no second effect.
+func (c *caller) check(t *testing.T, requests []*request) map[event.ProblemKind]int {
+	t.Helper()
+	counts := map[event.ProblemKind]int{}
+	for _, r := range requests {
+		counts[r.last().kind]++
+		effects := c.effects(r)
+		if effects > 1 {
+			t.Errorf("%d effects: %v", effects, r)
+		}
+		switch last := r.last(); {
+		case last.err != nil:
+			t.Errorf("no final answer: %v", r)
+		case last.kind == "":
+			if err := answer.Check(r.Body, r.Stage, last.text); err != nil {
+				t.Errorf("%v: %v", err, r)
+			}
+			if r.Action && effects == 0 {
+				t.Errorf("answered without an effect: %v", r)
+			}
+		case last.kind == event.Invalid:
+			t.Errorf("a valid request was called invalid: %v", r)
+		}
+	}
+	return counts
+}
