request: ask the guard again before an attempt if more crashes are known

Cause: the guard judged a request when it arrived. Change: place compares the crashes known now with those at the verdict and asks again if there are more.

--- a/core/request/open.go
+++ b/core/request/open.go
@@ -60,6 +60,7 @@
 	refusal    *refusal  // what the caller is told if the key is still not claimed
 	broken     id.Server
 	verified   time.Time    // until when to wait for signs of a crash
+	judged     uint64       // crashes that were known at the guard's verdict
 	crashed    []id.Version // versions whose servers crashed on the present stage
 }
 
@@ -165,6 +166,7 @@
 		return
 	}
 	o.alone = ev.Until
+	o.judged = r.parts.Guard.Crashes(now, o.print)
 	if ev.Verdict == crash.Refuse {
 		out.log("guard", o, "refuse", "requests with this content crashed backend servers")
 		r.refuse(now, o, "requests with this content crashed backend servers", ev.RetryAfter, out)
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -42,6 +42,7 @@
 	Ask(now time.Time, r id.Request, fp id.Fingerprint) []event.Action
 	Crashed(now time.Time, fp id.Fingerprint, server id.Server, start id.Start) []event.Action
 	Finish(now time.Time, r id.Request, fp id.Fingerprint) []event.Action
+	Crashes(now time.Time, fp id.Fingerprint) uint64
 }
 
 type versions interface {
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -62,7 +62,7 @@
 		r.giveUp(now, o, event.Deadline, "the time left did not suffice for the remaining stages", 0, out)
 		return
 	}
-	if !o.alone.IsZero() && !o.alone.After(now) {
+	if r.parts.Guard.Crashes(now, o.print) > o.judged || !o.alone.IsZero() && !o.alone.After(now) {
 		r.askGuard(now, o, out)
 		return
 	}
