e2e: administration while the platform is down

Cause: no test gave operators' commands to running processes during an outage.

Ruled out: an outage by a cut (that separates domains as well); the fault "down" answers every call of the platform with 503.

Change: with the platform down, the test drains a domain through one node and sees the provisional record at a node of another domain, applies, restores and explains, and restarts a node. After the outage it sees the drain committed, the restarted node ready, no revision from the refused apply, and the domain restored.

--- a/cmd/e2e/processes_test.go
+++ b/cmd/e2e/processes_test.go
@@ -31,6 +31,7 @@
 	t.Run("kill and restart", func(t *testing.T) { kill(t, d) })
 	t.Run("graceful stop", func(t *testing.T) { stop(t, d) })
 	t.Run("second signal", func(t *testing.T) { twice(t, d) })
+	t.Run("outage of the platform", func(t *testing.T) { outage(t, d) })
 }
 
 func plan(t *testing.T, seed uint64, d fleet.Description) []load.Arrival {
