--- /dev/null
+++ b/core/settings/page_test.go
@@ -0,0 +1,104 @@
+package settings_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/settings"
+)
+
+// page is the reference of all settings.
+const page = "../../docs/settings.md"
+
+// parserKeys returns the keys that the parser knows: the strings that its source compares with the key of a member,
+// and the constants in their place.
+func parserKeys(g *WithT) []string {
+	constants := map[string]string{}
+	var keys []ast.Expr
+	isKey := func(e ast.Expr) bool {
+		s, ok := e.(*ast.SelectorExpr)
+		return ok && s.Sel.Name == "key"
+	}
+	files, err := filepath.Glob("*.go")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		ast.Inspect(file, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.ValueSpec:
+				for i, v := range n.Values {
+					if lit, ok := v.(*ast.BasicLit); ok && lit.Kind == token.STRING {
+						constants[n.Names[i].Name], _ = strconv.Unquote(lit.Value)
+					}
+				}
+			case *ast.SwitchStmt:
+				if n.Tag != nil && isKey(n.Tag) {
+					for _, c := range n.Body.List {
+						keys = append(keys, c.(*ast.CaseClause).List...)
+					}
+				}
+			case *ast.BinaryExpr:
+				if n.Op == token.EQL && isKey(n.X) {
+					keys = append(keys, n.Y)
+				}
+			}
+			return true
+		})
+	}
+	var out []string
+	for _, k := range keys {
+		switch k := k.(type) {
+		case *ast.BasicLit:
+			text, err := strconv.Unquote(k.Value)
+			g.Expect(err).NotTo(HaveOccurred())
+			out = append(out, text)
+		case *ast.Ident:
+			g.Expect(constants).To(HaveKey(k.Name))
+			out = append(out, constants[k.Name])
+		}
+	}
+	return out
+}
+
+// TestPage guards against keys without a description, descriptions of keys that the parser does not know, and
+// examples that do not check.
+func TestPage(t *testing.T) {
+	g := NewWithT(t)
+	raw, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	known := parserKeys(g)
+	g.Expect(known).To(ContainElements("root", "deadline", "cold", "domains", "stages", "grace"))
+	for _, key := range known {
+		g.Expect(string(raw)).To(ContainSubstring("`"+key+"`"), "the page does not describe the key")
+		g.Expect(string(raw)).To(ContainSubstring(`"`+key+`":`), "no example has the key")
+	}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z]+)` \\|").FindAllStringSubmatch(string(raw), -1) {
+		g.Expect(known).To(ContainElement(row[1]), "the page describes a key that the parser does not know")
+	}
+	examples := regexp.MustCompile("(?s)```json (\\w+)\n(.*?)```").FindAllStringSubmatch(string(raw), -1)
+	kinds := map[string]int{}
+	for _, e := range examples {
+		kinds[e[1]]++
+		if e[1] == "node" {
+			_, err = settings.ParseNode("example", []byte(e[2]))
+		} else {
+			_, err = settings.Parse("example", []byte(e[2]))
+		}
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(kinds).To(Equal(map[string]int{"settings": 1, "node": 1}))
+	g.Expect(strings.Count(string(raw), "```")).To(Equal(2*len(examples)), "an example without a kind")
+}
