--- a/cmd/e2e/processes_test.go
+++ b/cmd/e2e/processes_test.go
@@ -26,6 +26,7 @@
 
 // TestProcesses runs nine nodes in three failure domains as processes of their own.
 func TestProcesses(t *testing.T) {
+	t.Parallel()
 	d := start(t, fleet.Kitab())
 	d.warm(t)
 	t.Run("kill and restart", func(t *testing.T) { kill(t, d) })
