settings, serve: mutual TLS between nodes from the settings of a process

Cause: io/mesh has mutual TLS, but no setting led to it.

Ruled out: reading the files while the settings are parsed (the decision packages do no I/O; a file that cannot be read ends the start with an error).

Change: the key tls with certificate, key and ca, all required, in the settings of a process. The nodes of cmd/e2e now use generated certificates; the new subtest dials a node without a certificate and with one of another authority.

Operators are not authenticated yet.

--- a/cmd/e2e/deployment_test.go
+++ b/cmd/e2e/deployment_test.go
@@ -45,6 +45,7 @@
 	Caller   netip.AddrPort   `json:"caller"`
 	Admin    netip.AddrPort   `json:"admin"`
 	Platform netip.AddrPort   `json:"platform"`
+	TLS      *tlsFiles        `json:"tls,omitempty"`
 }
 
 // deployment is the outside world in this process, and one process for each node.
@@ -54,6 +55,8 @@
 	program string
 	world   *fleet.Fleet
 	nodes   []*process
+
+	authority *authority
 }
 
 // process is a node's settings and the process that runs with them.
@@ -99,6 +102,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = d.world.Close() })
 	t.Cleanup(d.end)
+	d.authority = newAuthority(d, "authority")
 	for i := range described.Nodes {
 		d.add(i)
 	}
@@ -131,6 +135,7 @@
 		Name: id.Node(fmt.Sprintf("%s-%d", domain, number/len(domains)+1)), Domain: domain, Region: d.world.Description.Region,
 		Peer: d.free(), Caller: d.free(), Admin: d.free(), Platform: d.world.PlatformAddr(domain),
 	}}
+	p.TLS = d.authority.issue(string(p.Name))
 	raw, err := json.Marshal(p.nodeFile)
 	NewWithT(d.t).Expect(err).NotTo(HaveOccurred())
 	p.path = d.write(string(p.Name)+".json", raw)
--- a/cmd/e2e/processes_test.go
+++ b/cmd/e2e/processes_test.go
@@ -29,6 +29,7 @@
 	t.Parallel()
 	d := start(t, fleet.Kitab())
 	d.warm(t)
+	t.Run("strangers", func(t *testing.T) { strangers(t, d) })
 	t.Run("kill and restart", func(t *testing.T) { kill(t, d) })
 	t.Run("graceful stop", func(t *testing.T) { stop(t, d) })
 	t.Run("second signal", func(t *testing.T) { twice(t, d) })
--- a/core/settings/node.go
+++ b/core/settings/node.go
@@ -28,6 +28,14 @@
 	Admin         netip.AddrPort // address for operators
 	Platform      netip.AddrPort // address of the platform's object API
 	Limits        Limits
+	TLS           *TLS // nil for plain TCP between nodes
+}
+
+// TLS names the PEM files for mutual TLS between nodes. The certificate has the node's name as a DNS name.
+type TLS struct {
+	Certificate string
+	Key         string
+	CA          string
 }
 
 // Limits bound the resources of one process.
@@ -93,6 +101,8 @@
 		addr(&n.Platform)
 	case "limits":
 		r.limits(&n.Limits, m)
+	case "tls":
+		n.TLS = r.tls(m)
 	default:
 		r.unknown("node", m)
 	}
@@ -113,3 +123,35 @@
 		}
 	}
 }
+
+// tls reads the paths of the files; whether they can be read shows when the node starts.
+func (r *reader) tls(m member) *TLS {
+	t := &TLS{}
+	for _, f := range r.object("node.tls", m.value) {
+		what := "node.tls." + f.key
+		switch f.key {
+		case "certificate":
+			t.Certificate = r.path(what, f.value)
+		case "key":
+			t.Key = r.path(what, f.value)
+		case "ca":
+			t.CA = r.path(what, f.value)
+		default:
+			r.unknown("node.tls", f)
+		}
+	}
+	for _, key := range []string{"certificate", "key", "ca"} {
+		if !hasKey(m.value, key) {
+			r.report(m.place, "node.tls: %s is required", key)
+		}
+	}
+	return t
+}
+
+func (r *reader) path(what string, v hujson.Value) string {
+	s := r.text(what, v)
+	if lit, ok := v.Value.(hujson.Literal); ok && lit.Kind() == '"' && s == "" {
+		r.report(v.StartOffset, "%s: want the path of a PEM file", what)
+	}
+	return s
+}
--- a/core/settings/page_test.go
+++ b/core/settings/page_test.go
@@ -102,3 +102,20 @@
 	g.Expect(kinds).To(Equal(map[string]int{"settings": 1, "node": 1}))
 	g.Expect(strings.Count(string(raw), "```")).To(Equal(2*len(examples)), "an example without a kind")
 }
+
+// TestTLS guards against a process that starts without TLS, or fails late, because its settings name only some files.
+func TestTLS(t *testing.T) {
+	raw, err := os.ReadFile(page)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	example := regexp.MustCompile("(?s)```json node\n(.*?)```").FindStringSubmatch(string(raw))[1]
+	for old, c := range map[string]struct{ next, finding string }{
+		`, "ca": "/etc/bluebellflow/ca.pem"`: {"", "node.tls: ca is required"},
+		`"/etc/bluebellflow/node.key"`:       {`""`, "node.tls.key: want the path of a PEM file"},
+		`"certificate": `:                    {`"cert": `, `node.tls: unknown key "cert"`},
+	} {
+		g := NewWithT(t)
+		g.Expect(example).To(ContainSubstring(old))
+		_, err := settings.ParseNode("node", []byte(strings.Replace(example, old, c.next, 1)))
+		g.Expect(err).To(MatchError(ContainSubstring(c.finding)))
+	}
+}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -22,7 +22,7 @@
 
 // Config returns the configuration of the node that the settings describe.
 func Config(n settings.Node, opts ...node.Option) runtime.Config {
-	return runtime.Config{
+	cfg := runtime.Config{
 		Self: event.Self{
 			Node: n.Name, FailureDomain: n.FailureDomain, Region: n.Region, Addr: n.Peer,
 		},
@@ -40,6 +40,10 @@
 		},
 		Caller: []callers.Option{callers.WithLimits(int64(n.Limits.Body), n.Limits.Open, callerTimeout)},
 	}
+	if n.TLS != nil {
+		cfg.TLS = &mesh.Files{Certificate: n.TLS.Certificate, Key: n.TLS.Key, CA: n.TLS.CA}
+	}
+	return cfg
 }
 
 // Commands returns the builders of all operator commands.
