cli: a status report that a person can read

Cause: status printed the node's JSON as generic tables, in which failure domains, their nodes and the silent ones were far apart and times were milliseconds.

Change: nodes by failure domain with state, revision and open requests; domains with state, epoch, operator and time; moves with the share ordered, the share in force at this node, and its evidence; the silent nodes by name.

Conclusion: the report shows what an operator needs. Ramping is not in it, because the node's answer has records only.

--- a/cmd/cli/remote.go
+++ b/cmd/cli/remote.go
@@ -151,7 +151,11 @@
 	if c.Seen > 0 {
 		header.Set("Bluebellflow-Revision", fmt.Sprint(c.Seen))
 	}
-	return e.show(request{method: http.MethodGet, path: "/status", header: header})
+	raw, err := e.call(request{method: http.MethodGet, path: "/status", header: header})
+	if err != nil {
+		return err
+	}
+	return e.writeStatus(raw)
 }
 
 type domainFlags struct {
--- /dev/null
+++ b/cmd/cli/status.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"bluebellflow/core/domain"
+	"bluebellflow/core/id"
+	"bluebellflow/core/move"
+	"bluebellflow/core/node"
+)
+
+// statusReport is the answer of a node to the command status.
+type statusReport struct{ node.Report }
+
+// writeStatus shows a report for a person; an answer that is no report is shown as a table.
+func (e *env) writeStatus(raw json.RawMessage) error {
+	var r statusReport
+	if e.json || json.Unmarshal(raw, &r) != nil || r.Node == "" {
+		return e.write(raw)
+	}
+	out := tabwriter.NewWriter(e.streams.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(out, "%s in %s says: revision %d, %s, %d requests open\n",
+		clean(r.Node), clean(r.Domain), r.Revision, readiness(r.Ready, false), r.Open)
+	if r.Rejected > 0 {
+		_, _ = fmt.Fprintf(out, "revision %d does not check on this node\n", r.Rejected)
+	}
+	if len(r.Silent) > 0 {
+		_, _ = fmt.Fprintf(out, "no answer from %d of %d nodes: %s\n", len(r.Silent), len(r.Nodes), strings.Join(cleaned(r.Silent), ", "))
+	}
+	r.writeDomains(out)
+	r.writeMoves(out)
+	return out.Flush()
+}
+
+// writeDomains shows the nodes of each failure domain below its state.
+func (r *statusReport) writeDomains(out io.Writer) {
+	records := map[id.FailureDomain]domain.Record{}
+	nodes := map[id.FailureDomain][]node.PeerReport{}
+	for _, d := range r.Domains {
+		records[d.Domain] = d
+		nodes[d.Domain] = nil
+	}
+	for _, n := range r.Nodes {
+		nodes[n.Domain] = append(nodes[n.Domain], n)
+	}
+	_, _ = fmt.Fprintln(out, "\nDOMAIN / NODE\tSTATE\tREVISION\tOPEN\tEPOCH\tBY\tSINCE")
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		writeDomain(out, name, records[name])
+		slices.SortFunc(nodes[name], func(a, b node.PeerReport) int { return strings.Compare(string(a.Node), string(b.Node)) })
+		for _, n := range nodes[name] {
+			state, revision, open := "silent", "-", "-"
+			if n.Heard {
+				state = readiness(n.Ready, n.Leaving)
+				revision, open = fmt.Sprint(n.Revision), fmt.Sprint(n.Open)
+			}
+			_, _ = fmt.Fprintf(out, "  %s\t%s\t%s\t%s\t\t\t\n", clean(n.Node), state, revision, open)
+		}
+	}
+}
+
+func writeDomain(out io.Writer, name id.FailureDomain, r domain.Record) {
+	state, by, since := "active", "-", "-"
+	if r.Drained {
+		state = "drained"
+	}
+	if r.Provisional {
+		state += ", not committed"
+	}
+	if r.Epoch > 0 {
+		by, since = clean(r.By), time.UnixMilli(r.At).UTC().Format(time.RFC3339)
+	}
+	_, _ = fmt.Fprintf(out, "%s\t%s\t\t\t%d\t%s\t%s\n", clean(name), state, r.Epoch, by, since)
+}
+
+// writeMoves shows each rollout with its share and what the evidence of this node says.
+func (r *statusReport) writeMoves(out io.Writer) {
+	if len(r.Moves) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(out, "\nMOVE\tPOOL\tVERSIONS\tSTATE\tSHARE\tHERE\tEVIDENCE\tFINISH BY")
+	for _, m := range r.Moves {
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%s to %s\t%s\t%s\t%s\t%s\t%s\n", clean(m.Name), clean(m.Pool), clean(m.From), clean(m.To),
+			clean(m.State), percent(m.Share), percent(m.Applied), evidence(m), m.By.UTC().Format(time.RFC3339))
+	}
+}
+
+func evidence(m move.Status) string {
+	text := "incomplete"
+	if m.Complete {
+		text = "complete"
+	}
+	if m.Stopped {
+		text = "stopped"
+	}
+	text += fmt.Sprintf(", score %.1f", m.Score)
+	if m.Reason != "" {
+		text += ": " + clean(m.Reason)
+	}
+	return text
+}
+
+func readiness(ready, leaving bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+// percent shows thousandths.
+func percent(share int) string {
+	return strconv.FormatFloat(float64(share)/10, 'f', -1, 64) + "%"
+}
+
+// clean keeps text from other processes from breaking the table.
+func clean[T ~string](text T) string { return strings.Map(printable, string(text)) }
+
+func cleaned[T ~string](list []T) []string {
+	out := make([]string, 0, len(list))
+	for _, one := range list {
+		out = append(out, clean(one))
+	}
+	return out
+}
