--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -23,7 +23,7 @@
 // Config returns the configuration of the node that the settings describe.
 func Config(n settings.Node, opts ...node.Option) runtime.Config {
 	opts = append([]node.Option{node.WithGrace(n.Limits.Grace)}, opts...)
-	return runtime.Config{
+	cfg := runtime.Config{
 		Self: event.Self{
 			Node: n.Name, FailureDomain: n.FailureDomain, Region: n.Region, Addr: n.Peer,
 		},
@@ -41,6 +41,10 @@
 		},
 		Caller: []callers.Option{callers.WithLimits(int64(n.Limits.Body), n.Limits.Open, callerTimeout)},
 	}
+	if n.TLS != nil {
+		cfg.TLS = &mesh.Files{Certificate: n.TLS.Certificate, Key: n.TLS.Key, CA: n.TLS.CA}
+	}
+	return cfg
 }
 
 // Commands returns the builders of all operator commands.
