request: further attempts of a request go to the old version

Cause: while a rollout runs, all attempts of a request went to the version that its content selects, so a request that the new version fails was tried there up to six times. A request that fails on any version would also convict a good one with six results. Ruled out: the share itself, 1 % at that time. Change: after the first failed attempt the old version serves the request, unless tokens were passed on already.

--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -108,6 +108,15 @@
 	return r.From
 }
 
+// Fallback returns the version that serves the further attempts of a request while a rollout runs, or "" without one.
+func (m *Moves) Fallback(pool id.Pool) id.Version {
+	r := m.current[pool]
+	if r == nil || r.State != Running || r.Share >= whole {
+		return ""
+	}
+	return r.From
+}
+
 // scramble spreads fingerprints evenly (the finalizer of splitmix64).
 func scramble(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -46,6 +46,7 @@
 
 type versions interface {
 	Choose(now time.Time, pool id.Pool, fp id.Fingerprint, p id.Pipeline) id.Version
+	Fallback(pool id.Pool) id.Version
 	Observe(now time.Time, s move.Sample)
 }
 
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -39,6 +39,7 @@
 	heard   time.Time // when its last part came
 	until   time.Time
 	load    int
+	cold    bool     // the server was cold when the attempt was sent
 	start   id.Start // the server's start identity when the attempt was sent
 	hedge   bool
 }
@@ -105,6 +106,10 @@
 // chooseVersion decides which version serves the stage; it reports false if the request had to end.
 func (r *Requests) chooseVersion(now time.Time, o *open, out *actions) bool {
 	chosen := r.parts.Versions.Choose(now, o.current().Pool, o.print, o.arrive.Pipeline)
+	if old := r.parts.Versions.Fallback(o.current().Pool); old != "" && o.retried > 0 && o.delivered == 0 {
+		// A request that fails whoever runs it must not convict the new version with all of its attempts.
+		chosen = old
+	}
 	if o.delivered > 0 && chosen == "" {
 		chosen = o.served
 	}
