move: compare cold servers of a new version with a wider limit

Cause: the servers of a new version start cold and then take about twice as long, and the old version's servers are warm, so every good version looked slow. Ruled out: failures (attainment was 100 %, no attempt on the new version failed); the fallback to the old version, which takes no part without a failure. Change: a sample says whether its server was cold; it counts as slow at three times the usual limit, and does not enter the latencies that others are compared with. A version that takes eight times as long when cold is still found.

--- a/core/move/evidence.go
+++ b/core/move/evidence.go
@@ -19,6 +19,9 @@
 	// A result is slow if it takes longer than this multiple of the old version's upper quartile at
 	// the same load; about one in ten of a usual latency distribution does.
 	slowFactor = 1.3
+	// coldFactor times that is slow on a cold server. New servers of a good version start cold and then take about
+	// twice as long; the old version's servers are warm and give nothing to compare with.
+	coldFactor = 3
 	floorFail  = 0.02 // rates of the old version below these cannot be measured on little traffic
 	floorSlow  = 0.12
 	// Evidence is complete with this many results of the new version, and this many on each route
@@ -131,7 +134,10 @@
 // observe counts a result of this node.
 func (e *evidence) observe(now time.Time, self id.Incarnation, s Sample, isNew bool) {
 	limit, comparable := e.limit(s.Pipeline, s.Load)
-	if !isNew && !s.Failed {
+	if s.Cold {
+		limit *= coldFactor
+	}
+	if !isNew && !s.Failed && !s.Cold {
 		key := binKey{s.Pipeline, binOf(s.Load)}
 		if e.rings[key] == nil {
 			e.rings[key] = &ring{}
--- a/core/move/evidence_test.go
+++ b/core/move/evidence_test.go
@@ -184,3 +184,27 @@
 		})
 	}
 }
+
+// TestColdServers guards against a good version that is taken back because its new servers are still cold, and
+// against a slow one that hides behind cold servers.
+func TestColdServers(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for slower, bad := range map[float64]bool{2: false, 8: true} {
+		rng := rand.New(rand.NewPCG(1, 7))
+		e := newEvidence()
+		e.first = slotOf(start)
+		now, worst := start, 0.0
+		for i := range 3000 {
+			now = now.Add(20 * time.Millisecond)
+			isNew, factor := i%50 == 0, 1.0
+			if isNew {
+				factor = slower
+			}
+			took := 0.1 * factor * math.Exp(0.4*rng.NormFloat64())
+			e.observe(now, "a", Sample{Pipeline: "p", Took: time.Duration(took * float64(time.Second)), Cold: isNew}, isNew)
+			score, _ := e.judge(now)
+			worst = max(worst, score)
+		}
+		NewWithT(t).Expect(worst >= bound).To(Equal(bad), "score %v with %v times the latency", worst, slower)
+	}
+}
--- a/core/move/message.go
+++ b/core/move/message.go
@@ -47,7 +47,8 @@
 	Pipeline id.Pipeline
 	Took     time.Duration
 	Failed   bool
-	Load     int // attempts in flight at the server when this one was sent
+	Load     int  // attempts in flight at the server when this one was sent
+	Cold     bool // the server was cold then
 }
 
 // Begin is an operator's command to start a rollout.
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -17,6 +17,7 @@
 type router interface {
 	Place(now time.Time, attempt id.Attempt, q route.Query) (route.Choice, []event.Action)
 	End(now time.Time, attempt id.Attempt, o route.Outcome) []event.Action
+	Warm(server id.Server) bool
 	InFlight(server id.Server) int
 }
 
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -177,6 +177,7 @@
 		attempt: attempt, request: o.arrive.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
 		began: now, heard: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
+		cold: !r.parts.Router.Warm(choice.Server.ID),
 	}
 	if !o.alone.IsZero() && o.alone.Before(t.until) {
 		t.until = o.alone
@@ -312,7 +313,7 @@
 func (r *Requests) sample(now time.Time, o *open, t *try, took time.Duration, failed bool) {
 	r.parts.Versions.Observe(now, move.Sample{
 		Pool: t.pool, Version: t.version, Pipeline: o.arrive.Pipeline,
-		Took: took, Failed: failed, Load: t.load,
+		Took: took, Failed: failed, Load: t.load, Cold: t.cold,
 	})
 }
 
