lab: plot of the attempts by failure domain

Cause: the plots of a drain and of a partition showed the answers only, not where the attempts went.

--- a/lab/experiment/plot.go
+++ b/lab/experiment/plot.go
@@ -3,7 +3,11 @@
 import (
 	"fmt"
 	"image/color"
+	"maps"
 	"path/filepath"
+	"slices"
+	"strings"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -43,6 +47,15 @@
 	if err := save("latency", latency); err != nil {
 		return paths, err
 	}
+	if r.moved() {
+		p, err := r.domainPlot()
+		if err != nil {
+			return paths, err
+		}
+		if err := save("domains", p); err != nil {
+			return paths, err
+		}
+	}
 	for _, pool := range r.pools() {
 		if len(r.versions(pool)) == 0 {
 			continue
@@ -175,3 +188,40 @@
 	}
 	return p, nil
 }
+
+// moved reports whether a domain was taken out of service, by operators or by a cut.
+func (r Record) moved() bool {
+	return slices.ContainsFunc(r.Experiment.Faults, func(f Fault) bool {
+		return f.Kind == Cut || (f.Kind == Admin && strings.HasSuffix(f.Path, "/drain"))
+	})
+}
+
+// domainPlot plots the share of each failure domain of the attempts by second, of the first run of each policy.
+func (r Record) domainPlot() (*plot.Plot, error) {
+	p := newPlot(r.Experiment.Name+": failure domains", "time in s", "share of the attempts")
+	p.Y.Min, p.Y.Max = 0, 1
+	i := 0
+	for _, policy := range r.policies() {
+		samples := r.of(policy)[0].Samples
+		if len(samples) == 0 {
+			continue
+		}
+		const step = int(time.Second / sampleEvery)
+		for _, d := range slices.Sorted(maps.Keys(samples[0].Domains)) {
+			var points plotter.XYs
+			for k := step; k < len(samples) && samples[k].At <= float64(r.Experiment.Load.Seconds); k += step {
+				points = append(points, plotter.XY{X: samples[k].At, Y: domainShare(samples[k-step], samples[k], d)})
+			}
+			if err := line(p, policy+" "+string(d), i, points); err != nil {
+				return nil, err
+			}
+			i++
+		}
+	}
+	for _, f := range r.Experiment.Faults {
+		if err := mark(p, float64(f.At)); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
--- a/lab/probe/thin.go
+++ b/lab/probe/thin.go
@@ -141,7 +141,9 @@
 
 func (d *direct) close() {
 	d.cancel()
-	_ = <-d.ended
+	if err := <-d.ended; err != nil {
+		panic(err) // the client ends without an error when its context does
+	}
 }
 
 func (d *direct) run(ctx context.Context, body []byte) (time.Duration, error) {
