--- a/core/request/request.go
+++ b/core/request/request.go
@@ -17,6 +17,7 @@
 type router interface {
 	Place(now time.Time, attempt id.Attempt, q route.Query) (route.Choice, []event.Action)
 	End(now time.Time, attempt id.Attempt, o route.Outcome) []event.Action
+	Warm(server id.Server) bool
 	InFlight(server id.Server) int
 }
 
@@ -47,6 +48,7 @@
 
 type versions interface {
 	Choose(now time.Time, pool id.Pool, fp id.Fingerprint, p id.Pipeline) id.Version
+	Fallback(pool id.Pool) id.Version
 	Observe(now time.Time, s move.Sample)
 }
 
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -41,6 +41,7 @@
 	heard   time.Time // when its last part came
 	until   time.Time
 	load    int
+	cold    bool     // the server was cold when the attempt was sent
 	start   id.Start // the server's start identity when the attempt was sent
 	hedge   bool
 }
@@ -107,6 +108,10 @@
 // chooseVersion decides which version serves the stage; it reports false if the request had to end.
 func (r *Requests) chooseVersion(now time.Time, o *open, out *actions) bool {
 	chosen := r.parts.Versions.Choose(now, o.current().Pool, o.print, o.arrive.Pipeline)
+	if old := r.parts.Versions.Fallback(o.current().Pool); old != "" && o.retried > 0 && o.delivered == 0 {
+		// A request that fails whoever runs it must not convict the new version with all of its attempts.
+		chosen = old
+	}
 	if o.delivered > 0 && chosen == "" {
 		chosen = o.served
 	}
@@ -174,6 +179,7 @@
 		attempt: attempt, request: o.arrive.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
 		began: now, heard: now, until: o.deadline, load: r.parts.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
+		cold: !r.parts.Router.Warm(choice.Server.ID),
 	}
 	if !o.alone.IsZero() && o.alone.Before(t.until) {
 		t.until = o.alone
@@ -309,7 +315,7 @@
 func (r *Requests) sample(now time.Time, o *open, t *try, took time.Duration, failed bool) {
 	r.parts.Versions.Observe(now, move.Sample{
 		Pool: t.pool, Version: t.version, Pipeline: o.arrive.Pipeline,
-		Took: took, Failed: failed, Load: t.load,
+		Took: took, Failed: failed, Load: t.load, Cold: t.cold,
 	})
 }
 
