slopes: measure the costs of nodes as the fleet grows

Cause: docs/design.md promises a page that shows how costs scale, and the targets for a node at 340 nodes had not been measured.

The slopes over servers and request rates have not been run.

--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -26,6 +26,7 @@
 	Load       loadCommand       `cmd:"" help:"Send load to nodes that run elsewhere and print the outcome."`
 	Experiment experimentCommand `cmd:"" help:"Run an experiment file with nodes and stand-ins in this process."`
 	Plot       plotCommand       `cmd:"" help:"Draw the plots of a record as SVG and print its table."`
+	Slopes     slopesCommand     `cmd:"" help:"Measure what nodes cost as the fleet grows, with pure nodes in virtual time."`
 }
 
 // env is what commands get besides their flags.
--- /dev/null
+++ b/lab/cli/slopes.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"fmt"
+
+	"bluebellflow/lab/slopes"
+)
+
+// slopesCommand measures how the costs of nodes grow.
+type slopesCommand struct {
+	Slope   []string `arg:"" optional:"" help:"What to vary: nodes, servers, workspaces, rate; whole is all at the two-year size."`
+	Seed    uint64   `help:"Seed of every draw." default:"1"`
+	Repeats int      `help:"Runs of each size; the shortest times are kept." default:"1"`
+	JSON    bool     `help:"Write JSON instead of tables."`
+}
+
+// Run measures the slopes and prints them.
+func (c *slopesCommand) Run(e *env) error {
+	if len(c.Slope) == 0 {
+		c.Slope = []string{"nodes", "servers", "workspaces", "rate", "whole"}
+	}
+	var all []slopes.Point
+	for _, name := range c.Slope {
+		sizes := slopes.Sizes(name)
+		if sizes == nil {
+			return fmt.Errorf("slopes: %q is none of nodes, servers, workspaces, rate, whole", name)
+		}
+		for _, s := range sizes {
+			point := slopes.Measure(c.Seed, s, c.Repeats)
+			if c.JSON {
+				all = append(all, point)
+			} else if err := slopes.Table(e.out, []slopes.Point{point}); err != nil {
+				return err
+			}
+		}
+	}
+	if c.JSON {
+		return slopes.JSON(e.out, all)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/slopes/fleet.go
@@ -0,0 +1,215 @@
+package slopes
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"bluebellflow/core/config"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/node"
+	"bluebellflow/core/prove"
+)
+
+const (
+	listEvery = time.Second // a node's period for reading the VM list
+	nearPolls = 30          // load reports a second from the own failure domain, as in io/backend
+	farPolls  = 10          // load reports a second from all others
+	service   = 30 * time.Millisecond
+	parts     = 20 // reads of a stream; each carries several tokens
+	partEvery = 50 * time.Millisecond
+	perPart   = 18 // tokens in a read, so that a request has about 360
+	settle    = 12 * time.Second
+)
+
+var pools = []id.Pool{"encoder", "retriever", "model", "loans"}
+
+// Size is one point of a slope.
+type Size struct {
+	Nodes      int     `json:"nodes"`
+	Domains    int     `json:"domains"`
+	Servers    int     `json:"servers"`
+	Workspaces int     `json:"workspaces"`
+	Rate       float64 `json:"rate"` // requests a second and node; every tenth runs an action with a key
+}
+
+// fleet is all nodes and the stand-ins around them in one world.
+type fleet struct {
+	*prove.World
+	size    Size
+	book    *Book
+	vms     []event.VM
+	near    map[id.FailureDomain][]int // servers of a failure domain
+	polls   map[id.Node]int
+	count   int
+	ended   map[string]int
+	loading bool
+}
+
+func domainOf(i, domains int) id.FailureDomain {
+	return id.FailureDomain(fmt.Sprintf("d%02d", i%domains))
+}
+
+func regionOf(i, domains int) id.Region {
+	return id.Region(fmt.Sprintf("r%d", i%domains%min(8, domains)))
+}
+
+func newFleet(seed uint64, size Size) *fleet {
+	f := &fleet{
+		World: prove.New(seed), size: size, book: newBook(), near: map[id.FailureDomain][]int{},
+		polls: map[id.Node]int{}, ended: map[string]int{},
+	}
+	f.Outside = f.outside
+	for i := range size.Nodes {
+		f.vms = append(f.vms, event.VM{
+			Name: fmt.Sprintf("node-%03d", i), Kind: "entry", Region: regionOf(i, size.Domains),
+			Addr:          netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i%200 + 1)}), 7000),
+			FailureDomain: domainOf(i, size.Domains),
+		})
+	}
+	for i := range size.Servers {
+		d := domainOf(i, size.Domains)
+		f.near[d] = append(f.near[d], i)
+		f.vms = append(f.vms, event.VM{
+			Name: string(serverName(i)), Kind: "backend", Region: regionOf(i, size.Domains), FailureDomain: d,
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 200), byte(i%200 + 1)}), 8000),
+			Pool: pools[i/size.Domains%len(pools)], Version: "v1",
+		})
+	}
+	codec := node.Codec()
+	for _, vm := range f.vms[:size.Nodes] {
+		self := event.Self{Node: id.Node(vm.Name), FailureDomain: vm.FailureDomain, Region: vm.Region, Addr: vm.Addr}
+		f.Add(self, func(self event.Self) prove.Stepper {
+			return &meter{Node: node.New(self), self: self, codec: codec, fleet: f}
+		})
+	}
+	f.list()
+	f.poll()
+	f.Run(2 * time.Second)
+	f.Inject(f.Names()[0], config.Apply{Command: event.Command{Number: 1}, Source: f.settings(1)}, 0)
+	f.Run(settle)
+	return f
+}
+
+func (f *fleet) settings(weight int) []byte {
+	s := &strings.Builder{}
+	s.WriteString(`{"root": {"deadline": "8s", "weight": 1, "limit": 512, "retries": 0.2}, "pools": {`)
+	for _, p := range pools {
+		fmt.Fprintf(s, `%q: {"cold": 2, "warm": 64},`, p)
+	}
+	s.WriteString(`}, "regions": {`)
+	for r := range min(8, f.size.Domains) {
+		fmt.Fprintf(s, `"r%d": {"domains": {`, r)
+		for d := r; d < f.size.Domains; d += 8 {
+			fmt.Fprintf(s, `"d%02d": {},`, d)
+		}
+		s.WriteString(`}},`)
+	}
+	s.WriteString(`}, "pipelines": {`)
+	for p := range 8 {
+		fmt.Fprintf(s, `"answer%d": {"stages": [{"kind": "encode", "pool": "encoder"}, {"kind": "retrieve", "pool": "retriever"},
+			{"kind": "generate", "pool": "model", "stream": true}]},`, p)
+		fmt.Fprintf(s, `"loan%d": {"stages": [{"kind": "encode", "pool": "encoder"}, {"kind": "generate", "pool": "model", "stream": true},
+			{"name": "checkout", "kind": "action", "pool": "loans"}]},`, p)
+	}
+	s.WriteString(`}, "workspaces": {`)
+	for i := range f.size.Workspaces {
+		fmt.Fprintf(s, `"w%05d": {"weight": %d},`, i, weight)
+	}
+	s.WriteString(`}}`)
+	return []byte(s.String())
+}
+
+func (f *fleet) list() {
+	for _, n := range f.Names() {
+		if f.Up(n) {
+			f.Inject(n, event.VMs{List: f.vms}, 2*time.Millisecond)
+		}
+	}
+	f.At(listEvery, f.list)
+}
+
+// poll gives each node the load reports that its polls bring in a tenth of a second: of the servers of its own failure
+// domain and of the others in turn, each at most twice a second.
+func (f *fleet) poll() {
+	for _, n := range f.Names() {
+		if !f.Up(n) {
+			continue
+		}
+		near := f.near[f.Self(n).FailureDomain]
+		f.polls[n]++
+		turn := f.polls[n]
+		count := min(nearPolls/10, (len(near)+4)/5)
+		for i := range count {
+			f.report(n, near[(turn*count+i)%len(near)])
+		}
+		for i := range farPolls / 10 {
+			f.report(n, (turn*farPolls/10+i)%f.size.Servers)
+		}
+	}
+	f.At(100*time.Millisecond, f.poll)
+}
+
+func (f *fleet) report(to id.Node, server int) {
+	f.Inject(to, event.Report{
+		Server: serverName(server), Start: startOf(server), Version: "v1", Limit: 64, Warm: true, At: f.Now,
+	}, time.Millisecond)
+}
+
+func startOf(server int) id.Start { return id.Start(fmt.Sprintf("server-%04d#1", server)) }
+
+// outside answers attempts.
+func (f *fleet) outside(_ *prove.World, from id.Node, a event.Action) {
+	switch a := a.(type) {
+	case event.Dispatch:
+		f.serve(from, a)
+	case event.Reply:
+		if a.End && a.Problem != nil {
+			f.ended[string(a.Problem.Kind)+": "+a.Problem.Detail]++
+		} else if a.End {
+			f.ended["answered"]++
+		}
+	}
+}
+
+func (f *fleet) serve(from id.Node, a event.Dispatch) {
+	start := id.Start(string(a.Server) + "#1")
+	if !a.Stream {
+		f.Inject(from, event.Done{Attempt: a.Attempt, Data: []byte("done"), Start: start, Took: service}, service)
+		return
+	}
+	data := make([]byte, 4*perPart)
+	for i := range parts {
+		f.Inject(from, event.Part{Attempt: a.Attempt, Seq: i * perPart, Tokens: perPart, Data: data}, service+time.Duration(i)*partEvery)
+	}
+	total := service + parts*partEvery
+	f.Inject(from, event.Done{Attempt: a.Attempt, Tokens: parts * perPart, Start: start, Took: total}, total)
+}
+
+// load sends requests to every node at the size's rate until the end of the phase.
+func (f *fleet) load() {
+	f.loading = true
+	gap := time.Duration(float64(time.Second) / f.size.Rate)
+	for _, n := range f.Names() {
+		f.At(time.Duration(f.Rand.Int64N(int64(gap))), func() { f.arrive(n, gap) })
+	}
+}
+
+func (f *fleet) arrive(n id.Node, gap time.Duration) {
+	if !f.loading {
+		return
+	}
+	f.count++
+	a := event.Arrive{
+		Request: id.Request(fmt.Sprintf("r%d", f.count)), Workspace: id.Workspace(fmt.Sprintf("w%05d", f.count%f.size.Workspaces)),
+		Pipeline: id.Pipeline(fmt.Sprintf("answer%d", f.count%8)), Priority: 3, Stream: true,
+		Deadline: f.Now.Add(8 * time.Second), Body: []byte(fmt.Sprintf("request %d", f.count)),
+	}
+	if f.count%10 == 0 {
+		a.Pipeline, a.Key = id.Pipeline(fmt.Sprintf("loan%d", f.count%8)), fmt.Sprintf("key-%d", f.count)
+	}
+	f.Inject(n, a, 0)
+	f.At(gap, func() { f.arrive(n, gap) })
+}
--- /dev/null
+++ b/lab/slopes/slopes.go
@@ -0,0 +1,249 @@
+package slopes
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"bluebellflow/core/config"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+// Phase is what was counted in a span of virtual time, over all nodes.
+type Phase struct {
+	Name  string         `json:"name"`
+	Span  time.Duration  `json:"span"`
+	Book  *Book          `json:"book"`
+	Ended map[string]int `json:"ended,omitempty"` // requests by outcome
+	Took  time.Duration  `json:"took,omitempty"`  // until a configuration change was in force on all nodes
+}
+
+// Point is the measurement of one size.
+type Point struct {
+	Size    Size           `json:"size"`
+	Seed    uint64         `json:"seed"`
+	Load    string         `json:"load"` // the machine's load averages
+	Held    uint64         `json:"held"` // bytes on the heap for each node after garbage collection, at rest
+	Full    uint64         `json:"full"` // the same after the load
+	Watches map[string]int `json:"watches"`
+	Phases  []Phase        `json:"phases"`
+}
+
+// Spans of the phases in virtual time.
+const (
+	restSpan    = 4 * time.Second
+	coldSpan    = 6 * time.Second // the servers are cold when the load begins
+	loadSpan    = 4 * time.Second
+	changeSpan  = 4 * time.Second
+	restartSpan = 14 * time.Second
+	changeStep  = 10 * time.Millisecond
+)
+
+// Sizes returns the points of the named slope, or nil.
+func Sizes(slope string) []Size {
+	base := Size{Nodes: 36, Domains: 6, Servers: 200, Workspaces: 5, Rate: 33}
+	vary := func(set func(*Size, int), values ...int) []Size {
+		var out []Size
+		for _, v := range values {
+			s := base
+			set(&s, v)
+			out = append(out, s)
+		}
+		return out
+	}
+	domains := map[int]int{9: 3, 36: 6, 100: 12, 340: 32}
+	switch slope {
+	case "nodes":
+		return vary(func(s *Size, v int) { s.Nodes, s.Domains = v, domains[v] }, 9, 36, 100, 340)
+	case "servers":
+		return vary(func(s *Size, v int) { s.Servers = v }, 30, 200, 1900)
+	case "workspaces":
+		return vary(func(s *Size, v int) { s.Nodes, s.Domains, s.Servers, s.Workspaces = 9, 3, 30, v }, 5, 1000, 21000)
+	case "rate":
+		return vary(func(s *Size, v int) { s.Rate = float64(v) }, 5, 33, 100)
+	case "whole":
+		return []Size{{Nodes: 340, Domains: 32, Servers: 1900, Workspaces: 500, Rate: 33}}
+	}
+	return nil
+}
+
+// Measure runs one size several times with the same seed and keeps the shortest times.
+func Measure(seed uint64, size Size, repeats int) Point {
+	p := run(seed, size)
+	for range repeats - 1 {
+		again := run(seed, size)
+		for i := range p.Phases {
+			p.Phases[i].Book.shorter(again.Phases[i].Book)
+		}
+	}
+	return p
+}
+
+func held() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func run(seed uint64, size Size) Point {
+	before := held()
+	f := newFleet(seed, size)
+	p := Point{Size: size, Seed: seed, Load: loadAverage(), Watches: map[string]int{}}
+	for name, c := range f.book.Calls {
+		if strings.HasPrefix(name, "watch ") {
+			p.Watches[strings.TrimPrefix(name, "watch ")] = c.Times
+		}
+	}
+	p.Held = (held() - min(before, held())) / uint64(size.Nodes)
+	p.Phases = append(p.Phases, f.phase("rest", restSpan, func() {}))
+	f.load()
+	p.Phases = append(p.Phases, f.phase("cold", coldSpan, func() {}), f.phase("load", loadSpan, func() {}))
+	f.loading = false
+	f.Run(2 * time.Second)
+	p.Full = (held() - min(before, held())) / uint64(size.Nodes)
+	p.Phases = append(p.Phases, f.change(), f.phase("restart", restartSpan, func() {
+		name := f.Names()[len(f.Names())-1]
+		f.Kill(name)
+		f.At(5*time.Second, func() { f.Start(name) })
+	}))
+	runtime.KeepAlive(f)
+	return p
+}
+
+func (f *fleet) phase(name string, span time.Duration, begin func()) Phase {
+	f.book, f.ended = newBook(), map[string]int{}
+	begin()
+	f.Run(span)
+	ph := Phase{Name: name, Span: span, Book: f.book, Ended: f.ended}
+	f.book, f.ended = newBook(), map[string]int{}
+	return ph
+}
+
+// change applies a change of one workspace and takes the time until it is in force on all nodes.
+func (f *fleet) change() Phase {
+	f.book = newBook()
+	old := f.newest()
+	f.Inject(f.Names()[0], config.Apply{
+		Command: event.Command{Number: 2}, Workspace: "w00001", Source: []byte(`{"weight": 7}`),
+	}, 0)
+	begin := f.Now
+	took := changeSpan
+	for f.Now.Sub(begin) < changeSpan {
+		f.Run(changeStep)
+		if took == changeSpan && f.oldest() > old {
+			took = f.Now.Sub(begin)
+		}
+	}
+	return Phase{Name: "change", Span: changeSpan, Book: f.book, Took: took}
+}
+
+func (f *fleet) revision(n id.Node) id.Revision {
+	m, _ := f.Stepper(n).(*meter)
+	r, _ := m.Versions()
+	return r
+}
+
+func (f *fleet) newest() id.Revision {
+	var r id.Revision
+	for _, n := range f.Names() {
+		r = max(r, f.revision(n))
+	}
+	return r
+}
+
+func (f *fleet) oldest() id.Revision {
+	r := f.newest()
+	for _, n := range f.Names() {
+		r = min(r, f.revision(n))
+	}
+	return r
+}
+
+func loadAverage() string {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return string(bytes.TrimSpace(raw))
+}
+
+// Table writes the points as text: figures of a phase are for one node and one second of virtual time.
+func Table(w io.Writer, points []Point) error {
+	t := &strings.Builder{}
+	for _, p := range points {
+		s := p.Size
+		fmt.Fprintf(t, "\n%d nodes, %d domains, %d servers, %d workspaces, %g requests/s and node; seed %d; load average %s\n",
+			s.Nodes, s.Domains, s.Servers, s.Workspaces, s.Rate, p.Seed, p.Load)
+		fmt.Fprintf(t, "held %.2f MB a node at rest, %.2f MB after the load; watches %v\n", mega(p.Held), mega(p.Full), p.Watches)
+		for _, ph := range p.Phases {
+			ph.table(t, s.Nodes)
+		}
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(out, t.String()); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	return out.Flush()
+}
+
+func mega(n uint64) float64 { return float64(n) / (1 << 20) }
+
+func (ph Phase) table(t *strings.Builder, nodes int) {
+	per := float64(nodes) * ph.Span.Seconds()
+	var steps, sends Count
+	for _, c := range ph.Book.Steps {
+		steps.Times, steps.Spent = steps.Times+c.Times, steps.Spent+c.Spent
+	}
+	for _, c := range ph.Book.Sends {
+		sends.Times, sends.Bytes = sends.Times+c.Times, sends.Bytes+c.Bytes
+	}
+	fmt.Fprintf(t, "%s (%s): %.0f events/s, %.2f%% of a core, %.1f messages/s, %.0f B/s a node", ph.Name, ph.Span,
+		float64(steps.Times)/per, 100*steps.Spent.Seconds()/per, float64(sends.Times)/per, float64(sends.Bytes)/per)
+	if ph.Took > 0 {
+		fmt.Fprintf(t, "; in force everywhere after %s", ph.Took)
+	}
+	fmt.Fprintf(t, "; outcomes %v\n", ph.Ended)
+	fmt.Fprintf(t, "  event\ttimes/s\tmean µs\tworst µs\t%% of a core\n")
+	for _, name := range byCost(ph.Book.Steps, func(c Count) float64 { return float64(c.Spent) }) {
+		c := ph.Book.Steps[name]
+		fmt.Fprintf(t, "  %s\t%.2f\t%.1f\t%.0f\t%.4f\n", name, float64(c.Times)/per,
+			float64(c.Spent.Nanoseconds())/1e3/float64(c.Times), float64(c.Worst.Nanoseconds())/1e3, 100*c.Spent.Seconds()/per)
+	}
+	fmt.Fprintf(t, "  message\ttimes/s\tB/s\tall nodes, times\n")
+	for _, name := range byCost(ph.Book.Sends, func(c Count) float64 { return float64(c.Bytes) }) {
+		c := ph.Book.Sends[name]
+		fmt.Fprintf(t, "  %s\t%.2f\t%.0f\t%d\n", name, float64(c.Times)/per, float64(c.Bytes)/per, c.Times)
+	}
+	fmt.Fprintf(t, "  platform\tall nodes, times/s\tall nodes, KB/s\n")
+	for _, name := range slices.Sorted(maps.Keys(ph.Book.Calls)) {
+		c := ph.Book.Calls[name]
+		fmt.Fprintf(t, "  %s\t%.2f\t%.1f\n", name, float64(c.Times)/ph.Span.Seconds(), float64(c.Bytes)/1024/ph.Span.Seconds())
+	}
+}
+
+func byCost(of map[string]Count, cost func(Count) float64) []string {
+	return slices.SortedFunc(maps.Keys(of), func(a, b string) int {
+		return cmp.Or(cmp.Compare(cost(of[b]), cost(of[a])), cmp.Compare(a, b))
+	})
+}
+
+// JSON writes the points as JSON.
+func JSON(w io.Writer, points []Point) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	if err := e.Encode(points); err != nil {
+		return fmt.Errorf("points: %w", err)
+	}
+	return nil
+}
