member: sort only the servers that are dropped

Ruled out: looking less often, because that delays ServerGone.

Change: only the names that are dropped are sorted. The order of ServerGone stays the same.

Conclusion: a round of heartbeats no longer grows with the sort of all servers; the scan itself remains.

--- a/core/member/server.go
+++ b/core/member/server.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -105,15 +104,21 @@
 	return append(out, m.dropUnlisted(now)...)
 }
 
-// dropUnlisted removes servers that are missing from the list and silent.
+// dropUnlisted removes servers that are missing from the list and silent. Only their names are sorted, because this runs
+// with each round of heartbeats and nearly always finds none.
 func (m *Members) dropUnlisted(now time.Time) []event.Action {
-	var out []event.Action
-	for _, name := range slices.Sorted(maps.Keys(m.servers)) {
-		if s := m.servers[name]; !s.listed && now.Sub(s.reported) > keepUnlisted {
-			delete(m.servers, name)
-			out = append(out, ServerGone{Server: name})
+	var gone []id.Server
+	for name, s := range m.servers {
+		if !s.listed && now.Sub(s.reported) > keepUnlisted {
+			gone = append(gone, name)
 		}
 	}
+	slices.Sort(gone)
+	var out []event.Action
+	for _, name := range gone {
+		delete(m.servers, name)
+		out = append(out, ServerGone{Server: name})
+	}
 	return out
 }
 
