--- a/core/request/open.go
+++ b/core/request/open.go
@@ -122,7 +122,12 @@
 		return
 	}
 	if r.parts.Settings.Revision() == 0 {
-		out.add(notConfigured(ev))
+		out.add(notReady(ev, "this node has no configuration yet"))
+		return
+	}
+	if !r.parts.Versions.Loaded() {
+		// Without the rollouts the request could reach a version that was taken back.
+		out.add(notReady(ev, "this node does not know the rollouts yet"))
 		return
 	}
 	plan, err := r.parts.Settings.Tree().Effective(ev.Workspace, ev.Pipeline, r.self.FailureDomain)
@@ -156,17 +161,17 @@
 	out.add(r.parts.Guard.Ask(now, ev.Request, o.print)...)
 }
 
-// configRetry is how soon a caller may come back to a node without a configuration.
-const configRetry = time.Second
+// readyRetry is how soon a caller may come back to a node that has just started.
+const readyRetry = time.Second
 
-// notConfigured answers a request that came before the node's first configuration, as right after its start.
+// notReady answers a request that came before the node knew what it needs, as right after its start.
 // Without a key nothing can have run. With one, an earlier send may have, and only other nodes can tell.
-func notConfigured(ev event.Arrive) event.Reply {
+func notReady(ev event.Arrive, detail string) event.Reply {
 	kind := event.Refused
 	if ev.Key != "" {
 		kind = event.Unknown
 	}
-	return problem(ev.Request, kind, "this node has no configuration yet", configRetry)
+	return problem(ev.Request, kind, detail, readyRetry)
 }
 
 func (o *open) claim() claim.Request {
--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -28,6 +28,7 @@
 	Thin       thinCommand       `cmd:"" help:"Measure the latency that a node adds to a single request."`
 	Config     configCommand     `cmd:"" help:"Measure the way of configuration changes to all nodes, and stale reads."`
 	Plot       plotCommand       `cmd:"" help:"Draw the plots of a record as SVG and print its table."`
+	Slopes     slopesCommand     `cmd:"" help:"Measure what nodes cost as the fleet grows, with pure nodes in virtual time."`
 }
 
 // env is what commands get besides their flags.
