--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
-				if v := append(s.callers.Violations, s.books.violations...); len(v) > 0 {
+				if v := slices.Concat(s.callers.Violations, s.books.violations); len(v) > 0 {
 					t.Fatal(strings.Join(v, "\n"))
 				}
 			},
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -12,9 +12,6 @@
 	"bluebellflow/core/event"
 )
 
-// listBytes is how many bytes of the VM list are read in a second at most, a fifth of a node's budget of 16 KB/s.
-const listBytes = 3 << 10
-
 // maxDoublings bounds the growth of the pause between failed calls.
 const maxDoublings = 5
 
