slopes: benchmark the steps of a warm node

Ruled out: one setup for each benchmark; a warm fleet of 340 nodes takes minutes to build on a loaded machine.

--- a/lab/slopes/slopes_test.go
+++ b/lab/slopes/slopes_test.go
@@ -80,92 +80,91 @@
 	return out
 }
 
-func each(b *testing.B, do func(b *testing.B, r *rig)) {
+// BenchmarkNode steps one node of a warm fleet; each size is set up once.
+func BenchmarkNode(b *testing.B) {
 	for _, s := range sizes() {
 		r := newRig(s)
 		b.Run(fmt.Sprintf("nodes=%d/servers=%d", s.Nodes, s.Servers), func(b *testing.B) {
-			b.ReportAllocs()
-			do(b, r)
+			b.Run("beat", r.beats)
+			b.Run("request", r.requests)
+			b.Run("report", r.reports)
+			b.Run("tick", r.ticks)
 		})
 	}
 }
 
-// BenchmarkRequest runs a request through three stages; it reports the mean time of its arrival, of a part and of an end.
-func BenchmarkRequest(b *testing.B) {
-	each(b, func(b *testing.B, r *rig) {
-		var arrive, part, done time.Duration
-		dones := 0
-		for b.Loop() {
-			r.count++
-			r.now = r.now.Add(10 * time.Millisecond)
-			start := time.Now()
-			d, ok := r.step(event.Arrive{
-				Request: id.Request(fmt.Sprintf("bench%d", r.count)), Workspace: "w00001", Pipeline: "answer1",
-				Priority: 3, Stream: true, Deadline: r.now.Add(8 * time.Second), Body: []byte("request"),
-			})
-			arrive += time.Since(start)
-			for ok {
-				end := event.Done{Attempt: d.Attempt, Data: []byte("done"), Start: id.Start(d.Server + "#1"), Took: service}
-				if d.Stream {
-					start = time.Now()
-					for i := range parts {
-						r.step(event.Part{Attempt: d.Attempt, Seq: i * perPart, Tokens: perPart, Data: []byte("0123456789")})
-					}
-					part += time.Since(start)
-					end.Tokens = parts * perPart
-				}
+// requests runs a request through three stages; it reports the mean time of its arrival, of a part and of an end.
+func (r *rig) requests(b *testing.B) {
+	b.ReportAllocs()
+	var arrive, part, done time.Duration
+	dones := 0
+	for b.Loop() {
+		r.count++
+		r.now = r.now.Add(10 * time.Millisecond)
+		start := time.Now()
+		d, ok := r.step(event.Arrive{
+			Request: id.Request(fmt.Sprintf("bench%d", r.count)), Workspace: "w00001", Pipeline: "answer1",
+			Priority: 3, Stream: true, Deadline: r.now.Add(8 * time.Second), Body: []byte("request"),
+		})
+		arrive += time.Since(start)
+		for ok {
+			end := event.Done{Attempt: d.Attempt, Data: []byte("done"), Start: id.Start(d.Server + "#1"), Took: service}
+			if d.Stream {
 				start = time.Now()
-				d, ok = r.step(end)
-				done += time.Since(start)
-				dones++
+				for i := range parts {
+					r.step(event.Part{Attempt: d.Attempt, Seq: i * perPart, Tokens: perPart, Data: []byte("0123456789")})
+				}
+				part += time.Since(start)
+				end.Tokens = parts * perPart
 			}
+			start = time.Now()
+			d, ok = r.step(end)
+			done += time.Since(start)
+			dones++
 		}
-		if dones < 3*b.N {
-			b.Fatalf("%d ends of stages in %d requests", dones, b.N)
-		}
-		b.ReportMetric(float64(arrive.Nanoseconds())/float64(b.N), "arrive-ns")
-		b.ReportMetric(float64(part.Nanoseconds())/float64(b.N*parts), "part-ns")
-		b.ReportMetric(float64(done.Nanoseconds())/float64(dones), "done-ns")
-	})
+	}
+	if dones < 3*b.N {
+		b.Fatalf("%d ends of stages in %d requests", dones, b.N)
+	}
+	b.ReportMetric(float64(arrive.Nanoseconds())/float64(b.N), "arrive-ns")
+	b.ReportMetric(float64(part.Nanoseconds())/float64(b.N*parts), "part-ns")
+	b.ReportMetric(float64(done.Nanoseconds())/float64(dones), "done-ns")
 }
 
-// BenchmarkReport handles load reports of all servers in turn.
-func BenchmarkReport(b *testing.B) {
-	each(b, func(b *testing.B, r *rig) {
-		for b.Loop() {
-			r.count++
-			s := r.count % r.f.size.Servers
-			r.step(event.Report{Server: serverName(s), Start: startOf(s), Version: "v1", Limit: 64, Warm: true, At: r.now})
-		}
-	})
+// reports handles load reports of all servers in turn.
+func (r *rig) reports(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		r.count++
+		s := r.count % r.f.size.Servers
+		r.step(event.Report{Server: serverName(s), Start: startOf(s), Version: "v1", Limit: 64, Warm: true, At: r.now})
+	}
 }
 
-// BenchmarkBeat handles heartbeats of a node of the own failure domain.
-func BenchmarkBeat(b *testing.B) {
-	each(b, func(b *testing.B, r *rig) {
-		peer := r.f.Names()[r.f.size.Domains]
-		other, _ := r.f.Stepper(peer).(*meter)
-		var beat event.Receive
-		for now := r.now; beat.Body == nil; now = now.Add(100 * time.Millisecond) {
-			for _, a := range other.Node.Step(now, event.Tick{}) {
-				send, ok := a.(event.Send)
-				if body, is := send.Body.(member.Beat); ok && is && send.To == r.f.Names()[0] {
-					beat = event.Receive{From: peer, Incarnation: r.f.Self(peer).Incarnation, Body: body}
-				}
+// beats handles heartbeats of a node of the own failure domain.
+func (r *rig) beats(b *testing.B) {
+	b.ReportAllocs()
+	peer := r.f.Names()[r.f.size.Domains]
+	other, _ := r.f.Stepper(peer).(*meter)
+	var beat event.Receive
+	for now := r.now; beat.Body == nil; now = now.Add(100 * time.Millisecond) {
+		for _, a := range other.Node.Step(now, event.Tick{}) {
+			send, ok := a.(event.Send)
+			if body, is := send.Body.(member.Beat); ok && is && send.To == r.f.Names()[0] {
+				beat = event.Receive{From: peer, Incarnation: r.f.Self(peer).Incarnation, Body: body}
 			}
 		}
-		for b.Loop() {
-			r.step(beat)
-		}
-	})
+	}
+	for b.Loop() {
+		r.step(beat)
+	}
 }
 
-// BenchmarkTick handles the timers of a node at rest, one each 10 ms.
-func BenchmarkTick(b *testing.B) {
-	each(b, func(b *testing.B, r *rig) {
-		for b.Loop() {
-			r.now = r.now.Add(10 * time.Millisecond)
-			r.step(event.Tick{})
-		}
-	})
+// ticks handles the timers of a node at rest, one each 10 ms.
+func (r *rig) ticks(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		r.now = r.now.Add(10 * time.Millisecond)
+		r.step(event.Tick{})
+	}
 }
