move: an old read no longer ends the operation in flight

Cause: a node that met a rollout in a listing before its own order for it was answered had two operations in flight for it. The failure of the read marked the rollout as idle, a new read forgot what the pending update writes, and the update's answer ended the process with a nil pointer (found by cmd/e2e TestPages, event.Result of moves/llm-v2).

Change: a rollout remembers the number of its operation in flight and ignores the end of any other.

Before: the new spec ends with a nil pointer dereference. After: it passes.

--- a/core/move/control.go
+++ b/core/move/control.go
@@ -178,13 +178,17 @@
 
 func (m *Moves) get(now time.Time, r *rollout) event.Action {
 	r.busy, r.stale, r.sent, r.next = true, false, now, nil
-	return m.call(event.Call{Op: event.OpGet}, r.Name)
+	c := m.call(event.Call{Op: event.OpGet}, r.Name)
+	r.flight = c.Seq
+	return c
 }
 
 func (m *Moves) put(now time.Time, r *rollout, next Record) event.Action {
 	r.busy, r.sent, r.next = true, now, &next
 	raw, _ := json.Marshal(next) // text, numbers and times always encode
-	return m.call(event.Call{Op: event.OpPut, Version: r.version, Value: raw}, r.Name)
+	c := m.call(event.Call{Op: event.OpPut, Version: r.version, Value: raw}, r.Name)
+	r.flight = c.Seq
+	return c
 }
 
 func (m *Moves) changed(now time.Time, ev event.Changed) []event.Action {
@@ -242,6 +246,9 @@
 		}
 		return nil
 	}
+	if ev.Call.Seq != r.flight {
+		return nil // a read from before this node knew the rollout; another operation is in flight
+	}
 	r.busy = false
 	switch {
 	case ev.Call.Op == event.OpGet:
--- a/core/move/move_test.go
+++ b/core/move/move_test.go
@@ -379,6 +379,38 @@
 			Expect(r.Share).To(BeNumerically("<=", 50))
 		}
 	})
+	It("keeps its operation in flight when an older read is answered", func() { // guards against a crash found by cmd/e2e
+		self := event.Self{Node: "n", Incarnation: id.NewIncarnation(rand.New(rand.NewPCG(1, 1))), Rand: rand.New(rand.NewPCG(1, 2))}
+		m := move.New(self)
+		now := prove.Epoch
+		last := map[event.Op]event.Call{}
+		step := func(ev event.Event) {
+			now = now.Add(time.Second)
+			for _, a := range m.Step(now, ev) {
+				if c, ok := a.(event.Call); ok {
+					last[c.Op] = c
+				}
+			}
+		}
+		step(member.ViewChanged{View: &member.View{Nodes: []member.Node{{ID: "n", Incarnation: self.Incarnation}}}})
+		step(event.Result{Call: last[event.OpList], Code: event.CodeOK})
+		step(move.Begin{Name: "m", Pool: "p", From: "v1", To: "v2", By: now.Add(time.Hour)})
+		begun := last[event.OpPut]
+		step(event.Changed{})
+		step(event.Result{Call: last[event.OpList], Code: event.CodeOK, Objects: []event.Object{{Name: "moves/m", Version: 1}}})
+		read := last[event.OpGet]
+		step(event.Result{Call: begun, Code: event.CodeOK})
+		step(event.Tick{})
+		lease := last[event.OpPut]
+		Expect(lease.Version).To(Equal(uint64(1)))
+		step(event.Result{Call: read, Code: event.CodeLost})
+		for range 5 {
+			step(event.Tick{})
+		}
+		step(event.Result{Call: lease, Code: event.CodeOK})
+		Expect(m.Status()).To(HaveLen(1))
+		Expect(m.Status()[0].Holder).To(Equal(id.Node("n")))
+	})
 	It("refuses a second one for its name and its pool", func() { // guards against two controllers for one pool
 		c := newTrial(1, 3, 3*time.Minute)
 		c.w.Run(time.Second)
--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -56,6 +56,7 @@
 	reason    string
 	evidence  *evidence
 	heard     map[id.Node]mark
+	flight    uint64 // number of the operation that busy waits for
 	busy      bool
 	sent      time.Time // when the operation in flight was sent
 	next      *Record   // what the operation in flight writes
