move: count failures that have no latency to compare with

Cause: a result counted only if its node had enough latencies of the old version on that route at that load; a failure needs none. At the start of a rollout that held back most of the evidence of a version that fails at once.

Ruled out: counting only the failures without the successes beside them, because that would inflate the failure rate of a good version at loads that the old one has not had.

Change: all results count; only latencies need a comparison.

--- a/core/move/evidence.go
+++ b/core/move/evidence.go
@@ -146,18 +146,16 @@
 		}
 		e.rings[key].add(s.Took)
 	}
-	if !comparable {
-		return
-	}
 	var d cell
 	n, failed, timed, slow := &d.oldN, &d.oldFail, &d.oldTimed, &d.oldSlow
 	if isNew {
 		n, failed, timed, slow = &d.newN, &d.newFail, &d.newTimed, &d.newSlow
 	}
 	*n = 1
-	if s.Failed {
+	switch {
+	case s.Failed:
 		*failed = 1
-	} else {
+	case comparable: // a failure needs no latency to compare with, a latency does
 		*timed = 1
 		if s.Took > limit {
 			*slow = 1
