lab: one function for the control endpoints of the stand-ins

Cause: the endpoints for faults and counts stood in three packages, line for line. Change: backend.Control serves them for the platform, the engine and the service. Conclusion: tests of the three packages pass unchanged.

--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"bluebellflow/core/id"
 )
 
@@ -136,3 +138,19 @@
 	}
 	return true
 }
+
+// Control serves the endpoints that every stand-in has: /faults to set and read its faults, /counts to read its counts.
+func Control[F, C any](r *mux.Router, set func(F), faults func() F, counts func() C) {
+	r.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f F
+		if ReadJSON(w, r, &f) {
+			set(f)
+		}
+	}).Methods(http.MethodPost)
+	r.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, faults())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, counts())
+	}).Methods(http.MethodGet)
+}
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -288,18 +288,7 @@
 
 // control serves the endpoints that set faults and read counts.
 func (e *Engine) control(r *mux.Router) {
-	r.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) {
-		var f Faults
-		if backend.ReadJSON(w, r, &f) {
-			e.SetFaults(f)
-		}
-	}).Methods(http.MethodPost)
-	r.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
-		backend.WriteJSON(w, http.StatusOK, e.Faults())
-	}).Methods(http.MethodGet)
-	r.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
-		backend.WriteJSON(w, http.StatusOK, e.Counts())
-	}).Methods(http.MethodGet)
+	backend.Control(r, e.SetFaults, e.Faults, e.Counts)
 	r.HandleFunc("/bad/{version}", func(w http.ResponseWriter, r *http.Request) {
 		var b Bad
 		if backend.ReadJSON(w, r, &b) {
--- a/lab/platform/calls.go
+++ b/lab/platform/calls.go
@@ -225,18 +225,7 @@
 
 // control serves the endpoints that set faults and read counts; they are subject to neither.
 func (p *Platform) control(r *mux.Router) {
-	r.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) {
-		var f Faults
-		if backend.ReadJSON(w, r, &f) {
-			p.SetFaults(f)
-		}
-	}).Methods(http.MethodPost)
-	r.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
-		backend.WriteJSON(w, http.StatusOK, p.Faults())
-	}).Methods(http.MethodGet)
-	r.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
-		backend.WriteJSON(w, http.StatusOK, p.Counts())
-	}).Methods(http.MethodGet)
+	backend.Control(r, p.SetFaults, p.Faults, p.Counts)
 	r.HandleFunc("/vms", func(w http.ResponseWriter, r *http.Request) {
 		var list []event.VM
 		if backend.ReadJSON(w, r, &list) {
--- a/lab/service/runner.go
+++ b/lab/service/runner.go
@@ -363,18 +363,7 @@
 
 // control serves the endpoints that set faults and read counts.
 func (r *Runner) control(m *mux.Router) {
-	m.HandleFunc("/faults", func(w http.ResponseWriter, q *http.Request) {
-		var f Faults
-		if backend.ReadJSON(w, q, &f) {
-			r.SetFaults(f)
-		}
-	}).Methods(http.MethodPost)
-	m.HandleFunc("/faults", func(w http.ResponseWriter, _ *http.Request) {
-		backend.WriteJSON(w, http.StatusOK, r.Faults())
-	}).Methods(http.MethodGet)
-	m.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) {
-		backend.WriteJSON(w, http.StatusOK, r.Counts())
-	}).Methods(http.MethodGet)
+	backend.Control(m, r.SetFaults, r.Faults, r.Counts)
 	m.HandleFunc("/effects", func(w http.ResponseWriter, _ *http.Request) {
 		backend.WriteJSON(w, http.StatusOK, r.ledger.Effects())
 	}).Methods(http.MethodGet)
