e2e: give a port to one node only

Ruled out: local ports of connections, which are on 127.0.0.1. Change: a port is given out once in a process.

--- a/cmd/e2e/deployment_test.go
+++ b/cmd/e2e/deployment_test.go
@@ -146,15 +146,30 @@
 }
 
 // free returns an unused port. Nodes have a loopback address of their own, because connections take their
-// local ports on 127.0.0.1 and could take that of a node that is down.
+// local ports on 127.0.0.1 and could take that of a node that is down. A port is given out once, because
+// another test could get that of a node that is down.
 func (d *deployment) free() netip.AddrPort {
 	d.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.1.1:0")
-	NewWithT(d.t).Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	given.Lock()
+	defer given.Unlock()
+	for {
+		listener, err := net.Listen("tcp", "127.0.1.1:0")
+		NewWithT(d.t).Expect(err).NotTo(HaveOccurred())
+		addr := listener.Addr().(*net.TCPAddr).AddrPort()
+		_ = listener.Close()
+		if !given.ports.Has(addr.Port()) {
+			given.ports.Add(addr.Port())
+			return addr
+		}
+	}
 }
 
+// given holds the ports that the tests of this process have got.
+var given = struct {
+	sync.Mutex
+	ports id.Set[uint16]
+}{ports: id.NewSet[uint16]()}
+
 // run starts a process for a node that has none.
 func (d *deployment) run(p *process) {
 	d.t.Helper()
