--- a/core/claim/shard.go
+++ b/core/claim/shard.go
@@ -249,7 +249,7 @@
 		s.batch = append(s.batch, o)
 		s.replies = append(s.replies, reply{to: o, told: r.told, stored: true})
 	}
-	s.queue = append(paced, waiting...)
+	s.queue = slices.Concat(paced, waiting)
 	if changed {
 		// The update also proves the copy that the waiting ones are then answered from.
 		return c.put(now, index, s)
