--- a/cmd/cli/adapter.go
+++ b/cmd/cli/adapter.go
@@ -6,6 +6,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/io/admin"
+	"bluebellflow/io/gateway"
 	"bluebellflow/io/lines"
 	"bluebellflow/io/runtime"
 )
@@ -19,6 +20,9 @@
 	Explain(name string, source []byte, q admin.Question) (any, error)
 	// Node parses the settings of one process and returns the configuration of its node.
 	Node(name string, source []byte) (runtime.Config, error)
+	// Gateway parses the settings of one gateway process and returns the configuration of its node, and its memory limit
+	// in megabytes.
+	Gateway(name string, source []byte) (gateway.Config, int, error)
 	// Stepper returns decision logic without any outside, and the types of its events and messages.
 	Stepper(self event.Self) (runtime.Decider, *lines.Registry, error)
 	// Demo runs nodes and stand-ins in this process and shows what they do.
--- a/cmd/cli/cli.go
+++ b/cmd/cli/cli.go
@@ -65,6 +65,7 @@
 	JSON bool   `name:"json" help:"Write JSON instead of tables."`
 
 	Serve   serveCommand   `cmd:"" help:"Run a node. SIGTERM stops it gracefully; a second signal ends it at once."`
+	Gateway gatewayCommand `cmd:"" help:"Run a gateway node on a platform. SIGTERM stops it gracefully."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and list all findings with their positions."`
 	Explain explainCommand `cmd:"" help:"Show the effective value of a setting and where it comes from."`
 	Apply   applyCommand   `cmd:"" help:"Commit a settings file as the new configuration."`
--- a/cmd/cli/cli_test.go
+++ b/cmd/cli/cli_test.go
@@ -26,6 +26,7 @@
 	"bluebellflow/core/settings"
 	"bluebellflow/core/wire"
 	"bluebellflow/io/admin"
+	"bluebellflow/io/gateway"
 	"bluebellflow/io/lines"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/problem"
@@ -69,6 +70,10 @@
 	}, nil
 }
 
+func (f fake) Gateway(_ string, source []byte) (gateway.Config, int, error) {
+	return gateway.Config{}, 0, fake{}.Check("", source)
+}
+
 func (f fake) Step(_ time.Time, ev event.Event) []event.Action {
 	if _, stop := ev.(event.Stop); stop && !f.stubborn {
 		return []event.Action{event.Exit{}}
@@ -142,6 +147,7 @@
 		"check no file":    {fake{}, "", []string{"check", good + "x"}, cli.ExitInvalid, "no such file"},
 		"explain":          {fake{}, "", []string{"explain", good, "--key", "deadline"}, cli.ExitDone, "value  8s"},
 		"serve findings":   {fake{}, "", []string{"serve", bad}, cli.ExitInvalid, "unknown key"},
+		"gateway findings": {fake{}, "", []string{"gateway", bad}, cli.ExitInvalid, "unknown key"},
 		"step":             {fake{}, tick, []string{"step"}, cli.ExitDone, `"type":"event.Exit"`},
 		"step bad input":   {fake{}, "x", []string{"step"}, cli.ExitInvalid, "line 1"},
 		"demo":             {fake{}, "", []string{"demo"}, cli.ExitDone, "demo"},
--- /dev/null
+++ b/cmd/system/gateway.go
@@ -0,0 +1,38 @@
+package system
+
+import (
+	"expvar"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/gate"
+	"bluebellflow/core/quota"
+	"bluebellflow/core/settings"
+	"bluebellflow/io/gateway"
+	"bluebellflow/io/upstream"
+	"bluebellflow/platform"
+)
+
+// Gateway parses the settings of one gateway process; the second result is its memory limit in megabytes.
+func (System) Gateway(name string, source []byte) (gateway.Config, int, error) {
+	s, err := settings.ParseGateway(name, source)
+	if err != nil {
+		return gateway.Config{}, 0, err
+	}
+	return gateway.Config{
+		Self:    event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
+		Decoder: platform.Decoder{},
+		Dialect: platform.Dialect{},
+		Codec:   gate.Codec(),
+		Bounds: gate.Bounds{
+			ColdOver: s.Bounds.Cold.Over, ColdSlack: s.Bounds.Cold.Slack, Grace: s.Bounds.Grace,
+			Retries: quota.Budget{Ratio: s.Bounds.Retry.Ratio, Slack: s.Bounds.Retry.Slack, Span: s.Bounds.Retry.Span},
+		},
+		Store: func(deliver func(event.Event), vars *expvar.Map, report func(error)) gateway.Store {
+			return platform.NewStore(s.Store, deliver, vars, report)
+		},
+		Workers: func(client *upstream.Client, deliver func(event.Event)) gateway.Workers {
+			return platform.NewWorkers(client, deliver)
+		},
+		Callers: s.Caller, Ready: s.Ready, Metrics: s.Metrics,
+	}, s.Memory, nil
+}
--- /dev/null
+++ b/core/alarm/doc.go
@@ -0,0 +1,2 @@
+// Package alarm holds timers in the order of their times.
+package alarm
--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,287 @@
+package balance
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+	"bluebellflow/core/quota"
+)
+
+const (
+	// failureFade is the time in which the weight of a failure falls to a third.
+	failureFade = 3 * time.Second
+	// failureCost is what a certain failure counts for beside the expected time of an answer.
+	failureCost = 2 * time.Second
+	// unsteady is the share of failures above which a server is used only if there is no other.
+	unsteady = 0.3
+	// firstRest and longestRest bound how long a server that cannot be reached gets nothing.
+	firstRest   = 500 * time.Millisecond
+	longestRest = 4 * time.Second
+	// firstTime is the expected time of an answer before the first one.
+	firstTime = 20 * time.Millisecond
+	// timeGain is the weight of a new answer in the expected time.
+	timeGain = 0.1
+	// loadAge is how long a load report counts.
+	loadAge = time.Second
+	// farTime is what another failure domain counts for beside the expected time of an answer.
+	farTime = 2 * time.Millisecond
+	// crowd is how many requests of this node beyond its average a server may have before the next one in the order of
+	// a prompt's servers is taken.
+	crowd = 6
+)
+
+// Load is what a server says of its load.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Query describes an attempt that needs a server.
+type Query struct {
+	Pool     id.Pool
+	Avoid    []id.Server
+	Prompt   uint64  // identifies the shared part of the prompt, 0 for none
+	ColdRate float64 // requests a second that a cold server bears, 0 for no bound
+	Stuck    time.Duration
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Fail  event.FailKind // 0 for an answer of the server
+	Bad   bool           // the answer is the server's own failure
+	Took  time.Duration  // until the answer began
+	Began bool           // the answer began
+	Load  Load
+	Known bool // Load is filled in
+	Moved bool // another server answers at the address
+}
+
+// state is what this node has seen of a server.
+type state struct {
+	inflight int
+	waiting  []time.Time // when the attempts without an answer were sent
+	failing  float64     // smoothed share of failures
+	faded    time.Time
+	rests    int
+	rest     time.Time
+	took     time.Duration
+	load     Load
+	loadAt   time.Time
+}
+
+// servers tells which servers may be used.
+type servers interface {
+	Pool(id.Pool) []*fleet.Server
+	Usable(*fleet.Server) (bool, string)
+}
+
+// Balance chooses servers.
+type Balance struct {
+	self    event.Self
+	servers servers
+	states  map[id.Server]*state
+	cold    *quota.Cold
+}
+
+// New returns a balance that has seen nothing.
+func New(self event.Self, servers servers, cold *quota.Cold) *Balance {
+	return &Balance{self: self, servers: servers, states: map[id.Server]*state{}, cold: cold}
+}
+
+func (b *Balance) state(name id.Server) *state {
+	s, ok := b.states[name]
+	if !ok {
+		s = &state{took: firstTime}
+		b.states[name] = s
+	}
+	return s
+}
+
+// Step handles one event.
+func (b *Balance) Step(_ time.Time, ev event.Event) []event.Action {
+	switch ev := ev.(type) {
+	case fleet.Changed:
+		if ev.Restarted {
+			b.forget(ev.Server.ID)
+		}
+	case fleet.Gone:
+		b.forget(ev.Server.ID)
+	}
+	return nil
+}
+
+func (b *Balance) forget(name id.Server) {
+	delete(b.states, name)
+	b.cold.Forget(name)
+}
+
+// Pick chooses a server; the reason says what decided, or why there is none.
+func (b *Balance) Pick(now time.Time, q Query) (*fleet.Server, string) {
+	all := b.servers.Pool(q.Pool)
+	if len(all) == 0 {
+		return nil, "no server of pool " + string(q.Pool)
+	}
+	var open []*fleet.Server
+	reason := ""
+	for _, s := range all {
+		if why := b.closed(now, s, q); why != "" {
+			reason = why
+			continue
+		}
+		open = append(open, s)
+	}
+	if len(open) == 0 {
+		return nil, fmt.Sprintf("none of %d servers of pool %s: %s", len(all), q.Pool, reason)
+	}
+	if q.Prompt != 0 {
+		return b.sticky(now, q, open)
+	}
+	return b.quickest(now, q, open)
+}
+
+// closed returns why a server gets nothing now, or "" if it may.
+func (b *Balance) closed(now time.Time, s *fleet.Server, q Query) string {
+	if usable, why := b.servers.Usable(s); !usable {
+		return why
+	}
+	if slices.Contains(q.Avoid, s.ID) {
+		return "tried before"
+	}
+	if s.Cold(now) && q.ColdRate > 0 && !b.cold.Room(now, s.ID, q.ColdRate) {
+		return "cold, and its rate is used up"
+	}
+	if now.Before(b.state(s.ID).rest) {
+		return "failed to answer a moment ago"
+	}
+	return ""
+}
+
+// quickest takes the server with the lowest expected time, failures counted in.
+func (b *Balance) quickest(now time.Time, q Query, open []*fleet.Server) (*fleet.Server, string) {
+	var best *fleet.Server
+	lowest := time.Duration(math.MaxInt64)
+	at := b.self.Rand.IntN(len(open)) // equal servers are taken in turn
+	for i := range open {
+		s := open[(at+i)%len(open)]
+		if cost := b.cost(now, s, q); cost < lowest {
+			best, lowest = s, cost
+		}
+	}
+	st := b.state(best.ID)
+	return best, fmt.Sprintf("cost=%s inflight=%d failing=%.2f of=%d", lowest.Round(time.Microsecond), st.inflight, st.failing, len(open))
+}
+
+// cost is the expected time of an answer, with a penalty for failures.
+func (b *Balance) cost(now time.Time, s *fleet.Server, q Query) time.Duration {
+	st := b.state(s.ID)
+	st.fade(now)
+	busy := float64(st.inflight)
+	if now.Sub(st.loadAt) < loadAge {
+		busy = max(busy, float64(st.load.Running+st.load.Waiting))
+	}
+	cost := time.Duration(float64(st.took) * (1 + busy/float64(max(1, s.Slots))))
+	cost += time.Duration(st.failing * float64(failureCost))
+	if st.stuck(now, q.Stuck) {
+		cost += failureCost
+	}
+	if s.Domain != b.self.FailureDomain {
+		cost += farTime
+	}
+	return cost
+}
+
+// sticky takes the first server in the prompt's own order that is in good state, so that requests with the same
+// shared part meet at the server that has read it.
+func (b *Balance) sticky(now time.Time, q Query, open []*fleet.Server) (*fleet.Server, string) {
+	total := 0
+	for _, s := range open {
+		total += b.state(s.ID).inflight
+	}
+	limit := total/len(open) + crowd
+	slices.SortFunc(open, func(x, y *fleet.Server) int { return cmp.Compare(order(q.Prompt, x.ID), order(q.Prompt, y.ID)) })
+	for i, s := range open {
+		st := b.state(s.ID)
+		st.fade(now)
+		if st.failing < unsteady && !st.stuck(now, q.Stuck) && st.inflight < limit {
+			return s, fmt.Sprintf("prompt=%08x place=%d inflight=%d failing=%.2f of=%d", uint32(q.Prompt), i, st.inflight, st.failing, len(open))
+		}
+	}
+	return b.quickest(now, q, open)
+}
+
+func order(prompt uint64, name id.Server) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(prompt)
+	_, _ = d.WriteString(string(name))
+	return d.Sum64()
+}
+
+// Start notes an attempt.
+func (b *Balance) Start(now time.Time, s *fleet.Server, q Query) {
+	st := b.state(s.ID)
+	st.inflight++
+	st.waiting = append(st.waiting, now)
+	if s.Cold(now) && q.ColdRate > 0 {
+		b.cold.Take(now, s.ID)
+	}
+}
+
+// Answered notes that the answer to an attempt has begun.
+func (b *Balance) Answered(name id.Server, sent time.Time) { b.state(name).answered(sent) }
+
+func (st *state) answered(sent time.Time) {
+	if i := slices.Index(st.waiting, sent); i >= 0 {
+		st.waiting = slices.Delete(st.waiting, i, i+1)
+	}
+}
+
+// End notes the end of an attempt that was sent at a time.
+func (b *Balance) End(now time.Time, name id.Server, sent time.Time, o Outcome) {
+	st := b.state(name)
+	st.inflight = max(0, st.inflight-1)
+	st.answered(sent)
+	st.fade(now)
+	if o.Known {
+		st.load, st.loadAt = o.Load, now
+	}
+	switch {
+	case o.Fail == event.FailUnsent:
+		st.rest = now.Add(min(longestRest, firstRest<<min(st.rests, 4)))
+		st.rests++
+		return
+	case o.Moved:
+		st.rest = now.Add(firstRest)
+		return
+	case o.Fail == event.FailRejected:
+		return
+	case o.Fail != 0:
+		st.failing += (1 - st.failing) / 2
+		return
+	}
+	st.rests = 0
+	if o.Bad {
+		return
+	}
+	st.failing -= st.failing / 4
+	st.took += time.Duration(timeGain * float64(o.Took-st.took))
+}
+
+// fade lets old failures count less.
+func (st *state) fade(now time.Time) {
+	if !st.faded.IsZero() && st.failing > 0 {
+		st.failing *= math.Exp(-float64(now.Sub(st.faded)) / float64(failureFade))
+	}
+	st.faded = now
+}
+
+// stuck reports whether an attempt has been without an answer for long.
+func (st *state) stuck(now time.Time, limit time.Duration) bool {
+	return limit > 0 && len(st.waiting) > 0 && now.Sub(st.waiting[0]) > limit
+}
--- /dev/null
+++ b/core/batch/job.go
@@ -0,0 +1,134 @@
+package batch
+
+import (
+	"time"
+
+	"bluebellflow/core/id"
+)
+
+// jobKey identifies a job: tickets are unique within one process.
+type jobKey struct {
+	node        id.Node
+	incarnation id.Incarnation
+	ticket      uint64
+}
+
+// job is a request whose stages are being run.
+type job struct {
+	Submit
+	key      jobKey
+	deadline time.Time
+	aim      time.Time
+	parts    []*part
+	redone   int  // times that lost results were made again
+	done     bool // the results were reported
+	ended    bool // nothing of it is wanted any more
+}
+
+// part is a stage of a job.
+type part struct {
+	job     *job
+	index   int
+	queued  bool
+	ready   time.Time        // when its inputs were complete
+	home    id.FailureDomain // where its inputs lie or its results are read, empty if that does not matter
+	avoid   id.Server        // the server that failed last
+	pieces  []piece
+	missing int // pieces without a result
+}
+
+// piece is a unit of work of a part.
+type piece struct {
+	call   *call   // runs now
+	result *result // nil until it is done
+	tries  int
+}
+
+func newJob(now time.Time, key jobKey, s Submit) *job {
+	j := &job{Submit: s, key: key, deadline: now.Add(time.Duration(s.Left)), aim: now.Add(time.Duration(s.Aim))}
+	for i, stage := range s.Stages {
+		j.parts = append(j.parts, &part{job: j, index: i, pieces: make([]piece, stage.Pieces), missing: int(stage.Pieces)})
+	}
+	return j
+}
+
+func (p *part) stage() *Stage { return &p.job.Stages[p.index] }
+
+// waiting returns how many pieces wait for a call.
+func (p *part) waiting() int {
+	n := 0
+	for i := range p.pieces {
+		if p.pieces[i].call == nil && p.pieces[i].result == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// complete reports whether all stages that the part comes after are done.
+func (p *part) complete() bool {
+	for _, before := range p.stage().After {
+		if p.job.parts[before].missing > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the results that each piece of the part reads.
+func (p *part) inputs() []*result {
+	var out []*result
+	for _, before := range p.stage().After {
+		for i := range p.job.parts[before].pieces {
+			out = append(out, p.job.parts[before].pieces[i].result)
+		}
+	}
+	return out
+}
+
+// read reports whether no stage needs the results of the part any more.
+func (p *part) read() bool {
+	followed := false
+	for _, other := range p.job.parts {
+		for _, before := range other.stage().After {
+			if int(before) != p.index || len(other.pieces) == 0 {
+				continue
+			}
+			followed = true
+			if other.missing > 0 {
+				return false
+			}
+		}
+	}
+	return followed
+}
+
+// last reports whether no stage follows the part.
+func (p *part) last() bool {
+	for _, other := range p.job.parts {
+		for _, before := range other.stage().After {
+			if int(before) == p.index && len(other.pieces) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// results returns the results of the last stages if all of them are done.
+func (j *job) results() ([]Result, bool) {
+	var out []Result
+	for _, p := range j.parts {
+		if p.missing > 0 {
+			return nil, false
+		}
+		if !p.last() {
+			continue
+		}
+		for i := range p.pieces {
+			r := p.pieces[i].result
+			out = append(out, Result{Handle: r.handle, Server: r.worker.ID})
+		}
+	}
+	return out, true
+}
--- /dev/null
+++ b/core/batch/line.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/id"
+)
+
+const (
+	// heavyBytes is the size of the transfers of a part from which they should stay inside a failure domain.
+	heavyBytes = 150 << 10
+	// itemGain is the weight of a new call in the learned time of a piece.
+	itemGain = 0.1
+	// latencyGain is the weight of a new part in the time that a stage takes.
+	latencyGain = 0.1
+	// priorityStep is how much slack a request of the next lower priority gives way to.
+	priorityStep = 100 * time.Millisecond
+	// firstItems is how many pieces the first estimate of a call counts.
+	firstItems = 4
+	// largestItem bounds the learned time of a piece to this multiple of the configured one, in both directions.
+	largestItem = 5
+)
+
+// kind identifies pieces that take about the same time.
+type kind struct {
+	route string
+	stage int
+}
+
+// line is the queue of a pool with its workers.
+type line struct {
+	pool    *catalog.Pool
+	workers []*worker
+	parts   []*part // with pieces that wait
+	items   map[kind]time.Duration
+	latency time.Duration // smoothed time from a part's inputs to its results
+}
+
+func newLine(pool *catalog.Pool) *line {
+	return &line{
+		pool: pool, items: map[kind]time.Duration{},
+		latency: pool.Pieces.Call + firstItems*pool.Pieces.Item,
+	}
+}
+
+func kindOf(p *part) kind { return kind{p.job.Route, p.index} }
+
+// item returns the expected time of a piece on top of a call's fixed time.
+func (l *line) item(k kind) time.Duration {
+	if d, ok := l.items[k]; ok {
+		return d
+	}
+	return l.pool.Pieces.Item
+}
+
+// learn corrects the times of the pieces in a call by the error of its expected time.
+func (l *line) learn(c *call, took time.Duration) {
+	sum := c.expected - l.pool.Pieces.Call
+	if sum <= 0 {
+		return
+	}
+	err := float64(took-c.expected) / float64(sum)
+	for k := range c.kinds {
+		old := float64(l.item(k))
+		base := float64(l.pool.Pieces.Item)
+		l.items[k] = time.Duration(min(max(old*(1+itemGain*min(max(err, -1), 1)), base/largestItem), base*largestItem))
+	}
+}
+
+// finished learns how long a part took from its inputs to its results.
+func (l *line) finished(took time.Duration) {
+	l.latency += time.Duration(latencyGain * float64(took-l.latency))
+}
+
+// median returns the median of the workers' factors, so that an error of the model makes no worker look slow.
+func (l *line) median() float64 {
+	factors := make([]float64, 0, len(l.workers))
+	for _, w := range l.workers {
+		factors = append(factors, w.factor)
+	}
+	if len(factors) == 0 {
+		return 1
+	}
+	slices.Sort(factors)
+	return factors[(len(factors)-1)/2]
+}
+
+// slow reports whether a worker takes much longer than its peers.
+func (l *line) slow(w *worker) bool { return w.factor > slowFactor*l.median() }
+
+// add queues a part.
+func (l *line) add(p *part) {
+	if !p.queued {
+		p.queued = true
+		l.parts = append(l.parts, p)
+	}
+}
+
+// tidy drops the parts that have nothing to run now.
+func (l *line) tidy() {
+	l.parts = slices.DeleteFunc(l.parts, func(p *part) bool {
+		p.queued = !p.job.ended && p.waiting() > 0 && p.complete()
+		return !p.queued
+	})
+}
+
+// order sorts the queue: first what can still meet its objective, by how little time is left, with the more urgent
+// priorities ahead; then the rest by deadline.
+func (l *line) order(now time.Time, slack func(*part) time.Duration) {
+	type ranked struct {
+		late bool
+		rank time.Duration
+	}
+	ranks := make(map[*part]ranked, len(l.parts))
+	for _, p := range l.parts {
+		left := slack(p)
+		if left < 0 {
+			ranks[p] = ranked{late: true, rank: p.job.deadline.Sub(now) + time.Duration(p.job.Priority)*10*priorityStep}
+			continue
+		}
+		ranks[p] = ranked{rank: left + time.Duration(p.job.Priority)*priorityStep}
+	}
+	slices.SortStableFunc(l.parts, func(a, b *part) int {
+		ra, rb := ranks[a], ranks[b]
+		if ra.late != rb.late {
+			if ra.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(ra.rank, rb.rank)
+	})
+}
+
+// leave drops a worker.
+func (l *line) leave(w *worker) {
+	l.workers = slices.DeleteFunc(l.workers, func(o *worker) bool { return o == w })
+}
+
+// domains returns the failure domains of workers that can take a call.
+func domains(workers []*worker) id.Set[id.FailureDomain] {
+	out := id.NewSet[id.FailureDomain]()
+	for _, w := range workers {
+		out.Add(w.Domain)
+	}
+	return out
+}
--- /dev/null
+++ b/core/batch/message.go
@@ -0,0 +1,171 @@
+package batch
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+// Limits on what a message may ask for; a peer that sends more is not a bluebellflow node.
+const (
+	maxStages = 32
+	maxPieces = 4096
+	maxAfter  = 32
+)
+
+// Stage is a stage of a job.
+type Stage struct {
+	Pool   id.Pool  `protobuf:"bytes,1,opt,name=pool"`
+	After  []uint32 `protobuf:"varint,2,rep,name=after"`
+	Pieces uint32   `protobuf:"varint,3,opt,name=pieces"`
+	Bytes  uint64   `protobuf:"varint,4,opt,name=bytes"` // approximate size of a result
+}
+
+// Submit asks for the stages of a request. Times are spans in nanoseconds, because clocks differ.
+type Submit struct {
+	Ticket   uint64           `protobuf:"varint,1,opt,name=ticket"`
+	Request  id.Request       `protobuf:"bytes,2,opt,name=request"`
+	Route    string           `protobuf:"bytes,3,opt,name=route"`
+	Stages   []Stage          `protobuf:"bytes,4,rep,name=stages"`
+	Key      string           `protobuf:"bytes,5,opt,name=key"`
+	Left     int64            `protobuf:"varint,6,opt,name=left"` // until the deadline
+	Aim      int64            `protobuf:"varint,7,opt,name=aim"`  // until the objective; negative if it is past
+	Rest     int64            `protobuf:"varint,8,opt,name=rest"` // expected time of what follows the stages
+	Priority uint32           `protobuf:"varint,9,opt,name=priority"`
+	Value    uint64           `protobuf:"varint,10,opt,name=value"` // size of the request in tokens
+	Prefer   id.FailureDomain `protobuf:"bytes,11,opt,name=prefer"` // where the last results will be read
+}
+
+// Check reports whether the job is well formed.
+func (s Submit) Check() error {
+	if s.Request == "" || len(s.Stages) == 0 || len(s.Stages) > maxStages {
+		return fmt.Errorf("submit: request %q with %d stages", s.Request, len(s.Stages))
+	}
+	for i, stage := range s.Stages {
+		if stage.Pool == "" || stage.Pieces > maxPieces || len(stage.After) > maxAfter {
+			return fmt.Errorf("submit: stage %d of pool %q with %d pieces", i, stage.Pool, stage.Pieces)
+		}
+		for _, before := range stage.After {
+			if before >= uint32(i) {
+				return fmt.Errorf("submit: stage %d comes after stage %d", i, before)
+			}
+		}
+	}
+	return nil
+}
+
+// Done answers a Submit: the results of the stages that no other stage follows.
+type Done struct {
+	Ticket  uint64   `protobuf:"varint,1,opt,name=ticket"`
+	Results []Result `protobuf:"bytes,2,rep,name=results"`
+}
+
+// Result is where the result of a piece lies.
+type Result struct {
+	Handle string    `protobuf:"bytes,1,opt,name=handle"`
+	Server id.Server `protobuf:"bytes,2,opt,name=server"`
+}
+
+// Check reports whether the answer is well formed.
+func (d Done) Check() error {
+	if len(d.Results) > maxStages*maxPieces {
+		return fmt.Errorf("done: %d results", len(d.Results))
+	}
+	for _, r := range d.Results {
+		if r.Handle == "" {
+			return errors.New("done: result without a handle")
+		}
+	}
+	return nil
+}
+
+// Failed answers a Submit whose stages will not be completed.
+type Failed struct {
+	Ticket uint64 `protobuf:"varint,1,opt,name=ticket"`
+	Reason string `protobuf:"bytes,2,opt,name=reason"`
+	After  int64  `protobuf:"varint,3,opt,name=after"` // when the caller may come back, in nanoseconds
+	Late   bool   `protobuf:"varint,4,opt,name=late"`  // the deadline cannot be met
+}
+
+// Check accepts every answer.
+func (f Failed) Check() error { return nil }
+
+// Release says that a job is not wanted any more: its results were read, or its caller has left.
+type Release struct {
+	Ticket uint64 `protobuf:"varint,1,opt,name=ticket"`
+	Read   bool   `protobuf:"varint,2,opt,name=read"` // the results were used
+}
+
+// Check accepts every release.
+func (r Release) Check() error { return nil }
+
+// Item is a piece in a call.
+type Item struct {
+	Request id.Request
+	Stage   int
+	Piece   int
+	Left    time.Duration // until its request's deadline
+	Key     string        // for a stage that follows none
+	Inputs  []string      // handles of the results it reads
+}
+
+// Reason says why a piece has no result.
+type Reason uint8
+
+const (
+	// Late means that the deadline had passed before the piece's turn.
+	Late Reason = iota + 1
+	// Missing means that an input is gone.
+	Missing
+	// Full means that the server has no room for the result.
+	Full
+	// Wrong means that the piece failed.
+	Wrong
+)
+
+// Outcome is what came of a piece: a handle, or the reason why there is none.
+type Outcome struct {
+	Handle string
+	Reason Reason
+}
+
+type (
+	// Run is a call to a stage server.
+	Run struct {
+		event.Out
+		Call    uint64
+		Server  Target
+		Items   []Item
+		Timeout time.Duration
+	}
+	// Ran is the end of a call. Outcomes is empty if Fail is set.
+	Ran struct {
+		event.In
+		Call     uint64
+		Outcomes []Outcome
+		Fail     event.FailKind
+		Detail   string
+	}
+	// FreeFailed says that results could not be given up; the server forgets them by itself.
+	FreeFailed struct {
+		event.In
+		Server id.Server
+		Detail string
+	}
+	// Free gives up results that a server keeps.
+	Free struct {
+		event.Out
+		Server  Target
+		Handles []string
+	}
+)
+
+// Target names a server and where it is.
+type Target struct {
+	ID   id.Server
+	Addr netip.AddrPort
+}
--- /dev/null
+++ b/core/batch/scheduler.go
@@ -0,0 +1,365 @@
+package batch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+)
+
+const (
+	// tick is how often the queue is looked at while parts wait for a worker of their own failure domain.
+	tick = 20 * time.Millisecond
+	// maxTries is how often a piece is tried before its job fails.
+	maxTries = 5
+	// maxRedone is how often a job makes lost results again.
+	maxRedone = 3
+	// failRetry is when a caller whose stages failed may come back.
+	failRetry = 500 * time.Millisecond
+	// callSlack and callGrace are how much longer than expected a call may take before it counts as lost.
+	callSlack = 2.5
+	callGrace = 300 * time.Millisecond
+	// pauseGap is a time between two steps after which this process must have been frozen; its jobs are then stale,
+	// because their nodes have asked another one meanwhile.
+	pauseGap = 1500 * time.Millisecond
+)
+
+// servers tells which servers may be used.
+type servers interface {
+	Pool(id.Pool) []*fleet.Server
+	Usable(*fleet.Server) (bool, string)
+}
+
+// Scheduler runs the stages of all jobs that were submitted to this node.
+type Scheduler struct {
+	self    event.Self
+	servers servers
+	catalog *catalog.Catalog
+	lines   map[id.Pool]*line
+	workers map[id.Server]*worker
+	jobs    map[jobKey]*job
+	calls   map[uint64]*call
+	last    uint64
+	stepped time.Time
+	swept   time.Time
+	next    time.Time
+}
+
+// call is a call in progress.
+type call struct {
+	id       uint64
+	worker   *worker
+	line     *line
+	pieces   []claimed
+	kinds    map[kind]int
+	began    time.Time
+	expected time.Duration
+	bytes    int64
+}
+
+// claimed is a piece in a call.
+type claimed struct {
+	part  *part
+	index int
+}
+
+// New returns a scheduler without jobs.
+func New(self event.Self, servers servers) *Scheduler {
+	return &Scheduler{
+		self: self, servers: servers, lines: map[id.Pool]*line{}, workers: map[id.Server]*worker{},
+		jobs: map[jobKey]*job{}, calls: map[uint64]*call{},
+	}
+}
+
+// SetCatalog sets the configuration in force.
+func (s *Scheduler) SetCatalog(c *catalog.Catalog) {
+	s.catalog = c
+	for name, l := range s.lines {
+		if pool := c.Pool(name); pool != nil && pool.Pieces != nil {
+			l.pool = pool
+		}
+	}
+}
+
+// Open returns the number of jobs that are not ended.
+func (s *Scheduler) Open() int { return len(s.jobs) }
+
+// Busy returns the number of calls in progress.
+func (s *Scheduler) Busy() int { return len(s.calls) }
+
+// Next returns the time of the next timer.
+func (s *Scheduler) Next() time.Time { return s.next }
+
+// Step handles one event.
+func (s *Scheduler) Step(now time.Time, ev event.Event) []event.Action {
+	var out actions
+	if !s.stepped.IsZero() && now.Sub(s.stepped) > pauseGap && len(s.jobs) > 0 {
+		s.forget(&out)
+	}
+	s.stepped = now
+	switch ev := ev.(type) {
+	case event.Receive:
+		s.receive(now, ev, &out)
+	case Ran:
+		s.ran(now, ev, &out)
+	case FreeFailed:
+		out.add(event.Log{Kind: "free", Choice: "failed", Stage: string(ev.Server), Reason: ev.Detail})
+	case fleet.Changed:
+		s.changed(now, ev, &out)
+	case fleet.Gone:
+		s.gone(now, ev.Server, &out)
+	case event.Tick:
+	default:
+		return out
+	}
+	s.overdue(now, &out)
+	s.dispatch(now, &out)
+	s.flush(now, &out)
+	s.schedule(now)
+	return out
+}
+
+// actions collects what a step wants done.
+type actions []event.Action
+
+func (a *actions) add(more ...event.Action) { *a = append(*a, more...) }
+
+func (s *Scheduler) receive(now time.Time, ev event.Receive, out *actions) {
+	switch b := ev.Body.(type) {
+	case Submit:
+		s.submit(now, jobKey{ev.From, ev.Incarnation, b.Ticket}, b, out)
+	case Release:
+		if j, ok := s.jobs[jobKey{ev.From, ev.Incarnation, b.Ticket}]; ok {
+			s.end(now, j)
+		}
+	}
+}
+
+// submit takes in a job.
+func (s *Scheduler) submit(now time.Time, key jobKey, b Submit, out *actions) {
+	if _, again := s.jobs[key]; again {
+		return
+	}
+	j := newJob(now, key, b)
+	for _, stage := range b.Stages {
+		if s.line(stage.Pool) == nil {
+			s.reply(key, Failed{Ticket: b.Ticket, Reason: "pool " + string(stage.Pool) + " runs no stages here", After: int64(failRetry)}, out)
+			return
+		}
+	}
+	s.jobs[key] = j
+	out.add(event.Log{Kind: "job", Request: b.Request, Stage: b.Route, Choice: "accept", Reason: fmt.Sprintf(
+		"from=%s aim=%s left=%s open=%d", key.node, time.Duration(b.Aim), time.Duration(b.Left), len(s.jobs))})
+	s.advance(now, j, out)
+}
+
+// reply sends an answer to the node that submitted a job.
+func (s *Scheduler) reply(key jobKey, body event.Body, out *actions) {
+	out.add(event.Send{To: key.node, Body: body})
+}
+
+func (s *Scheduler) line(pool id.Pool) *line {
+	if l, ok := s.lines[pool]; ok {
+		return l
+	}
+	if s.catalog == nil {
+		return nil
+	}
+	p := s.catalog.Pool(pool)
+	if p == nil || p.Pieces == nil {
+		return nil
+	}
+	l := newLine(p)
+	s.lines[pool] = l
+	for _, one := range s.servers.Pool(pool) {
+		s.enlist(one)
+	}
+	return l
+}
+
+func (s *Scheduler) enlist(one *fleet.Server) {
+	if w, ok := s.workers[one.ID]; ok {
+		w.Server = one
+		return
+	}
+	l, ok := s.lines[one.Pool]
+	if !ok {
+		return
+	}
+	w := newWorker(one)
+	s.workers[one.ID] = w
+	l.workers = append(l.workers, w)
+	slices.SortFunc(l.workers, func(a, b *worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (s *Scheduler) changed(now time.Time, ev fleet.Changed, out *actions) {
+	if ev.Restarted {
+		s.lost(now, ev.Server.ID, out)
+	}
+	s.enlist(ev.Server)
+}
+
+func (s *Scheduler) gone(now time.Time, one *fleet.Server, out *actions) {
+	w, ok := s.workers[one.ID]
+	if !ok {
+		return
+	}
+	s.lost(now, one.ID, out)
+	delete(s.workers, one.ID)
+	s.lines[w.Pool].leave(w)
+}
+
+// advance queues the parts of a job whose inputs are complete, and reports the job if all are done.
+func (s *Scheduler) advance(now time.Time, j *job, out *actions) {
+	if j.ended {
+		return
+	}
+	for _, p := range j.parts {
+		if p.waiting() == 0 || p.queued || !p.complete() {
+			continue
+		}
+		p.ready = now
+		p.home = s.home(p)
+		s.lines[p.stage().Pool].add(p)
+	}
+	if results, done := j.results(); done && !j.done {
+		j.done = true
+		out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "done", Reason: fmt.Sprintf(
+			"aim=%s results=%d", j.aim.Sub(now).Round(time.Millisecond), len(results))})
+		s.reply(j.key, Done{Ticket: j.Ticket, Results: results}, out)
+	}
+}
+
+// home returns the failure domain that a part should run in because of the size of what it reads or makes.
+func (s *Scheduler) home(p *part) id.FailureDomain {
+	bytes := map[id.FailureDomain]int64{}
+	for _, in := range p.inputs() {
+		bytes[in.domain] += in.bytes * int64(len(p.pieces))
+	}
+	if p.last() && p.job.Prefer != "" {
+		bytes[p.job.Prefer] += int64(p.stage().Bytes) * int64(len(p.pieces))
+	}
+	best := id.FailureDomain("")
+	for _, d := range slices.Sorted(maps.Keys(bytes)) {
+		if bytes[d] >= heavyBytes && bytes[d] > bytes[best] {
+			best = d
+		}
+	}
+	return best
+}
+
+// end gives up a job: what waits is dropped, and its results are freed.
+func (s *Scheduler) end(now time.Time, j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	delete(s.jobs, j.key)
+	for _, p := range j.parts {
+		for i := range p.pieces {
+			if r := p.pieces[i].result; r != nil {
+				r.worker.drop(now, r.handle)
+			}
+		}
+	}
+}
+
+// fail ends a job without results.
+func (s *Scheduler) fail(now time.Time, j *job, reason string, after time.Duration, late bool, out *actions) {
+	if j.ended {
+		return
+	}
+	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "fail", Reason: reason})
+	s.reply(j.key, Failed{Ticket: j.Ticket, Reason: reason, After: int64(after), Late: late}, out)
+	s.end(now, j)
+}
+
+// forget drops everything after a freeze of this process.
+func (s *Scheduler) forget(out *actions) {
+	out.add(event.Log{Kind: "job", Choice: "forget", Reason: fmt.Sprintf("this process stood still; %d jobs dropped", len(s.jobs))})
+	for _, key := range s.sortedJobs() {
+		s.end(s.stepped, s.jobs[key])
+	}
+}
+
+func (s *Scheduler) sortedJobs() []jobKey {
+	return slices.SortedFunc(maps.Keys(s.jobs), func(a, b jobKey) int {
+		switch {
+		case a.node != b.node && a.node < b.node:
+			return -1
+		case a.node != b.node:
+			return 1
+		case a.ticket < b.ticket:
+			return -1
+		}
+		return 1
+	})
+}
+
+// overdue ends the calls that take too long and the jobs whose deadline has passed.
+func (s *Scheduler) overdue(now time.Time, out *actions) {
+	if now.Sub(s.swept) < tick {
+		return
+	}
+	s.swept = now
+	for _, number := range slices.Sorted(maps.Keys(s.calls)) {
+		if c := s.calls[number]; now.Sub(c.began) > c.limit() {
+			s.broken(now, c, "no answer in time", out)
+		}
+	}
+	for _, key := range s.sortedJobs() {
+		j := s.jobs[key]
+		switch {
+		case now.After(j.deadline) && !j.done:
+			s.fail(now, j, "the deadline has passed", 0, true, out)
+		case now.After(j.deadline):
+			s.end(now, j)
+		}
+	}
+}
+
+// limit is how long a call may take before its pieces are given to other workers.
+func (c *call) limit() time.Duration {
+	return time.Duration(callSlack*float64(c.expected)*max(1, c.worker.factor)) + callGrace
+}
+
+// flush tells the workers which results they need not keep.
+func (s *Scheduler) flush(now time.Time, out *actions) {
+	for _, name := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[name]
+		w.expire(now)
+		if handles := w.flush(now); len(handles) > 0 {
+			out.add(Free{Server: Target{ID: w.ID, Addr: w.Addr}, Handles: handles})
+		}
+	}
+}
+
+// schedule sets the timer.
+func (s *Scheduler) schedule(now time.Time) {
+	s.next = time.Time{}
+	for _, l := range s.lines {
+		if len(l.parts) > 0 {
+			s.next = now.Add(tick)
+			return
+		}
+	}
+	for _, w := range s.workers {
+		if !w.freeAt.IsZero() {
+			s.next = now.Add(tick)
+			return
+		}
+	}
+	if len(s.jobs) > 0 || len(s.calls) > 0 {
+		s.next = now.Add(5 * tick)
+	}
+}
--- a/core/claim/claims.go
+++ b/core/claim/claims.go
@@ -1,13 +1,13 @@
 package claim
 
 import (
-	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
 	"slices"
 	"time"
 
+	"bluebellflow/core/alarm"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/member"
@@ -61,8 +61,8 @@
 	self    event.Self
 	view    *member.View
 	tickets map[id.Request]*ticket
-	ended   []id.Request // tickets that no longer run, oldest first
-	timers  timers
+	ended   []id.Request           // tickets that no longer run, oldest first
+	timers  alarm.Heap[id.Request] // an entry is stale if its ticket has another time by now
 	issuer  *issuer
 	shards  map[int]*shard
 	calls   map[uint64]int // shard by number of the platform operation
@@ -494,8 +494,7 @@
 		}
 	}
 	for at := c.nextTicket(); !at.IsZero() && !at.After(now); at = c.nextTicket() {
-		d := heap.Pop(&c.timers).(due)
-		out = append(out, c.expired(now, c.tickets[d.request])...)
+		out = append(out, c.expired(now, c.tickets[c.timers.Pop()])...)
 	}
 	return append(out, c.resume(now)...)
 }
--- a/core/event/action.go
+++ b/core/event/action.go
@@ -35,6 +35,10 @@
 	OpList
 	// OpWatch starts watching a prefix; Changed events follow until the process ends.
 	OpWatch
+	// OpDelete removes one object if its version matches.
+	OpDelete
+	// OpStatus writes the status of one object if its version matches.
+	OpStatus
 )
 
 // Object is a value on the platform.
@@ -84,6 +88,11 @@
 		To   id.Node
 		Body Body
 	}
+	// Relink gives up the connection to another node, because nothing comes over it, and opens a new one.
+	Relink struct {
+		Out
+		To id.Node
+	}
 	// Call is an operation on the platform's object API.
 	Call struct {
 		Out
@@ -91,8 +100,8 @@
 		Seq     uint64 // the owner's own number for the operation
 		Op      Op
 		Name    string // object name, or prefix for OpList and OpWatch
-		Version uint64 // for OpPut
-		Value   []byte // for OpPut
+		Version uint64 // for OpPut, OpDelete and OpStatus
+		Value   []byte // for OpPut and OpStatus
 	}
 	// Order asks a backend server to load a version or change its role.
 	Order struct {
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/mirror"
+)
+
+// returnGrace is how long after the store's return a server whose entry lapsed meanwhile may still be used.
+const returnGrace = 2 * time.Second
+
+// Entry is what a server says about itself in the store.
+type Entry struct {
+	Pool     id.Pool
+	Addr     netip.AddrPort
+	Domain   id.FailureDomain
+	Version  id.Version
+	Slots    int
+	Draining bool
+	Cold     time.Duration // how much longer the server is cold
+	Start    id.Start      // identifies the process; empty if the server does not say
+}
+
+// Decoder reads the objects of the store.
+type Decoder interface {
+	Server(spec []byte) (Entry, error)
+}
+
+// Server is a backend server with what this node has seen of it.
+type Server struct {
+	ID id.Server
+	Entry
+	coldUntil time.Time
+	missing   time.Time // since when its entry has been missing, zero if it is there
+}
+
+// Cold reports whether the server bears only a small rate of requests.
+func (s *Server) Cold(now time.Time) bool { return now.Before(s.coldUntil) }
+
+type (
+	// Changed says that a server is new, or that its entry has changed.
+	Changed struct {
+		event.Internal
+		Server *Server
+		// Restarted says that another process than before stands behind the entry.
+		Restarted bool
+	}
+	// Gone says that a server has left the store and may not be used any more.
+	Gone struct {
+		event.Internal
+		Server *Server
+	}
+)
+
+// Names of the kinds that the fleet reads.
+const (
+	Servers     = "servers"
+	Evacuations = "evacuations"
+)
+
+// Fleet holds the backend servers by pool.
+type Fleet struct {
+	decoder Decoder
+	servers map[id.Server]*Server
+	pools   map[id.Pool][]*Server
+	closed  id.Set[id.FailureDomain]
+	up      bool      // the store answers
+	since   time.Time // when up last changed
+	missing map[id.Server]*Server
+}
+
+// New returns a fleet without servers.
+func New(decoder Decoder) *Fleet {
+	return &Fleet{
+		decoder: decoder, servers: map[id.Server]*Server{}, pools: map[id.Pool][]*Server{},
+		closed: id.NewSet[id.FailureDomain](), missing: map[id.Server]*Server{},
+	}
+}
+
+// Pool returns the servers of a pool in a fixed order. The slice must not be changed.
+func (f *Fleet) Pool(name id.Pool) []*Server { return f.pools[name] }
+
+// Server returns a server, or nil.
+func (f *Fleet) Server(name id.Server) *Server { return f.servers[name] }
+
+// Usable reports whether a server may get new work, and if not, why.
+func (f *Fleet) Usable(s *Server) (bool, string) {
+	switch {
+	case s.Draining:
+		return false, "draining"
+	case f.closed.Has(s.Domain):
+		return false, "failure domain evacuated"
+	}
+	return true, ""
+}
+
+// Next returns the time of the next timer.
+func (f *Fleet) Next() time.Time {
+	if len(f.missing) == 0 || !f.up {
+		return time.Time{}
+	}
+	return f.since.Add(returnGrace)
+}
+
+// Step handles one event.
+func (f *Fleet) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	switch ev := ev.(type) {
+	case mirror.Link:
+		if ev.Kind == Servers && (ev.Up != f.up || f.since.IsZero()) {
+			f.up, f.since = ev.Up, now
+		}
+	case mirror.Put:
+		out = f.put(now, ev)
+	case mirror.Gone:
+		out = f.gone(now, ev)
+	}
+	if next := f.Next(); !next.IsZero() && !now.Before(next) {
+		out = append(out, f.expire()...)
+	}
+	return out
+}
+
+func (f *Fleet) put(now time.Time, ev mirror.Put) []event.Action {
+	switch ev.Kind {
+	case Evacuations:
+		f.closed.Add(id.FailureDomain(ev.Object.Name))
+		return []event.Action{event.Log{Kind: "domain", Choice: "evacuate " + ev.Object.Name, Reason: fmt.Sprintf("revision %d", ev.Object.Revision)}}
+	case Servers:
+		return f.update(now, ev.Object)
+	}
+	return nil
+}
+
+// update takes in a server's entry. An entry that cannot be read names no server that could be used.
+func (f *Fleet) update(now time.Time, o mirror.Object) []event.Action {
+	name := id.Server(o.Name)
+	entry, err := f.decoder.Server(o.Spec)
+	if err != nil {
+		out := []event.Action{event.Log{Kind: "server", Stage: o.Name, Choice: "ignore", Reason: err.Error()}}
+		if s, known := f.servers[name]; known {
+			out = append(out, f.remove(s, "entry unreadable")...)
+		}
+		return out
+	}
+	s, known := f.servers[name]
+	restarted := known && (s.Start != entry.Start || s.Addr != entry.Addr)
+	if known && s.Pool != entry.Pool {
+		f.leave(s)
+		known = false
+	}
+	if !known {
+		s = &Server{ID: name}
+	}
+	moved := !known || s.Draining != entry.Draining || restarted
+	s.Entry = entry
+	s.missing = time.Time{}
+	delete(f.missing, name)
+	s.coldUntil = time.Time{}
+	if entry.Cold > 0 {
+		s.coldUntil = now.Add(entry.Cold)
+	}
+	if !known {
+		f.join(s)
+	}
+	out := []event.Action{Changed{Server: s, Restarted: restarted}}
+	if moved {
+		out = append(out, event.Log{Kind: "server", Stage: o.Name, Choice: s.state(restarted), Reason: fmt.Sprintf(
+			"pool=%s addr=%s domain=%s version=%s cold=%s revision=%d", s.Pool, s.Addr, s.Domain, s.Version, entry.Cold, o.Revision)})
+	}
+	return out
+}
+
+func (s *Server) state(restarted bool) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case restarted:
+		return "restarted"
+	}
+	return "ready"
+}
+
+func (f *Fleet) join(s *Server) {
+	f.servers[s.ID] = s
+	list := append(slices.Clone(f.pools[s.Pool]), s)
+	slices.SortFunc(list, func(a, b *Server) int { return cmpID(a.ID, b.ID) })
+	f.pools[s.Pool] = list
+}
+
+func cmpID(a, b id.Server) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+func (f *Fleet) leave(s *Server) {
+	delete(f.servers, s.ID)
+	delete(f.missing, s.ID)
+	f.pools[s.Pool] = slices.DeleteFunc(slices.Clone(f.pools[s.Pool]), func(o *Server) bool { return o == s })
+}
+
+func (f *Fleet) remove(s *Server, reason string) []event.Action {
+	f.leave(s)
+	return []event.Action{
+		Gone{Server: s},
+		event.Log{Kind: "server", Stage: string(s.ID), Choice: "gone", Reason: fmt.Sprintf("%s pool=%s addr=%s", reason, s.Pool, s.Addr)},
+	}
+}
+
+// gone handles the end of an entry. Entries lapse while the store is away; a server that lives writes its entry again.
+func (f *Fleet) gone(now time.Time, ev mirror.Gone) []event.Action {
+	switch ev.Kind {
+	case Evacuations:
+		f.closed.Delete(id.FailureDomain(ev.Name))
+		return []event.Action{event.Log{Kind: "domain", Choice: "return " + ev.Name}}
+	case Servers:
+		s, known := f.servers[id.Server(ev.Name)]
+		if !known {
+			return nil
+		}
+		if f.settled(now) || s.Draining {
+			return f.remove(s, "entry removed")
+		}
+		s.missing = now
+		f.missing[s.ID] = s
+	}
+	return nil
+}
+
+// settled reports whether a missing entry means that its server has gone.
+func (f *Fleet) settled(now time.Time) bool {
+	return f.up && now.Sub(f.since) >= returnGrace
+}
+
+// expire drops the servers whose entries did not come back in time.
+func (f *Fleet) expire() []event.Action {
+	var out []event.Action
+	for _, name := range slices.Sorted(maps.Keys(f.missing)) {
+		out = append(out, f.remove(f.missing[name], "entry did not come back after the store's return")...)
+	}
+	return out
+}
--- /dev/null
+++ b/core/gate/codec.go
@@ -0,0 +1,19 @@
+package gate
+
+import (
+	"bluebellflow/core/batch"
+	"bluebellflow/core/event"
+	"bluebellflow/core/leader"
+	"bluebellflow/core/mirror"
+	"bluebellflow/core/wire"
+)
+
+// Codec returns the codec for all messages between gateway nodes. A number never changes its meaning, because nodes of
+// two releases talk to each other while VMs are replaced.
+func Codec() *wire.Codec {
+	return wire.New(map[uint32]event.Body{
+		60: leader.Ping{}, 61: leader.Pong{},
+		65: mirror.Have{}, 66: mirror.Supply{},
+		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{},
+	})
+}
--- /dev/null
+++ b/core/gate/gate.go
@@ -0,0 +1,234 @@
+package gate
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/alarm"
+	"bluebellflow/core/balance"
+	"bluebellflow/core/batch"
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+	"bluebellflow/core/leader"
+	"bluebellflow/core/mirror"
+	"bluebellflow/core/quota"
+	"bluebellflow/core/retry"
+	"bluebellflow/core/roster"
+)
+
+const (
+	// Config is the kind that holds the configuration.
+	Config = "config"
+	// Current is the name of the object that holds the configuration.
+	Current = "main"
+	// Rollouts is the kind of the version rollouts.
+	Rollouts = "rollouts"
+	// maxRounds bounds the internal actions of one step; more means that two packages answer each other forever.
+	maxRounds = 10_000
+	// spareNodes is how many nodes may have joined without this one knowing, when a bound is divided among all nodes.
+	spareNodes = 3
+)
+
+// Decoder reads the objects of the store that operators and servers write.
+type Decoder interface {
+	fleet.Decoder
+	Catalog(spec []byte) (*catalog.Catalog, error)
+}
+
+// Bounds are limits that hold for all nodes together.
+type Bounds struct {
+	ColdOver  float64 // multiple of a cold server's rate
+	ColdSlack float64 // requests a second on top of that
+	Retries   quota.Budget
+	Grace     time.Duration // from the request to stop to the end of the process
+}
+
+// module is one decision package.
+type module interface {
+	Step(now time.Time, ev event.Event) []event.Action
+	Next() time.Time
+}
+
+// Gate is the decision logic of one process.
+type Gate struct {
+	self      event.Self
+	decoder   Decoder
+	bounds    Bounds
+	mirror    *mirror.Mirror
+	roster    *roster.Roster
+	leader    *leader.Tracker
+	fleet     *fleet.Fleet
+	balance   *balance.Balance
+	scheduler *batch.Scheduler
+	retries   *quota.Retries
+	cold      *quota.Cold
+	modules   []module
+
+	catalog  *catalog.Catalog
+	requests map[Ticket]*request
+	jobs     map[uint64]*request // by the number that the leader knows them by
+	lastJob  uint64
+	timers   alarm.Heap[Ticket]
+	firsts   map[string]time.Duration // by route: expected time to the first part of an answer
+	stop     stop
+	ready    bool
+}
+
+// New returns a gate that knows only its own node.
+func New(self event.Self, decoder Decoder, bounds Bounds) *Gate {
+	g := &Gate{
+		self: self, decoder: decoder, bounds: bounds,
+		mirror:   mirror.New(self, Config, fleet.Servers, fleet.Evacuations, Rollouts, roster.Nodes),
+		roster:   roster.New(self),
+		leader:   leader.New(self),
+		fleet:    fleet.New(decoder),
+		retries:  quota.NewRetries(bounds.Retries),
+		cold:     quota.NewCold(self.Node, spareNodes),
+		requests: map[Ticket]*request{}, jobs: map[uint64]*request{}, firsts: map[string]time.Duration{},
+	}
+	g.balance = balance.New(self, g.fleet, g.cold)
+	g.scheduler = batch.New(self, g.fleet)
+	g.modules = []module{g.mirror, g.roster, g.fleet, g.leader, passive{g.balance}, g.scheduler}
+	return g
+}
+
+// passive gives a package without timers the form of a module.
+type passive struct{ *balance.Balance }
+
+// Next returns no time.
+func (passive) Next() time.Time { return time.Time{} }
+
+// actions collects what a step wants done.
+type actions []event.Action
+
+func (a *actions) add(more ...event.Action) { *a = append(*a, more...) }
+
+// Step handles one event and returns what is to be done for it, in order.
+func (g *Gate) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	pending := []event.Event{ev}
+	for round := 0; len(pending) > 0; round++ {
+		if round == maxRounds {
+			panic(fmt.Sprintf("gate %s: internal actions do not end, last %T", g.self.Node, pending[0]))
+		}
+		ev := pending[0]
+		pending = pending[1:]
+		for _, a := range g.handle(now, ev) {
+			if inner, ok := g.inner(a); ok {
+				pending = append(pending, inner)
+				continue
+			}
+			out = append(out, a)
+		}
+	}
+	return append(out, g.state(now)...)
+}
+
+// inner returns the event that an action for this node itself amounts to.
+func (g *Gate) inner(a event.Action) (event.Event, bool) {
+	if s, ok := a.(event.Send); ok && s.To == g.self.Node {
+		return event.Receive{From: s.To, Incarnation: g.self.Incarnation, Body: s.Body}, true
+	}
+	return event.IsInternal(a)
+}
+
+func (g *Gate) handle(now time.Time, ev event.Event) []event.Action {
+	var out actions
+	for _, m := range g.modules {
+		out.add(m.Step(now, ev)...)
+	}
+	g.own(now, ev, &out)
+	for g.timers.Due(now) {
+		g.due(now, g.timers.Pop(), &out)
+	}
+	return out
+}
+
+// own handles the events that concern requests and the composition.
+func (g *Gate) own(now time.Time, ev event.Event, out *actions) {
+	switch ev := ev.(type) {
+	case Arrive:
+		g.arrive(now, ev, out)
+	case Left:
+		g.left(now, ev.Ticket, out)
+	case Began:
+		g.hasBegun(now, ev.Ticket, out)
+	case Ended:
+		g.ended(now, ev, out)
+	case event.Receive:
+		switch b := ev.Body.(type) {
+		case batch.Done:
+			g.stagesDone(now, ev, b, out)
+		case batch.Failed:
+			g.stagesFailed(now, ev, b, out)
+		}
+	case mirror.Put:
+		if ev.Kind == Config && ev.Object.Name == Current {
+			g.configure(ev.Object, out)
+		}
+	case roster.Changed:
+		g.nodesChanged()
+	case leader.Changed:
+		g.roster.SetLeads(ev.Leader == g.self.Node)
+		g.leaderChanged(now, out)
+	case event.Stop:
+		g.beginStop(now, out)
+	}
+}
+
+// configure puts a configuration in force unless it is older than the present one.
+func (g *Gate) configure(o mirror.Object, out *actions) {
+	next, err := g.decoder.Catalog(o.Spec)
+	if err != nil {
+		out.add(event.Log{Kind: "config", Choice: "ignore", Reason: fmt.Sprintf("revision=%d %v", o.Revision, err)})
+		return
+	}
+	if g.catalog != nil && next.Version() <= g.catalog.Version() {
+		return
+	}
+	g.catalog = next
+	g.scheduler.SetCatalog(next)
+	out.add(
+		event.Log{Kind: "config", Choice: "apply", Reason: fmt.Sprintf("version=%d revision=%d", next.Version(), o.Revision)},
+		Limit{Limits: next.Limits()})
+}
+
+func (g *Gate) nodesChanged() {
+	names := g.roster.Nodes()
+	var candidates []leader.Candidate
+	for _, name := range names {
+		n, _ := g.roster.Node(name)
+		candidates = append(candidates, leader.Candidate{Node: name, Domain: n.Domain})
+	}
+	g.mirror.SetPeers(names)
+	g.leader.SetCandidates(candidates)
+	g.cold.SetNodes(names)
+	g.retries.SetNodes(len(names) + spareNodes)
+}
+
+// loaded reports whether the node knows what it needs to forward requests.
+func (g *Gate) loaded() bool {
+	return g.catalog != nil && g.mirror.Loaded(fleet.Servers) && g.mirror.Loaded(fleet.Evacuations) && g.mirror.Loaded(Rollouts)
+}
+
+// Resolve returns the address of a node.
+func (g *Gate) Resolve(name id.Node) (netip.AddrPort, bool) { return g.roster.Resolve(name) }
+
+// Next returns the time of the next timer, zero for none.
+func (g *Gate) Next() time.Time {
+	times := []time.Time{g.timers.Next(), g.stop.next}
+	for _, m := range g.modules {
+		times = append(times, m.Next())
+	}
+	return retry.Earliest(times...)
+}
+
+// Open returns the number of requests without a final answer.
+func (g *Gate) Open() int { return len(g.requests) }
+
+func fingerprint(s string) id.Fingerprint { return id.Fingerprint(xxhash.Sum64String(s)) }
--- /dev/null
+++ b/core/gate/stages.go
@@ -0,0 +1,147 @@
+package gate
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"bluebellflow/core/batch"
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+const (
+	// leaderWait is the time between two looks for a leader.
+	leaderWait = 50 * time.Millisecond
+	// leaderLimit is how long a request may wait for a leader.
+	leaderLimit = 1500 * time.Millisecond
+	// maxRestarts bounds how often the stages of a request are asked for again.
+	maxRestarts = 3
+	// firstDefault is the expected time to the first event before there was one.
+	firstDefault = 120 * time.Millisecond
+	// outWeight is how many tokens of the prompt a token of the answer weighs.
+	outWeight = 10
+)
+
+// submit asks the leader for the stages of a request.
+func (g *Gate) submit(now time.Time, r *request, out *actions) {
+	r.phase = staging
+	leader := g.leader.Leader()
+	if leader == "" {
+		if now.Sub(r.arrived) >= leaderLimit {
+			g.giveUp(now, r, "no node schedules the stages", out)
+			return
+		}
+		g.timers.Set(now.Add(leaderWait), r.ticket)
+		return
+	}
+	g.lastJob++
+	r.job, r.leader, r.submitted = g.lastJob, leader, now
+	g.jobs[r.job] = r
+	s := batch.Submit{
+		Ticket: r.job, Request: r.Name, Route: r.route.Name, Key: r.PieceKey,
+		Left: int64(r.deadline.Sub(now)), Aim: int64(r.aim.Sub(now)), Rest: int64(g.first(r.route.Name)),
+		Priority: uint32(max(0, r.priority)), Value: uint64(r.In + outWeight*r.Out),
+	}
+	for i, stage := range r.route.Stages {
+		one := batch.Stage{Pool: stage.Pool, Pieces: uint32(r.Pieces[i]), Bytes: uint64(stage.Bytes)}
+		for _, before := range stage.After {
+			one.After = append(one.After, uint32(before))
+		}
+		s.Stages = append(s.Stages, one)
+	}
+	if model, _ := g.balance.Pick(now, g.query(r)); model != nil {
+		s.Prefer = model.Domain
+	}
+	out.add(
+		event.Log{Kind: "stages", Request: r.Name, Stage: r.route.Name, Choice: string(leader), Reason: fmt.Sprintf("restarts=%d prefer=%s", r.restarts, s.Prefer)},
+		event.Send{To: leader, Body: s})
+}
+
+func (g *Gate) first(route string) time.Duration {
+	if d, ok := g.firsts[route]; ok {
+		return d
+	}
+	return firstDefault
+}
+
+// submitAgain submits a request that found no leader.
+func (g *Gate) submitAgain(now time.Time, r *request, out *actions) {
+	if r.job == 0 {
+		g.submit(now, r, out)
+	}
+}
+
+// restage runs the stages of a request once more.
+func (g *Gate) restage(now time.Time, r *request, reason string, out *actions) {
+	g.release(r, false, out)
+	r.restarts++
+	if r.restarts > maxRestarts || r.deadline.Sub(now) < g.first(r.route.Name) {
+		g.giveUp(now, r, reason, out)
+		return
+	}
+	r.inputs = nil
+	g.submit(now, r, out)
+}
+
+// staging returns the request of a job that its leader has not answered yet.
+func (g *Gate) staging(from id.Node, job uint64) *request {
+	r, ok := g.jobs[job]
+	if !ok || r.phase != staging || r.leader != from {
+		return nil
+	}
+	return r
+}
+
+// stagesDone continues a request whose stages are done.
+func (g *Gate) stagesDone(now time.Time, ev event.Receive, b batch.Done, out *actions) {
+	r := g.staging(ev.From, b.Ticket)
+	if r == nil {
+		out.add(event.Send{To: ev.From, Body: batch.Release{Ticket: b.Ticket}})
+		return
+	}
+	for _, result := range b.Results {
+		r.inputs = append(r.inputs, result.Handle)
+	}
+	g.place(now, r, out)
+}
+
+// stagesFailed ends a request whose stages will not be done. It has not reached a server that runs it.
+func (g *Gate) stagesFailed(now time.Time, ev event.Receive, b batch.Failed, out *actions) {
+	r := g.staging(ev.From, b.Ticket)
+	if r == nil {
+		return
+	}
+	g.forgetJob(r)
+	if r.maybe {
+		g.giveUp(now, r, b.Reason, out)
+		return
+	}
+	g.refuse(r, http.StatusServiceUnavailable, time.Duration(b.After), b.Reason, out)
+}
+
+// release tells the leader that the results of a request are not needed any more.
+func (g *Gate) release(r *request, read bool, out *actions) {
+	if r.job == 0 {
+		return
+	}
+	out.add(event.Send{To: r.leader, Body: batch.Release{Ticket: r.job, Read: read}})
+	g.forgetJob(r)
+}
+
+func (g *Gate) forgetJob(r *request) {
+	delete(g.jobs, r.job)
+	r.job = 0
+}
+
+// leaderChanged submits the requests again whose leader does not answer any more.
+func (g *Gate) leaderChanged(now time.Time, out *actions) {
+	for _, job := range slices.Sorted(maps.Keys(g.jobs)) {
+		r := g.jobs[job]
+		if r.phase == staging && !g.leader.Alive(now, r.leader) {
+			g.restage(now, r, "the node that scheduled the stages is gone", out)
+		}
+	}
+}
--- /dev/null
+++ b/core/leader/leader.go
@@ -0,0 +1,241 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+const (
+	// pingPeriod is the time between two pings of a candidate.
+	pingPeriod = 200 * time.Millisecond
+	// silence is how long a candidate may stay without a sign of life; it spans three lost pings.
+	silence = 700 * time.Millisecond
+	// watched is how many of the first candidates are pinged, so that the next one is known to live.
+	watched = 3
+	// deadAfter is how long a candidate stays silent before another one is watched in its place.
+	deadAfter = 2 * time.Second
+	// pauseGap is a time between two steps after which this process must have been frozen; the silence of the others
+	// says nothing then.
+	pauseGap = 500 * time.Millisecond
+)
+
+// Candidate is a node that may lead.
+type Candidate struct {
+	Node   id.Node
+	Domain id.FailureDomain
+}
+
+type (
+	// Ping asks a candidate for a sign of life.
+	Ping struct {
+		Seq uint64 `protobuf:"varint,1,opt,name=seq"`
+	}
+	// Pong answers a Ping.
+	Pong struct {
+		Seq   uint64 `protobuf:"varint,1,opt,name=seq"`
+		Ready bool   `protobuf:"varint,2,opt,name=ready"` // the sender may lead
+	}
+	// Changed says that this node follows another leader; an empty name means none.
+	Changed struct {
+		event.Internal
+		Leader id.Node
+	}
+)
+
+// Check accepts every ping.
+func (Ping) Check() error { return nil }
+
+// Check accepts every pong.
+func (Pong) Check() error { return nil }
+
+// Tracker follows the leader.
+type Tracker struct {
+	self   event.Self
+	peers  map[id.Node]*peer
+	order  []*peer
+	ready  bool // this node may lead
+	leader id.Node
+	pingAt time.Time
+	begun  time.Time
+	last   time.Time
+	seq    uint64
+}
+
+// peer is another node.
+type peer struct {
+	Candidate
+	rank   uint64
+	heard  time.Time
+	asked  time.Time // the first ping since the last sign of life, zero for none
+	ready  bool
+	relink time.Time // when the connection to it was last given up
+	pinged time.Time
+}
+
+// New returns a tracker that knows only its own node.
+func New(self event.Self) *Tracker {
+	return &Tracker{self: self, peers: map[id.Node]*peer{}}
+}
+
+// Leader returns the node that this node follows, empty for none.
+func (t *Tracker) Leader() id.Node { return t.leader }
+
+// Alive reports whether a node answers; this node always does.
+func (t *Tracker) Alive(now time.Time, name id.Node) bool {
+	if name == t.self.Node {
+		return true
+	}
+	p, ok := t.peers[name]
+	return ok && p.alive(now)
+}
+
+// SetReady says whether this node may lead.
+func (t *Tracker) SetReady(ready bool) { t.ready = ready }
+
+// SetCandidates replaces the list of all nodes; this node need not be among them.
+func (t *Tracker) SetCandidates(list []Candidate) {
+	next := map[id.Node]*peer{}
+	t.order = nil
+	for _, c := range list {
+		if c.Node == t.self.Node {
+			continue
+		}
+		p, known := t.peers[c.Node]
+		if !known {
+			p = &peer{rank: xxhash.Sum64String(string(c.Node))}
+		}
+		p.Candidate = c
+		next[c.Node] = p
+		t.order = append(t.order, p)
+	}
+	t.peers = next
+	slices.SortFunc(t.order, func(a, b *peer) int { return cmp.Compare(a.rank, b.rank) })
+}
+
+// Next returns the time of the next timer.
+func (t *Tracker) Next() time.Time { return t.pingAt }
+
+// Step handles one event.
+func (t *Tracker) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	t.wake(now)
+	switch ev := ev.(type) {
+	case event.Receive:
+		out = t.receive(now, ev)
+	case event.Link:
+		if p, ok := t.peers[ev.Peer]; ok && !ev.Up {
+			p.heard = time.Time{}
+		}
+	}
+	if !now.Before(t.pingAt) {
+		t.pingAt = now.Add(pingPeriod)
+		out = append(out, t.ping(now)...)
+	}
+	return append(out, t.choose(now)...)
+}
+
+// wake makes up for a freeze of this process.
+func (t *Tracker) wake(now time.Time) {
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+	if gap := now.Sub(t.last); !t.last.IsZero() && gap > pauseGap {
+		for _, p := range t.order {
+			if !p.heard.IsZero() {
+				p.heard = p.heard.Add(gap)
+			}
+			p.asked = time.Time{}
+		}
+	}
+	t.last = now
+}
+
+func (t *Tracker) receive(now time.Time, ev event.Receive) []event.Action {
+	switch b := ev.Body.(type) {
+	case Ping:
+		return []event.Action{event.Send{To: ev.From, Body: Pong{Seq: b.Seq, Ready: t.ready}}}
+	case Pong:
+		if p, ok := t.peers[ev.From]; ok {
+			p.heard, p.ready, p.asked = now, b.Ready, time.Time{}
+		}
+	}
+	return nil
+}
+
+func (p *peer) alive(now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) < silence
+}
+
+// ping asks the first live candidates and the first one of the own failure domain, which is the leader when the domain
+// is cut off. A candidate that stays silent over a connection that is up gets a new connection.
+func (t *Tracker) ping(now time.Time) []event.Action {
+	t.seq++
+	var out []event.Action
+	near, count := false, 0
+	for _, p := range t.order {
+		if p.dead(now) {
+			if now.Sub(p.pinged) >= deadAfter {
+				out = append(out, t.pingOne(now, p)...)
+			}
+			continue
+		}
+		own := !near && p.Domain == t.self.FailureDomain
+		if count < watched || own || p.Node == t.leader {
+			out = append(out, t.pingOne(now, p)...)
+		}
+		near = near || own
+		count++
+	}
+	return out
+}
+
+// dead reports whether a candidate has been silent for so long that its place is taken by another.
+func (p *peer) dead(now time.Time) bool {
+	return !p.asked.IsZero() && now.Sub(p.asked) >= deadAfter
+}
+
+func (t *Tracker) pingOne(now time.Time, p *peer) []event.Action {
+	var out []event.Action
+	p.pinged = now
+	if p.asked.IsZero() {
+		p.asked = now
+	}
+	if now.Sub(p.asked) >= silence && now.Sub(p.relink) >= silence {
+		p.relink = now
+		out = append(out, event.Relink{To: p.Node})
+	}
+	return append(out, event.Send{To: p.Node, Body: Ping{Seq: t.seq}})
+}
+
+// choose follows the first node that answers and may lead.
+func (t *Tracker) choose(now time.Time) []event.Action {
+	own := xxhash.Sum64String(string(t.self.Node))
+	best := id.Node("")
+	for _, p := range t.order {
+		if t.ready && p.rank > own {
+			break
+		}
+		if p.alive(now) && p.ready {
+			best = p.Node
+			break
+		}
+	}
+	if best == "" && t.ready && (t.leader == t.self.Node || now.Sub(t.begun) >= silence) {
+		best = t.self.Node
+	}
+	if best == t.leader {
+		return nil
+	}
+	old := t.leader
+	t.leader = best
+	return []event.Action{
+		event.Log{Kind: "leader", Choice: "follow " + string(best), Reason: "before " + string(old)},
+		Changed{Leader: best},
+	}
+}
--- /dev/null
+++ b/core/mirror/message.go
@@ -0,0 +1,127 @@
+package mirror
+
+import (
+	"errors"
+	"fmt"
+
+	"bluebellflow/core/event"
+)
+
+// Limits on the lists in one message; a peer that sends more is not a bluebellflow node.
+const (
+	maxKinds   = 64
+	maxObjects = 20_000
+)
+
+// Object is one object of the store. The mirror does not look into Spec and Status.
+type Object struct {
+	Name     string `protobuf:"bytes,1,opt,name=name"`
+	Revision uint64 `protobuf:"varint,2,opt,name=revision"`
+	Spec     []byte `protobuf:"bytes,3,opt,name=spec"`
+	Status   []byte `protobuf:"bytes,4,opt,name=status"`
+}
+
+// Tomb says that an object was deleted, and at which revision at the latest.
+type Tomb struct {
+	Name     string `protobuf:"bytes,1,opt,name=name"`
+	Revision uint64 `protobuf:"varint,2,opt,name=revision"`
+}
+
+type (
+	// Listed is a whole list of a kind.
+	Listed struct {
+		event.In
+		Kind     string
+		Revision uint64
+		Objects  []Object
+	}
+	// Updated is a part of a watch: what has changed up to a revision.
+	Updated struct {
+		event.In
+		Kind     string
+		Revision uint64
+		Objects  []Object
+		Deleted  []string
+	}
+	// Link says whether the store answers for a kind.
+	Link struct {
+		event.In
+		Kind string
+		Up   bool
+	}
+	// Follow asks for Listed and Updated events of a kind from now on.
+	Follow struct {
+		event.Out
+		Kind string
+	}
+)
+
+type (
+	// Put says that an object is new or has changed.
+	Put struct {
+		event.Internal
+		Kind   string
+		Object Object
+	}
+	// Gone says that an object was deleted.
+	Gone struct {
+		event.Internal
+		Kind string
+		Name string
+	}
+	// Loaded says that a kind is known for the first time.
+	Loaded struct {
+		event.Internal
+		Kind string
+	}
+)
+
+// Revision is how far a copy of a kind reaches.
+type Revision struct {
+	Kind  string `protobuf:"bytes,1,opt,name=kind"`
+	Known uint64 `protobuf:"varint,2,opt,name=known"`
+}
+
+// Have tells a peer how far the sender's copies reach.
+type Have struct {
+	Revisions []Revision `protobuf:"bytes,1,rep,name=revisions"`
+}
+
+// Check reports whether the message is well formed.
+func (h Have) Check() error {
+	if len(h.Revisions) > maxKinds {
+		return fmt.Errorf("have: %d kinds", len(h.Revisions))
+	}
+	for _, r := range h.Revisions {
+		if r.Kind == "" {
+			return errors.New("have: revision without a kind")
+		}
+	}
+	return nil
+}
+
+// Supply carries what has changed in a kind since a revision that the receiver has, or the whole kind.
+type Supply struct {
+	Kind     string   `protobuf:"bytes,1,opt,name=kind"`
+	Revision uint64   `protobuf:"varint,2,opt,name=revision"`
+	Whole    bool     `protobuf:"varint,3,opt,name=whole"`
+	Since    uint64   `protobuf:"varint,4,opt,name=since"`
+	Objects  []Object `protobuf:"bytes,5,rep,name=objects"`
+	Tombs    []Tomb   `protobuf:"bytes,6,rep,name=tombs"`
+}
+
+// Check reports whether the message is well formed.
+func (s Supply) Check() error {
+	if s.Kind == "" {
+		return errors.New("supply: no kind")
+	}
+	if len(s.Objects) > maxObjects || len(s.Tombs) > maxObjects {
+		return fmt.Errorf("supply of %s: %d objects and %d deletions", s.Kind, len(s.Objects), len(s.Tombs))
+	}
+	for _, o := range s.Objects {
+		if o.Name == "" || o.Revision > s.Revision {
+			return fmt.Errorf("supply of %s: object %q at revision %d of %d", s.Kind, o.Name, o.Revision, s.Revision)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/mirror/mirror.go
@@ -0,0 +1,295 @@
+package mirror
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+const (
+	// havePeriod is how often a node compares its copies with a peer's; a change that only the peers know is
+	// everywhere after a few periods.
+	havePeriod = 500 * time.Millisecond
+	// haveFanout is how many peers are told of a new revision at once.
+	haveFanout = 2
+	// maxTombs bounds the deletions remembered for a kind; a peer that is further behind gets the whole kind.
+	maxTombs = 512
+)
+
+// Mirror holds the copies of one node.
+type Mirror struct {
+	self   event.Self
+	kinds  []string
+	copies map[string]*replica
+	peers  []id.Node
+	haveAt time.Time
+	fresh  bool // something is newer than at the last Have
+	begun  bool
+}
+
+// replica is the copy of one kind.
+type replica struct {
+	revision uint64
+	objects  map[string]Object
+	tombs    []Tomb // oldest first
+	floor    uint64 // deletions up to this revision are not remembered any more
+	loaded   bool
+	up       bool      // the store answers
+	changed  time.Time // when up last changed
+}
+
+// New returns a mirror of some kinds that knows nothing yet.
+func New(self event.Self, kinds ...string) *Mirror {
+	m := &Mirror{self: self, kinds: kinds, copies: map[string]*replica{}}
+	for _, kind := range kinds {
+		m.copies[kind] = &replica{objects: map[string]Object{}}
+	}
+	return m
+}
+
+// SetPeers names the nodes to compare copies with.
+func (m *Mirror) SetPeers(peers []id.Node) { m.peers = peers }
+
+// Loaded reports whether a kind is known.
+func (m *Mirror) Loaded(kind string) bool { return m.copies[kind].loaded }
+
+// Revision returns how far the copy of a kind reaches.
+func (m *Mirror) Revision(kind string) uint64 { return m.copies[kind].revision }
+
+// Up reports whether the store answers for a kind, and since when.
+func (m *Mirror) Up(kind string) (up bool, since time.Time) {
+	c := m.copies[kind]
+	return c.up, c.changed
+}
+
+// Object returns an object of a copy.
+func (m *Mirror) Object(kind, name string) (Object, bool) {
+	o, ok := m.copies[kind].objects[name]
+	return o, ok
+}
+
+// Names returns the names of all objects of a kind in ascending order.
+func (m *Mirror) Names(kind string) []string {
+	return slices.Sorted(maps.Keys(m.copies[kind].objects))
+}
+
+// Next returns the time of the next timer.
+func (m *Mirror) Next() time.Time { return m.haveAt }
+
+// Step handles one event.
+func (m *Mirror) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	if !m.begun {
+		m.begun = true
+		m.haveAt = now.Add(havePeriod)
+		for _, kind := range m.kinds {
+			out = append(out, Follow{Kind: kind})
+		}
+	}
+	switch ev := ev.(type) {
+	case Listed:
+		out = append(out, m.listed(now, ev)...)
+	case Updated:
+		out = append(out, m.updated(now, ev)...)
+	case Link:
+		out = append(out, m.link(now, ev)...)
+	case event.Receive:
+		out = append(out, m.receive(now, ev)...)
+	}
+	if m.fresh || !now.Before(m.haveAt) {
+		out = append(out, m.tell(now)...)
+	}
+	return out
+}
+
+func (m *Mirror) link(now time.Time, ev Link) []event.Action {
+	c, ok := m.copies[ev.Kind]
+	if !ok || (c.up == ev.Up && !c.changed.IsZero()) {
+		return nil
+	}
+	c.up, c.changed = ev.Up, now
+	choice := "lost"
+	if ev.Up {
+		choice = "regained"
+	}
+	return []event.Action{event.Log{Kind: "store", Stage: ev.Kind, Choice: choice, Reason: "revision " + strconv.FormatUint(c.revision, 10)}}
+}
+
+// listed replaces a copy by a list that is as new.
+func (m *Mirror) listed(now time.Time, ev Listed) []event.Action {
+	c, ok := m.copies[ev.Kind]
+	if !ok || ev.Revision < c.revision {
+		return nil
+	}
+	return m.replace(now, ev.Kind, c, ev.Revision, ev.Objects)
+}
+
+func (m *Mirror) replace(now time.Time, kind string, c *replica, revision uint64, objects []Object) []event.Action {
+	var out []event.Action
+	listed := id.NewSet[string]()
+	for _, o := range objects {
+		listed.Add(o.Name)
+		out = append(out, m.put(kind, c, o)...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.objects)) {
+		if !listed.Has(name) {
+			out = append(out, m.gone(kind, c, Tomb{Name: name, Revision: revision})...)
+		}
+	}
+	return append(out, m.advance(now, kind, c, revision)...)
+}
+
+func (m *Mirror) updated(now time.Time, ev Updated) []event.Action {
+	c, ok := m.copies[ev.Kind]
+	if !ok || !c.loaded || ev.Revision < c.revision {
+		return nil
+	}
+	var out []event.Action
+	for _, o := range ev.Objects {
+		out = append(out, m.put(ev.Kind, c, o)...)
+	}
+	for _, name := range ev.Deleted {
+		out = append(out, m.gone(ev.Kind, c, Tomb{Name: name, Revision: ev.Revision})...)
+	}
+	return append(out, m.advance(now, ev.Kind, c, ev.Revision)...)
+}
+
+func (m *Mirror) put(kind string, c *replica, o Object) []event.Action {
+	if old, known := c.objects[o.Name]; known && old.Revision >= o.Revision {
+		return nil
+	}
+	c.objects[o.Name] = o
+	return []event.Action{Put{Kind: kind, Object: o}}
+}
+
+func (m *Mirror) gone(kind string, c *replica, t Tomb) []event.Action {
+	old, known := c.objects[t.Name]
+	if !known || old.Revision > t.Revision {
+		return nil
+	}
+	delete(c.objects, t.Name)
+	if len(c.tombs) == maxTombs {
+		c.floor = c.tombs[0].Revision
+		c.tombs = slices.Delete(c.tombs, 0, 1)
+	}
+	c.tombs = append(c.tombs, t)
+	return []event.Action{Gone{Kind: kind, Name: t.Name}}
+}
+
+func (m *Mirror) advance(_ time.Time, kind string, c *replica, revision uint64) []event.Action {
+	if revision > c.revision {
+		c.revision = revision
+		m.fresh = true
+	}
+	if c.loaded {
+		return nil
+	}
+	c.loaded = true
+	c.floor = revision
+	return []event.Action{Loaded{Kind: kind}}
+}
+
+// tell sends the revisions of this node to a few peers.
+func (m *Mirror) tell(now time.Time) []event.Action {
+	count := 1
+	if m.fresh {
+		count = haveFanout
+	}
+	m.fresh = false
+	m.haveAt = now.Add(havePeriod)
+	have := m.have()
+	var out []event.Action
+	for _, i := range m.self.Rand.Perm(len(m.peers)) {
+		if len(out) == count {
+			break
+		}
+		if m.peers[i] != m.self.Node {
+			out = append(out, event.Send{To: m.peers[i], Body: have})
+		}
+	}
+	return out
+}
+
+func (m *Mirror) have() Have {
+	var h Have
+	for _, kind := range m.kinds {
+		h.Revisions = append(h.Revisions, Revision{Kind: kind, Known: m.copies[kind].revision})
+	}
+	return h
+}
+
+func (m *Mirror) receive(now time.Time, ev event.Receive) []event.Action {
+	switch b := ev.Body.(type) {
+	case Have:
+		return m.compare(ev.From, b)
+	case Supply:
+		return m.supplied(now, b)
+	}
+	return nil
+}
+
+// compare supplies a peer that is behind, and asks for what the peer has more.
+func (m *Mirror) compare(from id.Node, h Have) []event.Action {
+	var out []event.Action
+	behind := false
+	for _, r := range h.Revisions {
+		c, ok := m.copies[r.Kind]
+		switch {
+		case !ok:
+		case r.Known < c.revision:
+			if s, differs := c.supply(r.Kind, r.Known); differs {
+				out = append(out, event.Send{To: from, Body: s})
+			}
+		case r.Known > c.revision:
+			behind = true
+		}
+	}
+	if behind {
+		out = append(out, event.Send{To: from, Body: m.have()})
+	}
+	return out
+}
+
+// supply returns what a copy has more than one that reaches up to a revision; a revision that brought nothing new to
+// the kind is not worth a message.
+func (c *replica) supply(kind string, since uint64) (Supply, bool) {
+	s := Supply{Kind: kind, Revision: c.revision, Since: since, Whole: since < c.floor || since == 0}
+	for _, name := range slices.Sorted(maps.Keys(c.objects)) {
+		if o := c.objects[name]; s.Whole || o.Revision > since {
+			s.Objects = append(s.Objects, o)
+		}
+	}
+	if !s.Whole {
+		for _, t := range c.tombs {
+			if t.Revision > since {
+				s.Tombs = append(s.Tombs, t)
+			}
+		}
+	}
+	return s, s.Whole || len(s.Objects)+len(s.Tombs) > 0
+}
+
+func (m *Mirror) supplied(now time.Time, s Supply) []event.Action {
+	c, ok := m.copies[s.Kind]
+	if !ok || s.Revision <= c.revision {
+		return nil
+	}
+	if s.Whole {
+		return m.replace(now, s.Kind, c, s.Revision, s.Objects)
+	}
+	if !c.loaded || s.Since > c.revision {
+		return nil // something between the two is missing
+	}
+	var out []event.Action
+	for _, o := range s.Objects {
+		out = append(out, m.put(s.Kind, c, o)...)
+	}
+	for _, t := range s.Tombs {
+		out = append(out, m.gone(s.Kind, c, t)...)
+	}
+	return append(out, m.advance(now, s.Kind, c, s.Revision)...)
+}
--- /dev/null
+++ b/core/quota/window.go
@@ -0,0 +1,44 @@
+package quota
+
+import "time"
+
+// Window counts events in a sliding span of time, in slots of a tenth of the span. Events count for up to a tenth
+// longer than the span, so that no window of that length holds more than the count says.
+type Window struct {
+	span  time.Duration
+	slots [windowSlots]float64
+	at    int64 // number of the newest slot
+	sum   float64
+}
+
+// windowSlots is one more than the slots of a span.
+const windowSlots = 11
+
+// NewWindow returns an empty window.
+func NewWindow(span time.Duration) *Window { return &Window{span: span} }
+
+// Add counts an event.
+func (w *Window) Add(now time.Time, n float64) {
+	w.advance(now)
+	w.slots[w.at%windowSlots] += n
+	w.sum += n
+}
+
+// Sum returns the events of the span before now.
+func (w *Window) Sum(now time.Time) float64 {
+	w.advance(now)
+	return w.sum
+}
+
+func (w *Window) advance(now time.Time) {
+	slot := now.UnixNano() / int64(w.span/(windowSlots-1))
+	if slot-w.at >= windowSlots {
+		w.slots, w.sum, w.at = [windowSlots]float64{}, 0, slot
+		return
+	}
+	for w.at < slot {
+		w.at++
+		w.sum -= w.slots[w.at%windowSlots]
+		w.slots[w.at%windowSlots] = 0
+	}
+}
--- a/core/request/answer.go
+++ b/core/request/answer.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"container/heap"
 	"time"
 
 	"bluebellflow/core/claim"
@@ -91,7 +90,7 @@
 	if until := now.Add(lookWait); until.Before(o.deadline) {
 		o.deadline = until
 	}
-	r.timers.set(o.deadline, o.arrive.Request)
+	r.timers.Set(o.deadline, o.arrive.Request)
 	out.add(r.parts.Claims.Look(now, o.claim())...)
 }
 
@@ -106,7 +105,7 @@
 	out.add(problem(o.arrive.Request, event.Unknown, detail, claimRetry))
 	o.phase = settling
 	o.deadline = now.Add(settleWait)
-	r.timers.set(o.deadline, o.arrive.Request)
+	r.timers.Set(o.deadline, o.arrive.Request)
 	r.leaveQueue(now, o, out)
 }
 
@@ -151,8 +150,8 @@
 			r.refuse(now, o, "the deadline can no longer be met", placeRetry, out)
 		}
 	}
-	for r.timers.due(now) {
-		name := r.timers.pop()
+	for r.timers.Due(now) {
+		name := r.timers.Pop()
 		if o, ok := r.open[name]; ok {
 			r.timed(now, o, out)
 		}
@@ -216,40 +215,3 @@
 	}
 	r.giveUp(now, o, event.Deadline, "the deadline passed before the whole answer was there", 0, out)
 }
-
-// timers is a heap of wake-up times; entries of requests that ended are skipped when they come up.
-type timers []timer
-
-type timer struct {
-	at   time.Time
-	name id.Request
-}
-
-func (t *timers) set(at time.Time, name id.Request) { heap.Push(t, timer{at, name}) }
-
-func (t *timers) due(now time.Time) bool { return len(*t) > 0 && !(*t)[0].at.After(now) }
-
-func (t *timers) pop() id.Request { return heap.Pop(t).(timer).name }
-
-func (t *timers) next() time.Time {
-	if len(*t) == 0 {
-		return time.Time{}
-	}
-	return (*t)[0].at
-}
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-
-// Push adds a timer.
-func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
-
-// Pop takes the last timer off.
-func (t *timers) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
--- a/core/request/fail.go
+++ b/core/request/fail.go
@@ -148,7 +148,7 @@
 		r.recheck(now, o, out)
 		return true
 	}
-	r.timers.set(o.verified, o.arrive.Request)
+	r.timers.Set(o.verified, o.arrive.Request)
 	return true
 }
 
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -151,7 +151,7 @@
 	o.prefix = prefixes(ev.Body)
 	r.open[ev.Request] = o
 	r.counters.Opened++
-	r.timers.set(o.deadline, ev.Request)
+	r.timers.Set(o.deadline, ev.Request)
 	if needsKey(plan) {
 		o.phase = looking
 		o.looked = now
@@ -237,7 +237,7 @@
 	o.phase = queued
 	out.log("admit", o, "queue", "others wait for a server of the pipeline")
 	r.parts.Queue.Requeue(now, r.task(o))
-	r.timers.set(now.Add(waitPause), o.arrive.Request)
+	r.timers.Set(now.Add(waitPause), o.arrive.Request)
 }
 
 func (r *Requests) task(o *open) admit.Task {
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellflow/core/admit"
+	"bluebellflow/core/alarm"
 	"bluebellflow/core/claim"
 	"bluebellflow/core/crash"
 	"bluebellflow/core/event"
@@ -76,7 +77,7 @@
 	attempts map[id.Attempt]*try
 	waiting  map[id.Pool][]id.Request // requests that no server had room for, in order of arrival
 	watches  map[id.Server][]watch
-	timers   timers
+	timers   alarm.Heap[id.Request] // entries of requests that ended are skipped when they come up
 	last     id.Attempt
 	starts   map[id.Server]id.Start
 	counters Counters
@@ -119,7 +120,7 @@
 func (r *Requests) Counters() Counters { return r.counters }
 
 // Next returns the time of the next timer, zero for none.
-func (r *Requests) Next() time.Time { return r.timers.next() }
+func (r *Requests) Next() time.Time { return r.timers.Next() }
 
 // Step handles one event.
 func (r *Requests) Step(now time.Time, ev event.Event) []event.Action {
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -82,14 +82,14 @@
 		o.phase = running
 	case route.Wait:
 		r.wait(o)
-		r.timers.set(now.Add(waitPause), o.arrive.Request)
+		r.timers.Set(now.Add(waitPause), o.arrive.Request)
 	case route.None:
 		if now.Sub(o.waited) >= noServerWait {
 			r.refuse(now, o, "no backend server of pool "+string(o.current().Pool)+" can take work", placeRetry, out)
 			return
 		}
 		r.wait(o)
-		r.timers.set(now.Add(placePause), o.arrive.Request)
+		r.timers.Set(now.Add(placePause), o.arrive.Request)
 	}
 }
 
@@ -194,9 +194,9 @@
 	if o.onlyOnce() {
 		o.dispatched = true
 	}
-	r.timers.set(t.until, o.arrive.Request)
+	r.timers.Set(t.until, o.arrive.Request)
 	if r.mayHedge(o) {
-		r.timers.set(now.Add(o.plan.Hedge), o.arrive.Request)
+		r.timers.Set(now.Add(o.plan.Hedge), o.arrive.Request)
 	}
 	out.add(event.Dispatch{
 		Attempt: attempt, Request: o.arrive.Request, Server: t.server, Addr: choice.Server.Addr,
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,208 @@
+package roster
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/mirror"
+	"bluebellflow/core/retry"
+)
+
+const (
+	owner = "roster"
+	// Nodes is the kind of the list.
+	Nodes = "nodes"
+	// forgetAfter is how long a node must have been silent before its entry is removed; a restart takes less.
+	forgetAfter = 20 * time.Second
+	// sweepPeriod is how often the leader looks for entries of nodes that have gone.
+	sweepPeriod = 5 * time.Second
+)
+
+// Node is an entry of the list.
+type Node struct {
+	Addr        netip.AddrPort   `json:"addr"`
+	Domain      id.FailureDomain `json:"domain"`
+	Incarnation id.Incarnation   `json:"incarnation"`
+}
+
+// Check reports whether the entry names a node that can be reached.
+func (n Node) Check() error {
+	if !n.Addr.IsValid() || n.Domain == "" {
+		return fmt.Errorf("node at %s in domain %q", n.Addr, n.Domain)
+	}
+	return n.Incarnation.Check()
+}
+
+// Changed says that the list has changed.
+type Changed struct{ event.Internal }
+
+// Roster holds the list and this node's entry in it.
+type Roster struct {
+	self    event.Self
+	nodes   map[id.Node]Node
+	version map[id.Node]uint64
+	heard   map[id.Node]time.Time
+	loaded  bool
+	flight  bool // an operation on the own entry is on its way
+	again   retry.Timer
+	sweepAt time.Time
+	leads   bool
+	seq     uint64
+}
+
+// New returns an empty roster.
+func New(self event.Self) *Roster {
+	return &Roster{self: self, nodes: map[id.Node]Node{}, version: map[id.Node]uint64{}, heard: map[id.Node]time.Time{}}
+}
+
+// Nodes returns the names of all listed nodes in ascending order.
+func (r *Roster) Nodes() []id.Node { return slices.Sorted(maps.Keys(r.nodes)) }
+
+// Node returns the entry of a node.
+func (r *Roster) Node(name id.Node) (Node, bool) {
+	n, ok := r.nodes[name]
+	return n, ok
+}
+
+// Resolve returns the address of a node.
+func (r *Roster) Resolve(name id.Node) (netip.AddrPort, bool) {
+	n, ok := r.nodes[name]
+	return n.Addr, ok
+}
+
+// SetLeads says whether this node removes the entries of nodes that have gone.
+func (r *Roster) SetLeads(leads bool) { r.leads = leads }
+
+// Next returns the time of the next timer.
+func (r *Roster) Next() time.Time { return retry.Earliest(r.again.Next(), r.sweepAt) }
+
+// Step handles one event.
+func (r *Roster) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	switch ev := ev.(type) {
+	case mirror.Loaded:
+		if ev.Kind == Nodes {
+			r.loaded = true
+			r.again.Set(now, 0)
+			r.sweepAt = now.Add(sweepPeriod)
+		}
+	case mirror.Put:
+		if ev.Kind == Nodes {
+			out = r.put(now, ev.Object)
+		}
+	case mirror.Gone:
+		if ev.Kind == Nodes {
+			out = r.gone(now, id.Node(ev.Name))
+		}
+	case event.Receive:
+		r.heard[ev.From] = now
+	case event.Result:
+		if ev.Call.Owner == owner && ev.Call.Op == event.OpPut {
+			r.flight = false
+			r.wrote(now, ev)
+		}
+	}
+	if r.again.Due(now) {
+		out = append(out, r.register(now)...)
+	}
+	if !r.sweepAt.IsZero() && !now.Before(r.sweepAt) {
+		r.sweepAt = now.Add(sweepPeriod)
+		out = append(out, r.sweep(now)...)
+	}
+	return out
+}
+
+func (r *Roster) put(now time.Time, o mirror.Object) []event.Action {
+	name := id.Node(o.Name)
+	var n Node
+	err := json.Unmarshal(o.Spec, &n)
+	if err == nil {
+		err = n.Check()
+	}
+	if err != nil {
+		delete(r.nodes, name)
+		return []event.Action{event.Log{Kind: "node", Choice: "ignore " + o.Name, Reason: err.Error()}, Changed{}}
+	}
+	old, known := r.nodes[name]
+	r.nodes[name], r.version[name] = n, o.Revision
+	if !known || old.Incarnation != n.Incarnation {
+		r.heard[name] = now
+	}
+	if name == r.self.Node && n.Incarnation != r.self.Incarnation && r.loaded {
+		r.again.Set(now, 0) // an earlier process of this node was slow to write
+	}
+	if known && old == n {
+		return nil
+	}
+	return []event.Action{
+		event.Log{Kind: "node", Choice: "listed " + o.Name, Reason: fmt.Sprintf("addr=%s domain=%s revision=%d", n.Addr, n.Domain, o.Revision)},
+		Changed{},
+	}
+}
+
+func (r *Roster) gone(now time.Time, name id.Node) []event.Action {
+	delete(r.nodes, name)
+	delete(r.version, name)
+	delete(r.heard, name)
+	if name == r.self.Node {
+		r.again.Set(now, 0)
+	}
+	return []event.Action{event.Log{Kind: "node", Choice: "unlisted " + string(name)}, Changed{}}
+}
+
+// register writes this node's entry unless the list shows it.
+func (r *Roster) register(now time.Time) []event.Action {
+	own := Node{Addr: r.self.Addr, Domain: r.self.FailureDomain, Incarnation: r.self.Incarnation}
+	if r.flight || r.nodes[r.self.Node] == own {
+		return nil
+	}
+	value, err := json.Marshal(own)
+	if err != nil {
+		return []event.Action{event.Log{Kind: "node", Choice: "register", Reason: err.Error()}}
+	}
+	r.flight = true
+	r.again.Fail(now, r.self.Rand)
+	r.seq++
+	return []event.Action{event.Call{
+		Owner: owner, Seq: r.seq, Op: event.OpPut, Name: Nodes + "/" + string(r.self.Node),
+		Version: r.version[r.self.Node], Value: value,
+	}}
+}
+
+// wrote takes in the outcome of a write. After a conflict or a lost answer the list shows what is there.
+func (r *Roster) wrote(now time.Time, ev event.Result) {
+	switch {
+	case ev.Code == event.CodeOK:
+		r.again.Clear()
+	case ev.Code == event.CodeConflict && len(ev.Objects) > 0:
+		r.version[r.self.Node] = ev.Objects[0].Version
+		r.again.Set(now, 0)
+	default:
+		r.again.Fail(now, r.self.Rand)
+	}
+}
+
+// sweep removes the entries of nodes that this node, as their leader, has not heard from for long.
+func (r *Roster) sweep(now time.Time) []event.Action {
+	if !r.leads {
+		return nil
+	}
+	var out []event.Action
+	for _, name := range r.Nodes() {
+		if name == r.self.Node || now.Sub(r.heard[name]) < forgetAfter {
+			continue
+		}
+		r.heard[name] = now // tried again after the same time
+		r.seq++
+		out = append(out,
+			event.Log{Kind: "node", Choice: "remove " + string(name), Reason: "silent for " + forgetAfter.String()},
+			event.Call{Owner: owner, Seq: r.seq, Op: event.OpDelete, Name: Nodes + "/" + string(name), Version: r.version[name]})
+	}
+	return out
+}
--- a/core/settings/page_test.go
+++ b/core/settings/page_test.go
@@ -92,14 +92,17 @@
 	kinds := map[string]int{}
 	for _, e := range examples {
 		kinds[e[1]]++
-		if e[1] == "node" {
+		switch e[1] {
+		case "node":
 			_, err = settings.ParseNode("example", []byte(e[2]))
-		} else {
+		case "gateway":
+			_, err = settings.ParseGateway("example", []byte(e[2]))
+		default:
 			_, err = settings.Parse("example", []byte(e[2]))
 		}
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	g.Expect(kinds).To(Equal(map[string]int{"settings": 1, "node": 1}))
+	g.Expect(kinds).To(Equal(map[string]int{"settings": 1, "node": 1, "gateway": 1}))
 	g.Expect(strings.Count(string(raw), "```")).To(Equal(2*len(examples)), "an example without a kind")
 }
 
@@ -119,3 +122,23 @@
 		g.Expect(err).To(MatchError(ContainSubstring(c.finding)))
 	}
 }
+
+// TestGateway guards against a gateway that starts with settings that are incomplete or out of range.
+func TestGateway(t *testing.T) {
+	raw, err := os.ReadFile(page)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	example := regexp.MustCompile("(?s)```json gateway\n(.*?)```").FindStringSubmatch(string(raw))[1]
+	for old, c := range map[string]struct{ next, finding string }{
+		`"store": "10.0.0.9:8624", `: {"", "gateway: store is required"},
+		`"grace": "8s",`:             {"", "gateway.bounds: grace is required"},
+		`"over": 1.5`:                {`"over": -1`, "gateway.bounds.cold.over: -1 is outside 0 to 1000"},
+		`, "span": "10s"`:            {"", "gateway.bounds.retry: span is required"},
+		`"memory": 284`:              {`"memory": "284"`, "gateway.memory: want a whole number"},
+		`"metrics": `:                {`"metric": `, `gateway: unknown key "metric"`},
+	} {
+		g := NewWithT(t)
+		g.Expect(example).To(ContainSubstring(old))
+		_, err := settings.ParseGateway("gateway", []byte(strings.Replace(example, old, c.next, 1)))
+		g.Expect(err).To(MatchError(ContainSubstring(c.finding)))
+	}
+}
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bluebellflow/core/balance"
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/event"
+	"bluebellflow/core/gate"
+	"bluebellflow/core/id"
+	"bluebellflow/io/upstream"
+)
+
+const (
+	// bodyTime is how long a caller may take to send its body.
+	bodyTime = 10 * time.Second
+	// defaultBody bounds a body before the configuration is known, in bytes.
+	defaultBody = 1 << 20
+	// writeTime is how long one write to a caller may take.
+	writeTime = 5 * time.Second
+	// directives bounds what the decision logic says of a request before it is read.
+	directives = 8
+)
+
+// Note is what an answer says about its server and its request.
+type Note struct {
+	NotRun bool // the server says that it did not run the request
+	Moved  bool // another server answers at the address
+	Inputs bool // an input of the request is gone
+	Load   balance.Load
+	Known  bool // Load is filled in
+	Sealed bool // the answer is the work of a server
+}
+
+// Dialect translates between HTTP headers and what the decision logic knows.
+type Dialect interface {
+	// Facts reads a caller's request.
+	Facts(r *http.Request) (gate.Facts, error)
+	// Outbound changes the headers of a caller's request to those for a server; left is the time to the deadline.
+	Outbound(h http.Header, f gate.Forward, left time.Duration)
+	// Mine reports whether an answer belongs to the request.
+	Mine(name id.Request, resp *http.Response) bool
+	// Note reads an answer.
+	Note(resp *http.Response) Note
+	// Event returns the number of an event of a stream, and whether it has one.
+	Event(raw []byte) (int64, bool)
+	// Refuse fills in the headers of a refusal.
+	Refuse(h http.Header, name id.Request)
+}
+
+// Server serves callers.
+type Server struct {
+	dialect Dialect
+	client  *upstream.Client
+	deliver func(event.Event)
+	vars    *expvar.Map
+
+	limits   atomic.Pointer[catalog.Limits]
+	ready    atomic.Bool
+	draining atomic.Bool
+	last     atomic.Uint64
+	conns    *conns
+
+	mu   sync.Mutex
+	open map[gate.Ticket]*exchange
+}
+
+// Option changes a server's defaults.
+type Option func(*Server)
+
+// WithVars counts requests and outcomes in the given map.
+func WithVars(vars *expvar.Map) Option { return func(s *Server) { s.vars = vars } }
+
+// New returns a server that hands requests to deliver, which must not block.
+func New(dialect Dialect, client *upstream.Client, deliver func(event.Event), opts ...Option) *Server {
+	s := &Server{
+		dialect: dialect, client: client, deliver: deliver, vars: new(expvar.Map),
+		open: map[gate.Ticket]*exchange{}, conns: newConns(),
+	}
+	s.limits.Store(&catalog.Limits{BodyBytes: defaultBody})
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Ready says whether the load balancer may send callers here.
+func (s *Server) Ready(ready bool) { s.ready.Store(ready) }
+
+// Readiness answers the load balancer.
+func (s *Server) Readiness(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// Carry passes a decision to the request that it is about.
+func (s *Server) Carry(a event.Action) error {
+	switch a := a.(type) {
+	case gate.Forward:
+		s.direct(a.Ticket, a)
+	case gate.Deliver:
+		s.direct(a.Ticket, a)
+	case gate.Refuse:
+		s.direct(a.Ticket, a)
+	case gate.Cut:
+		s.direct(a.Ticket, a)
+	case gate.Limit:
+		s.limits.Store(&a.Limits)
+		s.conns.setIdle(a.Limits.IdleTime)
+	case gate.Drain:
+		s.draining.Store(true)
+	default:
+		return fmt.Errorf("action %T has no carrier", a)
+	}
+	return nil
+}
+
+func (s *Server) direct(t gate.Ticket, a event.Action) {
+	s.mu.Lock()
+	x := s.open[t]
+	s.mu.Unlock()
+	if x == nil {
+		return
+	}
+	select {
+	case x.next <- a:
+	default:
+		s.vars.Add("directives_dropped", 1)
+	}
+}
+
+// Open returns the number of requests in progress.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// exchange is a caller's request in progress.
+type exchange struct {
+	server *Server
+	ticket gate.Ticket
+	facts  gate.Facts
+	w      http.ResponseWriter
+	r      *http.Request
+	body   []byte
+	next   chan event.Action
+	held   *answer
+	begun  bool  // part of the answer has reached the caller
+	event  int64 // the last event that has reached the caller
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.vars.Add("requests", 1)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{server: s, w: w, r: r, next: make(chan event.Action, directives)}
+	if status, err := x.read(); err != nil {
+		s.vars.Add("requests_rejected", 1)
+		if r.Context().Err() == nil {
+			x.refuse(gate.Refuse{Status: status, Reason: err.Error()})
+		}
+		return
+	}
+	x.ticket = gate.Ticket(s.last.Add(1))
+	s.mu.Lock()
+	s.open[x.ticket] = x
+	s.mu.Unlock()
+	defer s.leave(x.ticket)
+	s.deliver(gate.Arrive{Ticket: x.ticket, Facts: x.facts})
+	x.serve()
+}
+
+func (s *Server) leave(t gate.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, t)
+}
+
+// read reads the request whole, or returns the status of its rejection.
+func (x *exchange) read() (int, error) {
+	limits := x.server.limits.Load()
+	if limits.HeaderBytes > 0 && headerSize(x.r) > limits.HeaderBytes {
+		return http.StatusRequestHeaderFieldsTooLarge, fmt.Errorf("headers larger than %d bytes", limits.HeaderBytes)
+	}
+	facts, err := x.server.dialect.Facts(x.r)
+	if err != nil {
+		return http.StatusBadRequest, err
+	}
+	x.facts = facts
+	if x.r.ContentLength == 0 {
+		return 0, nil
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return http.StatusRequestEntityTooLarge, fmt.Errorf("body larger than %d bytes", limits.BodyBytes)
+		}
+		return http.StatusRequestTimeout, fmt.Errorf("read body: %w", err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return 0, nil
+}
+
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// serve does what the decision logic says until the request has its final answer.
+func (x *exchange) serve() {
+	defer x.drop()
+	for {
+		select {
+		case <-x.r.Context().Done():
+			x.server.vars.Add("callers_gone", 1)
+			x.server.deliver(gate.Left{Ticket: x.ticket})
+			return
+		case a := <-x.next:
+			if x.do(a) {
+				return
+			}
+		}
+	}
+}
+
+// do carries out one directive and reports whether it was the last one.
+func (x *exchange) do(a event.Action) bool {
+	switch a := a.(type) {
+	case gate.Forward:
+		x.drop()
+		return x.forward(a)
+	case gate.Deliver:
+		x.deliverHeld()
+		return true
+	case gate.Refuse:
+		x.refuse(a)
+		return true
+	case gate.Cut:
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+// drop gives up an answer that was held back.
+func (x *exchange) drop() {
+	if x.held != nil {
+		_ = x.held.Close()
+		x.held = nil
+	}
+}
+
+// refuse sends an answer of the gateway itself.
+func (x *exchange) refuse(a gate.Refuse) {
+	if x.begun {
+		panic(http.ErrAbortHandler)
+	}
+	x.server.vars.Add("refused_"+strconv.Itoa(a.Status), 1)
+	h := x.w.Header()
+	if a.After > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.After.Seconds(), 'f', 3, 64))
+	}
+	x.server.dialect.Refuse(h, x.facts.Name)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h["Date"] = nil
+	text := http.StatusText(a.Status) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.w.WriteHeader(a.Status)
+	_, _ = io.WriteString(x.w, text)
+}
+
+// alive reports whether the caller is still there.
+func (x *exchange) alive() bool { return !errors.Is(x.r.Context().Err(), context.Canceled) }
--- /dev/null
+++ b/io/gateway/node.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/oklog/run"
+
+	"bluebellflow/core/batch"
+	"bluebellflow/core/event"
+	"bluebellflow/core/gate"
+	"bluebellflow/core/mirror"
+	"bluebellflow/core/wire"
+	"bluebellflow/io/mesh"
+	"bluebellflow/io/runtime"
+	"bluebellflow/io/upstream"
+)
+
+const (
+	// headerTime is how long a caller may take to send its headers.
+	headerTime = 5 * time.Second
+	// maxHeader bounds the headers of a request in bytes; the configuration may set less.
+	maxHeader = 64 << 10
+	// lastAnswers is how long the end of a node waits for answers to be written.
+	lastAnswers = 200 * time.Millisecond
+	// lastMessages is how long the end of a node waits for messages to peers to be written.
+	lastMessages = 100 * time.Millisecond
+)
+
+// Store reaches the platform's store. Its methods must not block; results are delivered as events.
+type Store interface {
+	Do(event.Call)
+	Follow(kind string)
+	Run(ctx context.Context) error
+}
+
+// Workers reaches the servers that run stages. Its methods must not block; results are delivered as events.
+type Workers interface {
+	Run(batch.Run)
+	Free(batch.Free)
+}
+
+// Config describes one gateway node.
+type Config struct {
+	Self    event.Self // Self.Addr is the address to listen on for peers
+	Decoder gate.Decoder
+	Bounds  gate.Bounds
+	Codec   *wire.Codec
+	Dialect Dialect
+	// Store and Workers build the parts that speak to the platform.
+	Store   func(deliver func(event.Event), vars *expvar.Map, report func(error)) Store
+	Workers func(client *upstream.Client, deliver func(event.Event)) Workers
+	// Callers, Ready and Metrics are the addresses to listen on; an invalid Metrics address turns metrics off.
+	Callers, Ready, Metrics netip.AddrPort
+	Logger                  *log.Logger
+}
+
+// Node is one running gateway.
+type Node struct {
+	loop    *runtime.Loop
+	vars    *expvar.Map
+	mesh    *mesh.Mesh
+	store   Store
+	server  *Server
+	client  *upstream.Client
+	workers Workers
+	webs    []*web
+}
+
+// NewNode opens the addresses of a node; nothing is served before Run.
+func NewNode(cfg Config) (*Node, error) {
+	n := &Node{vars: new(expvar.Map)}
+	decider := gate.New(cfg.Self, cfg.Decoder, cfg.Bounds)
+	n.loop = runtime.NewLoop(decider, runtime.WithVars(n.vars), runtime.WithLogger(cfg.Logger))
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Self.Addr))
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	n.mesh = mesh.New(cfg.Self, cfg.Codec, decider.Resolve, n.loop.Deliver,
+		mesh.WithVars(n.vars), mesh.WithReport(n.loop.Report), mesh.WithTimes(mesh.CloseTimes()))
+	n.mesh.Use(listener)
+	n.client = upstream.New(upstream.WithVars(n.vars))
+	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars))
+	n.store = cfg.Store(n.loop.Deliver, n.vars, n.loop.Report)
+	n.workers = cfg.Workers(n.client, n.loop.Deliver)
+	n.loop.Carry(n)
+	n.vars.Set("requests_open", expvar.Func(func() any { return n.server.Open() }))
+	n.vars.Set("process", expvar.Func(func() any { return runtime.ReadProcess() }))
+	if err := n.listen(cfg); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// listen opens the addresses for callers, for the load balancer and for metrics.
+func (n *Node) listen(cfg Config) error {
+	routes := mux.NewRouter()
+	routes.HandleFunc("/readyz", n.server.Readiness).Methods(http.MethodGet, http.MethodHead)
+	metrics := mux.NewRouter()
+	metrics.HandleFunc("/debug/vars", n.metrics).Methods(http.MethodGet)
+	for _, one := range []struct {
+		name    string
+		addr    netip.AddrPort
+		handler http.Handler
+		state   func(net.Conn, http.ConnState)
+	}{
+		{"callers", cfg.Callers, n.server, n.server.conns.state},
+		{"the load balancer", cfg.Ready, routes, nil},
+		{"metrics", cfg.Metrics, metrics, nil},
+	} {
+		if !one.addr.IsValid() {
+			continue
+		}
+		w, err := newWeb(one.addr, one.handler, one.state, n.loop)
+		if err != nil {
+			for _, open := range n.webs {
+				_ = open.listener.Close()
+			}
+			return fmt.Errorf("listen for %s: %w", one.name, err)
+		}
+		n.webs = append(n.webs, w)
+	}
+	return nil
+}
+
+func (n *Node) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = io.WriteString(w, n.vars.String()+"\n")
+}
+
+// Carry carries out an action of the decision logic.
+func (n *Node) Carry(a event.Action) error {
+	switch a := a.(type) {
+	case event.Send:
+		n.mesh.Send(a, 0, 0)
+	case event.Relink:
+		n.mesh.Relink(a.To)
+	case event.Call:
+		n.store.Do(a)
+	case mirror.Follow:
+		n.store.Follow(a.Kind)
+	case event.Ready:
+		n.server.Ready(a.Ready)
+	case batch.Run:
+		n.workers.Run(a)
+	case batch.Free:
+		n.workers.Free(a)
+	default:
+		return n.server.Carry(a)
+	}
+	return nil
+}
+
+// Stop asks the decision logic for a graceful shutdown; Run returns after it.
+func (n *Node) Stop() { n.loop.Deliver(event.Stop{}) }
+
+// Run serves until the decision logic exits or something fails; all parts end together.
+func (n *Node) Run() error {
+	var group run.Group
+	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.conns.run} {
+		ctx, cancel := context.WithCancel(context.Background())
+		group.Add(func() error { return do(ctx) }, func(error) { cancel() })
+	}
+	for _, w := range n.webs {
+		group.Add(w.serve, w.stop)
+	}
+	defer n.client.Close()
+	return group.Run()
+}
+
+// runLoop runs the loop and then gives the last messages to peers time to leave.
+func (n *Node) runLoop(ctx context.Context) error {
+	if err := n.loop.Run(ctx); err != nil {
+		return err
+	}
+	ctx, done := context.WithTimeout(ctx, lastMessages)
+	defer done()
+	n.mesh.Flush(ctx)
+	return nil
+}
+
+// web is one HTTP server of a node.
+type web struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func newWeb(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop) (*web, error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return &web{listener: listener, http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeader, ConnState: state,
+		ErrorLog: stdlog.New(runtime.ReportWriter(loop), "", 0),
+	}}, nil
+}
+
+func (w *web) serve() error {
+	if err := w.http.Serve(w.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop lets the last answers be written.
+func (w *web) stop(error) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if w.http.Shutdown(ctx) != nil {
+		_ = w.http.Close()
+	}
+}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// CloseTimes fit nodes that depend on each other's answers within a second.
+func CloseTimes() Times {
+	return Times{
+		Dial: 500 * time.Millisecond, Write: 2 * time.Second, KeepAlive: 5 * time.Second, Stale: 700 * time.Millisecond,
+		Backoff: 50 * time.Millisecond, Idle: 10 * time.Second, Replace: 500 * time.Millisecond,
+	}
+}
+
 // Option changes a mesh's defaults.
 type Option func(*Mesh)
 
@@ -194,6 +202,20 @@
 	m.dial(p)
 }
 
+// Relink ends the session with a peer, because nothing comes over it; the next message opens a new one.
+func (m *Mesh) Relink(name id.Node) {
+	m.mu.Lock()
+	var s *session
+	if p, ok := m.peers[name]; ok {
+		s = p.session
+	}
+	m.mu.Unlock()
+	if s != nil {
+		m.vars.Add("peer_relinked", 1)
+		s.stop()
+	}
+}
+
 func (m *Mesh) drop(why string) {
 	m.vars.Add("peer_dropped", 1)
 	m.vars.Add("peer_dropped_"+why, 1)
--- a/io/runtime/loop.go
+++ b/io/runtime/loop.go
@@ -61,13 +61,61 @@
 // Operators receives the answers to commands; *ask.Desk implements it.
 type Operators interface{ Answer(event.Answer) }
 
-// Carriers carry out the actions of the decision logic. Their methods must not block.
+// Carrier carries out the actions of the decision logic. Its method must not block; an error says that an action is
+// unknown to it.
+type Carrier interface{ Carry(event.Action) error }
+
+// Observer is implemented by a carrier that has to see an event before the decision logic does.
+type Observer interface{ Observe(event.Event) }
+
+// Carriers carry out the actions of a node that serves pipelines.
 type Carriers struct {
 	Platform  Platform
 	Servers   Servers
 	Peers     Peers
 	Callers   Callers
 	Operators Operators
+	Versions  Versions // stamps messages to peers; nil for none
+}
+
+// Carry passes an action to its carrier.
+func (c Carriers) Carry(a event.Action) error {
+	switch a := a.(type) {
+	case event.Dispatch:
+		c.Servers.Dispatch(a)
+	case event.Cancel:
+		c.Servers.Cancel(a)
+	case event.Order:
+		c.Servers.Order(a)
+	case event.Reply:
+		c.Callers.Reply(a)
+	case event.Ready:
+		c.Callers.Ready(a.Ready)
+	case event.Send:
+		revision, domains := c.versions()
+		c.Peers.Send(a, revision, domains)
+	case event.Call:
+		c.Platform.Do(a)
+	case event.Answer:
+		c.Operators.Answer(a)
+	default:
+		return fmt.Errorf("action %T has no carrier", a)
+	}
+	return nil
+}
+
+// Observe tells the backend client which servers there are before any work is sent to them.
+func (c Carriers) Observe(ev event.Event) {
+	if vms, ok := ev.(event.VMs); ok {
+		c.Servers.Servers(vms.List)
+	}
+}
+
+func (c Carriers) versions() (id.Revision, uint64) {
+	if c.Versions == nil {
+		return 0, 0
+	}
+	return c.Versions.Versions()
 }
 
 // StepPanic is a panic of the decision logic.
@@ -84,7 +132,8 @@
 type Loop struct {
 	decider  Decider
 	clock    Clock
-	carriers Carriers
+	carrier  Carrier
+	observer Observer // nil for none
 	logger   *log.Logger
 	logs     *logWriter
 	vars     *expvar.Map
@@ -109,7 +158,7 @@
 // WithVars counts steps and actions in the given map.
 func WithVars(vars *expvar.Map) LoopOption { return func(l *Loop) { l.vars = vars } }
 
-// NewLoop returns a loop. The carriers may be set later with Carry, because they deliver to the loop.
+// NewLoop returns a loop. The carrier is set later with Carry, because it delivers to the loop.
 func NewLoop(decider Decider, opts ...LoopOption) *Loop {
 	l := &Loop{decider: decider, clock: SystemClock{}, vars: new(expvar.Map), wake: make(chan struct{}, 1)}
 	for _, o := range opts {
@@ -120,7 +169,10 @@
 }
 
 // Carry sets who carries out the actions; it must be called before Run.
-func (l *Loop) Carry(c Carriers) { l.carriers = c }
+func (l *Loop) Carry(c Carrier) {
+	l.carrier = c
+	l.observer, _ = c.(Observer)
+}
 
 // Deliver queues an event for the decision logic without blocking.
 func (l *Loop) Deliver(ev event.Event) {
@@ -216,8 +268,8 @@
 			err = failure
 		}
 	}()
-	if vms, ok := ev.(event.VMs); ok {
-		l.carriers.Servers.Servers(vms.List)
+	if l.observer != nil {
+		l.observer.Observe(ev)
 	}
 	now := l.now()
 	begin := time.Now()
@@ -246,43 +298,21 @@
 	}
 }
 
-// carry passes an action to its carrier and reports whether it was Exit.
+// carry carries an action out and reports whether it was Exit.
 func (l *Loop) carry(a event.Action) bool {
 	switch a := a.(type) {
-	case event.Dispatch:
-		l.carriers.Servers.Dispatch(a)
-	case event.Cancel:
-		l.carriers.Servers.Cancel(a)
-	case event.Order:
-		l.carriers.Servers.Order(a)
-	case event.Reply:
-		l.carriers.Callers.Reply(a)
-	case event.Ready:
-		l.carriers.Callers.Ready(a.Ready)
-	case event.Send:
-		revision, domains := l.versions()
-		l.carriers.Peers.Send(a, revision, domains)
-	case event.Call:
-		l.carriers.Platform.Do(a)
-	case event.Answer:
-		l.carriers.Operators.Answer(a)
 	case event.Log:
 		l.logs.line(a)
 	case event.Exit:
 		return true
 	default:
-		l.logs.report(fmt.Errorf("action %T has no carrier", a))
+		if err := l.carrier.Carry(a); err != nil {
+			l.logs.report(err)
+		}
 	}
 	return false
 }
 
-func (l *Loop) versions() (id.Revision, uint64) {
-	if v, ok := l.decider.(Versions); ok {
-		return v.Versions()
-	}
-	return 0, 0
-}
-
 // Report logs an error of a carrier. Repeated errors are logged at a bounded rate and counted.
 func (l *Loop) Report(err error) {
 	if errors.Is(err, context.Canceled) {
--- a/io/runtime/loop_test.go
+++ b/io/runtime/loop_test.go
@@ -104,7 +104,9 @@
 		}
 		return nil
 	}}, WithVars(&vars))
-	l.Carry(c.all())
+	carriers := c.all()
+	carriers.Versions = script{}
+	l.Carry(carriers)
 	list := []event.VM{{Name: "b"}}
 	l.Deliver(event.VMs{List: list})
 	g.Expect(l.Run(context.Background())).To(Succeed())
--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -130,7 +131,8 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	n.loop.Carry(Carriers{Platform: n.store, Servers: n.backend, Peers: n.mesh, Callers: n.callers, Operators: desk})
+	versions, _ := decider.(Versions)
+	n.loop.Carry(Carriers{Platform: n.store, Servers: n.backend, Peers: n.mesh, Callers: n.callers, Operators: desk, Versions: versions})
 	n.vars.Set("queue", expvar.Func(func() any { return n.loop.Length() }))
 	n.vars.Set("process", expvar.Func(func() any { return ReadProcess() }))
 	n.vars.Set("requests_open", expvar.Func(func() any { return n.callers.Open() }))
@@ -239,7 +241,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
-			ErrorLog:          stdlog.New(reportWriter{loop}, "", 0),
+			ErrorLog:          stdlog.New(ReportWriter(loop), "", 0),
 		},
 		listener: listener,
 		addr:     addr,
@@ -265,6 +267,9 @@
 	_ = s.http.Close()
 }
 
+// ReportWriter returns a writer that reports the lines of an HTTP server's log to a loop.
+func ReportWriter(loop *Loop) io.Writer { return reportWriter{loop} }
+
 // reportWriter passes the lines of an HTTP server's log on to the loop's log.
 type reportWriter struct{ loop *Loop }
 
--- /dev/null
+++ b/io/upstream/client.go
@@ -0,0 +1,162 @@
+package upstream
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readSize is the size of a connection's read buffer, in bytes.
+	readSize = 4 << 10
+	// defaultKeep is how long a connection is kept unused if the server does not say how long it keeps it.
+	defaultKeep = 900 * time.Millisecond
+	// keepMargin is how much earlier than the server this side gives an unused connection up.
+	keepMargin = 400 * time.Millisecond
+	// longestKeep bounds the time that an unused connection is kept.
+	longestKeep = 20 * time.Second
+	// freshKeep is how long a connection may have been unused for a request that must not run twice.
+	freshKeep = 50 * time.Millisecond
+	// dialTimeout is how long a connection may take to open.
+	dialTimeout = 600 * time.Millisecond
+	// ackTimeout is how long sent bytes may stay without acknowledgement before a connection counts as broken.
+	ackTimeout = 2 * time.Second
+	// maxIdle bounds the unused connections to one server.
+	maxIdle = 8
+)
+
+// Client sends requests over connections that it keeps for a while.
+type Client struct {
+	dialer net.Dialer
+	vars   *expvar.Map
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*conn // the one used last comes last
+	closed bool
+}
+
+// Option changes a client's defaults.
+type Option func(*Client)
+
+// WithVars counts connections and failures in the given map.
+func WithVars(vars *expvar.Map) Option { return func(c *Client) { c.vars = vars } }
+
+// New returns a client without connections.
+func New(opts ...Option) *Client {
+	c := &Client{vars: new(expvar.Map), idle: map[netip.AddrPort][]*conn{}}
+	c.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: userTimeout}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// userTimeout bounds how long the kernel waits for acknowledgements, because a connection across a partition would
+// otherwise hang.
+func userTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Close closes the unused connections; those in use are closed when their answers end.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for addr, list := range c.idle {
+		for _, one := range list {
+			one.timer.Stop()
+			_ = one.Close()
+		}
+		delete(c.idle, addr)
+	}
+}
+
+// get returns an unused connection to a server, or nil.
+func (c *Client) get(addr netip.AddrPort, fresh bool) *conn {
+	for {
+		one := c.take(addr)
+		if one == nil {
+			return nil
+		}
+		one.timer.Stop()
+		age := time.Since(one.idle)
+		if age < one.keep && (!fresh || age < freshKeep) && one.quiet() {
+			c.vars.Add("upstream_reused", 1)
+			return one
+		}
+		_ = one.Close()
+		if fresh {
+			return nil // the others have been unused for longer
+		}
+	}
+}
+
+func (c *Client) take(addr netip.AddrPort) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	one := list[len(list)-1]
+	c.set(addr, list[:len(list)-1])
+	return one
+}
+
+func (c *Client) set(addr netip.AddrPort, list []*conn) {
+	if len(list) == 0 {
+		delete(c.idle, addr)
+		return
+	}
+	c.idle[addr] = list
+}
+
+// put keeps a connection for later requests.
+func (c *Client) put(one *conn) {
+	one.idle = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle[one.addr]) >= maxIdle {
+		_ = one.Close()
+		return
+	}
+	one.timer = time.AfterFunc(one.keep, func() { c.expire(one) })
+	c.idle[one.addr] = append(c.idle[one.addr], one)
+}
+
+// expire closes a connection that is still unused.
+func (c *Client) expire(one *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[one.addr]
+	for i, other := range list {
+		if other == one {
+			c.set(one.addr, append(list[:i:i], list[i+1:]...))
+			_ = one.Close()
+			return
+		}
+	}
+}
+
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	c.vars.Add("upstream_dialed", 1)
+	raw, err := c.dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		c.vars.Add("upstream_dial_failed", 1)
+		return nil, err
+	}
+	return newConn(raw, addr), nil
+}
--- /dev/null
+++ b/io/upstream/conn.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+// maxHead bounds the status line and headers of an answer, in bytes.
+const maxHead = 64 << 10
+
+// errHead means that the head of an answer does not end.
+var errHead = errors.New("answer's head is too large")
+
+// conn is a connection to a server; one request at a time uses it.
+type conn struct {
+	net.Conn
+	addr  netip.AddrPort
+	br    *bufio.Reader
+	quota int           // bytes that may still be read before the body
+	idle  time.Time     // since when it has been unused
+	keep  time.Duration // how long the server keeps it when it is unused
+	timer *time.Timer   // closes it when it has been unused for long
+}
+
+func newConn(raw net.Conn, addr netip.AddrPort) *conn {
+	c := &conn{Conn: raw, addr: addr, keep: defaultKeep}
+	c.br = bufio.NewReaderSize(c, readSize)
+	return c
+}
+
+// Read bounds what is read before the body of an answer.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.quota <= 0 {
+		return 0, errHead
+	}
+	n, err := c.Conn.Read(p)
+	c.quota -= n
+	return n, err
+}
+
+// quiet reports whether the server has neither closed the connection nor sent anything on it.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
