--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -18,7 +18,9 @@
 		if len(l.parts) == 0 {
 			continue
 		}
-		l.order(now, func(p *part) time.Duration { return s.slack(now, l, p) })
+		if !s.fifo {
+			l.order(now, func(p *part) time.Duration { return s.slack(now, l, p) })
+		}
 		free := s.free(now, l)
 		for len(free) > 0 && len(l.parts) > 0 {
 			s.call(now, l, free, out)
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -48,8 +48,15 @@
 	stepped time.Time
 	swept   time.Time
 	next    time.Time
+	fifo    bool // baseline: in the order of arrival
 }
 
+// Option changes a Scheduler.
+type Option func(*Scheduler)
+
+// Fifo runs pieces in the order in which their inputs were complete, as a baseline.
+func Fifo() Option { return func(s *Scheduler) { s.fifo = true } }
+
 // call is a call in progress.
 type call struct {
 	id       uint64
@@ -70,11 +77,15 @@
 }
 
 // New returns a scheduler without jobs.
-func New(self event.Self, servers servers) *Scheduler {
-	return &Scheduler{
+func New(self event.Self, servers servers, opts ...Option) *Scheduler {
+	s := &Scheduler{
 		self: self, servers: servers, lines: map[id.Pool]*line{}, workers: map[id.Server]*worker{},
 		jobs: map[jobKey]*job{}, calls: map[uint64]*call{},
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // SetCatalog sets the configuration in force.
--- /dev/null
+++ b/lab/stages/setups.go
@@ -0,0 +1,98 @@
+package stages
+
+import (
+	"time"
+
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/id"
+)
+
+const (
+	kilobyte = 1000
+	megabyte = 1000 * kilobyte
+	// keep is how long a server keeps a result that nobody gives up.
+	keep = 4 * time.Second
+	// fixed is the fixed time of a call.
+	fixed = 240 * time.Millisecond
+)
+
+func pool(name id.Pool, batch int, item time.Duration, room int64) Pool {
+	return Pool{Servers: []int{2, 2, 1}, Pool: catalog.Pool{Name: name, Pieces: &catalog.Pieces{
+		Slots: 1, Queue: 2, Batch: batch, Call: fixed, Item: item, Room: room, Keep: keep,
+	}}}
+}
+
+// Library is a deployment in the shape of Kitab Rahhal's: long drafts that read large records, answers that go through
+// three pools, and tags that go through all of them for little.
+func Library() Setup {
+	answer := []Stage{
+		{Pool: "times", Pieces: 1, Bytes: 8 * kilobyte, Work: 0.3},
+		{Pool: "cards", After: []int{0}, Pieces: 4, Bytes: 60 * kilobyte},
+		{Pool: "fines", After: []int{1}, Pieces: 6, Bytes: 6 * kilobyte},
+	}
+	tag := []Stage{
+		{Pool: "times", Pieces: 1.5, Share: 0.4, Bytes: 800 * kilobyte},
+		{Pool: "times", Pieces: 1, Bytes: 8 * kilobyte, Work: 0.3},
+		{Pool: "cards", After: []int{1}, Pieces: 4, Bytes: 60 * kilobyte},
+		{Pool: "fines", After: []int{2}, Pieces: 6, Bytes: 6 * kilobyte},
+	}
+	return Setup{
+		Domains: []id.FailureDomain{"a", "b", "c"}, Nodes: 1,
+		Pools: []Pool{
+			pool("times", 8, 26*time.Millisecond, 9600*kilobyte),
+			pool("cards", 22, 9400*time.Microsecond, 2400*kilobyte),
+			pool("fines", 32, 6400*time.Microsecond, 360*kilobyte),
+		},
+		Routes: []Route{
+			{
+				Name: "draft", Rate: 8.2, Aim: 1200 * time.Millisecond, Deadline: 12 * time.Second, Priority: 1, Value: 15800,
+				Model: 200 * time.Millisecond, Stages: []Stage{{Pool: "times", Pieces: 2.5, Share: 0.7, Bytes: 800 * kilobyte}},
+			},
+			{
+				Name: "answer", Rate: 17.5, Aim: 1900 * time.Millisecond, Deadline: 12 * time.Second, Value: 3700,
+				Model: 60 * time.Millisecond, Stages: answer,
+			},
+			{
+				Name: "tag", Rate: 13.9, Aim: 1900 * time.Millisecond, Deadline: 6 * time.Second, Priority: 2, Value: 2600,
+				Model: 60 * time.Millisecond, Stages: tag,
+			},
+		},
+	}
+}
+
+// Repairs is a deployment in the shape of Vordach's: most requests go through three pools whose results are large.
+func Repairs() Setup {
+	chat := []Stage{
+		{Pool: "parts", Pieces: 1, Bytes: 8 * kilobyte, Work: 0.3},
+		{Pool: "bills", After: []int{0}, Pieces: 8, Bytes: 60 * kilobyte},
+		{Pool: "people", After: []int{1}, Pieces: 6, Bytes: 6 * kilobyte},
+	}
+	quote := []Stage{
+		{Pool: "parts", Pieces: 1.5, Share: 0.4, Bytes: 800 * kilobyte},
+		{Pool: "parts", Pieces: 1, Bytes: 8 * kilobyte, Work: 0.3},
+		{Pool: "bills", After: []int{1}, Pieces: 8, Bytes: 60 * kilobyte},
+		{Pool: "people", After: []int{2}, Pieces: 6, Bytes: 6 * kilobyte},
+	}
+	return Setup{
+		Domains: []id.FailureDomain{"north", "south", "linz"}, Nodes: 1,
+		Pools: []Pool{
+			pool("parts", 18, 11*time.Millisecond, 22*megabyte),
+			pool("bills", 78, 2600*time.Microsecond, 8700*kilobyte),
+			pool("people", 60, 3400*time.Microsecond, 650*kilobyte),
+		},
+		Routes: []Route{
+			{
+				Name: "quote", Rate: 18.1, Aim: 2300 * time.Millisecond, Deadline: 15 * time.Second, Priority: 1, Value: 15800,
+				Model: 200 * time.Millisecond, Stages: quote,
+			},
+			{
+				Name: "chat", Rate: 38.4, Aim: 1900 * time.Millisecond, Deadline: 12 * time.Second, Value: 3700,
+				Model: 60 * time.Millisecond, Stages: chat,
+			},
+			{
+				Name: "photo", Rate: 30.7, Aim: 870 * time.Millisecond, Deadline: 4 * time.Second, Priority: 2, Value: 2600,
+				Model: 60 * time.Millisecond, Stages: []Stage{{Pool: "parts", Pieces: 2.5, Share: 0.7, Bytes: 800 * kilobyte}},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/lab/stages/world.go
@@ -0,0 +1,343 @@
+package stages
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"bluebellflow/core/alarm"
+	"bluebellflow/core/batch"
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+)
+
+// epoch is when every world begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Stage is a stage of a route.
+type Stage struct {
+	Pool   id.Pool
+	After  []int
+	Bytes  int
+	Pieces float64 // mean number of pieces of a request that has the stage
+	Share  float64 // of the requests that have it, 0 for all
+	Work   float64 // of a piece, as a multiple of the pool's, 0 for 1
+}
+
+// Route is a kind of requests.
+type Route struct {
+	Name     string
+	Rate     float64 // requests a second
+	Aim      time.Duration
+	Deadline time.Duration
+	Priority int
+	Value    int // size of a request in tokens
+	Model    time.Duration
+	Stages   []Stage
+}
+
+// Pool is a set of stage servers.
+type Pool struct {
+	catalog.Pool
+	Servers []int // in each failure domain
+}
+
+// Setup describes a world.
+type Setup struct {
+	Domains []id.FailureDomain
+	Pools   []Pool
+	Routes  []Route
+	Nodes   int // nodes that schedule, each for its share of the requests
+	Options []batch.Option
+}
+
+// Score is what came of a route's requests.
+type Score struct {
+	Asked, InAim, Late, Failed int
+}
+
+// World is a running simulation.
+type World struct {
+	Setup
+	Now     time.Time
+	Scores  map[string]*Score
+	Busy    time.Duration // time that servers worked
+	Calls   int
+	Pieces  int
+	Crossed int64 // bytes of results that crossed failure domains
+
+	rng      *rand.Rand
+	timers   alarm.Heap[func()]
+	rates    map[string]float64
+	servers  map[id.Server]*server
+	byPool   map[id.Pool][]*fleet.Server
+	nodes    []*node
+	requests map[id.Request]*request
+	last     int
+}
+
+// node is a node that schedules.
+type node struct {
+	world     *World
+	name      id.Node
+	scheduler *batch.Scheduler
+	wake      time.Time
+}
+
+// request is a caller's request.
+type request struct {
+	route   *Route
+	arrived time.Time
+	stages  []batch.Stage
+}
+
+// New returns a world in which nothing has happened.
+func New(seed uint64, s Setup) *World {
+	w := &World{
+		Setup: s, Now: epoch, Scores: map[string]*Score{}, rng: rand.New(rand.NewPCG(seed, seed)),
+		rates: map[string]float64{}, servers: map[id.Server]*server{}, byPool: map[id.Pool][]*fleet.Server{},
+		requests: map[id.Request]*request{},
+	}
+	c := catalog.Config{Version: 1}
+	for i := range s.Pools {
+		c.Pools = append(c.Pools, s.Pools[i].Pool)
+		w.addServers(&s.Pools[i])
+	}
+	cat, err := catalog.New(c)
+	if err != nil {
+		panic(err) // the setup is part of the program
+	}
+	for i := range max(1, s.Nodes) {
+		n := &node{world: w, name: id.Node(fmt.Sprintf("n%d", i))}
+		n.scheduler = batch.New(event.Self{Node: n.name, Rand: w.rng}, w, s.Options...)
+		n.scheduler.SetCatalog(cat)
+		w.nodes = append(w.nodes, n)
+	}
+	for i := range s.Routes {
+		w.Scores[s.Routes[i].Name] = &Score{}
+		w.rates[s.Routes[i].Name] = 1
+		w.arriveNext(&s.Routes[i])
+	}
+	return w
+}
+
+func (w *World) addServers(p *Pool) {
+	for i, count := range p.Servers {
+		for j := range count {
+			name := fmt.Sprintf("%s-%d-%d", p.Name, i, j)
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(len(w.byPool)), byte(i), byte(j)}), 80)
+			s := newServer(w, &p.Pool, name, w.Domains[i], addr)
+			w.servers[s.ID] = s
+			w.byPool[p.Name] = append(w.byPool[p.Name], s.Server)
+		}
+	}
+}
+
+// Pool returns the servers of a pool.
+func (w *World) Pool(name id.Pool) []*fleet.Server { return w.byPool[name] }
+
+// Usable reports that every server may be used.
+func (w *World) Usable(*fleet.Server) (bool, string) { return true, "" }
+
+func (w *World) after(d time.Duration, do func()) { w.timers.Set(w.Now.Add(d), do) }
+
+// At does something at a time after the beginning.
+func (w *World) At(d time.Duration, do func()) { w.timers.Set(epoch.Add(d), do) }
+
+// Run plays until a time after the beginning.
+func (w *World) Run(until time.Duration) {
+	end := epoch.Add(until)
+	for w.timers.Len() > 0 && !w.timers.Next().After(end) {
+		w.Now = w.timers.Next()
+		w.timers.Pop()()
+	}
+	w.Now = end
+}
+
+// Burst multiplies the rate of a route from one time after the beginning to another.
+func (w *World) Burst(route string, x float64, from, to time.Duration) {
+	w.At(from, func() { w.rates[route] = x })
+	w.At(to, func() { w.rates[route] = 1 })
+}
+
+// Crash ends the first servers of a pool for a while.
+func (w *World) Crash(pool id.Pool, count int, at, span time.Duration, dark bool) {
+	w.At(at, func() {
+		for _, s := range w.byPool[pool][:count] {
+			w.servers[s.ID].crash(span, dark)
+		}
+	})
+}
+
+// Slow makes the first servers of a pool slower for a while.
+func (w *World) Slow(pool id.Pool, count int, x float64, at, span time.Duration) {
+	for _, s := range w.byPool[pool][:count] {
+		w.At(at, func() { w.servers[s.ID].slow = x })
+		w.At(at+span, func() { w.servers[s.ID].slow = 1 })
+	}
+}
+
+// arriveNext sets the time of a route's next request.
+func (w *World) arriveNext(r *Route) {
+	gap := w.rng.ExpFloat64() / (r.Rate * w.rates[r.Name])
+	w.after(time.Duration(gap*float64(time.Second)), func() {
+		w.arrive(r)
+		w.arriveNext(r)
+	})
+}
+
+// arrive submits a request to one of the nodes.
+func (w *World) arrive(r *Route) {
+	w.last++
+	name := id.Request(fmt.Sprintf("%s-%d", r.Name, w.last))
+	q := &request{route: r, arrived: w.Now}
+	some := false
+	for _, s := range r.Stages {
+		one := batch.Stage{Pool: s.Pool, Bytes: uint64(s.Bytes)}
+		for _, before := range s.After {
+			one.After = append(one.After, uint32(before))
+		}
+		if s.Share == 0 || w.rng.Float64() < s.Share {
+			one.Pieces = uint32(max(1, math.Round(s.Pieces*(0.5+w.rng.Float64()))))
+		}
+		some = some || one.Pieces > 0
+		q.stages = append(q.stages, one)
+	}
+	w.Scores[r.Name].Asked++
+	w.requests[name] = q
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !some {
+		w.answer(n, name, uint64(w.last), nil)
+		return
+	}
+	n.step(event.Receive{From: n.name, Body: batch.Submit{
+		Ticket: uint64(w.last), Request: name, Route: r.Name, Stages: q.stages, Key: "k",
+		Left: int64(r.Deadline), Aim: int64(r.Aim), Rest: int64(r.Model), Priority: uint32(r.Priority), Value: uint64(r.Value),
+		Prefer: w.Domains[w.rng.IntN(len(w.Domains))],
+	}})
+}
+
+// answer plays the model: it reads the results and begins its answer a little later.
+func (w *World) answer(n *node, name id.Request, ticket uint64, results []batch.Result) {
+	q := w.requests[name]
+	w.after(q.route.Model, func() {
+		score := w.Scores[q.route.Name]
+		if w.Now.Sub(q.arrived) <= q.route.Aim {
+			score.InAim++
+		} else {
+			score.Late++
+		}
+		delete(w.requests, name)
+		if len(results) > 0 {
+			n.step(event.Receive{From: n.name, Body: batch.Release{Ticket: ticket, Read: true}})
+		}
+	})
+}
+
+// size returns the true size of a piece's result, which differs from the announced one.
+func (w *World) size(it batch.Item) int64 {
+	q := w.requests[it.Request]
+	if q == nil {
+		return 0
+	}
+	const spread = 0.1
+	return int64(float64(q.stages[it.Stage].Bytes) * (1 - spread + 2*spread*w.rng.Float64()))
+}
+
+// work returns the time of a piece.
+func (w *World) work(it batch.Item, p *catalog.Pool) time.Duration {
+	x := 1.0
+	if q := w.requests[it.Request]; q != nil && q.route.Stages[it.Stage].Work > 0 {
+		x = q.route.Stages[it.Stage].Work
+	}
+	return time.Duration(x * float64(p.Pieces.Item))
+}
+
+// fetch reads the inputs of a piece and reports whether all of them are still there.
+func (w *World) fetch(to *server, handles []string) bool {
+	for _, h := range handles {
+		maker, _, _ := strings.Cut(h, "/")
+		from := w.servers[id.Server(maker)]
+		r := from.results[h]
+		if r == nil || from.down {
+			return false
+		}
+		if from.Domain != to.Domain {
+			w.Crossed += r.bytes
+		}
+	}
+	return true
+}
+
+// step hands an event to a node's scheduler and carries out what it decides.
+func (n *node) step(ev event.Event) {
+	for _, a := range n.scheduler.Step(n.world.Now, ev) {
+		n.carry(a)
+	}
+	next := n.scheduler.Next()
+	if next.IsZero() || (next.Equal(n.wake)) {
+		return
+	}
+	n.wake = next
+	n.world.timers.Set(next, func() {
+		if n.wake.Equal(next) {
+			n.wake = time.Time{}
+			n.step(event.Tick{})
+		}
+	})
+}
+
+func (n *node) carry(a event.Action) {
+	w := n.world
+	switch a := a.(type) {
+	case batch.Run:
+		open := true
+		done := func(r batch.Ran) {
+			if open {
+				open = false
+				n.step(r)
+			}
+		}
+		w.after(a.Timeout, func() { done(batch.Ran{Call: a.Call, Fail: event.FailTimeout, Detail: "timeout"}) })
+		w.after(hop, func() { w.servers[a.Server.ID].arrive(&visit{run: a, done: done}) })
+	case batch.Free:
+		w.after(hop, func() {
+			for _, h := range a.Handles {
+				w.servers[a.Server.ID].free(h)
+			}
+		})
+	case event.Send:
+		n.told(a.Body)
+	}
+}
+
+// told takes in what a scheduler says to the node that submitted a job; here they are the same.
+func (n *node) told(body event.Body) {
+	w := n.world
+	switch b := body.(type) {
+	case batch.Done:
+		if name, ok := w.named(b.Ticket); ok {
+			w.answer(n, name, b.Ticket, b.Results)
+		}
+	case batch.Failed:
+		if name, ok := w.named(b.Ticket); ok {
+			w.Scores[w.requests[name].route.Name].Failed++
+			delete(w.requests, name)
+		}
+	}
+}
+
+func (w *World) named(ticket uint64) (id.Request, bool) {
+	for i := range w.Routes {
+		name := id.Request(fmt.Sprintf("%s-%d", w.Routes[i].Name, ticket))
+		if _, ok := w.requests[name]; ok {
+			return name, true
+		}
+	}
+	return "", false
+}
