mirror: nodes take the store's changes from the leader

The leader was a VM with 0.192 cores and 10 Mbit/s, whose queue grew without end in the first burst.

Change: the leader and the first two nodes in rank follow the store; the others ask the leader every 250 ms and follow the store themselves if nobody confirms for a second that the leader hears from it. Larger VMs come first in rank.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -30,6 +30,10 @@
 	Rollouts = "rollouts"
 	// maxRounds bounds the internal actions of one step; more means that two packages answer each other forever.
 	maxRounds = 10_000
+	// watchers is how many of the first nodes in rank follow the store themselves.
+	watchers = 2
+	// settleTime is how long a node that starts waits for the entries of nodes that start with it.
+	settleTime = 100 * time.Millisecond
 	// spareNodes is how many nodes may have joined without this one knowing, when a bound is divided among all nodes.
 	spareNodes = 3
 )
@@ -46,6 +50,7 @@
 	ColdSlack float64 // requests a second on top of that
 	Retries   quota.Budget
 	Grace     time.Duration // from the request to stop to the end of the process
+	Weight    float64       // size of this node's VM against the others
 }
 
 // module is one decision package.
@@ -69,22 +74,24 @@
 	cold      *quota.Cold
 	modules   []module
 
-	catalog  *catalog.Catalog
-	requests map[Ticket]*request
-	jobs     map[uint64]*request // by the number that the leader knows them by
-	lastJob  uint64
-	timers   alarm.Heap[Ticket]
-	firsts   map[string]time.Duration // by route: expected time to the first part of an answer
-	stop     stop
-	ready    bool
+	catalog     *catalog.Catalog
+	requests    map[Ticket]*request
+	jobs        map[uint64]*request // by the number that the leader knows them by
+	lastJob     uint64
+	timers      alarm.Heap[Ticket]
+	firsts      map[string]time.Duration // by route: expected time to the first part of an answer
+	stop        stop
+	ready       bool
+	settled     time.Time // when the list of nodes counts as complete, zero if it is not known
+	settledOnce bool
 }
 
 // New returns a gate that knows only its own node.
 func New(self event.Self, decoder Decoder, bounds Bounds) *Gate {
 	g := &Gate{
 		self: self, decoder: decoder, bounds: bounds,
-		mirror:   mirror.New(self, Config, fleet.Servers, fleet.Evacuations, Rollouts, roster.Nodes),
-		roster:   roster.New(self),
+		mirror:   mirror.New(self, roster.Nodes, Config, fleet.Servers, fleet.Evacuations, Rollouts),
+		roster:   roster.New(self, bounds.Weight),
 		leader:   leader.New(self),
 		fleet:    fleet.New(decoder),
 		retries:  quota.NewRetries(bounds.Retries),
@@ -143,6 +150,10 @@
 		out.add(m.Step(now, ev)...)
 	}
 	g.own(now, ev, &out)
+	if !g.settled.IsZero() && !now.Before(g.settled) && !g.settledOnce {
+		g.settledOnce = true
+		g.chooseSource(now)
+	}
 	for g.timers.Due(now) {
 		g.due(now, g.timers.Pop(), &out)
 	}
@@ -173,8 +184,10 @@
 		}
 	case roster.Changed:
 		g.nodesChanged()
+		g.chooseSource(now)
 	case leader.Changed:
 		g.roster.SetLeads(ev.Leader == g.self.Node)
+		g.chooseSource(now)
 		g.leaderChanged(now, out)
 	case event.Stop:
 		g.beginStop(now, out)
@@ -203,7 +216,7 @@
 	var candidates []leader.Candidate
 	for _, name := range names {
 		n, _ := g.roster.Node(name)
-		candidates = append(candidates, leader.Candidate{Node: name, Domain: n.Domain})
+		candidates = append(candidates, leader.Candidate{Node: name, Domain: n.Domain, Weight: n.Weight})
 	}
 	g.mirror.SetPeers(names)
 	g.leader.SetCandidates(candidates)
@@ -211,6 +224,18 @@
 	g.retries.SetNodes(len(names) + spareNodes)
 }
 
+// chooseSource takes the store's changes from the leader. The first nodes in rank follow the store themselves, so that
+// the next leader knows what the last one knew.
+func (g *Gate) chooseSource(now time.Time) {
+	if g.settled.IsZero() {
+		if !g.mirror.Loaded(roster.Nodes) {
+			return
+		}
+		g.settled = now.Add(settleTime)
+	}
+	g.mirror.SetSource(now, g.leader.Leader(), !now.Before(g.settled) && g.leader.Place(now) < watchers)
+}
+
 // loaded reports whether the node knows what it needs to forward requests.
 func (g *Gate) loaded() bool {
 	return g.catalog != nil && g.mirror.Loaded(fleet.Servers) && g.mirror.Loaded(fleet.Evacuations) && g.mirror.Loaded(Rollouts)
@@ -222,6 +247,9 @@
 // Next returns the time of the next timer, zero for none.
 func (g *Gate) Next() time.Time {
 	times := []time.Time{g.timers.Next(), g.stop.next}
+	if !g.settledOnce {
+		times = append(times, g.settled)
+	}
 	for _, m := range g.modules {
 		times = append(times, m.Next())
 	}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -25,12 +25,20 @@
 	pauseGap = 500 * time.Millisecond
 )
 
-// Candidate is a node that may lead.
+// Candidate is a node that may lead. Nodes with a higher weight come first.
 type Candidate struct {
 	Node   id.Node
 	Domain id.FailureDomain
+	Weight float64
 }
 
+// before orders candidates: by weight, and among equals by a hash of their names.
+func (c Candidate) before(other Candidate) int {
+	return cmp.Or(cmp.Compare(other.Weight, c.Weight), cmp.Compare(hash(c.Node), hash(other.Node)), cmp.Compare(c.Node, other.Node))
+}
+
+func hash(name id.Node) uint64 { return xxhash.Sum64String(string(name)) }
+
 type (
 	// Ping asks a candidate for a sign of life.
 	Ping struct {
@@ -57,6 +65,7 @@
 // Tracker follows the leader.
 type Tracker struct {
 	self   event.Self
+	own    Candidate
 	peers  map[id.Node]*peer
 	order  []*peer
 	ready  bool // this node may lead
@@ -70,7 +79,6 @@
 // peer is another node.
 type peer struct {
 	Candidate
-	rank   uint64
 	heard  time.Time
 	asked  time.Time // the first ping since the last sign of life, zero for none
 	ready  bool
@@ -80,7 +88,7 @@
 
 // New returns a tracker that knows only its own node.
 func New(self event.Self) *Tracker {
-	return &Tracker{self: self, peers: map[id.Node]*peer{}}
+	return &Tracker{self: self, own: Candidate{Node: self.Node, Domain: self.FailureDomain}, peers: map[id.Node]*peer{}}
 }
 
 // Leader returns the node that this node follows, empty for none.
@@ -104,18 +112,30 @@
 	t.order = nil
 	for _, c := range list {
 		if c.Node == t.self.Node {
+			t.own = c
 			continue
 		}
 		p, known := t.peers[c.Node]
 		if !known {
-			p = &peer{rank: xxhash.Sum64String(string(c.Node))}
+			p = &peer{}
 		}
 		p.Candidate = c
 		next[c.Node] = p
 		t.order = append(t.order, p)
 	}
 	t.peers = next
-	slices.SortFunc(t.order, func(a, b *peer) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortFunc(t.order, func(a, b *peer) int { return a.before(b.Candidate) })
+}
+
+// Place returns how many live candidates come before this node.
+func (t *Tracker) Place(now time.Time) int {
+	place := 0
+	for _, p := range t.order {
+		if p.before(t.own) < 0 && !p.dead(now) {
+			place++
+		}
+	}
+	return place
 }
 
 // Next returns the time of the next timer.
@@ -215,10 +235,9 @@
 
 // choose follows the first node that answers and may lead.
 func (t *Tracker) choose(now time.Time) []event.Action {
-	own := xxhash.Sum64String(string(t.self.Node))
 	best := id.Node("")
 	for _, p := range t.order {
-		if t.ready && p.rank > own {
+		if t.ready && p.before(t.own) > 0 {
 			break
 		}
 		if p.alive(now) && p.ready {
--- a/core/mirror/message.go
+++ b/core/mirror/message.go
@@ -50,8 +50,14 @@
 		Kind string
 		Up   bool
 	}
-	// Follow asks for Listed and Updated events of a kind from now on.
+	// Follow asks for Listed and Updated events of a kind from now on. A revision above 0 says how far the kind is known.
 	Follow struct {
+		event.Out
+		Kind     string
+		Revision uint64
+	}
+	// Unfollow ends Follow.
+	Unfollow struct {
 		event.Out
 		Kind string
 	}
@@ -88,8 +94,17 @@
 // Have tells a peer how far the sender's copies reach.
 type Have struct {
 	Revisions []Revision `protobuf:"bytes,1,rep,name=revisions"`
+	Poll      bool       `protobuf:"varint,2,opt,name=poll"` // the sender takes its changes from the receiver
 }
 
+// Current answers a poll after the changes that the sender lacked.
+type Current struct {
+	Up bool `protobuf:"varint,1,opt,name=up"` // the store answers the sender
+}
+
+// Check accepts every answer.
+func (Current) Check() error { return nil }
+
 // Check reports whether the message is well formed.
 func (h Have) Check() error {
 	if len(h.Revisions) > maxKinds {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -13,7 +13,13 @@
 const (
 	// havePeriod is how often a node compares its copies with a peer's; a change that only the peers know is
 	// everywhere after a few periods.
-	havePeriod = 500 * time.Millisecond
+	havePeriod = time.Second
+	// pollPeriod is how often a node asks its source for changes.
+	pollPeriod = 250 * time.Millisecond
+	// pollLimit is how long a source may stay without a word that the store answers it before this node asks the store
+	// itself, and pollReturn how long it must have answered again before this node relies on it.
+	pollLimit  = time.Second
+	pollReturn = 3 * time.Second
 	// haveFanout is how many peers are told of a new revision at once.
 	haveFanout = 2
 	// SettleTime is how long the store must have answered before a missing object counts as deleted by its owner's
@@ -31,7 +37,14 @@
 	peers  []id.Node
 	haveAt time.Time
 	fresh  bool // something is newer than at the last Have
-	begun  bool
+
+	source    id.Node   // takes the changes from the store for this node; empty for none
+	must      bool      // this node follows the store whatever its source says
+	asked     time.Time // since when nobody has confirmed that the source hears from the store, zero if it has
+	confirmed time.Time // since when the source has confirmed it without a gap
+	pollAt    time.Time
+	direct    bool           // this node follows the store itself
+	following id.Set[string] // kinds that this node follows
 }
 
 // replica is the copy of one kind.
@@ -45,9 +58,10 @@
 	changed  time.Time // when up last changed
 }
 
-// New returns a mirror of some kinds that knows nothing yet.
+// New returns a mirror of some kinds that knows nothing yet. The first kind is the one by which nodes find each other:
+// it is followed from the beginning.
 func New(self event.Self, kinds ...string) *Mirror {
-	m := &Mirror{self: self, kinds: kinds, copies: map[string]*replica{}}
+	m := &Mirror{self: self, kinds: kinds, copies: map[string]*replica{}, following: id.NewSet[string]()}
 	for _, kind := range kinds {
 		m.copies[kind] = &replica{objects: map[string]Object{}}
 	}
@@ -80,18 +94,35 @@
 	return slices.Sorted(maps.Keys(m.copies[kind].objects))
 }
 
+// SetSource names the node that takes the changes from the store for this node, empty for none. With must set this node
+// follows the store itself in any case.
+func (m *Mirror) SetSource(now time.Time, source id.Node, must bool) {
+	m.must = must || source == m.self.Node
+	if source == m.source {
+		return
+	}
+	m.source = source
+	m.asked, m.confirmed = now, time.Time{}
+	m.pollAt = now
+}
+
+// Direct reports whether this node follows the store itself.
+func (m *Mirror) Direct() bool { return m.direct }
+
 // Next returns the time of the next timer.
-func (m *Mirror) Next() time.Time { return m.haveAt }
+func (m *Mirror) Next() time.Time {
+	if m.polls() && m.pollAt.Before(m.haveAt) {
+		return m.pollAt
+	}
+	return m.haveAt
+}
 
 // Step handles one event.
 func (m *Mirror) Step(now time.Time, ev event.Event) []event.Action {
 	var out []event.Action
-	if !m.begun {
-		m.begun = true
+	if m.haveAt.IsZero() {
 		m.haveAt = now.Add(havePeriod)
-		for _, kind := range m.kinds {
-			out = append(out, Follow{Kind: kind})
-		}
+		m.asked = now
 	}
 	switch ev := ev.(type) {
 	case Listed:
@@ -99,19 +130,83 @@
 	case Updated:
 		out = append(out, m.updated(now, ev)...)
 	case Link:
-		out = append(out, m.link(now, ev)...)
+		if m.following.Has(ev.Kind) {
+			out = append(out, m.link(now, ev)...)
+		}
 	case event.Receive:
 		out = append(out, m.receive(now, ev)...)
 	}
+	out = append(out, m.choose(now)...)
+	if m.polls() && !now.Before(m.pollAt) {
+		m.pollAt = now.Add(pollPeriod)
+		if m.asked.IsZero() {
+			m.asked = now
+		}
+		out = append(out, event.Send{To: m.source, Body: m.have(true)})
+	}
 	if m.fresh || !now.Before(m.haveAt) {
 		out = append(out, m.tell(now)...)
 	}
 	return out
 }
 
+// polls reports whether this node asks a source for changes.
+func (m *Mirror) polls() bool { return m.source != "" && m.source != m.self.Node }
+
+// choose follows the store if this node must, or if nobody has confirmed for a while that the source hears from it.
+func (m *Mirror) choose(now time.Time) []event.Action {
+	want := m.must || (!m.asked.IsZero() && now.Sub(m.asked) >= pollLimit)
+	if m.direct && !want {
+		want = m.confirmed.IsZero() || now.Sub(m.confirmed) < pollReturn
+	}
+	var out []event.Action
+	if want != m.direct {
+		out = append(out, event.Log{Kind: "store", Choice: map[bool]string{true: "follow", false: "rely on source"}[want], Reason: "source=" + string(m.source)})
+	}
+	m.direct = want
+	for i, kind := range m.kinds {
+		first := i == 0 && m.confirmed.IsZero()
+		switch following := m.following.Has(kind); {
+		case (want || first) && !following:
+			m.following.Add(kind)
+			out = append(out, Follow{Kind: kind, Revision: m.copies[kind].revision})
+		case !want && !first && following:
+			m.following.Delete(kind)
+			out = append(out, Unfollow{Kind: kind})
+		}
+	}
+	return out
+}
+
+// current takes in that the source has sent everything that it has.
+func (m *Mirror) current(now time.Time, from id.Node, c Current) []event.Action {
+	if from != m.source {
+		return nil
+	}
+	switch {
+	case !c.Up:
+		m.confirmed = time.Time{}
+	case m.confirmed.IsZero():
+		m.confirmed = now
+		fallthrough
+	default:
+		m.asked = time.Time{}
+	}
+	if m.direct {
+		return nil
+	}
+	var out []event.Action
+	for _, kind := range m.kinds {
+		if !m.following.Has(kind) {
+			out = append(out, m.link(now, Link{Kind: kind, Up: c.Up})...)
+		}
+	}
+	return out
+}
+
 func (m *Mirror) link(now time.Time, ev Link) []event.Action {
 	c, ok := m.copies[ev.Kind]
-	if !ok || (c.up == ev.Up && !c.changed.IsZero()) {
+	if !ok || c.up == ev.Up {
 		return nil
 	}
 	c.up, c.changed = ev.Up, now
@@ -207,7 +302,7 @@
 	}
 	m.fresh = false
 	m.haveAt = now.Add(havePeriod)
-	have := m.have()
+	have := m.have(false)
 	var out []event.Action
 	for _, i := range m.self.Rand.Perm(len(m.peers)) {
 		if len(out) == count {
@@ -220,8 +315,8 @@
 	return out
 }
 
-func (m *Mirror) have() Have {
-	var h Have
+func (m *Mirror) have(poll bool) Have {
+	h := Have{Poll: poll}
 	for _, kind := range m.kinds {
 		h.Revisions = append(h.Revisions, Revision{Kind: kind, Known: m.copies[kind].revision})
 	}
@@ -234,6 +329,8 @@
 		return m.compare(now, ev.From, b)
 	case Supply:
 		return m.supplied(b)
+	case Current:
+		return m.current(now, ev.From, b)
 	}
 	return nil
 }
@@ -256,11 +353,25 @@
 		}
 	}
 	if behind {
-		out = append(out, event.Send{To: from, Body: m.have()})
+		out = append(out, event.Send{To: from, Body: m.have(false)})
+	}
+	if h.Poll {
+		out = append(out, event.Send{To: from, Body: Current{Up: m.allUp()}})
 	}
 	return out
 }
 
+// allUp reports whether the store answers this node itself for every kind. What it hears from others does not count, so
+// that two nodes cannot confirm each other.
+func (m *Mirror) allUp() bool {
+	for _, kind := range m.kinds {
+		if !m.copies[kind].up {
+			return false
+		}
+	}
+	return m.direct
+}
+
 // supply returns what a copy has more than one that reaches up to a revision; a revision that brought nothing new to
 // the kind is not worth a message.
 func (c *replica) supply(kind string, since uint64) (Supply, bool) {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -29,6 +29,7 @@
 	Addr        netip.AddrPort   `json:"addr"`
 	Domain      id.FailureDomain `json:"domain"`
 	Incarnation id.Incarnation   `json:"incarnation"`
+	Weight      float64          `json:"weight"` // size of the VM; larger ones do more of the common work
 }
 
 // Check reports whether the entry names a node that can be reached.
@@ -45,6 +46,7 @@
 // Roster holds the list and this node's entry in it.
 type Roster struct {
 	self    event.Self
+	weight  float64
 	nodes   map[id.Node]Node
 	version map[id.Node]uint64
 	heard   map[id.Node]time.Time
@@ -56,9 +58,9 @@
 	seq     uint64
 }
 
-// New returns an empty roster.
-func New(self event.Self) *Roster {
-	return &Roster{self: self, nodes: map[id.Node]Node{}, version: map[id.Node]uint64{}, heard: map[id.Node]time.Time{}}
+// New returns an empty roster of a node with a weight.
+func New(self event.Self, weight float64) *Roster {
+	return &Roster{self: self, weight: weight, nodes: map[id.Node]Node{}, version: map[id.Node]uint64{}, heard: map[id.Node]time.Time{}}
 }
 
 // Nodes returns the names of all listed nodes in ascending order.
@@ -158,7 +160,7 @@
 
 // register writes this node's entry unless the list shows it.
 func (r *Roster) register(now time.Time) []event.Action {
-	own := Node{Addr: r.self.Addr, Domain: r.self.FailureDomain, Incarnation: r.self.Incarnation}
+	own := Node{Addr: r.self.Addr, Domain: r.self.FailureDomain, Incarnation: r.self.Incarnation, Weight: r.weight}
 	if r.flight || r.nodes[r.self.Node] == own {
 		return nil
 	}
--- a/core/settings/gateway.go
+++ b/core/settings/gateway.go
@@ -14,6 +14,7 @@
 	maxRate    = 1_000_000
 	maxRatio   = 1000
 	maxMemory  = 1 << 20
+	maxCores   = 10_000
 	maxStretch = 10 * time.Minute
 )
 
@@ -28,6 +29,7 @@
 	Metrics       netip.AddrPort // address for metrics; invalid for none
 	Store         netip.AddrPort // address of the platform's store
 	Memory        int            // memory limit of the process in megabytes, 0 for none
+	Cores         float64        // processor cores of the VM, 0 if not known
 	Bounds        Bounds
 }
 
@@ -97,6 +99,8 @@
 		g.Store = r.addr(what, m.value)
 	case "memory":
 		g.Memory, _ = r.whole(what, m.value, maxMemory)
+	case "cores":
+		g.Cores = r.number(what, m.value, maxCores)
 	case "bounds":
 		r.bounds(&g.Bounds, m)
 	default:
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -40,7 +40,8 @@
 // Store reaches the platform's store. Its methods must not block; results are delivered as events.
 type Store interface {
 	Do(event.Call)
-	Follow(kind string)
+	Follow(kind string, revision uint64)
+	Unfollow(kind string)
 	Run(ctx context.Context) error
 }
 
@@ -149,7 +150,9 @@
 	case event.Call:
 		n.store.Do(a)
 	case mirror.Follow:
-		n.store.Follow(a.Kind)
+		n.store.Follow(a.Kind, a.Revision)
+	case mirror.Unfollow:
+		n.store.Unfollow(a.Kind)
 	case event.Ready:
 		n.server.Ready(a.Ready)
 	case gate.Close:
