--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -25,8 +25,11 @@
 	// firstRest and longestRest bound how long a server that cannot be reached gets nothing.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
-	// firstTime is the expected time of an answer before the first one.
+	// firstTime is the expected time of an answer before any server of the pool has answered.
 	firstTime = 20 * time.Millisecond
+	// timeFade is the time in which what is known of a server's speed loses two thirds of its weight against the best of
+	// its peers, so that a server that was slow is tried again.
+	timeFade = 4 * time.Second
 	// timeGain is the weight of a new answer in the expected time.
 	timeGain = 0.1
 	// loadAge is how long a load report counts.
@@ -71,7 +74,8 @@
 	faded    time.Time
 	rests    int
 	rest     time.Time
-	took     time.Duration
+	took     time.Duration // smoothed time to an answer, 0 before the first one
+	tookAt   time.Time
 	load     Load
 	loadAt   time.Time
 }
@@ -98,7 +102,7 @@
 func (b *Balance) state(name id.Server) *state {
 	s, ok := b.states[name]
 	if !ok {
-		s = &state{took: firstTime}
+		s = &state{}
 		b.states[name] = s
 	}
 	return s
@@ -167,10 +171,11 @@
 func (b *Balance) quickest(now time.Time, q Query, open []*fleet.Server) (*fleet.Server, string) {
 	var best *fleet.Server
 	lowest := time.Duration(math.MaxInt64)
+	usual := b.usual(open)
 	at := b.self.Rand.IntN(len(open)) // equal servers are taken in turn
 	for i := range open {
 		s := open[(at+i)%len(open)]
-		if cost := b.cost(now, s, q); cost < lowest {
+		if cost := b.cost(now, s, q, usual); cost < lowest {
 			best, lowest = s, cost
 		}
 	}
@@ -178,15 +183,38 @@
 	return best, fmt.Sprintf("cost=%s inflight=%d failing=%.2f of=%d", lowest.Round(time.Microsecond), st.inflight, st.failing, len(open))
 }
 
+// usual returns the shortest time to an answer of some servers.
+func (b *Balance) usual(open []*fleet.Server) time.Duration {
+	best := time.Duration(0)
+	for _, s := range open {
+		if took := b.state(s.ID).took; took > 0 && (best == 0 || took < best) {
+			best = took
+		}
+	}
+	if best == 0 {
+		return firstTime
+	}
+	return best
+}
+
+// expected returns the expected time to an answer. What is known of a server loses weight with time.
+func (st *state) expected(now time.Time, usual time.Duration) time.Duration {
+	if st.took == 0 {
+		return usual
+	}
+	weight := math.Exp(-float64(now.Sub(st.tookAt)) / float64(timeFade))
+	return usual + time.Duration(weight*float64(st.took-usual))
+}
+
 // cost is the expected time of an answer, with a penalty for failures.
-func (b *Balance) cost(now time.Time, s *fleet.Server, q Query) time.Duration {
+func (b *Balance) cost(now time.Time, s *fleet.Server, q Query, usual time.Duration) time.Duration {
 	st := b.state(s.ID)
 	st.fade(now)
 	busy := float64(st.inflight)
 	if now.Sub(st.loadAt) < loadAge {
 		busy = max(busy, float64(st.load.Running+st.load.Waiting))
 	}
-	cost := time.Duration(float64(st.took) * (1 + busy/float64(max(1, s.Slots))))
+	cost := time.Duration(float64(st.expected(now, usual)) * (1 + busy/float64(max(1, s.Slots))))
 	cost += time.Duration(st.failing * float64(failureCost))
 	if st.stuck(now, q.Stuck) {
 		cost += failureCost
@@ -270,7 +298,11 @@
 		return
 	}
 	st.failing -= st.failing / 4
+	if st.took == 0 {
+		st.took = o.Took
+	}
 	st.took += time.Duration(timeGain * float64(o.Took-st.took))
+	st.tookAt = now
 }
 
 // fade lets old failures count less.
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -51,7 +51,7 @@
 	Free(batch.Free)
 }
 
-// Config describes one gateway node.
+// Config describes one gateway node. Port 0 in an address is replaced by a free one.
 type Config struct {
 	Self    event.Self // Self.Addr is the address to listen on for peers
 	Decoder gate.Decoder
@@ -81,12 +81,13 @@
 // NewNode opens the addresses of a node; nothing is served before Run.
 func NewNode(cfg Config) (*Node, error) {
 	n := &Node{vars: new(expvar.Map)}
-	decider := gate.New(cfg.Self, cfg.Decoder, cfg.Bounds)
-	n.loop = runtime.NewLoop(decider, runtime.WithVars(n.vars), runtime.WithLogger(cfg.Logger))
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Self.Addr))
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	cfg.Self.Addr = addrOf(listener)
+	decider := gate.New(cfg.Self, cfg.Decoder, cfg.Bounds)
+	n.loop = runtime.NewLoop(decider, runtime.WithVars(n.vars), runtime.WithLogger(cfg.Logger))
 	n.mesh = mesh.New(cfg.Self, cfg.Codec, decider.Resolve, n.loop.Deliver,
 		mesh.WithVars(n.vars), mesh.WithReport(n.loop.Report), mesh.WithTimes(mesh.CloseTimes()))
 	n.mesh.Use(listener)
@@ -104,6 +105,14 @@
 	return n, nil
 }
 
+func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// CallerAddr returns the address for callers.
+func (n *Node) CallerAddr() netip.AddrPort { return addrOf(n.webs[0].listener) }
+
+// ReadyAddr returns the address for the load balancer.
+func (n *Node) ReadyAddr() netip.AddrPort { return addrOf(n.webs[1].listener) }
+
 // listen opens the addresses for callers, for the load balancer and for metrics.
 func (n *Node) listen(cfg Config) error {
 	routes := mux.NewRouter()
--- a/lab/stages/setups.go
+++ b/lab/stages/setups.go
@@ -96,3 +96,16 @@
 		},
 	}
 }
+
+// Large returns a deployment with a multiple of the requests and servers.
+func Large(s Setup, x int) Setup {
+	for i := range s.Routes {
+		s.Routes[i].Rate *= float64(x)
+	}
+	for i := range s.Pools {
+		for j := range s.Pools[i].Servers {
+			s.Pools[i].Servers[j] *= x
+		}
+	}
+	return s
+}
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -280,7 +280,7 @@
 		n.carry(a)
 	}
 	next := n.scheduler.Next()
-	if next.IsZero() || (next.Equal(n.wake)) {
+	if next.IsZero() || next.Equal(n.wake) {
 		return
 	}
 	n.wake = next
