--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -25,7 +25,7 @@
 	// firstRest and longestRest bound how long a server that cannot be reached gets nothing.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
-	// firstTime is the expected time of an answer before any server of the pool has answered.
+	// firstTime is the expected time of an answer of a server that has not answered yet.
 	firstTime = 20 * time.Millisecond
 	// timeFade is the time in which what is known of a server's speed loses two thirds of its weight against the best of
 	// its peers, so that a server that was slow is tried again.
@@ -183,16 +183,15 @@
 	return best, fmt.Sprintf("cost=%s inflight=%d failing=%.2f of=%d", lowest.Round(time.Microsecond), st.inflight, st.failing, len(open))
 }
 
-// usual returns the shortest time to an answer of some servers.
+// usual returns the shortest time to an answer of some servers. One that has not answered yet may be as fast as any.
 func (b *Balance) usual(open []*fleet.Server) time.Duration {
-	best := time.Duration(0)
+	best := time.Duration(math.MaxInt64)
 	for _, s := range open {
-		if took := b.state(s.ID).took; took > 0 && (best == 0 || took < best) {
-			best = took
+		took := b.state(s.ID).took
+		if took == 0 {
+			took = firstTime
 		}
-	}
-	if best == 0 {
-		return firstTime
+		best = min(best, took)
 	}
 	return best
 }
@@ -202,8 +201,7 @@
 	if st.took == 0 {
 		return usual
 	}
-	weight := math.Exp(-float64(now.Sub(st.tookAt)) / float64(timeFade))
-	return usual + time.Duration(weight*float64(st.took-usual))
+	return usual + time.Duration(st.weight(now)*float64(st.took-usual))
 }
 
 // cost is the expected time of an answer, with a penalty for failures.
@@ -298,13 +296,24 @@
 		return
 	}
 	st.failing -= st.failing / 4
-	if st.took == 0 {
-		st.took = o.Took
+	st.learn(now, o.Took)
+}
+
+// learn takes in the time to an answer. The older what is known, the more a new answer counts.
+func (st *state) learn(now time.Time, took time.Duration) {
+	gain := 1.0
+	if st.took > 0 {
+		gain = 1 - (1-timeGain)*st.weight(now)
 	}
-	st.took += time.Duration(timeGain * float64(o.Took-st.took))
+	st.took += time.Duration(gain * float64(took-st.took))
 	st.tookAt = now
 }
 
+// weight returns how much what is known of a server's speed still counts, from 1 to 0.
+func (st *state) weight(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(st.tookAt)) / float64(timeFade))
+}
+
 // fade lets old failures count less.
 func (st *state) fade(now time.Time) {
 	if !st.faded.IsZero() && st.failing > 0 {
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,171 @@
+package fleet_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+	"bluebellflow/core/mirror"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// entries are decoded by their specification, which is their name here.
+type entries map[string]fleet.Entry
+
+// Server returns an entry, or an error for one that cannot be read.
+func (e entries) Server(spec []byte) (fleet.Entry, error) {
+	if one, ok := e[string(spec)]; ok {
+		return one, nil
+	}
+	return fleet.Entry{}, errors.New("not an entry")
+}
+
+func entry(pool id.Pool, start id.Start) fleet.Entry {
+	return fleet.Entry{Pool: pool, Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Start: start, Slots: 1}
+}
+
+// world is a fleet with what it told.
+type world struct {
+	*fleet.Fleet
+	now       time.Time
+	gone      []id.Server
+	restarted []id.Server
+}
+
+func newWorld(e entries) *world {
+	w := &world{Fleet: fleet.New(e), now: epoch}
+	w.step(mirror.Link{Kind: fleet.Servers, Up: true})
+	w.now = w.now.Add(time.Minute)
+	return w
+}
+
+func (w *world) step(ev event.Event) {
+	for _, a := range w.Step(w.now, ev) {
+		switch a := a.(type) {
+		case fleet.Gone:
+			w.gone = append(w.gone, a.Server.ID)
+		case fleet.Changed:
+			if a.Restarted {
+				w.restarted = append(w.restarted, a.Server.ID)
+			}
+		}
+	}
+}
+
+func (w *world) put(name, spec string) {
+	w.step(mirror.Put{Kind: fleet.Servers, Object: mirror.Object{Name: name, Revision: 1, Spec: []byte(spec)}})
+}
+
+func (w *world) usable(name id.Server) bool {
+	s := w.Server(name)
+	if s == nil {
+		return false
+	}
+	ok, _ := w.Usable(s)
+	return ok
+}
+
+// TestUsable guards against work for servers that drain, stand in an evacuated failure domain, or are named by an entry
+// of somebody else.
+func TestUsable(t *testing.T) {
+	g := NewWithT(t)
+	draining := entry("p", "1")
+	draining.Draining = true
+	w := newWorld(entries{"good": entry("p", "1"), "draining": draining, "other": entry("q", "1")})
+	w.put("s", "good")
+	g.Expect(w.usable("s")).To(BeTrue())
+	w.step(mirror.Put{Kind: fleet.Evacuations, Object: mirror.Object{Name: "a"}})
+	g.Expect(w.usable("s")).To(BeFalse())
+	w.step(mirror.Gone{Kind: fleet.Evacuations, Name: "a"})
+	g.Expect(w.usable("s")).To(BeTrue())
+	w.put("s", "other")
+	g.Expect(w.Pool("p")).To(BeEmpty(), "the server runs another pool's work now")
+	g.Expect(w.Pool("q")).To(HaveLen(1))
+	w.put("s", "draining")
+	g.Expect(w.usable("s")).To(BeFalse())
+	w.put("s", "unreadable")
+	g.Expect(w.Server("s")).To(BeNil())
+	w.put("new", "unreadable")
+	g.Expect(w.Server("new")).To(BeNil())
+}
+
+// TestRestarted guards against a new process that passes for the one before it under the same name.
+func TestRestarted(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(entries{"first": entry("p", "1"), "second": entry("p", "2")})
+	w.put("s", "first")
+	w.put("s", "first")
+	g.Expect(w.restarted).To(BeEmpty())
+	w.put("s", "second")
+	g.Expect(w.restarted).To(Equal([]id.Server{"s"}))
+}
+
+// TestMissing guards against servers that are dropped because their entries lapsed while the store was away, and against
+// ones that are used for ever after they have left.
+func TestMissing(t *testing.T) {
+	e := entries{"s": entry("p", "1")}
+	gone := mirror.Gone{Kind: fleet.Servers, Name: "s"}
+	t.Run("settled", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(e)
+		w.put("s", "s")
+		w.step(mirror.Gone{Kind: fleet.Servers, Name: "s", Settled: true})
+		g.Expect(w.gone).To(Equal([]id.Server{"s"}))
+	})
+	t.Run("back in time", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(e)
+		w.put("s", "s")
+		w.step(mirror.Link{Kind: fleet.Servers})
+		w.now = w.now.Add(10 * time.Second)
+		w.step(gone)
+		g.Expect(w.usable("s")).To(BeTrue(), "nobody knows while the store is away")
+		w.step(mirror.Link{Kind: fleet.Servers, Up: true})
+		w.now = w.now.Add(mirror.SettleTime - time.Millisecond)
+		w.step(event.Tick{})
+		g.Expect(w.usable("s")).To(BeTrue())
+		w.put("s", "s")
+		w.now = w.now.Add(time.Hour)
+		w.step(event.Tick{})
+		g.Expect(w.usable("s")).To(BeTrue())
+	})
+	t.Run("not back", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(e)
+		w.put("s", "s")
+		w.step(mirror.Link{Kind: fleet.Servers})
+		w.step(gone)
+		w.step(mirror.Link{Kind: fleet.Servers, Up: true})
+		g.Expect(w.Next()).To(Equal(w.now.Add(mirror.SettleTime)))
+		w.now = w.Next()
+		w.step(event.Tick{})
+		g.Expect(w.gone).To(Equal([]id.Server{"s"}))
+	})
+	t.Run("it had said that it leaves", func(t *testing.T) {
+		g := NewWithT(t)
+		draining := entry("p", "1")
+		draining.Draining = true
+		w := newWorld(entries{"s": draining})
+		w.put("s", "s")
+		w.step(gone)
+		g.Expect(w.gone).To(Equal([]id.Server{"s"}))
+	})
+}
+
+// TestCold guards against a server that counts as warm before its time, or as cold after it.
+func TestCold(t *testing.T) {
+	g := NewWithT(t)
+	cold := entry("p", "1")
+	cold.Cold = 3 * time.Second
+	w := newWorld(entries{"s": cold})
+	w.put("s", "s")
+	g.Expect(w.Server("s").Cold(w.now.Add(2 * time.Second))).To(BeTrue())
+	g.Expect(w.Server("s").Cold(w.now.Add(3 * time.Second))).To(BeFalse())
+}
--- /dev/null
+++ b/core/leader/leader_test.go
@@ -0,0 +1,238 @@
+package leader_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/leader"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// step is the resolution of the simulated time.
+const step = 20 * time.Millisecond
+
+// fleet is a set of trackers. A node hears another one unless the path between them is blocked.
+type fleet struct {
+	now      time.Time
+	names    []id.Node
+	trackers map[id.Node]*leader.Tracker
+	blocked  map[[2]id.Node]bool // from, to
+	frozen   id.Set[id.Node]
+	relinks  map[id.Node]int
+	pings    int
+}
+
+func newFleet(list ...leader.Candidate) *fleet {
+	f := &fleet{
+		now: epoch, trackers: map[id.Node]*leader.Tracker{}, blocked: map[[2]id.Node]bool{},
+		frozen: id.NewSet[id.Node](), relinks: map[id.Node]int{},
+	}
+	for _, c := range list {
+		t := leader.New(event.Self{Node: c.Node, FailureDomain: c.Domain})
+		t.SetCandidates(list)
+		t.SetReady(true)
+		f.names = append(f.names, c.Node)
+		f.trackers[c.Node] = t
+	}
+	return f
+}
+
+// nodes returns candidates in three failure domains.
+func nodes(count int) []leader.Candidate {
+	var out []leader.Candidate
+	for i := range count {
+		out = append(out, leader.Candidate{Node: id.Node(fmt.Sprintf("n%02d", i)), Domain: id.FailureDomain(fmt.Sprint(i % 3))})
+	}
+	return out
+}
+
+func (f *fleet) deliver(to id.Node, ev event.Event) {
+	if f.frozen.Has(to) {
+		return
+	}
+	for _, a := range f.trackers[to].Step(f.now, ev) {
+		switch a := a.(type) {
+		case event.Send:
+			if _, ping := a.Body.(leader.Ping); ping {
+				f.pings++
+			}
+			if !f.blocked[[2]id.Node{to, a.To}] && f.trackers[a.To] != nil {
+				f.deliver(a.To, event.Receive{From: to, Body: a.Body})
+			}
+		case event.Relink:
+			f.relinks[to]++
+		}
+	}
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for _, name := range f.names {
+			f.deliver(name, event.Tick{})
+		}
+	}
+}
+
+// leaders returns the leaders that live nodes follow.
+func (f *fleet) leaders() id.Set[id.Node] {
+	out := id.NewSet[id.Node]()
+	for _, name := range f.names {
+		if !f.frozen.Has(name) {
+			out.Add(f.trackers[name].Leader())
+		}
+	}
+	return out
+}
+
+// split blocks all paths between nodes for which side differs.
+func (f *fleet) split(side func(id.Node) bool) {
+	for _, a := range f.names {
+		for _, b := range f.names {
+			f.blocked[[2]id.Node{a, b}] = side(a) != side(b)
+		}
+	}
+}
+
+// one asserts that all live nodes follow one node, and returns it.
+func (f *fleet) one(g *WithT) id.Node {
+	all := f.leaders().Sorted()
+	g.ExpectWithOffset(1, all).To(HaveLen(1))
+	g.ExpectWithOffset(1, all[0]).NotTo(BeEmpty())
+	return all[0]
+}
+
+// TestOneLeader guards against nodes that follow different leaders, or none, while all can reach each other.
+func TestOneLeader(t *testing.T) {
+	for _, count := range []int{1, 2, 9, 60} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(nodes(count)...)
+			f.run(2 * time.Second)
+			f.one(g)
+			f.pings = 0
+			f.run(time.Second)
+			g.Expect(f.pings).To(BeNumerically("<=", 25*count), "pings in a second")
+		})
+	}
+}
+
+// TestFailover guards against nodes that go on following a leader that has died, froze, or does not lead any more; and
+// against a leader that does not take over again.
+func TestFailover(t *testing.T) {
+	begin := func(g *WithT) (*fleet, id.Node) {
+		f := newFleet(nodes(9)...)
+		f.run(2 * time.Second)
+		return f, f.one(g)
+	}
+	t.Run("frozen", func(t *testing.T) {
+		g := NewWithT(t)
+		f, first := begin(g)
+		f.frozen.Add(first)
+		f.run(time.Second)
+		g.Expect(f.one(g)).NotTo(Equal(first))
+		f.frozen.Delete(first)
+		f.run(3 * time.Second)
+		g.Expect(f.one(g)).To(Equal(first))
+	})
+	t.Run("stops", func(t *testing.T) {
+		g := NewWithT(t)
+		f, first := begin(g)
+		f.trackers[first].SetReady(false)
+		f.run(400 * time.Millisecond)
+		g.Expect(f.one(g)).NotTo(Equal(first))
+	})
+	t.Run("its connection breaks", func(t *testing.T) {
+		g := NewWithT(t)
+		f, first := begin(g)
+		f.frozen.Add(first)
+		for _, name := range f.names {
+			f.deliver(name, event.Link{Peer: first, Up: false})
+		}
+		g.Expect(f.one(g)).NotTo(Equal(first), "the break is noticed at once")
+	})
+	t.Run("three of the first are dead", func(t *testing.T) {
+		g := NewWithT(t)
+		f, _ := begin(g)
+		for range 4 {
+			f.frozen.Add(f.one(g))
+			f.run(4 * time.Second)
+		}
+		f.one(g)
+	})
+}
+
+// TestPartition guards against a side of a partition without a leader, and against two leaders after it.
+func TestPartition(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(nodes(9)...)
+	f.run(2 * time.Second)
+	domain := map[id.Node]id.FailureDomain{}
+	for _, c := range nodes(9) {
+		domain[c.Node] = c.Domain
+	}
+	for _, d := range []id.FailureDomain{"0", "1", "2"} {
+		f.split(func(n id.Node) bool { return domain[n] == d })
+		f.run(2 * time.Second)
+		for _, name := range f.names {
+			own := f.trackers[name].Leader()
+			g.Expect(own).NotTo(BeEmpty())
+			g.Expect(domain[own] == d).To(Equal(domain[name] == d), "%s follows %s across the partition", name, own)
+		}
+		f.split(func(id.Node) bool { return true })
+		f.run(3 * time.Second)
+		f.one(g)
+	}
+}
+
+// TestOneWay guards against a node that follows a leader whose answers do not reach it.
+func TestOneWay(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(nodes(5)...)
+	f.run(2 * time.Second)
+	first := f.one(g)
+	var other id.Node
+	for _, name := range f.names {
+		if name != first {
+			other = name
+		}
+	}
+	f.blocked[[2]id.Node{first, other}] = true
+	f.run(2 * time.Second)
+	g.Expect(f.trackers[other].Leader()).NotTo(Equal(first))
+	g.Expect(f.relinks[other]).To(BeNumerically(">", 0), "a silent connection is opened anew")
+}
+
+// TestWeight guards against a small VM that schedules the work of all while there are larger ones.
+func TestWeight(t *testing.T) {
+	g := NewWithT(t)
+	list := nodes(9)
+	list[7].Weight = 4
+	f := newFleet(list...)
+	f.run(2 * time.Second)
+	g.Expect(f.one(g)).To(Equal(list[7].Node))
+}
+
+// TestWake guards against a node that takes all others for dead because it stood still itself.
+func TestWake(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(nodes(5)...)
+	f.run(2 * time.Second)
+	first := f.one(g)
+	var last id.Node
+	for _, name := range f.names {
+		if name != first {
+			last = name
+		}
+	}
+	f.frozen.Add(last)
+	f.run(5 * time.Second)
+	f.frozen.Delete(last)
+	f.deliver(last, event.Tick{})
+	g.Expect(f.trackers[last].Leader()).To(Equal(first))
+}
--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,229 @@
+package mirror_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/mirror"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// net is a set of mirrors whose messages arrive at once, unless a node is cut off.
+type net struct {
+	now     time.Time
+	mirrors map[id.Node]*mirror.Mirror
+	cut     id.Set[id.Node]
+	follows map[id.Node]id.Set[string]
+	put     map[id.Node][]string // objects that the node learned of, with their revision
+	gone    map[id.Node][]mirror.Gone
+	sent    int
+}
+
+func newNet(names ...id.Node) *net {
+	n := &net{
+		now: epoch, mirrors: map[id.Node]*mirror.Mirror{}, cut: id.NewSet[id.Node](), follows: map[id.Node]id.Set[string]{},
+		put: map[id.Node][]string{}, gone: map[id.Node][]mirror.Gone{},
+	}
+	for i, name := range names {
+		n.follows[name] = id.NewSet[string]()
+		n.mirrors[name] = mirror.New(event.Self{Node: name, Rand: rand.New(rand.NewPCG(1, uint64(i)))}, "nodes", "config")
+		n.mirrors[name].SetPeers(names)
+	}
+	return n
+}
+
+func (n *net) step(name id.Node, ev event.Event) {
+	for _, a := range n.mirrors[name].Step(n.now, ev) {
+		switch a := a.(type) {
+		case event.Send:
+			n.sent++
+			if !n.cut.Has(name) && !n.cut.Has(a.To) {
+				n.step(a.To, event.Receive{From: name, Body: a.Body})
+			}
+		case mirror.Follow:
+			n.follows[name].Add(a.Kind)
+		case mirror.Unfollow:
+			n.follows[name].Delete(a.Kind)
+		case mirror.Put:
+			n.put[name] = append(n.put[name], fmt.Sprint(a.Object.Name, "@", a.Object.Revision))
+		case mirror.Gone:
+			n.gone[name] = append(n.gone[name], a)
+		}
+	}
+}
+
+// run lets time pass.
+func (n *net) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
+		for _, name := range id.NewSet(keys(n.mirrors)...).Sorted() {
+			n.step(name, event.Tick{})
+		}
+	}
+}
+
+func keys(m map[id.Node]*mirror.Mirror) []id.Node {
+	var out []id.Node
+	for name := range m {
+		out = append(out, name)
+	}
+	return out
+}
+
+func object(name string, revision uint64) mirror.Object {
+	return mirror.Object{Name: name, Revision: revision, Spec: []byte(name)}
+}
+
+// list gives a node the whole of both kinds from the store.
+func (n *net) list(name id.Node, revision uint64, objects ...mirror.Object) {
+	for _, kind := range []string{"nodes", "config"} {
+		n.step(name, mirror.Link{Kind: kind, Up: true})
+	}
+	n.step(name, mirror.Listed{Kind: "nodes", Revision: revision})
+	n.step(name, mirror.Listed{Kind: "config", Revision: revision, Objects: objects})
+}
+
+// TestNeverBack guards against a copy that takes an older state for news, whoever brings it.
+func TestNeverBack(t *testing.T) {
+	g := NewWithT(t)
+	n := newNet("a")
+	n.step("a", event.Tick{})
+	n.list("a", 10, object("main", 9))
+	n.step("a", mirror.Listed{Kind: "config", Revision: 8, Objects: []mirror.Object{object("main", 7)}})
+	n.step("a", mirror.Updated{Kind: "config", Revision: 9, Deleted: []string{"main"}})
+	n.step("a", event.Receive{From: "b", Body: mirror.Supply{Kind: "config", Revision: 10, Whole: true}})
+	g.Expect(n.put["a"]).To(Equal([]string{"main@9"}))
+	g.Expect(n.gone["a"]).To(BeEmpty())
+	n.step("a", mirror.Updated{Kind: "config", Revision: 12, Objects: []mirror.Object{object("main", 12)}})
+	g.Expect(n.put["a"]).To(Equal([]string{"main@9", "main@12"}))
+	g.Expect(n.mirrors["a"].Revision("config")).To(Equal(uint64(12)))
+}
+
+// TestSpread guards against nodes that miss a change or a deletion which only some nodes heard of from the store.
+func TestSpread(t *testing.T) {
+	for name, wholly := range map[string]bool{"changes only": false, "whole kind": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newNet("a", "b", "c", "d", "e", "f", "g", "h", "i")
+			n.run(100 * time.Millisecond)
+			if !wholly {
+				for _, node := range keys(n.mirrors) {
+					n.list(node, 10, object("x", 3), object("y", 4))
+				}
+			}
+			n.list("a", 10, object("x", 3), object("y", 4))
+			n.step("a", mirror.Updated{Kind: "config", Revision: 20, Objects: []mirror.Object{object("z", 20)}, Deleted: []string{"x"}})
+			n.run(5 * time.Second)
+			for _, node := range keys(n.mirrors) {
+				g.Expect(n.mirrors[node].Names("config")).To(Equal([]string{"y", "z"}), string(node))
+				g.Expect(n.mirrors[node].Loaded("config")).To(BeTrue())
+			}
+		})
+	}
+}
+
+// TestNoStorm guards against two copies that are each ahead in another kind and answer each other without end.
+func TestNoStorm(t *testing.T) {
+	g := NewWithT(t)
+	n := newNet("a", "b")
+	n.run(50 * time.Millisecond)
+	n.list("a", 10, object("main", 9))
+	n.list("b", 10, object("main", 9))
+	n.cut.Add("a")
+	n.step("a", mirror.Listed{Kind: "nodes", Revision: 30})
+	n.step("b", mirror.Listed{Kind: "config", Revision: 40, Objects: []mirror.Object{object("main", 9)}})
+	n.cut.Delete("a")
+	n.sent = 0
+	n.run(10 * time.Second)
+	g.Expect(n.sent).To(BeNumerically("<", 60), "messages in ten seconds")
+	g.Expect(n.mirrors["a"].Revision("config")).To(Equal(uint64(40)))
+	g.Expect(n.mirrors["b"].Revision("nodes")).To(Equal(uint64(30)))
+}
+
+// TestSource guards against nodes that all ask the store, and against one that relies on a source which does not hear
+// from it, is silent, or is cut off.
+func TestSource(t *testing.T) {
+	start := func() *net {
+		n := newNet("a", "b")
+		n.mirrors["a"].SetSource(n.now, "a", false)
+		n.mirrors["b"].SetSource(n.now, "a", false)
+		n.run(50 * time.Millisecond)
+		n.list("a", 10, object("main", 9))
+		n.run(3 * time.Second)
+		return n
+	}
+	all := []string{"config", "nodes"}
+	t.Run("relies on it", func(t *testing.T) {
+		g := NewWithT(t)
+		n := start()
+		g.Expect(n.follows["a"].Sorted()).To(Equal(all))
+		g.Expect(n.follows["b"]).To(BeEmpty())
+		n.step("a", mirror.Updated{Kind: "config", Revision: 11, Objects: []mirror.Object{object("main", 11)}})
+		n.run(400 * time.Millisecond)
+		g.Expect(n.put["b"]).To(ContainElement("main@11"))
+	})
+	troubles := map[string]func(n *net){
+		"the source does not hear from the store": func(n *net) { n.step("a", mirror.Link{Kind: "config"}) },
+		"the source is silent":                    func(n *net) { n.cut.Add("a") },
+		"there is no source any more":             func(n *net) { n.mirrors["b"].SetSource(n.now, "", false) },
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := start()
+			trouble(n)
+			n.run(1500 * time.Millisecond)
+			g.Expect(n.follows["b"].Sorted()).To(Equal(all))
+		})
+	}
+	t.Run("relies on it again", func(t *testing.T) {
+		g := NewWithT(t)
+		n := start()
+		n.cut.Add("a")
+		n.run(2 * time.Second)
+		n.cut.Delete("a")
+		n.run(3 * time.Second)
+		g.Expect(n.follows["b"]).To(BeEmpty())
+	})
+	t.Run("no two nodes confirm each other", func(t *testing.T) {
+		g := NewWithT(t)
+		n := start()
+		n.mirrors["a"].SetSource(n.now, "b", false)
+		n.run(5 * time.Second)
+		g.Expect(len(n.follows["a"])+len(n.follows["b"])).To(BeNumerically(">", 0), "nobody follows the store")
+	})
+}
+
+// TestSettled guards against a deletion that counts as the owner's will although the object may have lapsed while the
+// store was away.
+func TestSettled(t *testing.T) {
+	cases := map[string]struct {
+		upFor time.Duration
+		want  bool
+	}{
+		"just back":    {500 * time.Millisecond, false},
+		"long settled": {3 * time.Second, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newNet("a", "b")
+			n.run(1200 * time.Millisecond) // without a source they follow the store themselves
+			n.list("b", 10, object("x", 3))
+			n.list("a", 10, object("x", 3))
+			n.step("b", mirror.Link{Kind: "config"})
+			n.run(c.upFor)
+			n.step("a", mirror.Updated{Kind: "config", Revision: 11, Deleted: []string{"x"}})
+			n.run(3 * time.Second)
+			for _, node := range []id.Node{"a", "b"} {
+				g.Expect(n.gone[node]).To(Equal([]mirror.Gone{{Kind: "config", Name: "x", Settled: c.want}}), string(node))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,118 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bluebellflow/core/id"
+	"bluebellflow/core/quota"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sliding returns the most events in any span.
+func sliding(events []time.Time, span time.Duration) int {
+	most := 0
+	for i := range events {
+		n := 0
+		for _, e := range events[i:] {
+			if e.Sub(events[i]) < span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestCold guards against a cold server that gets more requests in a second than it bears, summed over nodes that do
+// not talk to each other.
+func TestCold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "nodes")
+		bound := float64(rapid.IntRange(1, 60).Draw(t, "bound"))
+		var names []id.Node
+		for i := range count {
+			names = append(names, id.Node(fmt.Sprint("n", i)))
+		}
+		var nodes []*quota.Cold
+		for _, n := range names {
+			c := quota.NewCold(n, 0)
+			c.SetNodes(names)
+			nodes = append(nodes, c)
+		}
+		var sent []time.Time
+		now := epoch
+		for range 2000 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "us")) * time.Microsecond)
+			c := nodes[rapid.IntRange(0, count-1).Draw(t, "node")]
+			if c.Room(now, "s", bound) {
+				c.Take(now, "s")
+				sent = append(sent, now)
+			}
+		}
+		if most := sliding(sent, time.Second); float64(most) > bound {
+			t.Fatalf("%d requests in a second, %v are allowed", most, bound)
+		}
+	})
+}
+
+// TestColdShared guards against a cold server that no node may warm up, because its share for each node is below one.
+func TestColdShared(t *testing.T) {
+	g := NewWithT(t)
+	var names []id.Node
+	for i := range 40 {
+		names = append(names, id.Node(fmt.Sprint("n", i)))
+	}
+	open := 0
+	for _, n := range names {
+		c := quota.NewCold(n, 0)
+		c.SetNodes(names)
+		if c.Room(epoch, "s", 8) {
+			open++
+		}
+	}
+	g.Expect(open).To(Equal(8))
+}
+
+// TestRetries guards against repeats beyond the budget in any window, summed over nodes that do not talk to each other.
+func TestRetries(t *testing.T) {
+	g := NewWithT(t)
+	budget := quota.Budget{Ratio: 0.2, Slack: 58, Span: 10 * time.Second}
+	const count = 9
+	var nodes []*quota.Retries
+	for range count {
+		r := quota.NewRetries(budget)
+		r.SetNodes(count)
+		nodes = append(nodes, r)
+	}
+	var requests, repeats []time.Time
+	for i := range 30_000 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		r := nodes[i%count]
+		if i%20 == 0 {
+			r.Request(now, "p")
+			requests = append(requests, now)
+		}
+		if r.Take(now, "p") {
+			repeats = append(repeats, now)
+		}
+	}
+	g.Expect(repeats).NotTo(BeEmpty())
+	g.Expect(sliding(repeats, budget.Span)).To(BeNumerically("<=", int(budget.Ratio*float64(sliding(requests, budget.Span))+budget.Slack)))
+}
+
+// TestWindow guards against events that count twice, or not at all, after a pause.
+func TestWindow(t *testing.T) {
+	g := NewWithT(t)
+	w := quota.NewWindow(time.Second)
+	w.Add(epoch, 3)
+	g.Expect(w.Sum(epoch.Add(900 * time.Millisecond))).To(Equal(3.0))
+	g.Expect(w.Sum(epoch.Add(1200 * time.Millisecond))).To(Equal(0.0))
+	w.Add(epoch.Add(time.Hour), 2)
+	g.Expect(w.Sum(epoch.Add(time.Hour))).To(Equal(2.0))
+}
--- a/core/quota/retries.go
+++ b/core/quota/retries.go
@@ -47,7 +47,7 @@
 // Take takes one repeat and reports whether there was one.
 func (r *Retries) Take(now time.Time, name id.Pool) bool {
 	p := r.pool(name)
-	allowed := r.budget.Ratio*p.requests.Sum(now) + r.budget.Slack/float64(r.nodes)
+	allowed := r.budget.Ratio*p.requests.Least(now) + r.budget.Slack/float64(r.nodes)
 	if p.repeats.Sum(now)+1 > allowed {
 		return false
 	}
--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -2,8 +2,7 @@
 
 import "time"
 
-// Window counts events in a sliding span of time, in slots of a tenth of the span. Events count for up to a tenth
-// longer than the span, so that no window of that length holds more than the count says.
+// Window counts events in a sliding span of time, in slots of a tenth of the span.
 type Window struct {
 	span  time.Duration
 	slots [windowSlots]float64
@@ -24,12 +23,18 @@
 	w.sum += n
 }
 
-// Sum returns the events of the span before now.
+// Sum returns the events of the span before now, and some that are up to a tenth older.
 func (w *Window) Sum(now time.Time) float64 {
 	w.advance(now)
 	return w.sum
 }
 
+// Least returns events of the span before now only, perhaps not all of them.
+func (w *Window) Least(now time.Time) float64 {
+	w.advance(now)
+	return w.sum - w.slots[(w.at+1)%windowSlots]
+}
+
 func (w *Window) advance(now time.Time) {
 	slot := now.UnixNano() / int64(w.span/(windowSlots-1))
 	if slot-w.at >= windowSlots {
