--- a/lab/stages/server.go
+++ b/lab/stages/server.go
@@ -79,6 +79,7 @@
 			outcomes[i].Reason = batch.Missing
 		case s.room+size > s.pool.Pieces.Room:
 			outcomes[i].Reason = batch.Full
+			s.world.Full++
 		default:
 			s.room += size
 			s.next++
--- a/lab/stages/stages_test.go
+++ b/lab/stages/stages_test.go
@@ -10,8 +10,17 @@
 	"bluebellflow/lab/stages"
 )
 
-const span = 30 * time.Second
+const (
+	span = 30 * time.Second
+	// calm and burst are the shares of requests answered before their deadline that docs/design.md asks for.
+	calm  = 0.99
+	burst = 0.95
+)
+
+// setups are the deployments in the shape of the users'.
+var setups = map[string]func() stages.Setup{"library": stages.Library, "repairs": stages.Repairs}
 
+// play runs a deployment with some trouble.
 func play(s stages.Setup, trouble func(*stages.World)) *stages.World {
 	w := stages.New(1, s)
 	if trouble != nil {
@@ -21,38 +30,99 @@
 	return w
 }
 
-// inAim returns the share of all requests that met their objective.
-func inAim(w *stages.World) float64 {
-	asked, good := 0, 0
-	for _, s := range w.Scores {
-		asked += s.InAim + s.Late + s.Failed
-		good += s.InAim
+func show(t *testing.T, name string, w *stages.World) {
+	total := w.Total()
+	t.Logf("%s: objective met %.3f, answered %.3f, %d calls, %.1f pieces a call, %.0f of %.0f MB crossed, %d without room", name,
+		total.Met(), total.Answered(), w.Calls, float64(w.Pieces)/float64(w.Calls), float64(w.Crossed)/1e6, float64(w.Fetched)/1e6, w.Full)
+}
+
+// TestPooled answers to the usual load, for which no node has enough pieces alone to fill calls that cost a fixed time:
+// it guards against calls that hold too little to keep up.
+func TestPooled(t *testing.T) {
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			pooled := play(setup(), nil)
+			show(t, "one leader", pooled)
+			g.Expect(pooled.Total().Answered()).To(BeNumerically(">=", calm))
+			g.Expect(pooled.Total().Met()).To(BeNumerically(">=", calm))
+			alone := setup()
+			alone.Nodes = 9
+			each := play(alone, nil)
+			show(t, "each node alone", each)
+			g.Expect(each.Total().Met()).To(BeNumerically("<", pooled.Total().Met()/2), "the load does not need a leader")
+		})
 	}
-	return float64(good) / float64(asked)
 }
 
-func show(t *testing.T, name string, w *stages.World) {
-	t.Logf("%s: in aim %.3f, %d calls, %.1f pieces a call, %.0f MB crossed", name, inAim(w), w.Calls, float64(w.Pieces)/float64(w.Calls), float64(w.Crossed)/1e6)
-	for route, s := range w.Scores {
-		t.Logf("  %s %+v", route, *s)
+// TestBurst answers to a burst of 2.4 times one kind of request: it guards against queues in which requests for which
+// there was time wait until it is over.
+func TestBurst(t *testing.T) {
+	for name, setup := range setups {
+		for _, r := range setup().Routes {
+			t.Run(name+" "+r.Name, func(t *testing.T) {
+				g := NewWithT(t)
+				s := setup()
+				w := play(s, func(w *stages.World) { w.Burst(r.Name, 2.4, 8*time.Second, 14*time.Second) })
+				show(t, "by slack", w)
+				g.Expect(w.Total().Answered()).To(BeNumerically(">=", burst))
+				s.Options = []batch.Option{batch.Fifo()}
+				fifo := play(s, func(w *stages.World) { w.Burst(r.Name, 2.4, 8*time.Second, 14*time.Second) })
+				show(t, "in order of arrival", fifo)
+				g.Expect(w.Total().Met()).To(BeNumerically(">=", fifo.Total().Met()-0.01))
+			})
+		}
 	}
 }
 
-func TestTable(t *testing.T) {
-	for name, setup := range map[string]func() stages.Setup{"library": stages.Library, "repairs": stages.Repairs} {
-		s := setup()
-		show(t, name+" pooled by slack", play(s, nil))
-		s.Options = []batch.Option{batch.Fifo()}
-		show(t, name+" pooled fifo", play(s, nil))
-		s.Options = nil
-		s.Nodes = 9
-		show(t, name+" each node", play(s, nil))
-		s.Nodes = 1
-		burst := func(w *stages.World) {
-			w.Burst(s.Routes[1].Name, 2.4, 8*time.Second, 14*time.Second)
-			w.Crash(s.Pools[0].Name, 2, 9*time.Second, 4*time.Second, false)
+// TestFewerServers answers to a burst with a third of a pool's servers gone, silent or slow: it guards against pieces
+// that wait at such servers while others are free.
+func TestFewerServers(t *testing.T) {
+	troubles := map[string]func(w *stages.World, p *stages.Pool){
+		"crashed": func(w *stages.World, p *stages.Pool) { w.Crash(p.Name, 2, 9*time.Second, 4*time.Second, false) },
+		"silent":  func(w *stages.World, p *stages.Pool) { w.Crash(p.Name, 2, 9*time.Second, 4*time.Second, true) },
+		"slow":    func(w *stages.World, p *stages.Pool) { w.Slow(p.Name, 2, 5, 9*time.Second, 4*time.Second) },
+	}
+	for name, setup := range setups {
+		for what, trouble := range troubles {
+			for i := range setup().Pools {
+				s := setup()
+				pool := &s.Pools[i]
+				t.Run(name+" "+what+" "+string(pool.Name), func(t *testing.T) {
+					w := play(s, func(w *stages.World) {
+						trouble(w, pool)
+						w.Burst(s.Routes[1].Name, 1.5, 12*time.Second, 16*time.Second)
+					})
+					show(t, what, w)
+					NewWithT(t).Expect(w.Total().Answered()).To(BeNumerically(">=", burst))
+				})
+			}
 		}
-		show(t, name+" burst and crash", play(s, burst))
 	}
-	NewWithT(t).Expect(true).To(BeTrue())
+}
+
+// TestRoom answers to results that fill their servers: it guards against pieces that are sent to servers without room
+// for their results, and against results that are kept after they were read.
+func TestRoom(t *testing.T) {
+	s := stages.Repairs()
+	for i := range s.Pools {
+		s.Pools[i].Pieces.Room = s.Pools[i].Pieces.Room * 6 / 10
+	}
+	g := NewWithT(t)
+	w := play(s, nil)
+	show(t, "six tenths of the room", w)
+	g.Expect(w.Total().Answered()).To(BeNumerically(">=", calm))
+	g.Expect(float64(w.Full)/float64(w.Pieces)).To(BeNumerically("<", 0.02), "share of pieces without room")
+}
+
+// TestDomains answers to large results that several stages read: it guards against transfers between failure domains
+// that waiting a little would have saved.
+func TestDomains(t *testing.T) {
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			w := play(setup(), nil)
+			show(t, name, w)
+			NewWithT(t).Expect(float64(w.Crossed)/float64(w.Fetched)).To(BeNumerically("<", 0.05), "share of bytes that crossed")
+		})
+	}
 }
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -56,11 +56,24 @@
 	Options []batch.Option
 }
 
-// Score is what came of a route's requests.
+// Score is what came of a route's requests: asked for, answered within the objective, later, and not before the deadline.
 type Score struct {
 	Asked, InAim, Late, Failed int
 }
 
+// Add returns the sum of two scores.
+func (s Score) Add(other Score) Score {
+	return Score{s.Asked + other.Asked, s.InAim + other.InAim, s.Late + other.Late, s.Failed + other.Failed}
+}
+
+// Met returns the share of the ended requests that met their objective.
+func (s Score) Met() float64 { return float64(s.InAim) / float64(s.InAim+s.Late+s.Failed) }
+
+// Answered returns the share of the ended requests that were answered before their deadline.
+func (s Score) Answered() float64 {
+	return float64(s.InAim+s.Late) / float64(s.InAim+s.Late+s.Failed)
+}
+
 // World is a running simulation.
 type World struct {
 	Setup
@@ -69,7 +82,9 @@
 	Busy    time.Duration // time that servers worked
 	Calls   int
 	Pieces  int
-	Crossed int64 // bytes of results that crossed failure domains
+	Fetched int64 // bytes of results that were read
+	Crossed int64 // of these, the bytes that crossed failure domains
+	Full    int   // pieces for whose results there was no room
 
 	arrivals *rand.Rand // one source for the requests and one for the servers, so that policies see the same requests
 	rng      *rand.Rand
@@ -160,6 +175,15 @@
 	w.Now = end
 }
 
+// Total returns the scores of all routes together.
+func (w *World) Total() Score {
+	var sum Score
+	for _, s := range w.Scores {
+		sum = sum.Add(*s)
+	}
+	return sum
+}
+
 // Burst multiplies the rate of a route from one time after the beginning to another.
 func (w *World) Burst(route string, x float64, from, to time.Duration) {
 	w.At(from, func() { w.rates[route] = x })
@@ -228,10 +252,13 @@
 	q := w.requests[name]
 	w.after(q.route.Model, func() {
 		score := w.Scores[q.route.Name]
-		if w.Now.Sub(q.arrived) <= q.route.Aim {
+		switch took := w.Now.Sub(q.arrived); {
+		case took <= q.route.Aim:
 			score.InAim++
-		} else {
+		case took <= q.route.Deadline:
 			score.Late++
+		default:
+			score.Failed++
 		}
 		delete(w.requests, name)
 		if len(results) > 0 {
@@ -268,6 +295,7 @@
 		if r == nil || from.down {
 			return false
 		}
+		w.Fetched += r.bytes
 		if from.Domain != to.Domain {
 			w.Crossed += r.bytes
 		}
