batch: classes of jobs when pools are short

Cause: with a zone cut and another evacuated, one fifth to two fifths of the stage servers serve the whole load. All jobs were ranked by the time left to their objectives, so more of them started than could end in time, and cheap requests of much value (reading plans, which need one pool only) waited behind work that was thrown away.

Change: the leader measures the rate, value and work per pool of each route and, every 50 ms, gives the capacity of the short pools to the routes whose jobs bring most for their work.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -52,16 +52,18 @@
 	return &world{Balance: balance.New(self, s, quota.NewCold("n", 0)), servers: s, now: epoch}
 }
 
-// send picks a server and ends the attempt after a while.
-func (w *world) send(q balance.Query, took time.Duration, o balance.Outcome) id.Server {
+const sendTime = 10 * time.Millisecond
+
+// send picks a server and ends the attempt after sendTime.
+func (w *world) send(q balance.Query, o balance.Outcome) id.Server {
 	s, _ := w.Pick(w.now, q)
 	if s == nil {
 		return ""
 	}
 	w.Start(w.now, s, q)
 	sent := w.now
-	w.now = w.now.Add(took)
-	o.Took = took
+	o.Took = sendTime
+	w.now = w.now.Add(o.Took)
 	w.End(w.now, s.ID, sent, o)
 	return s.ID
 }
@@ -156,7 +158,7 @@
 		w := newWorld(9)
 		used := id.NewSet[id.Server]()
 		for i := range uint64(100) {
-			used.Add(w.send(balance.Query{Pool: pool, Prompt: i + 1}, 10*time.Millisecond, balance.Outcome{}))
+			used.Add(w.send(balance.Query{Pool: pool, Prompt: i + 1}, balance.Outcome{}))
 		}
 		g.Expect(used).To(HaveLen(9))
 	})
@@ -174,12 +176,12 @@
 	t.Run("failing server", func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(9)
-		first := w.send(q, 10*time.Millisecond, balance.Outcome{})
-		w.send(q, 10*time.Millisecond, balance.Outcome{Fail: event.FailBroken})
-		next := w.send(q, 10*time.Millisecond, balance.Outcome{})
+		first := w.send(q, balance.Outcome{})
+		w.send(q, balance.Outcome{Fail: event.FailBroken})
+		next := w.send(q, balance.Outcome{})
 		g.Expect(next).NotTo(Equal(first))
 		w.servers.closed.Add(next)
-		g.Expect(w.send(q, 10*time.Millisecond, balance.Outcome{})).NotTo(Equal(next))
+		g.Expect(w.send(q, balance.Outcome{})).NotTo(Equal(next))
 	})
 }
 
--- /dev/null
+++ b/core/batch/admission.go
@@ -0,0 +1,174 @@
+package batch
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"bluebellflow/core/id"
+)
+
+const (
+	// rateSpan is the time over which the rate of a route's jobs is smoothed.
+	rateSpan = time.Second
+	// fullLoad is the part of a pool's capacity that first-class jobs may take together.
+	fullLoad = 0.95
+	// urgency multiplies the value of a job for each level of priority above the lowest.
+	urgency = 1.5
+	// lowestPriority is the priority from which on jobs are not urgent.
+	lowestPriority = 4
+	// valueGain is the weight of a new job in what is known of its route.
+	valueGain = 0.05
+	// leastRate is the rate below which a route is forgotten, in jobs a second.
+	leastRate = 0.01
+)
+
+// class orders jobs under overload.
+type class uint8
+
+const (
+	// first jobs fit into the capacity of their pools.
+	first class = iota
+	// second jobs run with what first ones leave.
+	second
+	// late jobs have missed their objective.
+	late
+)
+
+// demand is what the jobs of a route ask for.
+type demand struct {
+	rate  float64 // jobs a second
+	at    time.Time
+	value float64             // of a job
+	work  map[id.Pool]float64 // seconds of a worker for a job
+	share float64             // part of the jobs that are first-class
+	sum   float64             // of shares that were not used yet
+}
+
+// admission decides which jobs run first when there are more than the pools can do in time. Jobs that bring much for
+// little work of the pools that are short come first; the others run with what is left.
+type admission struct {
+	routes map[string]*demand
+	at     time.Time
+}
+
+// decay brings a route's rate up to date.
+func (d *demand) decay(now time.Time) {
+	if !d.at.IsZero() {
+		d.rate *= math.Exp(-float64(now.Sub(d.at)) / float64(rateSpan))
+	}
+	d.at = now
+}
+
+// admit counts a job and returns its class.
+func (s *Scheduler) admit(now time.Time, j *job) class {
+	d, known := s.admission.routes[j.Route]
+	if !known {
+		d = &demand{work: map[id.Pool]float64{}, share: 1}
+		s.admission.routes[j.Route] = d
+	}
+	d.decay(now)
+	d.rate += 1 / rateSpan.Seconds()
+	d.learn(j, s.work(j), !known)
+	if now.Sub(s.admission.at) >= sharePeriod {
+		s.admission.at = now
+		s.divide(now)
+	}
+	if d.sum = min(2, d.sum+d.share); d.sum >= 1 {
+		d.sum--
+		return first
+	}
+	return second
+}
+
+// sharePeriod is how often the capacity is divided anew.
+const sharePeriod = 50 * time.Millisecond
+
+func (d *demand) learn(j *job, work map[id.Pool]float64, fresh bool) {
+	gain := valueGain
+	if fresh {
+		gain = 1
+	}
+	value := float64(max(1, j.Value)) * math.Pow(urgency, float64(lowestPriority-min(lowestPriority, int(j.Priority))))
+	d.value += gain * (value - d.value)
+	for pool := range d.work {
+		d.work[pool] -= gain * d.work[pool]
+	}
+	for pool, seconds := range work {
+		d.work[pool] += gain * seconds
+	}
+}
+
+// work returns the seconds of a worker that a job takes in each pool when calls are full.
+func (s *Scheduler) work(j *job) map[id.Pool]float64 {
+	out := map[id.Pool]float64{}
+	for _, p := range j.parts {
+		l := s.lines[p.stage().Pool]
+		out[p.stage().Pool] += float64(len(p.pieces)) * l.cost(kindOf(p)).Seconds()
+	}
+	return out
+}
+
+// divide gives the capacity of the pools to the routes, those first whose jobs bring most for the work that they take
+// from pools which are short.
+func (s *Scheduler) divide(now time.Time) {
+	left := map[id.Pool]float64{}
+	short := map[id.Pool]float64{} // demand over capacity, for pools in which it is above one
+	for name, l := range s.lines {
+		left[name] = fullLoad * s.capacity(now, l)
+	}
+	var order []*demand
+	for _, route := range slices.Sorted(maps.Keys(s.admission.routes)) {
+		d := s.admission.routes[route]
+		if d.decay(now); d.rate < leastRate {
+			delete(s.admission.routes, route)
+			continue
+		}
+		order = append(order, d)
+		for pool, seconds := range d.work {
+			short[pool] += d.rate * seconds
+		}
+	}
+	for pool, load := range short {
+		if load <= left[pool] {
+			delete(short, pool)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b *demand) int { return cmp.Compare(b.density(short, left), a.density(short, left)) })
+	for _, d := range order {
+		d.share = 1
+		for pool := range short {
+			if need := d.rate * d.work[pool]; need > 0 {
+				d.share = min(d.share, max(0, left[pool])/need)
+			}
+		}
+		for pool, seconds := range d.work {
+			left[pool] -= d.share * d.rate * seconds
+		}
+	}
+}
+
+// density is the value of a job for the part that it takes of the pools which are short.
+func (d *demand) density(short, capacity map[id.Pool]float64) float64 {
+	part := 0.0
+	for pool := range short {
+		part += d.work[pool] / max(capacity[pool], 1e-6)
+	}
+	if part == 0 {
+		return math.Inf(1)
+	}
+	return d.value / part
+}
+
+// capacity returns how many workers of a pool are at work, slow ones counted in part.
+func (s *Scheduler) capacity(now time.Time, l *line) float64 {
+	sum := 0.0
+	for _, w := range l.workers {
+		if usable, _ := s.servers.Usable(w.Server); usable && (w.failures == 0 || now.After(w.rest)) {
+			sum += float64(max(1, l.pool.Pieces.Slots)) / max(1, w.factor)
+		}
+	}
+	return sum
+}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -20,6 +20,7 @@
 	deadline time.Time
 	aim      time.Time
 	parts    []*part
+	class    class
 	redone   int  // times that lost results were made again
 	done     bool // the results were reported
 	ended    bool // nothing of it is wanted any more
@@ -32,7 +33,7 @@
 	queued  bool
 	ready   time.Time        // when its inputs were complete
 	latest  time.Time        // when it has to start for its job to meet its objective
-	late    bool             // that time had passed when the queue was last sorted
+	class   class            // when the queue was last sorted
 	rank    time.Time        // its place in the queue
 	home    id.FailureDomain // where its inputs lie or its results are read, empty if that does not matter
 	avoid   id.Server        // the server that failed last
--- a/core/batch/line.go
+++ b/core/batch/line.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -67,6 +68,11 @@
 	return l.pool.Pieces.Item
 }
 
+// cost returns the time of a piece with its part of a full call.
+func (l *line) cost(k kind) time.Duration {
+	return l.item(k) + l.pool.Pieces.Call/time.Duration(max(1, l.pool.Pieces.Batch))
+}
+
 // learn corrects the times of the pieces in a call by the error of its expected time.
 func (l *line) learn(c *call, took time.Duration) {
 	sum := c.expected - l.pool.Pieces.Call
@@ -135,25 +141,20 @@
 	})
 }
 
-// rank sorts the queue: first what can still meet its objective, by how little time is left, with the more urgent
-// priorities ahead; then the rest by deadline.
+// rank sorts the queue: by class, then by how little time is left, with the more urgent priorities ahead; what has missed
+// its objective comes last, by deadline.
 func (l *line) rank(now time.Time) {
 	for _, p := range l.parts {
-		p.late = now.After(p.latest)
-		if p.late {
+		p.class = p.job.class
+		if now.After(p.latest) {
+			p.class = late
 			p.rank = p.job.deadline.Add(time.Duration(p.job.Priority) * lateStep)
 		} else {
 			p.rank = p.latest.Add(time.Duration(p.job.Priority) * priorityStep)
 		}
 	}
 	slices.SortStableFunc(l.parts, func(a, b *part) int {
-		switch {
-		case a.late == b.late:
-			return a.rank.Compare(b.rank)
-		case a.late:
-			return 1
-		}
-		return -1
+		return cmp.Or(cmp.Compare(a.class, b.class), a.rank.Compare(b.rank))
 	})
 	l.ranked = true
 }
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -40,24 +40,29 @@
 
 // Scheduler runs the stages of all jobs that were submitted to this node.
 type Scheduler struct {
-	self     event.Self
-	servers  servers
-	catalog  *catalog.Catalog
-	lines    map[id.Pool]*line
-	workers  map[id.Server]*worker
-	jobs     map[jobKey]*job
-	calls    map[uint64]*call
-	last     uint64
-	ends     alarm.Heap[jobKey] // deadlines of jobs
-	stepped  time.Time
-	sweepAt  time.Time // zero if nothing is under way
-	expireAt time.Time
-	fifo     bool // baseline: in the order of arrival
+	self      event.Self
+	servers   servers
+	catalog   *catalog.Catalog
+	lines     map[id.Pool]*line
+	workers   map[id.Server]*worker
+	jobs      map[jobKey]*job
+	calls     map[uint64]*call
+	last      uint64
+	ends      alarm.Heap[jobKey] // deadlines of jobs
+	admission admission
+	stepped   time.Time
+	sweepAt   time.Time // zero if nothing is under way
+	expireAt  time.Time
+	fifo      bool // baseline: in the order of arrival
+	noClasses bool // baseline: all jobs are first-class
 }
 
 // Option changes a Scheduler.
 type Option func(*Scheduler)
 
+// NoClasses treats all jobs alike under overload, as a baseline.
+func NoClasses() Option { return func(s *Scheduler) { s.noClasses = true } }
+
 // Fifo runs pieces in the order in which their inputs were complete, as a baseline.
 func Fifo() Option { return func(s *Scheduler) { s.fifo = true } }
 
@@ -84,7 +89,7 @@
 func New(self event.Self, servers servers, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		self: self, servers: servers, lines: map[id.Pool]*line{}, workers: map[id.Server]*worker{},
-		jobs: map[jobKey]*job{}, calls: map[uint64]*call{},
+		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, admission: admission{routes: map[string]*demand{}},
 	}
 	for _, o := range opts {
 		o(s)
@@ -189,10 +194,13 @@
 			return
 		}
 	}
+	if !s.noClasses {
+		j.class = s.admit(now, j)
+	}
 	s.jobs[key] = j
 	s.ends.Set(j.deadline, key)
 	out.add(event.Log{Kind: "job", Request: b.Request, Stage: b.Route, Choice: "accept", Reason: fmt.Sprintf(
-		"from=%s aim=%s left=%s open=%d", key.node, time.Duration(b.Aim), time.Duration(b.Left), len(s.jobs))})
+		"from=%s class=%d aim=%s left=%s open=%d", key.node, j.class, time.Duration(b.Aim), time.Duration(b.Left), len(s.jobs))})
 	s.advance(now, j, out)
 }
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -63,8 +63,9 @@
 	w.step(mirror.Put{Kind: fleet.Servers, Object: mirror.Object{Name: name, Revision: 1, Spec: []byte(spec)}})
 }
 
-func (w *world) usable(name id.Server) bool {
-	s := w.Server(name)
+// usable reports whether server s may be used.
+func (w *world) usable() bool {
+	s := w.Server("s")
 	if s == nil {
 		return false
 	}
@@ -80,16 +81,16 @@
 	draining.Draining = true
 	w := newWorld(entries{"good": entry("p", "1"), "draining": draining, "other": entry("q", "1")})
 	w.put("s", "good")
-	g.Expect(w.usable("s")).To(BeTrue())
+	g.Expect(w.usable()).To(BeTrue())
 	w.step(mirror.Put{Kind: fleet.Evacuations, Object: mirror.Object{Name: "a"}})
-	g.Expect(w.usable("s")).To(BeFalse())
+	g.Expect(w.usable()).To(BeFalse())
 	w.step(mirror.Gone{Kind: fleet.Evacuations, Name: "a"})
-	g.Expect(w.usable("s")).To(BeTrue())
+	g.Expect(w.usable()).To(BeTrue())
 	w.put("s", "other")
 	g.Expect(w.Pool("p")).To(BeEmpty(), "the server runs another pool's work now")
 	g.Expect(w.Pool("q")).To(HaveLen(1))
 	w.put("s", "draining")
-	g.Expect(w.usable("s")).To(BeFalse())
+	g.Expect(w.usable()).To(BeFalse())
 	w.put("s", "unreadable")
 	g.Expect(w.Server("s")).To(BeNil())
 	w.put("new", "unreadable")
@@ -126,15 +127,15 @@
 		w.step(mirror.Link{Kind: fleet.Servers})
 		w.now = w.now.Add(10 * time.Second)
 		w.step(gone)
-		g.Expect(w.usable("s")).To(BeTrue(), "nobody knows while the store is away")
+		g.Expect(w.usable()).To(BeTrue(), "nobody knows while the store is away")
 		w.step(mirror.Link{Kind: fleet.Servers, Up: true})
 		w.now = w.now.Add(mirror.SettleTime - time.Millisecond)
 		w.step(event.Tick{})
-		g.Expect(w.usable("s")).To(BeTrue())
+		g.Expect(w.usable()).To(BeTrue())
 		w.put("s", "s")
 		w.now = w.now.Add(time.Hour)
 		w.step(event.Tick{})
-		g.Expect(w.usable("s")).To(BeTrue())
+		g.Expect(w.usable()).To(BeTrue())
 	})
 	t.Run("not back", func(t *testing.T) {
 		g := NewWithT(t)
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -80,13 +80,13 @@
 	return mirror.Object{Name: name, Revision: revision, Spec: []byte(name)}
 }
 
-// list gives a node the whole of both kinds from the store.
-func (n *net) list(name id.Node, revision uint64, objects ...mirror.Object) {
+// list gives a node the whole of both kinds from the store, at revision 10.
+func (n *net) list(name id.Node, objects ...mirror.Object) {
 	for _, kind := range []string{"nodes", "config"} {
 		n.step(name, mirror.Link{Kind: kind, Up: true})
 	}
-	n.step(name, mirror.Listed{Kind: "nodes", Revision: revision})
-	n.step(name, mirror.Listed{Kind: "config", Revision: revision, Objects: objects})
+	n.step(name, mirror.Listed{Kind: "nodes", Revision: 10})
+	n.step(name, mirror.Listed{Kind: "config", Revision: 10, Objects: objects})
 }
 
 // TestNeverBack guards against a copy that takes an older state for news, whoever brings it.
@@ -94,7 +94,7 @@
 	g := NewWithT(t)
 	n := newNet("a")
 	n.step("a", event.Tick{})
-	n.list("a", 10, object("main", 9))
+	n.list("a", object("main", 9))
 	n.step("a", mirror.Listed{Kind: "config", Revision: 8, Objects: []mirror.Object{object("main", 7)}})
 	n.step("a", mirror.Updated{Kind: "config", Revision: 9, Deleted: []string{"main"}})
 	n.step("a", event.Receive{From: "b", Body: mirror.Supply{Kind: "config", Revision: 10, Whole: true}})
@@ -114,10 +114,10 @@
 			n.run(100 * time.Millisecond)
 			if !wholly {
 				for _, node := range keys(n.mirrors) {
-					n.list(node, 10, object("x", 3), object("y", 4))
+					n.list(node, object("x", 3), object("y", 4))
 				}
 			}
-			n.list("a", 10, object("x", 3), object("y", 4))
+			n.list("a", object("x", 3), object("y", 4))
 			n.step("a", mirror.Updated{Kind: "config", Revision: 20, Objects: []mirror.Object{object("z", 20)}, Deleted: []string{"x"}})
 			n.run(5 * time.Second)
 			for _, node := range keys(n.mirrors) {
@@ -133,8 +133,8 @@
 	g := NewWithT(t)
 	n := newNet("a", "b")
 	n.run(50 * time.Millisecond)
-	n.list("a", 10, object("main", 9))
-	n.list("b", 10, object("main", 9))
+	n.list("a", object("main", 9))
+	n.list("b", object("main", 9))
 	n.cut.Add("a")
 	n.step("a", mirror.Listed{Kind: "nodes", Revision: 30})
 	n.step("b", mirror.Listed{Kind: "config", Revision: 40, Objects: []mirror.Object{object("main", 9)}})
@@ -154,7 +154,7 @@
 		n.mirrors["a"].SetSource(n.now, "a", false)
 		n.mirrors["b"].SetSource(n.now, "a", false)
 		n.run(50 * time.Millisecond)
-		n.list("a", 10, object("main", 9))
+		n.list("a", object("main", 9))
 		n.run(3 * time.Second)
 		return n
 	}
@@ -215,8 +215,8 @@
 			g := NewWithT(t)
 			n := newNet("a", "b")
 			n.run(1200 * time.Millisecond) // without a source they follow the store themselves
-			n.list("b", 10, object("x", 3))
-			n.list("a", 10, object("x", 3))
+			n.list("b", object("x", 3))
+			n.list("a", object("x", 3))
 			n.step("b", mirror.Link{Kind: "config"})
 			n.run(c.upFor)
 			n.step("a", mirror.Updated{Kind: "config", Revision: 11, Deleted: []string{"x"}})
--- a/lab/stages/stages_test.go
+++ b/lab/stages/stages_test.go
@@ -126,3 +126,26 @@
 		})
 	}
 }
+
+// TestScarce answers to two fifths of all stage servers lost for several seconds: it guards against capacity that is
+// spread over all requests in order of their objectives, so that more of them start than can end in time and those that
+// are worth most for their work miss theirs.
+func TestScarce(t *testing.T) {
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			scarce := func(opts ...batch.Option) *stages.World {
+				s := setup()
+				s.Options = opts
+				return play(s, func(w *stages.World) {
+					for _, p := range s.Pools {
+						w.Crash(p.Name, 3, 8*time.Second, 8*time.Second, false)
+					}
+				})
+			}
+			alike, classes := scarce(batch.NoClasses()), scarce()
+			show(t, "all alike", alike)
+			show(t, "by class", classes)
+			NewWithT(t).Expect(classes.Worth()).To(BeNumerically(">", alike.Worth()+0.03), "value of what met its objective")
+		})
+	}
+}
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -175,6 +175,17 @@
 	w.Now = end
 }
 
+// Worth returns the value of what met its objective as a share of the value of all ended requests.
+func (w *World) Worth() float64 {
+	got, asked := 0.0, 0.0
+	for i := range w.Routes {
+		s, value := w.Scores[w.Routes[i].Name], float64(w.Routes[i].Value)
+		got += value * float64(s.InAim)
+		asked += value * float64(s.InAim+s.Late+s.Failed)
+	}
+	return got / asked
+}
+
 // Total returns the scores of all routes together.
 func (w *World) Total() Score {
 	var sum Score
