batch: jobs that would still wait at their deadline are refused at once

Change: the leader estimates the wait of a second-class job from the work of its class ahead and the workers that first-class jobs leave. If the wait exceeds the time left, the caller gets 503 at once with the time at which the queue will have shrunk. Waiting parts that cannot end before the deadline any more end their job at once. The unused Late field of batch.Failed is gone.

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -23,6 +23,9 @@
 	valueGain = 0.05
 	// leastRate is the rate below which a route is forgotten, in jobs a second.
 	leastRate = 0.01
+	// shortestAfter and longestAfter bound when the caller of a refused job may come back.
+	shortestAfter = 500 * time.Millisecond
+	longestAfter  = 5 * time.Second
 )
 
 // class orders jobs under overload.
@@ -52,6 +55,7 @@
 type admission struct {
 	routes map[string]*demand
 	at     time.Time
+	spare  map[id.Pool]float64 // workers that first-class jobs leave
 }
 
 // decay brings a route's rate up to date.
@@ -116,8 +120,10 @@
 func (s *Scheduler) divide(now time.Time) {
 	left := map[id.Pool]float64{}
 	short := map[id.Pool]float64{} // demand over capacity, for pools in which it is above one
+	total := map[id.Pool]float64{}
 	for name, l := range s.lines {
-		left[name] = fullLoad * s.capacity(now, l)
+		total[name] = s.capacity(now, l)
+		left[name] = fullLoad * total[name]
 	}
 	var order []*demand
 	for _, route := range slices.Sorted(maps.Keys(s.admission.routes)) {
@@ -148,6 +154,76 @@
 			left[pool] -= d.share * d.rate * seconds
 		}
 	}
+	s.admission.spare = map[id.Pool]float64{}
+	for pool, workers := range total {
+		s.admission.spare[pool] = max(0, left[pool]) + (1-fullLoad)*workers
+	}
+}
+
+// hopeless reports whether a second-class job would still wait at its deadline behind the others of its class, and when
+// a caller may come back.
+func (s *Scheduler) hopeless(now time.Time, j *job) (time.Duration, bool) {
+	longest := 0.0
+	ahead := s.secondClass()
+	for pool := range s.work(j) {
+		if work := ahead[pool]; work > 0 {
+			longest = max(longest, work/max(s.admission.spare[pool], 1e-6))
+		}
+	}
+	over := longest - j.deadline.Sub(now).Seconds() + s.shortest(j).Seconds()
+	if over <= 0 {
+		return 0, false
+	}
+	return min(longestAfter, max(shortestAfter, time.Duration(min(over, longestAfter.Seconds())*float64(time.Second)))), true
+}
+
+// secondClass returns the work that second-class jobs still ask of each pool, in seconds of a worker.
+func (s *Scheduler) secondClass() map[id.Pool]float64 {
+	out := map[id.Pool]float64{}
+	for _, j := range s.jobs {
+		if j.class != second || j.done {
+			continue
+		}
+		for _, p := range j.parts {
+			if p.missing > 0 {
+				pool := p.stage().Pool
+				out[pool] += float64(p.missing) * s.lines[pool].cost(kindOf(p)).Seconds()
+			}
+		}
+	}
+	return out
+}
+
+// shortest returns the least time that the stages of a job take.
+func (s *Scheduler) shortest(j *job) time.Duration {
+	longest := time.Duration(0)
+	for _, p := range j.parts {
+		if len(p.pieces) > 0 {
+			longest = max(longest, s.shortestFrom(p))
+		}
+	}
+	return longest
+}
+
+// shortestFrom returns the least time from the start of a part to the end of the last one after it.
+func (s *Scheduler) shortestFrom(p *part) time.Duration {
+	after := time.Duration(0)
+	for _, other := range p.job.parts {
+		if len(other.pieces) > 0 && slices.Contains(other.stage().After, uint32(p.index)) {
+			after = max(after, s.shortestFrom(other))
+		}
+	}
+	l := s.lines[p.stage().Pool]
+	return l.pool.Pieces.Call + l.item(kindOf(p)) + after
+}
+
+// giveUp ends the jobs that wait and cannot end before their deadlines any more.
+func (s *Scheduler) giveUp(now time.Time, l *line, out *actions) {
+	for _, p := range l.parts {
+		if j := p.job; !j.ended && p.open > 0 && now.Add(s.shortestFrom(p)).After(j.deadline) {
+			s.fail(now, j, "cannot end before its deadline any more", shortestAfter, out)
+		}
+	}
 }
 
 // density is the value of a job for the part that it takes of the pools which are short.
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -88,7 +88,6 @@
 	Ticket uint64 `protobuf:"varint,1,opt,name=ticket"`
 	Reason string `protobuf:"bytes,2,opt,name=reason"`
 	After  int64  `protobuf:"varint,3,opt,name=after"` // when the caller may come back, in nanoseconds
-	Late   bool   `protobuf:"varint,4,opt,name=late"`  // the deadline cannot be met
 }
 
 // Check accepts every answer.
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -155,7 +155,9 @@
 func (s *Scheduler) sweep(now time.Time, out *actions) {
 	s.overdue(now, out)
 	s.freeInputs(now)
-	for _, l := range s.lines {
+	for _, name := range slices.Sorted(maps.Keys(s.lines)) {
+		l := s.lines[name]
+		s.giveUp(now, l, out)
 		l.ranked = false
 		l.touched = len(l.parts) > 0
 	}
@@ -195,7 +197,14 @@
 		}
 	}
 	if !s.noClasses {
-		j.class = s.admit(now, j)
+		if j.class = s.admit(now, j); j.class == second {
+			if after, hopeless := s.hopeless(now, j); hopeless {
+				out.add(event.Log{Kind: "job", Request: b.Request, Stage: b.Route, Choice: "reject", Reason: fmt.Sprintf(
+					"from=%s after=%s left=%s open=%d", key.node, after, time.Duration(b.Left), len(s.jobs))})
+				s.reply(key, Failed{Ticket: b.Ticket, Reason: "the queue is longer than the time left", After: int64(after)}, out)
+				return
+			}
+		}
 	}
 	s.jobs[key] = j
 	s.ends.Set(j.deadline, key)
@@ -324,12 +333,12 @@
 }
 
 // fail ends a job without results.
-func (s *Scheduler) fail(now time.Time, j *job, reason string, after time.Duration, late bool, out *actions) {
+func (s *Scheduler) fail(now time.Time, j *job, reason string, after time.Duration, out *actions) {
 	if j.ended {
 		return
 	}
 	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "fail", Reason: reason})
-	s.reply(j.key, Failed{Ticket: j.Ticket, Reason: reason, After: int64(after), Late: late}, out)
+	s.reply(j.key, Failed{Ticket: j.Ticket, Reason: reason, After: int64(after)}, out)
 	s.end(now, j)
 }
 
@@ -369,7 +378,7 @@
 		case j.done:
 			s.end(now, j)
 		default:
-			s.fail(now, j, "the deadline has passed", 0, true, out)
+			s.fail(now, j, "the deadline has passed", 0, out)
 		}
 	}
 }
--- a/core/batch/settle.go
+++ b/core/batch/settle.go
@@ -96,9 +96,9 @@
 	one.part.avoid = c.worker.ID
 	switch {
 	case o.Reason == Late:
-		s.fail(now, one.part.job, "a piece came too late to its server", 0, true, out)
+		s.fail(now, one.part.job, "a piece came too late to its server", 0, out)
 	case p.tries >= maxTries:
-		s.fail(now, one.part.job, "a piece failed on several servers", failRetry, false, out)
+		s.fail(now, one.part.job, "a piece failed on several servers", failRetry, out)
 	case o.Reason == Missing:
 		s.redo(now, one.part, out)
 	case o.Reason == Full:
@@ -111,7 +111,7 @@
 	j := p.job
 	j.redone++
 	if j.redone > maxRedone {
-		s.fail(now, j, "results were lost again and again", failRetry, false, out)
+		s.fail(now, j, "results were lost again and again", failRetry, out)
 		return
 	}
 	for _, before := range p.stage().After {
@@ -169,7 +169,7 @@
 		p.tries++
 		one.part.avoid = c.worker.ID
 		if p.tries >= maxTries {
-			s.fail(now, one.part.job, "a piece failed on several servers", failRetry, false, out)
+			s.fail(now, one.part.job, "a piece failed on several servers", failRetry, out)
 		}
 	}
 	s.requeue(now, c, out)
