batch: a lost result counts once, and what was given up is made again first

A result made again also started from inputs that had been given up, so that the next call had to fail.

Change: only the first report of a part counts; inputs that are not kept any more are made again before their readers run.

--- /dev/null
+++ b/core/batch/batch_test.go
@@ -0,0 +1,314 @@
+package batch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/batch"
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+)
+
+const (
+	cut, read = id.Pool("cut"), id.Pool("read")
+	patience  = 4 * time.Second
+)
+
+// world is a scheduler with servers whose calls the test ends.
+type world struct {
+	*batch.Scheduler
+	now     time.Time
+	servers map[id.Pool][]*fleet.Server
+	running []batch.Run
+	freed   []string
+	done    map[uint64]batch.Done
+	failed  map[uint64]batch.Failed
+	last    int
+}
+
+func newWorld(t *testing.T, servers int) *world {
+	t.Helper()
+	w := &world{
+		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), servers: map[id.Pool][]*fleet.Server{},
+		done: map[uint64]batch.Done{}, failed: map[uint64]batch.Failed{},
+	}
+	c := catalog.Config{Version: 1}
+	for _, name := range []id.Pool{cut, read} {
+		c.Pools = append(c.Pools, catalog.Pool{Name: name, Pieces: &catalog.Pieces{
+			Batch: 8, Slots: 1, Call: 100 * time.Millisecond, Item: 10 * time.Millisecond, Room: 1 << 20, Keep: 10 * time.Second,
+		}})
+		for i := range servers {
+			w.servers[name] = append(w.servers[name], &fleet.Server{
+				ID: id.Server(fmt.Sprintf("%s%d", name, i)), Entry: fleet.Entry{Pool: name, Domain: "d0"},
+			})
+		}
+	}
+	cat, err := catalog.New(c)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	w.Scheduler = batch.New(event.Self{Node: "n", Rand: rand.New(rand.NewPCG(1, 1))}, w)
+	w.SetCatalog(cat)
+	return w
+}
+
+func (w *world) Pool(name id.Pool) []*fleet.Server { return w.servers[name] }
+
+func (w *world) Usable(*fleet.Server) (bool, string) { return true, "" }
+
+func (w *world) step(ev event.Event) {
+	for _, a := range w.Step(w.now, ev) {
+		switch a := a.(type) {
+		case batch.Run:
+			w.running = append(w.running, a)
+		case batch.Free:
+			w.freed = append(w.freed, a.Handles...)
+		case event.Send:
+			switch b := a.Body.(type) {
+			case batch.Done:
+				w.done[b.Ticket] = b
+			case batch.Failed:
+				w.failed[b.Ticket] = b
+			}
+		}
+	}
+}
+
+// submit asks for two pieces of cut and one of read that reads them.
+func (w *world) submit(ticket uint64, left time.Duration) {
+	w.submitStages(ticket, left, batch.Stage{Pool: cut, Pieces: 2, Bytes: 100}, batch.Stage{Pool: read, Pieces: 1, After: []uint32{0}, Bytes: 100})
+}
+
+func (w *world) submitStages(ticket uint64, left time.Duration, stages ...batch.Stage) {
+	w.step(event.Receive{From: "g", Body: batch.Submit{
+		Ticket: ticket, Request: id.Request(fmt.Sprintf("r%d", ticket)), Route: "route", Left: int64(left), Aim: int64(left / 2), Value: 10,
+		Stages: stages,
+	}})
+}
+
+// wait lets time pass in steps of the scheduler's timers.
+func (w *world) wait(d time.Duration) {
+	for end := w.now.Add(d); ; {
+		next := w.Next()
+		if next.IsZero() || next.After(end) {
+			w.now = end
+			return
+		}
+		w.now = next
+		w.step(event.Tick{})
+	}
+}
+
+// take returns the oldest call in progress after some time for it.
+func (w *world) take() batch.Run {
+	r := w.running[0]
+	w.running = w.running[1:]
+	w.wait(120 * time.Millisecond)
+	return r
+}
+
+// succeed ends the oldest call well.
+func (w *world) succeed() batch.Run {
+	r := w.take()
+	ran := batch.Ran{Call: r.Call}
+	for range r.Items {
+		w.last++
+		ran.Outcomes = append(ran.Outcomes, batch.Outcome{Handle: fmt.Sprintf("h%d", w.last)})
+	}
+	w.step(ran)
+	return r
+}
+
+// TestJob guards against stages that run before their inputs are there, and results that are never given up.
+func TestJob(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 2)
+	w.submit(1, patience)
+	first := w.succeed()
+	g.Expect(first.Items).To(HaveLen(2), "pieces of one job share a call")
+	second := w.succeed()
+	g.Expect(second.Items).To(HaveLen(1))
+	g.Expect(second.Items[0].Inputs).To(Equal([]string{"h1", "h2"}))
+	g.Expect(w.done[1].Results).To(HaveLen(1))
+	w.step(event.Receive{From: "g", Body: batch.Release{Ticket: 1, Read: true}})
+	w.wait(time.Second)
+	g.Expect(w.freed).To(ConsistOf("h1", "h2", "h3"))
+	g.Expect(w.Open()).To(BeZero())
+	g.Expect(w.Next()).To(BeZero(), "nothing is left to do")
+}
+
+// TestFailures guards against jobs that end, or wait, because of one server.
+func TestFailures(t *testing.T) {
+	for name, fail := range map[string]func(*world, batch.Run) event.Event{
+		"broken": func(_ *world, r batch.Run) event.Event {
+			return batch.Ran{Call: r.Call, Fail: event.FailBroken, Detail: "connection reset"}
+		},
+		"rejected": func(_ *world, r batch.Run) event.Event { return batch.Ran{Call: r.Call, Fail: event.FailRejected} },
+		"piece wrong": func(_ *world, r batch.Run) event.Event {
+			return batch.Ran{Call: r.Call, Outcomes: []batch.Outcome{{Reason: batch.Wrong}, {Reason: batch.Wrong}}}
+		},
+		"outcomes missing": func(_ *world, r batch.Run) event.Event {
+			return batch.Ran{Call: r.Call, Outcomes: []batch.Outcome{{Handle: "x"}}}
+		},
+		"server gone": func(w *world, r batch.Run) event.Event {
+			for _, s := range w.servers[cut] {
+				if s.ID == r.Server.ID {
+					return fleet.Gone{Server: s}
+				}
+			}
+			return event.Tick{}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(t, 2)
+			w.submit(1, patience)
+			bad := w.take()
+			w.step(fail(w, bad))
+			g.Expect(w.running).To(HaveLen(1), "the pieces go to the other server at once")
+			g.Expect(w.running[0].Server.ID).NotTo(Equal(bad.Server.ID))
+			w.succeed()
+			w.succeed()
+			g.Expect(w.done).To(HaveKey(uint64(1)))
+		})
+	}
+	t.Run("silent", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 2)
+		w.submit(1, patience)
+		silent := w.take()
+		w.wait(silent.Timeout)
+		g.Expect(w.running).To(HaveLen(1))
+		g.Expect(w.running[0].Server.ID).NotTo(Equal(silent.Server.ID))
+	})
+}
+
+// TestLostResults guards against stages that read results which ended with their server.
+func TestLostResults(t *testing.T) {
+	for name, lose := range map[string]func(*world, batch.Run){
+		"server restarted": func(w *world, _ batch.Run) {
+			for _, s := range w.servers[cut] {
+				w.step(fleet.Changed{Server: s, Restarted: true})
+			}
+		},
+		"input missing": func(w *world, r batch.Run) {
+			w.step(batch.Ran{Call: r.Call, Outcomes: []batch.Outcome{{Reason: batch.Missing}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(t, 2)
+			w.submit(1, patience)
+			w.succeed()
+			reader := w.running[0]
+			lose(w, reader)
+			g.Expect(w.running).To(HaveLen(2))
+			again := w.running[1]
+			g.Expect(string(again.Server.ID)).To(HavePrefix(string(cut)), "the inputs are made again")
+			g.Expect(again.Items).To(HaveLen(2))
+		})
+	}
+}
+
+// TestLostOnce guards against one lost result that counts once for each piece which reads it, so that the job fails.
+func TestLostOnce(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 2)
+	w.submitStages(1, patience, batch.Stage{Pool: cut, Pieces: 1, Bytes: 100}, batch.Stage{Pool: read, Pieces: 6, After: []uint32{0}, Bytes: 100})
+	w.succeed()
+	reader := w.take()
+	ran := batch.Ran{Call: reader.Call}
+	for range reader.Items {
+		ran.Outcomes = append(ran.Outcomes, batch.Outcome{Reason: batch.Missing})
+	}
+	w.step(ran)
+	g.Expect(w.failed).To(BeEmpty())
+	g.Expect(w.succeed().Items).To(HaveLen(1), "the input is made again once")
+	g.Expect(w.succeed().Items).To(HaveLen(6))
+	g.Expect(w.done).To(HaveKey(uint64(1)))
+}
+
+// TestLostLater guards against results that are made again from inputs which were given up: such calls cannot succeed.
+func TestLostLater(t *testing.T) {
+	for name, lose := range map[string]func(*world, batch.Run){
+		"server restarted": func(w *world, _ batch.Run) {
+			for _, s := range w.servers[read] {
+				w.step(fleet.Changed{Server: s, Restarted: true})
+			}
+		},
+		"input missing": func(w *world, r batch.Run) {
+			w.step(batch.Ran{Call: r.Call, Outcomes: []batch.Outcome{{Reason: batch.Missing}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(t, 2)
+			w.submitStages(1, patience,
+				batch.Stage{Pool: cut, Pieces: 1, Bytes: 100},
+				batch.Stage{Pool: read, Pieces: 1, After: []uint32{0}, Bytes: 100},
+				batch.Stage{Pool: cut, Pieces: 1, After: []uint32{1}, Bytes: 100})
+			w.succeed()
+			w.succeed()
+			w.wait(200 * time.Millisecond)
+			g.Expect(w.freed).To(ConsistOf("h1"), "the first result was read")
+			last := w.running[0]
+			w.running = nil
+			lose(w, last)
+			g.Expect(w.running).To(HaveLen(1))
+			g.Expect(w.running[0].Items[0].Stage).To(BeZero(), "the first stage runs again before the second")
+		})
+	}
+}
+
+// TestHopeless guards against jobs that are held to their deadlines although they cannot end before them.
+func TestHopeless(t *testing.T) {
+	t.Run("no server", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 0)
+		w.submit(1, patience)
+		w.wait(patience - 150*time.Millisecond)
+		g.Expect(w.failed).To(HaveKey(uint64(1)), "two stages take 220 ms")
+		g.Expect(w.failed[1].After).To(BeNumerically(">", 0))
+	})
+	t.Run("queue longer than the time left", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1)
+		const jobs = 400
+		for i := range uint64(jobs) {
+			w.submit(i+1, patience)
+			w.wait(10 * time.Millisecond)
+		}
+		g.Expect(len(w.failed)).To(BeNumerically(">", jobs/2), "one server of each pool does less than half of them in time")
+		for _, f := range w.failed {
+			g.Expect(time.Duration(f.After)).To(BeNumerically(">=", 500*time.Millisecond), "time to return")
+		}
+		g.Expect(w.Open()).To(BeNumerically(">", jobs/20), "those that fit are taken")
+	})
+	t.Run("calm", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 2)
+		for i := range uint64(20) {
+			w.submit(i+1, patience)
+			w.wait(100 * time.Millisecond)
+			for len(w.running) > 0 {
+				w.succeed()
+			}
+		}
+		g.Expect(w.failed).To(BeEmpty())
+		g.Expect(w.done).To(HaveLen(20))
+	})
+}
+
+// TestFreeze guards against a scheduler that goes on with stale jobs after its process stood still.
+func TestFreeze(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1)
+	w.submit(1, time.Minute)
+	w.now = w.now.Add(3 * time.Second)
+	w.step(event.Tick{})
+	g.Expect(w.Open()).To(BeZero())
+}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -85,6 +85,44 @@
 	p.missing++
 }
 
+// remake drops the inputs of a part, so that they are made again, with the inputs of those that were given up meanwhile.
+func (p *part) remake(now time.Time) {
+	for _, index := range p.stage().After {
+		before := p.job.parts[index]
+		for i := range before.pieces {
+			if r := before.pieces[i].result; r != nil {
+				r.worker.drop(now, r.handle)
+				before.lose(i)
+			}
+		}
+		if !before.supplied() {
+			before.remake(now)
+		}
+	}
+}
+
+// forget drops the results that a worker held.
+func (p *part) forget(w *worker) {
+	for i := range p.pieces {
+		if r := p.pieces[i].result; r != nil && r.worker == w {
+			p.lose(i)
+		}
+	}
+}
+
+// supplied reports whether all inputs of the part were made and are still kept.
+func (p *part) supplied() bool {
+	if !p.complete() {
+		return false
+	}
+	for _, in := range p.inputs() {
+		if in.worker.kept[in.handle] != in {
+			return false
+		}
+	}
+	return true
+}
+
 // complete reports whether all stages that the part comes after are done.
 func (p *part) complete() bool {
 	for _, before := range p.stage().After {
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -280,6 +280,11 @@
 	if j.ended {
 		return
 	}
+	for _, p := range j.parts {
+		if p.open > 0 && p.complete() && !p.supplied() {
+			p.remake(now) // its inputs were given up, because its pieces ran before
+		}
+	}
 	for _, p := range j.parts {
 		if p.open == 0 || p.queued || !p.complete() {
 			continue
--- a/core/batch/settle.go
+++ b/core/batch/settle.go
@@ -106,26 +106,19 @@
 	}
 }
 
-// redo makes the inputs of a part again, because one of them is gone.
+// redo makes the inputs of a part again, because one of them is gone. All pieces that read it report that; the first
+// report counts.
 func (s *Scheduler) redo(now time.Time, p *part, out *actions) {
+	if !p.complete() {
+		return
+	}
 	j := p.job
 	j.redone++
 	if j.redone > maxRedone {
 		s.fail(now, j, "results were lost again and again", failRetry, out)
 		return
 	}
-	for _, before := range p.stage().After {
-		b := j.parts[before]
-		for i := range b.pieces {
-			if r := b.pieces[i].result; r != nil {
-				r.worker.drop(now, r.handle)
-				b.lose(i)
-			}
-		}
-		if !b.complete() {
-			s.redo(now, b, out)
-		}
-	}
+	p.remake(now)
 }
 
 // progress continues a job after one of its calls has ended.
@@ -230,7 +223,7 @@
 		}
 		for _, p := range j.parts {
 			if s.holds(w, p) {
-				s.forgetResults(p, w)
+				p.forget(w)
 			}
 		}
 		s.advance(now, j, out)
@@ -245,11 +238,3 @@
 	}
 	return slices.ContainsFunc(p.pieces, func(one piece) bool { return one.result != nil && one.result.worker == w })
 }
-
-func (s *Scheduler) forgetResults(p *part, w *worker) {
-	for i := range p.pieces {
-		if r := p.pieces[i].result; r != nil && r.worker == w {
-			p.lose(i)
-		}
-	}
-}
