gateway: latency histograms on the metrics address

Cause: the metrics address had counters only, so slow answers could not be told from slow refusals.

Change: latency_ms holds a histogram for requests that were answered, refused, cut or left by their caller. gate: the time after which the list of nodes counts as complete is a timer and a flag instead of a time and a flag that had to agree.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -74,16 +74,16 @@
 	cold      *quota.Cold
 	modules   []module
 
-	catalog     *catalog.Catalog
-	requests    map[Ticket]*request
-	jobs        map[uint64]*request // by the number that the leader knows them by
-	lastJob     uint64
-	timers      alarm.Heap[Ticket]
-	firsts      map[string]time.Duration // by route: expected time to the first part of an answer
-	stop        stop
-	ready       bool
-	settled     time.Time // when the list of nodes counts as complete, zero if it is not known
-	settledOnce bool
+	catalog  *catalog.Catalog
+	requests map[Ticket]*request
+	jobs     map[uint64]*request // by the number that the leader knows them by
+	lastJob  uint64
+	timers   alarm.Heap[Ticket]
+	firsts   map[string]time.Duration // by route: expected time to the first part of an answer
+	stop     stop
+	ready    bool
+	settle   retry.Timer // runs while the list of nodes may be incomplete
+	settled  bool        // the list of nodes counts as complete
 }
 
 // New returns a gate that knows only its own node.
@@ -150,8 +150,8 @@
 		out.add(m.Step(now, ev)...)
 	}
 	g.own(now, ev, &out)
-	if !g.settled.IsZero() && !now.Before(g.settled) && !g.settledOnce {
-		g.settledOnce = true
+	if g.settle.Due(now) {
+		g.settled = true
 		g.chooseSource(now)
 	}
 	for g.timers.Due(now) {
@@ -228,14 +228,14 @@
 // domain, follow the store themselves: the next leader then knows what the last one knew, and a change reaches the others
 // also if the store turns the leader away.
 func (g *Gate) chooseSource(now time.Time) {
-	if g.settled.IsZero() {
+	if !g.settled && g.settle.Next().IsZero() {
 		if !g.mirror.Loaded(roster.Nodes) {
 			return
 		}
-		g.settled = now.Add(settleTime)
+		g.settle.Set(now, settleTime)
 	}
 	all, own := g.leader.Place(now)
-	g.mirror.SetSource(now, g.leader.Leader(), !now.Before(g.settled) && (all < watchers || own == 0))
+	g.mirror.SetSource(now, g.leader.Leader(), g.settled && (all < watchers || own == 0))
 }
 
 // loaded reports whether the node knows what it needs to forward requests.
@@ -248,10 +248,7 @@
 
 // Next returns the time of the next timer, zero for none.
 func (g *Gate) Next() time.Time {
-	times := []time.Time{g.timers.Next(), g.stop.next}
-	if !g.settledOnce {
-		times = append(times, g.settled)
-	}
+	times := []time.Time{g.timers.Next(), g.stop.next, g.settle.Next()}
 	for _, m := range g.modules {
 		times = append(times, m.Next())
 	}
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -123,6 +123,7 @@
 	x.copyHead(a.Response)
 	x.w.WriteHeader(a.StatusCode)
 	_, _ = x.w.Write(a.body)
+	x.over(&x.server.latency.answered)
 }
 
 // whole passes on an answer; a short one is read to its end first.
@@ -168,6 +169,7 @@
 func (x *exchange) end(res gate.Result) {
 	res.Began = true
 	x.server.vars.Add("answered", 1)
+	x.over(&x.server.latency.answered)
 	x.server.deliver(gate.Ended{Ticket: x.ticket, Result: res})
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -69,6 +69,7 @@
 	draining atomic.Bool
 	last     atomic.Uint64
 	conns    *conns
+	latency  latencies
 
 	mu   sync.Mutex
 	open map[gate.Ticket]*exchange
@@ -90,6 +91,7 @@
 	for _, o := range opts {
 		o(s)
 	}
+	s.vars.Set("latency_ms", expvar.Func(s.latency.value))
 	return s
 }
 
@@ -160,15 +162,19 @@
 	held   *answer
 	begun  bool  // part of the answer has reached the caller
 	event  int64 // the last event that has reached the caller
+	start  time.Time
 }
 
+// over counts a request that has ended.
+func (x *exchange) over(h *histogram) { h.observe(time.Since(x.start)) }
+
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.vars.Add("requests", 1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{server: s, w: w, r: r, next: make(chan event.Action, directives)}
+	x := &exchange{server: s, w: w, r: r, next: make(chan event.Action, directives), start: time.Now()}
 	if status, err := x.read(); err != nil {
 		s.vars.Add("requests_rejected", 1)
 		if r.Context().Err() == nil {
@@ -236,6 +242,7 @@
 		select {
 		case <-x.r.Context().Done():
 			x.server.vars.Add("callers_gone", 1)
+			x.over(&x.server.latency.left)
 			x.server.deliver(gate.Left{Ticket: x.ticket})
 			return
 		case a := <-x.next:
@@ -259,6 +266,7 @@
 		x.refuse(a)
 		return true
 	case gate.Cut:
+		x.over(&x.server.latency.cut)
 		panic(http.ErrAbortHandler)
 	}
 	return false
@@ -278,6 +286,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.server.vars.Add("refused_"+strconv.Itoa(a.Status), 1)
+	x.over(&x.server.latency.refused)
 	h := x.w.Header()
 	if a.After > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.After.Seconds(), 'f', 3, 64))
