--- /dev/null
+++ b/io/mesh/close_test.go
@@ -0,0 +1,58 @@
+package mesh
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+)
+
+// slowConn is a connection whose reader learns of its end late.
+type slowConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		time.Sleep(c.delay)
+	}
+	return n, err
+}
+
+func processorTime(g Gomega) time.Duration {
+	var usage syscall.Rusage
+	g.Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &usage)).To(Succeed())
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// TestCloseWithoutSpin guards against streams that poll while their session ends: yamux v0.1.2 does so until the
+// session's reader has noticed the end, which on a machine that runs one thread at a time may be never.
+func TestCloseWithoutSpin(t *testing.T) {
+	g := NewWithT(t)
+	const delay = 500 * time.Millisecond
+	near, far := net.Pipe()
+	m := New(event.Self{Node: "a"}, codec(), nil, func(event.Event) {}, WithTimes(CloseTimes()))
+	mux, err := m.open(slowConn{near, delay}, true)
+	g.Expect(err).NotTo(HaveOccurred())
+	peer, err := m.open(far, false)
+	g.Expect(err).NotTo(HaveOccurred())
+	stream, err := mux.Open()
+	g.Expect(err).NotTo(HaveOccurred())
+	ended := make(chan error)
+	go func() {
+		_, err := stream.Read(make([]byte, 1))
+		ended <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // the reader waits
+	before := processorTime(g)
+	g.Expect(mux.Close()).To(Succeed())
+	g.Eventually(ended, patience).Should(Receive(HaveOccurred()))
+	g.Expect(processorTime(g) - before).To(BeNumerically("<", delay/2))
+	g.Expect(peer.Close()).To(Succeed())
+}
