--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -59,6 +59,15 @@
 
 func (p *part) stage() *Stage { return &p.job.Stages[p.index] }
 
+// missing returns the number of pieces without a result, by stage.
+func (j *job) missing() []int {
+	out := make([]int, len(j.parts))
+	for i, p := range j.parts {
+		out[i] = p.missing
+	}
+	return out
+}
+
 // take marks a piece as running in a call.
 func (p *part) take(i int, c *call) {
 	p.pieces[i].call = c
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -342,7 +342,7 @@
 	if j.ended {
 		return
 	}
-	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "fail", Reason: reason})
+	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "fail", Reason: fmt.Sprintf("%s missing=%v", reason, j.missing())})
 	s.reply(j.key, Failed{Ticket: j.Ticket, Reason: reason, After: int64(after)}, out)
 	s.end(now, j)
 }
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -125,7 +125,6 @@
 
 // observe learns from a completed call.
 func (w *worker) observe(took, expected time.Duration) {
-	w.failures = 0
 	w.factor += factorGain * (float64(took)/float64(expected) - w.factor)
 }
 
