batch: late jobs with the least work left come first

Late jobs were served by deadline, so each got its turn when it was about to fail.

Change: a late job is ranked by its pieces without a result, four pieces for a level of priority. TestLateOrder failed first.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -114,13 +114,18 @@
 // succeed ends the oldest call well.
 func (w *world) succeed() batch.Run {
 	r := w.take()
+	w.finish(r)
+	return r
+}
+
+// finish ends a call with a result for each piece.
+func (w *world) finish(r batch.Run) {
 	ran := batch.Ran{Call: r.Call}
 	for range r.Items {
 		w.last++
 		ran.Outcomes = append(ran.Outcomes, batch.Outcome{Handle: fmt.Sprintf("h%d", w.last)})
 	}
 	w.step(ran)
-	return r
 }
 
 // TestJob guards against stages that run before their inputs are there, and results that are never given up.
@@ -347,6 +352,23 @@
 	})
 }
 
+// TestLateOrder guards against late jobs that are served by deadline: each of them then gets its turn when it is about to
+// fail, and more work is thrown away.
+func TestLateOrder(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1)
+	w.submitStages(1, patience, batch.Stage{Pool: read, Pieces: 8, Bytes: 1})
+	w.submitStages(2, patience, batch.Stage{Pool: read, Pieces: 7, Bytes: 1})
+	w.submitStages(3, patience+time.Second, batch.Stage{Pool: read, Pieces: 2, Bytes: 1})
+	blocking := w.running[0]
+	w.running = nil
+	w.now = w.now.Add(1400 * time.Millisecond) // a longer step would count as a freeze
+	w.step(event.Tick{})
+	w.now = w.now.Add(1400 * time.Millisecond)
+	w.finish(blocking)
+	g.Expect(w.running[0].Items[0].Request).To(BeEquivalentTo("r3"))
+}
+
 // TestFreeze guards against a scheduler that goes on with stale jobs after its process stood still.
 func TestFreeze(t *testing.T) {
 	g := NewWithT(t)
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -68,6 +68,15 @@
 	return out
 }
 
+// open returns the number of pieces without a result.
+func (j *job) open() int {
+	sum := 0
+	for _, p := range j.parts {
+		sum += p.missing
+	}
+	return sum
+}
+
 // take marks a piece as running in a call.
 func (p *part) take(i int, c *call) {
 	p.pieces[i].call = c
--- a/core/batch/line.go
+++ b/core/batch/line.go
@@ -18,8 +18,8 @@
 	latencyGain = 0.1
 	// priorityStep is how much slack a request of the next lower priority gives way to.
 	priorityStep = 100 * time.Millisecond
-	// lateStep is the same for requests that have missed their objective.
-	lateStep = time.Second
+	// latePieces is how many more pieces a late request of the next lower priority counts as.
+	latePieces = 4
 	// firstItems is how many pieces the first estimate of a call counts.
 	firstItems = 4
 	// leastFill and mostFill bound the part of a worker's room that is planned with: sizes of results are approximate.
@@ -141,14 +141,14 @@
 	})
 }
 
-// rank sorts the queue: by class, then by how little time is left, with the more urgent priorities ahead; what has missed
-// its objective comes last, by deadline.
+// rank sorts the queue: by class, then by how little time is left, with the more urgent priorities ahead. What has missed
+// its objective comes last, the job with the least work left first, so that as many as possible are still answered.
 func (l *line) rank(now time.Time) {
 	for _, p := range l.parts {
 		p.class = p.job.class
 		if now.After(p.latest) {
 			p.class = late
-			p.rank = p.job.deadline.Add(time.Duration(p.job.Priority) * lateStep)
+			p.rank = time.Unix(int64(p.job.open())+int64(p.job.Priority)*latePieces, 0)
 		} else {
 			p.rank = p.latest.Add(time.Duration(p.job.Priority) * priorityStep)
 		}
