--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -165,7 +165,8 @@
 // polls reports whether this node asks a source for changes.
 func (m *Mirror) polls() bool { return m.source != "" && m.source != m.self.Node }
 
-// choose follows the store if this node must, or if nobody has confirmed for a while that the source hears from it.
+// choose follows the store if this node must, or if nobody has confirmed for a while that the source hears from it. Until
+// then it reads each kind once, because callers come before a source is known.
 func (m *Mirror) choose(now time.Time) []event.Action {
 	want := m.must || m.denied || (!m.asked.IsZero() && now.Sub(m.asked) >= pollLimit)
 	if m.direct && !want {
@@ -177,7 +178,7 @@
 	}
 	m.direct = want
 	for i, kind := range m.kinds {
-		first := i == 0 && m.confirmed.IsZero()
+		first := m.confirmed.IsZero() && (i == 0 || !m.copies[kind].loaded)
 		switch following := m.following.Has(kind); {
 		case (want || first) && !following:
 			m.following.Add(kind)
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -227,3 +227,15 @@
 		})
 	}
 }
+
+// TestStart guards against a starting node that turns callers away until it has found a source: the load balancer sends
+// to it before it is ready.
+func TestStart(t *testing.T) {
+	g := NewWithT(t)
+	n := newNet("a", "b")
+	n.step("a", event.Tick{})
+	g.Expect(n.follows["a"].Sorted()).To(Equal([]string{"config", "nodes"}), "each kind is read at once")
+	n.list("a", object("main", 9))
+	n.step("a", event.Tick{})
+	g.Expect(n.follows["a"].Sorted()).To(Equal([]string{"nodes"}), "the rest comes from the source")
+}
