--- /dev/null
+++ b/cmd/soak/proxy_test.go
@@ -0,0 +1,137 @@
+package soak_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does with connections.
+type mode int
+
+const (
+	pass mode = iota
+	// silent carries nothing; what was open is closed when the proxy passes again, so that nothing arrives late.
+	silent
+	// reset ends connections at once.
+	reset
+)
+
+// proxy stands between a process and a server on loopback.
+type proxy struct {
+	listener net.Listener
+	target   func() string
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+	group sync.WaitGroup
+}
+
+// newProxy starts a proxy to whatever address target returns.
+func newProxy(target func() string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	p.group.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.listener.Addr().String() }
+
+// set changes what the proxy does.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m == reset || (m == pass && p.mode == silent) {
+		p.closeAll()
+	}
+	p.mode = m
+}
+
+func (p *proxy) closeAll() {
+	for c := range p.conns {
+		_ = c.Close()
+	}
+	clear(p.conns)
+}
+
+func (p *proxy) present() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// keep notes a connection; it reports false if it was closed instead.
+func (p *proxy) keep(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode == reset {
+		_ = c.Close()
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *proxy) drop(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = c.Close()
+	delete(p.conns, c)
+}
+
+func (p *proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.keep(near) {
+			p.group.Go(func() { p.carry(near) })
+		}
+	}
+}
+
+func (p *proxy) carry(near net.Conn) {
+	defer p.drop(near)
+	far, err := net.DialTimeout("tcp", p.target(), time.Second)
+	if err != nil || !p.keep(far) {
+		return
+	}
+	defer p.drop(far)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(far, near) })
+	both.Go(func() { p.copy(near, far) })
+	both.Wait()
+}
+
+// copy carries bytes in one direction until one side ends; a silent proxy drops them.
+func (p *proxy) copy(to, from net.Conn) {
+	defer func() { _, _ = to.Close(), from.Close() }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if p.present() == silent {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(reset)
+	p.group.Wait()
+}
--- /dev/null
+++ b/cmd/soak/soak_test.go
@@ -0,0 +1,188 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/platform/standin"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.first", 1, "first seed")
+	seedCount = flag.Int("soak.seeds", 1, "number of seeds")
+	soakSpan  = flag.Duration("soak.span", 5*time.Second, "time in which faults begin")
+)
+
+// keptSeeds is the file of the seeds that have failed once.
+const keptSeeds = "testdata/seeds.txt"
+
+var routes = []string{standin.Drafts, standin.Answers, standin.Lend, standin.Look}
+
+// TestSoak guards against broken promises under faults of processes, links, the store and servers: what must not run
+// twice, refusals that are not true, answers of other requests, streams that look complete, results of other requests,
+// processes that end by themselves, stops beyond the grace, and a deployment that does not recover.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "bluebellflow")
+	out, err := exec.Command("go", "build", "-o", program, "bluebellflow/cmd/bluebellflow").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
+	seeds := kept(t)
+	for i := range *seedCount {
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, program, seed)
+		})
+	}
+}
+
+// kept returns the seeds that have failed once, one at the beginning of each line.
+func kept(t *testing.T) []uint64 {
+	t.Helper()
+	g := NewWithT(t)
+	file, err := os.Open(keptSeeds)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = file.Close() }()
+	var out []uint64
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		first, _, _ := strings.Cut(lines.Text(), " ")
+		if first == "" || strings.HasPrefix(first, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(first, 10, 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		out = append(out, seed)
+	}
+	return out
+}
+
+func soak(t *testing.T, program string, seed uint64) {
+	w := newWorld(t, program, seed)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d, logs in %s, what happened:\n%s", seed, w.dir, w.told())
+		}
+	})
+	w.waitReady()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() { w.call(ctx, rand.New(rand.NewPCG(seed, uint64(i+2)))) })
+	}
+	w.suffer(draw(w.rng, w, *soakSpan))
+	w.recovers()
+	stop()
+	callers.Wait()
+	w.evacuates()
+	var stops sync.WaitGroup
+	for _, n := range w.nodes {
+		stops.Go(func() {
+			if !w.term(n) {
+				w.Ledger.Wrong("%s does not stop within its grace", n.name)
+			}
+		})
+	}
+	stops.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.g.Expect(w.ends).To(BeEmpty(), "processes that ended by themselves")
+	w.g.Expect(w.Ledger.Violations()).To(BeEmpty())
+}
+
+// suffer carries out a plan and returns when all faults have ended.
+func (w *world) suffer(plan []fault) {
+	began := time.Now()
+	var running sync.WaitGroup
+	for _, f := range plan {
+		running.Go(func() {
+			time.Sleep(time.Until(began.Add(f.at)))
+			w.tell("begin %s", f.name)
+			f.begin(w)
+			time.Sleep(f.span)
+			w.tell("end %s", f.name)
+			f.end(w)
+		})
+	}
+	running.Wait()
+}
+
+// ask draws a request.
+func (w *world) ask(rng *rand.Rand, route string) standin.Ask {
+	a := standin.Ask{
+		Route: w.Config().Route(route), Tenant: "tunis", Key: "key-tunis", Body: "a body", Out: 40 + rng.IntN(400),
+		Prompt: fmt.Sprintf("aa:100,%02x:50,cc:10", rng.IntN(16)),
+	}
+	for range a.Route.Stages {
+		a.Pieces = append(a.Pieces, 1+rng.IntN(4))
+	}
+	return a
+}
+
+// call sends requests to nodes, as a load balancer that knows nothing about them; some callers leave early.
+func (w *world) call(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		one, cancel := context.WithCancel(ctx)
+		if rng.IntN(10) == 0 {
+			one, cancel = context.WithTimeout(ctx, time.Duration(rng.IntN(400))*time.Millisecond)
+		}
+		w.caller.Do(one, w.nodes[rng.IntN(len(w.nodes))].callers, w.ask(rng, routes[rng.IntN(len(routes))]))
+		cancel()
+		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+	}
+}
+
+// recovers waits until every node is ready and answers every route; after that, no request may fail.
+func (w *world) recovers() {
+	rng := rand.New(rand.NewPCG(9, 9))
+	w.waitReady()
+	for _, n := range w.nodes {
+		for _, route := range routes {
+			w.g.Eventually(func() int { return w.caller.Do(context.Background(), n.callers, w.ask(rng, route)).Status },
+				patience, 100*time.Millisecond).Should(Equal(http.StatusOK), "%s of %s", route, n.name)
+		}
+	}
+	w.tell("recovered")
+	time.Sleep(2 * time.Second)
+	for i := range 60 {
+		n, route := w.nodes[i%len(w.nodes)], routes[rng.IntN(len(routes))]
+		got := w.caller.Do(context.Background(), n.callers, w.ask(rng, route))
+		w.g.Expect(got.Status).To(Equal(http.StatusOK), "%s of %s, request %s, %v", route, n.name, got.Request, got.Err)
+		w.g.Expect(got.Err).NotTo(HaveOccurred(), "%s of %s, request %s", route, n.name, got.Request)
+	}
+}
+
+// evacuates takes a zone out of service: a second later, no request may reach its servers.
+func (w *world) evacuates() {
+	zone := zones[w.rng.IntN(len(zones))]
+	w.Store.Put("evacuations", zone, map[string]any{})
+	w.tell("evacuate %s", zone)
+	time.Sleep(time.Second)
+	gone := map[string]bool{}
+	for _, s := range w.Servers("") {
+		gone[s.ID] = s.Zone == zone
+	}
+	for i := range 40 {
+		n, route := w.nodes[i%len(w.nodes)], routes[i%len(routes)]
+		got := w.caller.Do(context.Background(), n.callers, w.ask(w.rng, route))
+		w.g.Expect(got.Status).To(Equal(http.StatusOK), "%s of %s, request %s, %v", route, n.name, got.Request, got.Err)
+		for _, ran := range w.Ledger.Runs(got.Request) {
+			w.g.Expect(gone[ran.Server]).To(BeFalse(), "request %s runs on %s", got.Request, ran.Server)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/soak/world_test.go
@@ -0,0 +1,264 @@
+package soak_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/platform/standin"
+)
+
+const (
+	// patience bounds a wait for something that must happen.
+	patience = 20 * time.Second
+	// stopLimit is how long a process may take to stop: its grace of 6 s and a margin for the machine.
+	stopLimit = 8 * time.Second
+)
+
+var zones = []string{"a", "b", "c"}
+
+// node is a gateway's settings and the process that runs with them.
+type node struct {
+	name, zone, callers, ready, settings string
+	link                                 *proxy // to the store
+	log                                  *os.File
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the process has ended
+}
+
+// world is the platform in this process, gateways as processes of their own, and callers.
+type world struct {
+	*standin.Fleet
+	t       *testing.T
+	g       *WithT
+	rng     *rand.Rand
+	program string
+	dir     string
+	nodes   []*node
+	paths   map[string]*proxy // to each server
+	caller  *standin.Caller
+	began   time.Time
+
+	mu     sync.Mutex
+	story  bytes.Buffer // what the plan did
+	frozen []freeze
+	ends   []string // processes that ended by themselves
+}
+
+// freeze is a time in which a node's process stood still.
+type freeze struct {
+	callers    string
+	began, end time.Time // end is zero while it lasts
+}
+
+// newWorld starts a fleet whose servers are reached through proxies, and two gateways in each zone.
+func newWorld(t *testing.T, program string, seed uint64) *world {
+	g := NewWithT(t)
+	w := &world{t: t, g: g, rng: rand.New(rand.NewPCG(seed, 1)), program: program, paths: map[string]*proxy{}, began: time.Now()}
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	g.Expect(err).NotTo(HaveOccurred())
+	w.dir = dir
+	t.Cleanup(func() {
+		if !t.Failed() {
+			_ = os.RemoveAll(dir)
+		}
+	})
+	w.Fleet, err = standin.NewFleet(seed, standin.Example(), nil, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(w.Close)
+	w.Ledger.SetDelays(w.delayed)
+	for _, service := range standin.Example().Services {
+		for _, zone := range zones {
+			w.addServer(seed, service.Name, zone)
+		}
+	}
+	for i := range 2 * len(zones) {
+		w.addNode(fmt.Sprintf("n%d", i), zones[i%len(zones)])
+	}
+	w.caller = standin.NewCaller(w.Fleet, fmt.Sprintf("s%d-", seed))
+	t.Cleanup(w.caller.Close)
+	return w
+}
+
+func (w *world) addServer(seed uint64, service, zone string) {
+	name := service + "-" + zone
+	addr := w.free()
+	path, err := newProxy(func() string { return addr })
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.t.Cleanup(path.close)
+	w.paths[name] = path
+	s := w.NewServer(seed, standin.Place{ID: name, Service: service, Zone: zone, Version: "v1", Addr: addr, Via: path.addr()})
+	w.g.Expect(s.Start()).To(Succeed())
+}
+
+// free returns an unused address, each once. It is on a loopback address of its own, where no connection takes its local
+// port.
+func (w *world) free() string {
+	given.Lock()
+	defer given.Unlock()
+	for {
+		listener, err := net.Listen("tcp", "127.0.2.1:0")
+		w.g.Expect(err).NotTo(HaveOccurred())
+		addr := listener.Addr().String()
+		_ = listener.Close()
+		if !given.addrs[addr] {
+			given.addrs[addr] = true
+			return addr
+		}
+	}
+}
+
+// given holds the addresses that the worlds of this process have got.
+var given = struct {
+	sync.Mutex
+	addrs map[string]bool
+}{addrs: map[string]bool{}}
+
+func (w *world) addNode(name, zone string) {
+	link, err := newProxy(func() string { return w.Store.Addr().String() })
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.t.Cleanup(link.close)
+	n := &node{name: name, zone: zone, callers: w.free(), ready: w.free(), link: link, settings: filepath.Join(w.dir, name+".json")}
+	raw, err := json.Marshal(map[string]any{
+		"name": name, "domain": zone, "peer": w.free(), "caller": n.callers, "ready": n.ready, "store": link.addr(), "memory": 200, "cores": 1,
+		"bounds": map[string]any{
+			"grace": "6s", "cold": map[string]any{"over": 1.5, "slack": 5}, "retry": map[string]any{"ratio": 0.2, "slack": 58, "span": "10s"},
+		},
+	})
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(os.WriteFile(n.settings, raw, 0o600)).To(Succeed())
+	n.log, err = os.Create(filepath.Join(w.dir, name+".log"))
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.nodes = append(w.nodes, n)
+	w.t.Cleanup(func() {
+		w.kill(n)
+		_ = n.log.Close()
+	})
+	w.start(n)
+}
+
+// start starts a node's process. One that ends by itself breaks a promise.
+func (w *world) start(n *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cmd = exec.Command(w.program, "gateway", n.settings)
+	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	w.g.Expect(n.cmd.Start()).To(Succeed())
+	cmd, done := n.cmd, make(chan struct{})
+	n.done = done
+	go func() {
+		err := cmd.Wait()
+		if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); ok && !status.Signaled() && status.ExitStatus() != 0 {
+			w.mu.Lock()
+			w.ends = append(w.ends, fmt.Sprintf("%s ended: %v", n.name, err))
+			w.mu.Unlock()
+		}
+		close(done)
+	}()
+}
+
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(s) // it may have ended
+}
+
+func (n *node) ended() chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.done
+}
+
+// kill ends a node's process at once.
+func (w *world) kill(n *node) {
+	n.signal(syscall.SIGKILL)
+	<-n.ended()
+}
+
+// term asks a node's process to stop, and reports whether it did so within its grace.
+func (w *world) term(n *node) bool {
+	n.signal(syscall.SIGTERM)
+	select {
+	case <-n.ended():
+		return true
+	case <-time.After(stopLimit):
+		w.kill(n)
+		return false
+	}
+}
+
+// isReady asks as a load balancer does.
+func (n *node) isReady() bool {
+	client := http.Client{Timeout: 500 * time.Millisecond}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get("http://" + n.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) waitReady() {
+	for _, n := range w.nodes {
+		w.g.Eventually(n.isReady, patience, 50*time.Millisecond).Should(BeTrue(), n.name)
+	}
+}
+
+// freeze stops a node's process, and thaw lets it go on.
+func (w *world) freeze(n *node) {
+	w.mu.Lock()
+	w.frozen = append(w.frozen, freeze{callers: n.callers, began: time.Now()})
+	w.mu.Unlock()
+	n.signal(syscall.SIGSTOP)
+}
+
+func (w *world) thaw(n *node) {
+	n.signal(syscall.SIGCONT)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.frozen {
+		if f := &w.frozen[i]; f.callers == n.callers && f.end.IsZero() {
+			f.end = time.Now()
+		}
+	}
+}
+
+// delayed reports whether a request may have waited for a node that stood still.
+func (w *world) delayed(s standin.Sent) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range w.frozen {
+		if f.callers == s.To && (f.end.IsZero() || s.At.Before(f.end)) && s.Deadline.After(f.began) {
+			return true
+		}
+	}
+	return false
+}
+
+// tell notes what the plan does.
+func (w *world) tell(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, _ = fmt.Fprintf(&w.story, "%7.3f %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (w *world) told() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.story.String()
+}
