--- a/cmd/soak/world_test.go
+++ b/cmd/soak/world_test.go
@@ -105,24 +105,31 @@
 	w.g.Expect(s.Start()).To(Succeed())
 }
 
-// free returns an unused address, each once. It is on a loopback address of its own, where no connection takes its local
-// port.
+// firstPort and lastPort are below the ports that connections take for themselves, which would otherwise take that of a
+// server that is not started yet.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
+// free returns an unused address, each once.
 func (w *world) free() string {
 	given.Lock()
 	defer given.Unlock()
 	for {
-		listener, err := net.Listen("tcp", "127.0.2.1:0")
-		w.g.Expect(err).NotTo(HaveOccurred())
-		addr := listener.Addr().String()
-		_ = listener.Close()
-		if !given.addrs[addr] {
-			given.addrs[addr] = true
+		addr := fmt.Sprintf("127.0.2.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if given.addrs[addr] {
+			continue
+		}
+		given.addrs[addr] = true
+		if listener, err := net.Listen("tcp", addr); err == nil {
+			_ = listener.Close()
 			return addr
 		}
 	}
 }
 
-// given holds the addresses that the worlds of this process have got.
+// given holds the addresses that were tried for the worlds of this process.
 var given = struct {
 	sync.Mutex
 	addrs map[string]bool
