--- a/cmd/soak/world_test.go
+++ b/cmd/soak/world_test.go
@@ -112,7 +112,8 @@
 	lastPort  = 30_000
 )
 
-// free returns an unused address, each once.
+// free returns an unused address, each once. It does not listen there to find out: a process that is being forked for
+// another world would hold the listener for a moment longer, and the address could not be used.
 func (w *world) free() string {
 	given.Lock()
 	defer given.Unlock()
@@ -122,10 +123,11 @@
 			continue
 		}
 		given.addrs[addr] = true
-		if listener, err := net.Listen("tcp", addr); err == nil {
-			_ = listener.Close()
+		conn, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
 			return addr
 		}
+		_ = conn.Close()
 	}
 }
 
