--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -109,7 +109,7 @@
 func (f *Fleet) Step(now time.Time, ev event.Event) []event.Action {
 	var out []event.Action
 	switch ev := ev.(type) {
-	case mirror.Link:
+	case mirror.Reach:
 		if ev.Kind == Servers && (ev.Up != f.up || f.since.IsZero()) {
 			f.up, f.since = ev.Up, now
 		}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 
 func newWorld(e entries) *world {
 	w := &world{Fleet: fleet.New(e), now: epoch}
-	w.step(mirror.Link{Kind: fleet.Servers, Up: true})
+	w.step(mirror.Reach{Kind: fleet.Servers, Up: true})
 	w.now = w.now.Add(time.Minute)
 	return w
 }
@@ -124,11 +124,11 @@
 		g := NewWithT(t)
 		w := newWorld(e)
 		w.put("s", "s")
-		w.step(mirror.Link{Kind: fleet.Servers})
+		w.step(mirror.Reach{Kind: fleet.Servers})
 		w.now = w.now.Add(10 * time.Second)
 		w.step(gone)
 		g.Expect(w.usable()).To(BeTrue(), "nobody knows while the store is away")
-		w.step(mirror.Link{Kind: fleet.Servers, Up: true})
+		w.step(mirror.Reach{Kind: fleet.Servers, Up: true})
 		w.now = w.now.Add(mirror.SettleTime - time.Millisecond)
 		w.step(event.Tick{})
 		g.Expect(w.usable()).To(BeTrue())
@@ -141,9 +141,9 @@
 		g := NewWithT(t)
 		w := newWorld(e)
 		w.put("s", "s")
-		w.step(mirror.Link{Kind: fleet.Servers})
+		w.step(mirror.Reach{Kind: fleet.Servers})
 		w.step(gone)
-		w.step(mirror.Link{Kind: fleet.Servers, Up: true})
+		w.step(mirror.Reach{Kind: fleet.Servers, Up: true})
 		g.Expect(w.Next()).To(Equal(w.now.Add(mirror.SettleTime)))
 		w.now = w.Next()
 		w.step(event.Tick{})
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -75,7 +75,7 @@
 	catalog  *catalog.Catalog
 	requests map[Ticket]*request
 	jobs     map[uint64]*request // by the number that the leader knows them by
-	lastJob  uint64
+	lastJob  uint64              // starts at random: answers to the process before this one still come
 	timers   alarm.Heap[Ticket]
 	firsts   map[string]time.Duration // by route: expected time to the first part of an answer
 	stop     stop
@@ -95,6 +95,7 @@
 		retries:  quota.NewRetries(bounds.Retries),
 		cold:     quota.NewCold(self.Node, spareNodes),
 		requests: map[Ticket]*request{}, jobs: map[uint64]*request{}, firsts: map[string]time.Duration{},
+		lastJob: self.Rand.Uint64(),
 	}
 	g.balance = balance.New(self, g.fleet, g.cold)
 	g.scheduler = batch.New(self, g.fleet)
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -321,6 +321,16 @@
 		w.run(time.Second)
 		w.g.Expect(one[batch.Free](w).Handles).To(Equal([]string{"h1", "h2"}))
 	})
+	t.Run("results for the process before this one", func(t *testing.T) {
+		w := loaded(t)
+		w.arrive("draft", draft)
+		for job := range uint64(10) {
+			w.step(event.Receive{From: "n", Incarnation: "other", Body: batch.Done{Ticket: job, Results: []batch.Result{{Handle: "foreign"}}}})
+			w.g.Expect(find[gate.Forward](w)).To(BeEmpty())
+			w.step(event.Receive{From: "n", Incarnation: "other", Body: batch.Failed{Ticket: job}})
+			w.g.Expect(find[gate.Refuse](w)).To(BeEmpty())
+		}
+	})
 	t.Run("an input is gone", func(t *testing.T) {
 		w := loaded(t)
 		ticket := w.arrive("draft", draft)
--- a/core/mirror/message.go
+++ b/core/mirror/message.go
@@ -44,7 +44,7 @@
 		Objects  []Object
 		Deleted  []string
 	}
-	// Link says whether the store answers for a kind.
+	// Link says whether the store answers this node for a kind.
 	Link struct {
 		event.In
 		Kind string
@@ -78,6 +78,12 @@
 		Name    string
 		Settled bool
 	}
+	// Reach says that the store has begun or ceased to answer for a kind, to this node or to its source.
+	Reach struct {
+		event.Internal
+		Kind string
+		Up   bool
+	}
 	// Loaded says that a kind is known for the first time.
 	Loaded struct {
 		event.Internal
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -228,7 +228,10 @@
 	if ev.Up {
 		choice = "regained"
 	}
-	return []event.Action{event.Log{Kind: "store", Stage: ev.Kind, Choice: choice, Reason: "revision " + strconv.FormatUint(c.revision, 10)}}
+	return []event.Action{
+		Reach{Kind: ev.Kind, Up: ev.Up},
+		event.Log{Kind: "store", Stage: ev.Kind, Choice: choice, Reason: "revision " + strconv.FormatUint(c.revision, 10)},
+	}
 }
 
 // settled reports whether the store has answered for a while.
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -23,13 +23,14 @@
 	follows map[id.Node]id.Set[string]
 	put     map[id.Node][]string // objects that the node learned of, with their revision
 	gone    map[id.Node][]mirror.Gone
+	reach   map[id.Node][]mirror.Reach
 	sent    int
 }
 
 func newNet(names ...id.Node) *net {
 	n := &net{
 		now: epoch, mirrors: map[id.Node]*mirror.Mirror{}, cut: id.NewSet[id.Node](), follows: map[id.Node]id.Set[string]{},
-		put: map[id.Node][]string{}, gone: map[id.Node][]mirror.Gone{},
+		put: map[id.Node][]string{}, gone: map[id.Node][]mirror.Gone{}, reach: map[id.Node][]mirror.Reach{},
 	}
 	for i, name := range names {
 		n.follows[name] = id.NewSet[string]()
@@ -55,6 +56,8 @@
 			n.put[name] = append(n.put[name], fmt.Sprint(a.Object.Name, "@", a.Object.Revision))
 		case mirror.Gone:
 			n.gone[name] = append(n.gone[name], a)
+		case mirror.Reach:
+			n.reach[name] = append(n.reach[name], a)
 		}
 	}
 }
@@ -228,6 +231,31 @@
 	}
 }
 
+// TestReach guards against a node that takes its changes from another one and does not tell its own packages whether the
+// store answers: entries that lapsed while the store was away would then count as gone at once.
+func TestReach(t *testing.T) {
+	g := NewWithT(t)
+	n := newNet("a", "b")
+	n.mirrors["a"].SetSource(n.now, "a", false)
+	n.mirrors["b"].SetSource(n.now, "a", false)
+	n.run(50 * time.Millisecond)
+	n.list("a", object("x", 3))
+	n.run(3 * time.Second)
+	g.Expect(n.follows["b"]).To(BeEmpty())
+	n.reach["b"] = nil
+	n.step("a", mirror.Link{Kind: "config"})
+	n.run(500 * time.Millisecond)
+	n.step("a", mirror.Link{Kind: "config", Up: true})
+	n.run(3 * time.Second)
+	var config []bool
+	for _, r := range n.reach["b"] {
+		if r.Kind == "config" {
+			config = append(config, r.Up)
+		}
+	}
+	g.Expect(config).To(Equal([]bool{false, true}))
+}
+
 // TestStart guards against a starting node that turns callers away until it has found a source: the load balancer sends
 // to it before it is ready.
 func TestStart(t *testing.T) {
