batch: stage times are learned from parts that were in time only

Cause: after a dip of capacity the smoothed time of a stage, from which the scheduler works out when a part has to start, also took in parts that were late already and had waited for seconds. New jobs then looked late from the start. Change: second-class and late parts do not count. The model lab/stages counts requests from some time on, and has a test for the time after a dip.

--- a/core/batch/line.go
+++ b/core/batch/line.go
@@ -46,7 +46,7 @@
 	touched bool    // a part or a worker may be matched
 	ranked  bool    // parts are in order
 	items   map[kind]time.Duration
-	latency time.Duration // smoothed time from a part's inputs to its results
+	latency time.Duration // smoothed time from a part's inputs to its results, of parts that were neither second-class nor late
 	filling float64       // part of a worker's room that is planned with
 }
 
--- a/core/batch/settle.go
+++ b/core/batch/settle.go
@@ -97,7 +97,7 @@
 			return
 		}
 		one.part.made(one.index, r)
-		if one.part.missing == 0 {
+		if one.part.missing == 0 && one.part.class == first {
 			c.line.finished(now.Sub(one.part.ready))
 		}
 		return
--- a/lab/stages/stages_test.go
+++ b/lab/stages/stages_test.go
@@ -150,6 +150,23 @@
 	}
 }
 
+// TestAfterDip answers to a queue that a dip of capacity has left: it guards against a scheduler that goes on missing
+// objectives when there are enough servers again.
+func TestAfterDip(t *testing.T) {
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			w := play(setup(), func(w *stages.World) {
+				for _, p := range w.Pools {
+					w.Crash(p.Name, 3, 6*time.Second, 6*time.Second, false)
+				}
+				w.At(14*time.Second, w.Forget)
+			})
+			show(t, "from two seconds after the dip", w)
+			NewWithT(t).Expect(w.Worth()).To(BeNumerically(">=", burst), "value of what met its objective")
+		})
+	}
+}
+
 // TestRepeats guards against decisions that depend on the order of a map: a run could then not be repeated from its seed.
 func TestRepeats(t *testing.T) {
 	g := NewWithT(t)
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -95,6 +95,15 @@
 	nodes    []*node
 	requests map[id.Request]*request
 	last     int
+	since    time.Time // requests that arrived before do not count
+}
+
+// score returns the scores that a request counts in.
+func (w *World) score(q *request) *Score {
+	if q.arrived.Before(w.since) {
+		return &Score{}
+	}
+	return w.Scores[q.route.Name]
 }
 
 // node is a node that schedules.
@@ -186,6 +195,14 @@
 	return got / asked
 }
 
+// Forget begins the scores anew, with the requests that arrive from now on.
+func (w *World) Forget() {
+	w.since = w.Now
+	for _, s := range w.Scores {
+		*s = Score{}
+	}
+}
+
 // Total returns the scores of all routes together.
 func (w *World) Total() Score {
 	var sum Score
@@ -262,7 +279,7 @@
 func (w *World) answer(n *node, name id.Request, ticket uint64, results []batch.Result) {
 	q := w.requests[name]
 	w.after(q.route.Model, func() {
-		score := w.Scores[q.route.Name]
+		score := w.score(q)
 		switch took := w.Now.Sub(q.arrived); {
 		case took <= q.route.Aim:
 			score.InAim++
@@ -366,7 +383,7 @@
 		}
 	case batch.Failed:
 		if name, ok := w.named(b.Ticket); ok {
-			w.Scores[w.requests[name].route.Name].Failed++
+			w.score(w.requests[name]).Failed++
 			delete(w.requests, name)
 		}
 	}
