batch: a leader hands its jobs over to the next one with what was made

Cause: a leader that is stopped, or that finds a better one after a cut, went on with the jobs it had, beside the new leader, for up to eight seconds. Change: a node that does not lead sends no more calls, and hands over each job as soon as none of its pieces runs, with the results that are still kept. The submitting node passes them to the next leader; if two nodes name each other, it insists after a while.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -29,6 +29,7 @@
 	freed   []string
 	done    map[uint64]batch.Done
 	failed  map[uint64]batch.Failed
+	moved   map[uint64]batch.Moved
 	last    int
 }
 
@@ -36,7 +37,7 @@
 	t.Helper()
 	w := &world{
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), servers: map[id.Pool][]*fleet.Server{},
-		done: map[uint64]batch.Done{}, failed: map[uint64]batch.Failed{},
+		done: map[uint64]batch.Done{}, failed: map[uint64]batch.Failed{}, moved: map[uint64]batch.Moved{},
 	}
 	c := catalog.Config{Version: 1}
 	for _, name := range []id.Pool{cut, read} {
@@ -73,6 +74,8 @@
 				w.done[b.Ticket] = b
 			case batch.Failed:
 				w.failed[b.Ticket] = b
+			case batch.Moved:
+				w.moved[b.Ticket] = b
 			}
 		}
 	}
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -86,7 +86,7 @@
 		if len(c.pieces) >= l.pool.Pieces.Batch {
 			break
 		}
-		if p.open > 0 && s.allowed(now, l, p, w, others) {
+		if p.open > 0 && !s.leaving(p.job) && s.allowed(now, l, p, w, others) {
 			s.fill(c, p)
 		}
 	}
--- /dev/null
+++ b/core/batch/handover.go
@@ -0,0 +1,149 @@
+package batch
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+)
+
+// Made is a result that another leader has had made for a job.
+type Made struct {
+	Stage  uint32    `protobuf:"varint,1,opt,name=stage"`
+	Piece  uint32    `protobuf:"varint,2,opt,name=piece"`
+	Handle string    `protobuf:"bytes,3,opt,name=handle"` // empty if it was read and given up
+	Server id.Server `protobuf:"bytes,4,opt,name=server"`
+	Left   int64     `protobuf:"varint,5,opt,name=left"` // how much longer the server keeps it, in nanoseconds
+}
+
+// Moved answers a Submit that this node does not carry out, because it follows another leader. The job goes on there
+// with what was made for it.
+type Moved struct {
+	Ticket   uint64  `protobuf:"varint,1,opt,name=ticket"`
+	Leader   id.Node `protobuf:"bytes,2,opt,name=leader"`    // that the sender follows
+	Accepted bool    `protobuf:"varint,3,opt,name=accepted"` // the sender had accepted the job, with the class
+	Class    uint32  `protobuf:"varint,4,opt,name=class"`
+	Made     []Made  `protobuf:"bytes,5,rep,name=made"`
+}
+
+// Check reports whether the answer is well formed.
+func (m Moved) Check() error {
+	if class(m.Class) > second {
+		return fmt.Errorf("moved: class %d", m.Class)
+	}
+	return checkMade(m.Made, maxStages, func(uint32) uint32 { return maxPieces })
+}
+
+// checkMade reports whether results belong to stages and pieces that there are.
+func checkMade(made []Made, stages int, pieces func(stage uint32) uint32) error {
+	if len(made) > maxStages*maxPieces {
+		return fmt.Errorf("%d results", len(made))
+	}
+	for _, m := range made {
+		if int64(m.Stage) >= int64(stages) || m.Piece >= pieces(m.Stage) {
+			return fmt.Errorf("result of stage %d, piece %d", m.Stage, m.Piece)
+		}
+		if m.Server == "" {
+			return errors.New("result without a server")
+		}
+	}
+	return nil
+}
+
+// follow takes in which node leads. A node that does not lead hands its jobs over, because two nodes that schedule on
+// the same servers know nothing of each other's calls and results.
+func (s *Scheduler) follow(leader id.Node) {
+	s.leader = leader
+	for _, l := range s.lines {
+		l.touched = true
+	}
+}
+
+// passive reports whether another node schedules.
+func (s *Scheduler) passive() bool { return s.leader != "" && s.leader != s.self.Node }
+
+// leaving reports whether a job is to go on at another node.
+func (s *Scheduler) leaving(j *job) bool { return s.passive() && !j.Insist }
+
+// handOver gives up the jobs that are to go on at another node, each as soon as none of its pieces runs.
+func (s *Scheduler) handOver(now time.Time, out *actions) {
+	if !s.passive() {
+		return
+	}
+	for _, key := range s.sortedJobs() {
+		if j := s.jobs[key]; !j.done && s.leaving(j) && !j.running() {
+			s.move(now, j, out)
+		}
+	}
+}
+
+// move ends a job here without giving up its results.
+func (s *Scheduler) move(now time.Time, j *job, out *actions) {
+	m := Moved{Ticket: j.Ticket, Leader: s.leader, Accepted: true, Class: uint32(j.class)}
+	for _, p := range j.parts {
+		for i := range p.pieces {
+			if r := p.pieces[i].result; r != nil {
+				m.Made = append(m.Made, r.made(now, p.index, i))
+				r.worker.pass(r)
+			}
+		}
+	}
+	j.ended = true
+	delete(s.jobs, j.key)
+	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "move", Reason: fmt.Sprintf(
+		"leader=%s made=%d missing=%v", s.leader, len(m.Made), j.missing())})
+	s.reply(j.key, m, out)
+}
+
+// made describes a result for another leader.
+func (r *result) made(now time.Time, stage, piece int) Made {
+	m := Made{Stage: uint32(stage), Piece: uint32(piece), Server: r.worker.ID}
+	if r.worker.kept[r.handle] == r {
+		m.Handle, m.Left = r.handle, int64(r.until.Sub(now))
+	}
+	return m
+}
+
+// adopt takes in a result that another leader has had made. One of a server that this node does not know has to be made
+// again.
+func (s *Scheduler) adopt(now time.Time, j *job, m Made) {
+	p := j.parts[m.Stage]
+	if p.pieces[m.Piece].result != nil {
+		return
+	}
+	if m.Handle == "" {
+		// Its readers have run; if one of them has to run again, the result is missing and made again.
+		p.made(int(m.Piece), &result{worker: newWorker(&fleet.Server{ID: m.Server})})
+		return
+	}
+	w, known := s.workers[m.Server]
+	if !known {
+		return
+	}
+	r := &result{handle: m.Handle, worker: w, domain: w.Domain, bytes: int64(p.stage().Bytes), until: now.Add(time.Duration(m.Left))}
+	w.keep(r)
+	p.made(int(m.Piece), r)
+}
+
+// running reports whether a piece of the job is in a call.
+func (j *job) running() bool {
+	for _, p := range j.parts {
+		for i := range p.pieces {
+			if p.pieces[i].call != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// pass forgets a result that another leader answers for from now on.
+func (w *worker) pass(r *result) {
+	if w.kept[r.handle] == r {
+		delete(w.kept, r.handle)
+		w.used -= r.bytes
+	}
+}
--- /dev/null
+++ b/core/batch/handover_test.go
@@ -0,0 +1,109 @@
+package batch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/batch"
+	"bluebellflow/core/event"
+	"bluebellflow/core/leader"
+)
+
+// submitMoved submits a job that another leader has handed over.
+func (w *world) submitMoved(m batch.Moved, insist bool) {
+	w.step(event.Receive{From: "g", Body: batch.Submit{
+		Ticket: m.Ticket, Request: "r", Route: "route", Left: int64(patience), Aim: int64(patience / 2), Value: 10,
+		Stages: []batch.Stage{{Pool: cut, Pieces: 2, Bytes: 100}, {Pool: read, Pieces: 1, After: []uint32{0}, Bytes: 100}},
+		Again:  m.Accepted, Class: m.Class, Made: m.Made, Insist: insist,
+	}})
+}
+
+// TestHandOver guards against a former leader that goes on sending calls beside the new one, and against results that
+// are made again because the leader has changed.
+func TestHandOver(t *testing.T) {
+	follow := leader.Changed{Leader: "other"}
+	t.Run("between two stages", func(t *testing.T) {
+		g := NewWithT(t)
+		old, next := newWorld(t, 2), newWorld(t, 2)
+		old.submit(1, patience)
+		old.step(follow)
+		g.Expect(old.moved).To(BeEmpty(), "its pieces run")
+		old.succeed()
+		g.Expect(old.running).To(BeEmpty(), "the next stage is the new leader's")
+		moved := old.moved[1]
+		g.Expect(moved.Check()).To(Succeed())
+		g.Expect(moved.Leader).To(BeEquivalentTo("other"))
+		g.Expect(moved.Made).To(HaveLen(2))
+		old.wait(time.Second)
+		g.Expect(old.freed).To(BeEmpty(), "the results are still to be read")
+		next.submitMoved(moved, false)
+		g.Expect(next.running).To(HaveLen(1))
+		g.Expect(next.running[0].Items).To(HaveLen(1))
+		g.Expect(next.running[0].Items[0].Inputs).To(Equal([]string{"h1", "h2"}))
+		next.succeed()
+		next.step(event.Receive{From: "g", Body: batch.Release{Ticket: 1, Read: true}})
+		next.wait(time.Second)
+		g.Expect(next.freed).To(ConsistOf("h1", "h2", "h1"), "the results of both stages")
+	})
+	t.Run("waiting", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 0)
+		w.submit(1, patience)
+		w.step(follow)
+		g.Expect(w.moved).To(HaveKey(uint64(1)))
+		g.Expect(w.moved[1].Made).To(BeEmpty())
+		g.Expect(w.Open()).To(BeZero())
+	})
+	t.Run("a call breaks", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 2)
+		w.submit(1, patience)
+		w.step(follow)
+		w.step(batch.Ran{Call: w.running[0].Call, Fail: event.FailBroken})
+		g.Expect(w.running).To(HaveLen(1), "no second call")
+		g.Expect(w.moved).To(HaveKey(uint64(1)))
+	})
+	t.Run("a new job", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 2)
+		w.step(follow)
+		w.submit(1, patience)
+		g.Expect(w.running).To(BeEmpty())
+		g.Expect(w.moved[1].Accepted).To(BeFalse(), "it has to be admitted elsewhere")
+		w.submitMoved(w.moved[1], true)
+		g.Expect(w.running).To(HaveLen(1), "nobody else runs it")
+	})
+	t.Run("results of an unknown server", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 2)
+		w.submitMoved(batch.Moved{Ticket: 1, Accepted: true, Made: []batch.Made{{Handle: "h", Server: "nobody"}}}, false)
+		g.Expect(w.running[0].Items).To(HaveLen(2))
+	})
+	t.Run("results that were given up", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 2)
+		made := []batch.Made{{Server: "cut0"}, {Piece: 1, Server: "cut0"}, {Stage: 1, Handle: "h", Server: "read0", Left: int64(time.Second)}}
+		w.submitMoved(batch.Moved{Ticket: 1, Accepted: true, Made: made}, false)
+		g.Expect(w.running).To(BeEmpty())
+		g.Expect(w.done[1].Results).To(Equal([]batch.Result{{Handle: "h", Server: "read0"}}))
+	})
+}
+
+// TestMadeCheck guards against a message that names pieces which the job does not have.
+func TestMadeCheck(t *testing.T) {
+	for name, m := range map[string]batch.Made{
+		"stage":  {Stage: 2, Handle: "h", Server: "s"},
+		"piece":  {Stage: 1, Piece: 1, Handle: "h", Server: "s"},
+		"server": {Handle: "h"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := batch.Submit{
+				Ticket: 1, Request: "r", Made: []batch.Made{m},
+				Stages: []batch.Stage{{Pool: cut, Pieces: 2}, {Pool: read, Pieces: 1, After: []uint32{0}}},
+			}
+			NewWithT(t).Expect(s.Check()).NotTo(Succeed())
+		})
+	}
+}
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -38,6 +38,10 @@
 	Priority uint32           `protobuf:"varint,9,opt,name=priority"`
 	Value    uint64           `protobuf:"varint,10,opt,name=value"` // size of the request in tokens
 	Prefer   id.FailureDomain `protobuf:"bytes,11,opt,name=prefer"` // where the last results will be read
+	Again    bool             `protobuf:"varint,12,opt,name=again"` // another leader has accepted it, with the class
+	Class    uint32           `protobuf:"varint,13,opt,name=class"`
+	Made     []Made           `protobuf:"bytes,14,rep,name=made"`
+	Insist   bool             `protobuf:"varint,15,opt,name=insist"` // run it whoever leads
 }
 
 // Check reports whether the job is well formed.
@@ -45,6 +49,9 @@
 	if s.Request == "" || len(s.Stages) == 0 || len(s.Stages) > maxStages {
 		return fmt.Errorf("submit: request %q with %d stages", s.Request, len(s.Stages))
 	}
+	if class(s.Class) > second {
+		return fmt.Errorf("submit: class %d", s.Class)
+	}
 	for i, stage := range s.Stages {
 		if stage.Pool == "" || stage.Pieces > maxPieces || len(stage.After) > maxAfter {
 			return fmt.Errorf("submit: stage %d of pool %q with %d pieces", i, stage.Pool, stage.Pieces)
@@ -55,6 +62,9 @@
 			}
 		}
 	}
+	if err := checkMade(s.Made, len(s.Stages), func(stage uint32) uint32 { return s.Stages[stage].Pieces }); err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
 	return nil
 }
 
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -12,6 +12,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
+	"bluebellflow/core/leader"
 )
 
 const (
@@ -49,6 +50,7 @@
 	jobs      map[jobKey]*job
 	calls     map[uint64]*call
 	last      uint64
+	leader    id.Node            // that this node follows, empty for none
 	ends      alarm.Heap[jobKey] // deadlines of jobs
 	admission admission
 	stepped   time.Time
@@ -132,7 +134,10 @@
 		s.changed(now, ev, &out)
 	case fleet.Gone:
 		s.gone(now, ev.Server, &out)
+	case leader.Changed:
+		s.follow(ev.Leader)
 	}
+	s.handOver(now, &out)
 	if !s.sweepAt.IsZero() && !now.Before(s.sweepAt) {
 		s.sweep(now, &out)
 	}
@@ -190,6 +195,10 @@
 	if _, again := s.jobs[key]; again {
 		return
 	}
+	if s.passive() && !b.Insist {
+		s.reply(key, Moved{Ticket: b.Ticket, Leader: s.leader}, out)
+		return
+	}
 	j := newJob(now, key, b)
 	for _, stage := range b.Stages {
 		if s.line(stage.Pool) == nil {
@@ -197,23 +206,38 @@
 			return
 		}
 	}
-	if !s.noClasses {
-		if j.class = s.admit(now, j); j.class == second {
-			if after, hopeless := s.hopeless(now, j); hopeless {
-				out.add(event.Log{Kind: "job", Request: b.Request, Stage: b.Route, Choice: "reject", Reason: fmt.Sprintf(
-					"from=%s after=%s left=%s open=%d", key.node, after, time.Duration(b.Left), len(s.jobs))})
-				s.reply(key, Failed{Ticket: b.Ticket, Reason: "the queue is longer than the time left", After: int64(after)}, out)
-				return
-			}
-		}
+	switch {
+	case b.Again:
+		j.class = class(b.Class)
+	case s.noClasses:
+	case !s.accept(now, j, out):
+		return
+	}
+	for _, m := range b.Made {
+		s.adopt(now, j, m)
 	}
 	s.jobs[key] = j
 	s.ends.Set(j.deadline, key)
 	out.add(event.Log{Kind: "job", Request: b.Request, Stage: b.Route, Choice: "accept", Reason: fmt.Sprintf(
-		"from=%s class=%d aim=%s left=%s open=%d", key.node, j.class, time.Duration(b.Aim), time.Duration(b.Left), len(s.jobs))})
+		"from=%s class=%d aim=%s left=%s open=%d made=%d", key.node, j.class, time.Duration(b.Aim), time.Duration(b.Left), len(s.jobs), len(b.Made))})
 	s.advance(now, j, out)
 }
 
+// accept gives a new job its class, or rejects it.
+func (s *Scheduler) accept(now time.Time, j *job, out *actions) bool {
+	if j.class = s.admit(now, j); j.class != second {
+		return true
+	}
+	after, hopeless := s.hopeless(now, j)
+	if !hopeless {
+		return true
+	}
+	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "reject", Reason: fmt.Sprintf(
+		"from=%s after=%s left=%s open=%d", j.key.node, after, time.Duration(j.Left), len(s.jobs))})
+	s.reply(j.key, Failed{Ticket: j.Ticket, Reason: "the queue is longer than the time left", After: int64(after)}, out)
+	return false
+}
+
 // reply sends an answer to the node that submitted a job.
 func (s *Scheduler) reply(key jobKey, body event.Body, out *actions) {
 	out.add(event.Send{To: key.node, Body: body})
--- a/core/gate/codec.go
+++ b/core/gate/codec.go
@@ -14,6 +14,6 @@
 	return wire.New(map[uint32]event.Body{
 		60: leader.Ping{}, 61: leader.Pong{},
 		65: mirror.Have{}, 66: mirror.Supply{}, 67: mirror.Current{},
-		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{},
+		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{}, 74: batch.Moved{},
 	})
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -161,6 +161,8 @@
 			g.stagesDone(now, ev, b, out)
 		case batch.Failed:
 			g.stagesFailed(now, ev, b, out)
+		case batch.Moved:
+			g.stagesMoved(now, ev, b, out)
 		}
 	case mirror.Put:
 		if ev.Kind == Config && ev.Object.Name == Current {
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -331,6 +331,16 @@
 			w.g.Expect(find[gate.Refuse](w)).To(BeEmpty())
 		}
 	})
+	t.Run("handed over", func(t *testing.T) {
+		w := loaded(t)
+		w.arrive("draft", draft)
+		job := rand.New(rand.NewPCG(1, 1)).Uint64() + 1 // numbers of jobs begin after the first number drawn
+		made := []batch.Made{{Handle: "h1", Server: "times-1", Left: int64(time.Second)}, {Piece: 1, Handle: "h2", Server: "times-1", Left: int64(time.Second)}}
+		w.step(event.Receive{From: "n", Body: batch.Moved{Ticket: job, Accepted: true, Made: made}})
+		w.g.Expect(find[gate.Refuse](w)).To(BeEmpty())
+		w.run(100 * time.Millisecond)
+		w.g.Expect(one[gate.Forward](w).Inputs).To(Equal([]string{"h1", "h2"}))
+	})
 	t.Run("an input is gone", func(t *testing.T) {
 		w := loaded(t)
 		ticket := w.arrive("draft", draft)
--- a/core/gate/request.go
+++ b/core/gate/request.go
@@ -61,6 +61,8 @@
 	leader    id.Node
 	submitted time.Time
 	restarts  int // times that its stages were asked for again
+	moves     int // times that they went on at another leader
+	moved     *handover
 
 	waiting time.Time // when it began to wait for a server
 	server  id.Server
--- a/core/gate/stages.go
+++ b/core/gate/stages.go
@@ -17,6 +17,8 @@
 	leaderWait = 50 * time.Millisecond
 	// leaderLimit is how long a request may wait for a leader.
 	leaderLimit = 1500 * time.Millisecond
+	// maxMoves is how often a request is handed over before it insists on the leader that this node follows.
+	maxMoves = 8
 	// maxRestarts bounds how often the stages of a request are asked for again.
 	maxRestarts = 3
 	// firstDefault is the expected time to the first event before there was one.
@@ -37,14 +39,21 @@
 		g.timers.Set(now.Add(leaderWait), r.ticket)
 		return
 	}
+	g.submitTo(now, r, leader, out)
+}
+
+// submitTo asks a node for the stages of a request.
+func (g *Gate) submitTo(now time.Time, r *request, leader id.Node, out *actions) {
 	g.lastJob++
 	r.job, r.leader, r.submitted = g.lastJob, leader, now
 	g.jobs[r.job] = r
+	g.timers.Set(r.deadline, r.ticket)
 	s := batch.Submit{
 		Ticket: r.job, Request: r.Name, Route: r.route.Name, Key: r.PieceKey,
 		Left: int64(r.deadline.Sub(now)), Aim: int64(r.aim.Sub(now)), Rest: int64(g.first(r.route.Name)),
-		Priority: uint32(max(0, r.priority)), Value: uint64(r.In + outWeight*r.Out),
+		Priority: uint32(max(0, r.priority)), Value: uint64(r.In + outWeight*r.Out), Insist: r.moves >= maxMoves,
 	}
+	r.moved.fill(now, &s)
 	for i, stage := range r.route.Stages {
 		one := batch.Stage{Pool: stage.Pool, Pieces: uint32(r.Pieces[i]), Bytes: uint64(stage.Bytes)}
 		for _, before := range stage.After {
@@ -82,7 +91,7 @@
 		g.giveUp(now, r, reason, out)
 		return
 	}
-	r.inputs = nil
+	r.inputs, r.moved = nil, nil
 	g.submit(now, r, out)
 }
 
@@ -108,6 +117,47 @@
 	g.place(now, r, out)
 }
 
+// handover is what a leader has had made for a request before it handed the request over.
+type handover struct {
+	batch.Moved
+	at time.Time
+}
+
+// fill adds what was made to a job for the next leader.
+func (h *handover) fill(now time.Time, s *batch.Submit) {
+	if h == nil {
+		return
+	}
+	s.Again, s.Class = h.Accepted, h.Class
+	age := int64(now.Sub(h.at))
+	for _, m := range h.Made {
+		if m.Handle != "" && m.Left <= age {
+			continue // its server has forgotten it
+		}
+		m.Left -= age
+		s.Made = append(s.Made, m)
+	}
+}
+
+// stagesMoved submits a request to the leader that the former one follows. If the two do not agree, this node waits for
+// them, and in the end insists.
+func (g *Gate) stagesMoved(now time.Time, ev event.Receive, b batch.Moved, out *actions) {
+	r := g.staging(ev.From, b.Ticket)
+	if r == nil {
+		return
+	}
+	g.forgetJob(r)
+	if r.moved == nil || b.Accepted {
+		r.moved = &handover{Moved: b, at: now}
+	}
+	r.moves++
+	if r.moves == 1 && b.Leader != ev.From && g.leader.Alive(now, b.Leader) {
+		g.submitTo(now, r, b.Leader, out)
+		return
+	}
+	g.timers.Set(now.Add(leaderWait), r.ticket)
+}
+
 // stagesFailed ends a request whose stages will not be done. It has not reached a server that runs it.
 func (g *Gate) stagesFailed(now time.Time, ev event.Receive, b batch.Failed, out *actions) {
 	r := g.staging(ev.From, b.Ticket)
--- a/lab/stages/stages_test.go
+++ b/lab/stages/stages_test.go
@@ -167,6 +167,33 @@
 	}
 }
 
+// TestLeaders answers to leaders that are stopped in turn under load: it guards against former leaders whose calls queue
+// before those of the new one, at servers whose room each of them believes to have for itself.
+func TestLeaders(t *testing.T) {
+	const nodes, period = 5, 2 * time.Second
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			rolling := func(handover bool) *stages.World {
+				s := setup()
+				s.Nodes = nodes
+				return play(s, func(w *stages.World) {
+					w.Lead(0, handover)
+					w.Burst(s.Routes[1].Name, 2, 6*time.Second, 12*time.Second)
+					for i := 1; i < nodes; i++ {
+						w.At(4*time.Second+time.Duration(i)*period, func() { w.Lead(i, handover) })
+					}
+				})
+			}
+			kept, handed := rolling(false), rolling(true)
+			show(t, "jobs stay", kept)
+			show(t, "jobs are handed over", handed)
+			g := NewWithT(t)
+			g.Expect(handed.Total().Answered()).To(BeNumerically(">=", burst))
+			g.Expect(handed.Worth()).To(BeNumerically(">", kept.Worth()))
+		})
+	}
+}
+
 // TestRepeats guards against decisions that depend on the order of a map: a run could then not be repeated from its seed.
 func TestRepeats(t *testing.T) {
 	g := NewWithT(t)
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -14,6 +14,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
+	"bluebellflow/core/leader"
 )
 
 // epoch is when every world begins.
@@ -93,6 +94,7 @@
 	servers  map[id.Server]*server
 	byPool   map[id.Pool][]*fleet.Server
 	nodes    []*node
+	leads    int // the node that gets all requests, -1 if each gets its share
 	requests map[id.Request]*request
 	last     int
 	since    time.Time // requests that arrived before do not count
@@ -118,7 +120,7 @@
 type request struct {
 	route   *Route
 	arrived time.Time
-	stages  []batch.Stage
+	submit  batch.Submit
 }
 
 // New returns a world in which nothing has happened.
@@ -126,7 +128,7 @@
 	w := &World{
 		Setup: s, Now: epoch, Scores: map[string]*Score{}, rng: rand.New(rand.NewPCG(seed, seed)), arrivals: rand.New(rand.NewPCG(seed, seed+1)),
 		rates: map[string]float64{}, servers: map[id.Server]*server{}, byPool: map[id.Pool][]*fleet.Server{},
-		requests: map[id.Request]*request{},
+		requests: map[id.Request]*request{}, leads: -1,
 	}
 	c := catalog.Config{Version: 1}
 	for i := range s.Pools {
@@ -259,20 +261,40 @@
 			one.Pieces = uint32(max(1, math.Round(s.Pieces*(0.5+w.arrivals.Float64()))))
 		}
 		some = some || one.Pieces > 0
-		q.stages = append(q.stages, one)
+		q.submit.Stages = append(q.submit.Stages, one)
 	}
 	w.Scores[r.Name].Asked++
 	w.requests[name] = q
 	n := w.nodes[w.arrivals.IntN(len(w.nodes))]
+	if w.leads >= 0 {
+		n = w.nodes[w.leads]
+	}
 	if !some {
 		w.answer(n, name, uint64(w.last), nil)
 		return
 	}
-	n.step(event.Receive{From: n.name, Body: batch.Submit{
-		Ticket: uint64(w.last), Request: name, Route: r.Name, Stages: q.stages, Key: "k",
-		Left: int64(r.Deadline), Aim: int64(r.Aim), Rest: int64(r.Model), Priority: uint32(r.Priority), Value: uint64(r.Value),
-		Prefer: w.Domains[w.arrivals.IntN(len(w.Domains))],
-	}})
+	q.submit.Ticket, q.submit.Request, q.submit.Route, q.submit.Key = uint64(w.last), name, r.Name, "k"
+	q.submit.Rest, q.submit.Priority, q.submit.Value = int64(r.Model), uint32(r.Priority), uint64(r.Value)
+	q.submit.Prefer = w.Domains[w.arrivals.IntN(len(w.Domains))]
+	w.submit(n, q)
+}
+
+// submit asks a node for the stages of a request.
+func (w *World) submit(n *node, q *request) {
+	age := w.Now.Sub(q.arrived)
+	q.submit.Left, q.submit.Aim = int64(q.route.Deadline-age), int64(q.route.Aim-age)
+	n.step(event.Receive{From: n.name, Body: q.submit})
+}
+
+// Lead makes a node the leader. Without handover the others go on with the jobs that they have.
+func (w *World) Lead(i int, handover bool) {
+	w.leads = i
+	if !handover {
+		return
+	}
+	for _, n := range w.nodes {
+		n.step(leader.Changed{Leader: w.nodes[i].name})
+	}
 }
 
 // answer plays the model: it reads the results and begins its answer a little later.
@@ -302,7 +324,7 @@
 		return 0
 	}
 	const spread = 0.1
-	return int64(float64(q.stages[it.Stage].Bytes) * (1 - spread + 2*spread*w.rng.Float64()))
+	return int64(float64(q.submit.Stages[it.Stage].Bytes) * (1 - spread + 2*spread*w.rng.Float64()))
 }
 
 // work returns the time of a piece.
@@ -381,6 +403,12 @@
 		if name, ok := w.named(b.Ticket); ok {
 			w.answer(n, name, b.Ticket, b.Results)
 		}
+	case batch.Moved:
+		if name, ok := w.named(b.Ticket); ok {
+			q := w.requests[name]
+			q.submit.Again, q.submit.Class, q.submit.Made = b.Accepted, b.Class, b.Made
+			w.after(hop, func() { w.submit(w.nodes[w.leads], q) })
+		}
 	case batch.Failed:
 		if name, ok := w.named(b.Ticket); ok {
 			w.score(w.requests[name]).Failed++
