leader: candidates that may not lead do not count among the watched ones

Cause: nodes ping the first three candidates in rank. Test: leader.TestRolling, five leaders stopped in turn.

--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -16,7 +16,8 @@
 	pingPeriod = 200 * time.Millisecond
 	// silence is how long a candidate may stay without a sign of life; it spans three lost pings.
 	silence = 700 * time.Millisecond
-	// watched is how many of the first candidates are pinged, so that the next one is known to live.
+	// watched is how many of the first candidates are pinged, so that the next one is known to live. Those that may not
+	// lead do not count.
 	watched = 3
 	// deadAfter is how long a candidate stays silent before another one is watched in its place.
 	deadAfter = 2 * time.Second
@@ -211,12 +212,18 @@
 		if count < watched || own || p.Node == t.leader {
 			out = append(out, t.pingOne(now, p)...)
 		}
+		if p.refuses(now) {
+			continue
+		}
 		near = near || own
 		count++
 	}
 	return out
 }
 
+// refuses reports whether a candidate answers that it may not lead, as a node does that is being stopped.
+func (p *peer) refuses(now time.Time) bool { return p.alive(now) && !p.ready }
+
 // dead reports whether a candidate has been silent for so long that its place is taken by another.
 func (p *peer) dead(now time.Time) bool {
 	return !p.asked.IsZero() && now.Sub(p.asked) >= deadAfter
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -167,6 +167,22 @@
 	})
 }
 
+// TestRolling guards against nodes that follow different leaders while several nodes at the head of the order are being
+// stopped at the same time: they answer, but may not lead.
+func TestRolling(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(nodes(9)...)
+	f.run(time.Second)
+	stopping := id.NewSet[id.Node]()
+	for range 5 {
+		first := f.one(g)
+		stopping.Add(first)
+		f.trackers[first].SetReady(false)
+		f.run(500 * time.Millisecond)
+		g.Expect(stopping.Has(f.one(g))).To(BeFalse())
+	}
+}
+
 // TestPartition guards against a side of a partition without a leader, and against two leaders after it.
 func TestPartition(t *testing.T) {
 	g := NewWithT(t)
