batch: a leader drops the jobs of nodes that are silent

Change: nodes ping their leader, so a process that was silent for a second has ended or has gone elsewhere; its jobs end, and what was made for them is freed. Test: batch.TestSilentNode.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -13,6 +13,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
+	"bluebellflow/core/leader"
 )
 
 const (
@@ -31,6 +32,7 @@
 	failed  map[uint64]batch.Failed
 	moved   map[uint64]batch.Moved
 	last    int
+	silent  bool // the node that submits does not ping
 }
 
 func newWorld(t *testing.T, servers int) *world {
@@ -93,7 +95,7 @@
 	}})
 }
 
-// wait lets time pass in steps of the scheduler's timers.
+// wait lets time pass in steps of the scheduler's timers; the node that submits pings at each of them.
 func (w *world) wait(d time.Duration) {
 	for end := w.now.Add(d); ; {
 		next := w.Next()
@@ -102,6 +104,9 @@
 			return
 		}
 		w.now = next
+		if !w.silent {
+			w.step(event.Receive{From: "g", Body: leader.Ping{}})
+		}
 		w.step(event.Tick{})
 	}
 }
--- a/core/batch/handover_test.go
+++ b/core/batch/handover_test.go
@@ -8,6 +8,7 @@
 
 	"bluebellflow/core/batch"
 	"bluebellflow/core/event"
+	"bluebellflow/core/id"
 	"bluebellflow/core/leader"
 )
 
@@ -91,6 +92,49 @@
 	})
 }
 
+// TestSilentNode guards against work for nodes that have ended or have gone to another leader, and against jobs that are
+// dropped although their node lives.
+func TestSilentNode(t *testing.T) {
+	ping := func(from id.Node, incarnation id.Incarnation) event.Receive {
+		return event.Receive{From: from, Incarnation: incarnation, Body: leader.Ping{}}
+	}
+	run := func(w *world, each func()) {
+		w.silent = true
+		w.submit(1, patience)
+		for range 20 {
+			w.wait(100 * time.Millisecond)
+			each()
+		}
+	}
+	t.Run("silent", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 0)
+		run(w, func() {})
+		g.Expect(w.Open()).To(BeZero())
+		g.Expect(w.failed).To(BeEmpty(), "nobody waits for an answer")
+	})
+	t.Run("heard", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 0)
+		run(w, func() { w.step(ping("g", "")) })
+		g.Expect(w.Open()).To(Equal(1))
+	})
+	t.Run("started again", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 0)
+		run(w, func() { w.step(ping("g", "next")) })
+		g.Expect(w.Open()).To(BeZero())
+	})
+	t.Run("this process did not run", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 0)
+		w.submit(1, patience)
+		w.now = w.now.Add(1300 * time.Millisecond)
+		w.step(event.Tick{})
+		g.Expect(w.Open()).To(Equal(1))
+	})
+}
+
 // TestMadeCheck guards against a message that names pieces which the job does not have.
 func TestMadeCheck(t *testing.T) {
 	for name, m := range map[string]batch.Made{
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -8,9 +8,8 @@
 
 // jobKey identifies a job: tickets are unique within one process.
 type jobKey struct {
-	node        id.Node
-	incarnation id.Incarnation
-	ticket      uint64
+	owner
+	ticket uint64
 }
 
 // job is a request whose stages are being run.
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -50,7 +50,8 @@
 	jobs      map[jobKey]*job
 	calls     map[uint64]*call
 	last      uint64
-	leader    id.Node            // that this node follows, empty for none
+	leader    id.Node // that this node follows, empty for none
+	owners    owners
 	ends      alarm.Heap[jobKey] // deadlines of jobs
 	admission admission
 	stepped   time.Time
@@ -92,7 +93,7 @@
 func New(self event.Self, servers servers, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		self: self, servers: servers, lines: map[id.Pool]*line{}, workers: map[id.Server]*worker{},
-		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, admission: admission{routes: map[string]*demand{}},
+		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, owners: owners{}, admission: admission{routes: map[string]*demand{}},
 	}
 	for _, o := range opts {
 		o(s)
@@ -125,6 +126,7 @@
 	s.wake(now, &out)
 	switch ev := ev.(type) {
 	case event.Receive:
+		s.owners.hear(now, ev)
 		s.receive(now, ev, &out)
 	case Ran:
 		s.ran(now, ev, &out)
@@ -150,8 +152,12 @@
 
 // wake drops everything after a freeze of this process.
 func (s *Scheduler) wake(now time.Time, out *actions) {
-	if !s.stepped.IsZero() && now.Sub(s.stepped) > pauseGap && len(s.jobs) > 0 {
-		s.forget(out)
+	if !s.stepped.IsZero() {
+		gap := now.Sub(s.stepped)
+		s.owners.excuse(gap)
+		if gap > pauseGap && len(s.jobs) > 0 {
+			s.forget(out)
+		}
 	}
 	s.stepped = now
 }
@@ -160,6 +166,7 @@
 // and parts that have waited for a worker of their own failure domain.
 func (s *Scheduler) sweep(now time.Time, out *actions) {
 	s.overdue(now, out)
+	s.dropSilent(now, out)
 	s.freeInputs(now)
 	for _, name := range slices.Sorted(maps.Keys(s.lines)) {
 		l := s.lines[name]
@@ -182,9 +189,9 @@
 func (s *Scheduler) receive(now time.Time, ev event.Receive, out *actions) {
 	switch b := ev.Body.(type) {
 	case Submit:
-		s.submit(now, jobKey{ev.From, ev.Incarnation, b.Ticket}, b, out)
+		s.submit(now, jobKey{owner{ev.From, ev.Incarnation}, b.Ticket}, b, out)
 	case Release:
-		if j, ok := s.jobs[jobKey{ev.From, ev.Incarnation, b.Ticket}]; ok {
+		if j, ok := s.jobs[jobKey{owner{ev.From, ev.Incarnation}, b.Ticket}]; ok {
 			s.end(now, j)
 		}
 	}
@@ -217,6 +224,7 @@
 		s.adopt(now, j, m)
 	}
 	s.jobs[key] = j
+	s.owners[key.owner] = now
 	s.ends.Set(j.deadline, key)
 	out.add(event.Log{Kind: "job", Request: b.Request, Stage: b.Route, Choice: "accept", Reason: fmt.Sprintf(
 		"from=%s class=%d aim=%s left=%s open=%d made=%d", key.node, j.class, time.Duration(b.Aim), time.Duration(b.Left), len(s.jobs), len(b.Made))})
