leader: a new connection to a candidate is asked before it is given up; peers in the log

Cause: a candidate that was silent for long is pinged every two seconds, and the connection to it was given up before each ping, also one that had just come up. Connections to peers were not in the log. Change: a connection that comes up ends the silence before it and is asked at once. Lines for peers connected, lost, and given up. Test: leader.TestReconnected.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -175,6 +175,12 @@
 		g.roster.SetLeads(ev.Leader == g.self.Node)
 		g.chooseSource(now)
 		g.leaderChanged(now, out)
+	case event.Link:
+		choice := "lost"
+		if ev.Up {
+			choice = "connected"
+		}
+		out.add(event.Log{Kind: "peer", Stage: string(ev.Peer), Choice: choice})
 	case event.Stop:
 		g.beginStop(now, out)
 	}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -152,9 +152,7 @@
 	case event.Receive:
 		out = t.receive(now, ev)
 	case event.Link:
-		if p, ok := t.peers[ev.Peer]; ok && !ev.Up {
-			p.heard = time.Time{}
-		}
+		t.linked(now, ev)
 	}
 	if !now.Before(t.pingAt) {
 		t.pingAt = now.Add(pingPeriod)
@@ -163,6 +161,21 @@
 	return append(out, t.choose(now)...)
 }
 
+// linked takes in a connection that has come up or has ended. A new one is asked at once: the silence before it says
+// nothing about it.
+func (t *Tracker) linked(now time.Time, ev event.Link) {
+	p, known := t.peers[ev.Peer]
+	if !known {
+		return
+	}
+	if !ev.Up {
+		p.heard = time.Time{}
+		return
+	}
+	p.asked = time.Time{}
+	t.pingAt = now
+}
+
 // wake makes up for a freeze of this process.
 func (t *Tracker) wake(now time.Time) {
 	if t.begun.IsZero() {
@@ -237,7 +250,9 @@
 	}
 	if now.Sub(p.asked) >= silence && now.Sub(p.relink) >= silence {
 		p.relink = now
-		out = append(out, event.Relink{To: p.Node})
+		out = append(out,
+			event.Log{Kind: "peer", Stage: string(p.Node), Choice: "relink", Reason: "silent for " + now.Sub(p.asked).String()},
+			event.Relink{To: p.Node})
 	}
 	return append(out, event.Send{To: p.Node, Body: Ping{Seq: t.seq}})
 }
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -183,6 +183,28 @@
 	}
 }
 
+// TestReconnected guards against a connection that is given up because of the silence before it, so that a node which is
+// back does not count as alive for many seconds.
+func TestReconnected(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(nodes(5)...)
+	f.run(time.Second)
+	first := f.one(g)
+	f.frozen.Add(first)
+	f.run(5 * time.Second)
+	f.one(g)
+	clear(f.relinks)
+	f.frozen.Delete(first)
+	for _, name := range f.names {
+		if name != first {
+			f.deliver(name, event.Link{Peer: first, Up: true})
+		}
+	}
+	f.run(300 * time.Millisecond)
+	g.Expect(f.one(g)).To(Equal(first))
+	g.Expect(f.relinks).To(BeEmpty())
+}
+
 // TestPartition guards against a side of a partition without a leader, and against two leaders after it.
 func TestPartition(t *testing.T) {
 	g := NewWithT(t)
