gate: stages end when their caller leaves

Cause: callers leave a stream that has brought nothing after four times its objective, long before its deadline; the scheduler worked for them until the deadline, and their requests failed at the end instead of being refused with a time to return. Change: a route knows how long callers wait for the first event, and the stages have to end a first event's time before that. Test: gate.TestStages.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -31,6 +31,7 @@
 	Timeout   time.Duration // longest time without a final answer
 	Objective time.Duration // time to the answer, or to a stream's first event, that earns full credit
 	Gap       time.Duration // longest pause between two events of a stream that is still on time
+	Wait      time.Duration // after which callers leave a stream that has brought no event, 0 if they do not
 	Priority  int           // 0 is the most urgent
 	Targets   []Target
 	Attempts  int // servers that one request may run on
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	draft := route("draft", catalog.Stream, "model", 1)
-	draft.Timeout, draft.Objective = 10*time.Second, time.Second
+	draft.Timeout, draft.Objective, draft.Wait = 10*time.Second, time.Second, 9*time.Second
 	draft.Stages = []catalog.Stage{{Pool: "times", Bytes: 1000}}
 	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft}
 	if version >= 10 {
@@ -341,6 +341,15 @@
 		w.run(100 * time.Millisecond)
 		w.g.Expect(one[gate.Forward](w).Inputs).To(Equal([]string{"h1", "h2"}))
 	})
+	t.Run("callers leave before their deadlines", func(t *testing.T) {
+		w := loaded(t)
+		w.arrive("draft", func(f *gate.Facts) { f.Pieces, f.Patience = []int{2}, 10*time.Second })
+		one[batch.Run](w) // it never ends
+		w.run(9 * time.Second)
+		refused := one[gate.Refuse](w)
+		w.g.Expect(refused.Status).To(Equal(http.StatusServiceUnavailable))
+		w.g.Expect(refused.After).To(BeNumerically(">", 0))
+	})
 	t.Run("an input is gone", func(t *testing.T) {
 		w := loaded(t)
 		ticket := w.arrive("draft", draft)
--- a/core/gate/request.go
+++ b/core/gate/request.go
@@ -348,7 +348,7 @@
 	switch {
 	case r.phase == placing:
 		g.place(now, r, out)
-	case r.phase == staging && !now.Before(r.deadline):
+	case r.phase == staging && !now.Before(r.stagesEnd()):
 		g.giveUp(now, r, "the stages were not done in time", out)
 	case r.phase == staging:
 		g.submitAgain(now, r, out)
--- a/core/gate/stages.go
+++ b/core/gate/stages.go
@@ -47,10 +47,10 @@
 	g.lastJob++
 	r.job, r.leader, r.submitted = g.lastJob, leader, now
 	g.jobs[r.job] = r
-	g.timers.Set(r.deadline, r.ticket)
+	g.timers.Set(r.stagesEnd(), r.ticket)
 	s := batch.Submit{
 		Ticket: r.job, Request: r.Name, Route: r.route.Name, Key: r.PieceKey,
-		Left: int64(r.deadline.Sub(now)), Aim: int64(r.aim.Sub(now)), Rest: int64(g.first(r.route.Name)),
+		Left: int64(r.stagesEnd().Add(-g.first(r.route.Name)).Sub(now)), Aim: int64(r.aim.Sub(now)), Rest: int64(g.first(r.route.Name)),
 		Priority: uint32(max(0, r.priority)), Value: uint64(r.In + outWeight*r.Out), Insist: r.moves >= maxMoves,
 	}
 	r.moved.fill(now, &s)
@@ -83,6 +83,14 @@
 	}
 }
 
+// stagesEnd returns when nobody waits for the stages of the request any more.
+func (r *request) stagesEnd() time.Time {
+	if leaves := r.arrived.Add(r.route.Wait); r.route.Wait > 0 && leaves.Before(r.deadline) {
+		return leaves
+	}
+	return r.deadline
+}
+
 // restage runs the stages of a request once more.
 func (g *Gate) restage(now time.Time, r *request, reason string, out *actions) {
 	g.release(r, false, out)
