batch: the capacity of a pool is counted with the pieces that its calls really hold

Cause: the admission divided the fixed time of a call by a full batch. Change: the smoothed number of pieces in calls that left some waiting.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -82,17 +82,24 @@
 	w := free[0]
 	others := domains(free[1:])
 	c := &call{worker: w, line: l, kinds: map[kind]int{}, began: now, expected: l.pool.Pieces.Call}
+	left := false
 	for _, p := range l.parts {
 		if len(c.pieces) >= l.pool.Pieces.Batch {
+			left = true
 			break
 		}
 		if p.open > 0 && !s.leaving(p.job) && s.allowed(now, l, p, w, others) {
+			before := len(c.pieces)
 			s.fill(c, p)
+			left = left || len(c.pieces)-before < p.open
 		}
 	}
 	if len(c.pieces) == 0 {
 		return
 	}
+	if left {
+		l.learnBatch(len(c.pieces))
+	}
 	s.last++
 	c.id = s.last
 	s.calls[c.id] = c
--- a/core/batch/line.go
+++ b/core/batch/line.go
@@ -14,6 +14,8 @@
 	heavyBytes = 150 << 10
 	// itemGain is the weight of a new call in the learned time of a piece.
 	itemGain = 0.1
+	// batchGain is the weight of a new call in the pieces of a call.
+	batchGain = 0.05
 	// latencyGain is the weight of a new part in the time that a stage takes.
 	latencyGain = 0.1
 	// priorityStep is how much slack a request of the next lower priority gives way to.
@@ -48,13 +50,14 @@
 	items   map[kind]time.Duration
 	latency time.Duration // smoothed time from a part's inputs to its results, of parts that were neither second-class nor late
 	filling float64       // part of a worker's room that is planned with
+	batch   float64       // smoothed pieces of the calls that could not take all that waited
 }
 
 func newLine(pool *catalog.Pool) *line {
 	return &line{
 		pool: pool, items: map[kind]time.Duration{},
 		latency: pool.Pieces.Call + firstItems*pool.Pieces.Item,
-		filling: mostFill,
+		filling: mostFill, batch: float64(pool.Pieces.Batch),
 	}
 }
 
@@ -70,7 +73,12 @@
 
 // cost returns the time of a piece with its part of a full call.
 func (l *line) cost(k kind) time.Duration {
-	return l.item(k) + l.pool.Pieces.Call/time.Duration(max(1, l.pool.Pieces.Batch))
+	return l.item(k) + time.Duration(float64(l.pool.Pieces.Call)/max(1, l.batch))
+}
+
+// learnBatch takes in the pieces of a call that left some waiting: room for results may allow less than a full batch.
+func (l *line) learnBatch(pieces int) {
+	l.batch += batchGain * (min(float64(pieces), float64(l.pool.Pieces.Batch)) - l.batch)
 }
 
 // learn corrects the times of the pieces in a call by the error of its expected time.
--- a/lab/stages/stages_test.go
+++ b/lab/stages/stages_test.go
@@ -194,6 +194,27 @@
 	}
 }
 
+// TestTightRoom answers to twice the usual load while room for results allows calls of less than half of a full batch: it
+// guards against an admission that counts on full calls, so that most of what it accepts misses its objective.
+func TestTightRoom(t *testing.T) {
+	const least = 0.5 // half of what is asked for
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			s := setup()
+			for i := range s.Pools {
+				s.Pools[i].Pieces.Room = s.Pools[i].Pieces.Room * 4 / 10
+			}
+			w := play(s, func(w *stages.World) {
+				for _, r := range s.Routes {
+					w.Burst(r.Name, 2, 4*time.Second, 24*time.Second)
+				}
+			})
+			show(t, "tight room", w)
+			NewWithT(t).Expect(w.Worth()).To(BeNumerically(">=", least), "value of what met its objective")
+		})
+	}
+}
+
 // TestRepeats guards against decisions that depend on the order of a map: a run could then not be repeated from its seed.
 func TestRepeats(t *testing.T) {
 	g := NewWithT(t)
