soak: links between nodes, configurations, and servers that leave; gateway: address that peers dial

The soak now puts a proxy before each node's peer address (silence, resets, one way, delay), writes configurations while faults last, and checks that a process never serves an older version than before, that the last one is in force on every node two seconds later, and that a server gets nothing two seconds after it has said that it leaves. The setting advertise names the address at which peers reach a node where it differs from the one that it listens on.

--- a/cmd/soak/plan_test.go
+++ b/cmd/soak/plan_test.go
@@ -35,7 +35,16 @@
 }
 
 func drawOne(rng *rand.Rand, w *world) (string, fault) {
-	switch rng.IntN(5) {
+	switch rng.IntN(7) {
+	case 5:
+		n := w.nodes[rng.IntN(len(w.nodes))]
+		m := []mode{silent, reset, oneWay, slow}[rng.IntN(4)]
+		return "peers " + n.name, fault{
+			name:  fmt.Sprintf("links of peers to %s mode %d", n.name, m),
+			begin: func(*world) { n.peers.set(m) }, end: func(*world) { n.peers.set(pass) },
+		}
+	case 6:
+		return "config", fault{name: "configuration", begin: func(w *world) { w.configure() }, end: func(*world) {}}
 	case 0:
 		trouble := []standin.Trouble{standin.Busy, standin.Many, standin.Silent, standin.Lost}[rng.IntN(4)]
 		return "store", fault{
--- a/cmd/soak/proxy_test.go
+++ b/cmd/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,8 +17,15 @@
 	silent
 	// reset ends connections at once.
 	reset
+	// oneWay carries nothing back to the side that connects.
+	oneWay
+	// slow carries everything late.
+	slow
 )
 
+// lateness is how late a slow proxy carries what it reads.
+const lateness = 80 * time.Millisecond
+
 // proxy stands between a process and a server on loopback.
 type proxy struct {
 	listener net.Listener
@@ -46,7 +54,7 @@
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m == reset || (m == pass && p.mode == silent) {
+	if m == reset || (m == pass && (p.mode == silent || p.mode == oneWay)) {
 		p.closeAll()
 	}
 	p.mode = m
@@ -104,21 +112,25 @@
 	}
 	defer p.drop(far)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(far, near) })
-	both.Go(func() { p.copy(near, far) })
+	both.Go(func() { p.copy(far, near, silent, silent) })
+	both.Go(func() { p.copy(near, far, silent, oneWay) })
 	both.Wait()
 }
 
-// copy carries bytes in one direction until one side ends; a silent proxy drops them.
-func (p *proxy) copy(to, from net.Conn) {
+// copy carries bytes in one direction until one side ends; in some modes it drops them.
+func (p *proxy) copy(to, from net.Conn, drops ...mode) {
 	defer func() { _, _ = to.Close(), from.Close() }()
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if p.present() == silent {
+		present := p.present()
+		if slices.Contains(drops, present) {
 			_, _ = io.Copy(io.Discard, from)
 			return
 		}
+		if present == slow {
+			time.Sleep(lateness)
+		}
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -34,7 +34,8 @@
 
 // TestSoak guards against broken promises under faults of processes, links, the store and servers: what must not run
 // twice, refusals that are not true, answers of other requests, streams that look complete, results of other requests,
-// processes that end by themselves, stops beyond the grace, and a deployment that does not recover.
+// processes that end by themselves, stops beyond the grace, configurations that go back, work for servers that leave, and a
+// deployment that does not recover.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "bluebellflow")
 	out, err := exec.Command("go", "build", "-o", program, "bluebellflow/cmd/bluebellflow").CombinedOutput()
@@ -85,10 +86,13 @@
 	for i := range 8 {
 		callers.Go(func() { w.call(ctx, rand.New(rand.NewPCG(seed, uint64(i+2)))) })
 	}
+	callers.Go(func() { w.probe(ctx, rand.New(rand.NewPCG(seed, 99))) })
 	w.suffer(draw(w.rng, w, *soakSpan))
 	w.recovers()
+	w.agrees()
 	stop()
 	callers.Wait()
+	w.drains()
 	w.evacuates()
 	var stops sync.WaitGroup
 	for _, n := range w.nodes {
--- a/cmd/soak/world_test.go
+++ b/cmd/soak/world_test.go
@@ -33,6 +33,7 @@
 type node struct {
 	name, zone, callers, ready, settings string
 	link                                 *proxy // to the store
+	peers                                *proxy // from other nodes
 	log                                  *os.File
 
 	mu   sync.Mutex
@@ -141,9 +142,13 @@
 	link, err := newProxy(func() string { return w.Store.Addr().String() })
 	w.g.Expect(err).NotTo(HaveOccurred())
 	w.t.Cleanup(link.close)
-	n := &node{name: name, zone: zone, callers: w.free(), ready: w.free(), link: link, settings: filepath.Join(w.dir, name+".json")}
+	peer := w.free()
+	peers, err := newProxy(func() string { return peer })
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.t.Cleanup(peers.close)
+	n := &node{peers: peers, name: name, zone: zone, callers: w.free(), ready: w.free(), link: link, settings: filepath.Join(w.dir, name+".json")}
 	raw, err := json.Marshal(map[string]any{
-		"name": name, "domain": zone, "peer": w.free(), "caller": n.callers, "ready": n.ready, "store": link.addr(), "memory": 200, "cores": 1,
+		"name": name, "domain": zone, "peer": peer, "advertise": peers.addr(), "caller": n.callers, "ready": n.ready, "store": link.addr(), "memory": 200, "cores": 1,
 		"bounds": map[string]any{
 			"grace": "6s", "cold": map[string]any{"over": 1.5, "slack": 5}, "retry": map[string]any{"ratio": 0.2, "slack": 58, "span": "10s"},
 		},
--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -19,10 +19,11 @@
 		return gateway.Config{}, 0, err
 	}
 	return gateway.Config{
-		Self:    event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
-		Decoder: platform.Decoder{},
-		Dialect: platform.Dialect{},
-		Codec:   gate.Codec(),
+		Self:      event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
+		Advertise: s.Advertise,
+		Decoder:   platform.Decoder{},
+		Dialect:   platform.Dialect{},
+		Codec:     gate.Codec(),
 		Bounds: gate.Bounds{
 			ColdOver: s.Bounds.Cold.Over, ColdSlack: s.Bounds.Cold.Slack, Grace: s.Bounds.Grace, Weight: s.Cores,
 			Retries: quota.Budget{Ratio: s.Bounds.Retry.Ratio, Slack: s.Bounds.Retry.Slack, Span: s.Bounds.Retry.Span},
--- a/core/settings/gateway.go
+++ b/core/settings/gateway.go
@@ -24,6 +24,7 @@
 	FailureDomain id.FailureDomain
 	Region        id.Region
 	Peer          netip.AddrPort // address for other nodes
+	Advertise     netip.AddrPort // address at which other nodes reach Peer; invalid if it is the same
 	Caller        netip.AddrPort // address for callers
 	Ready         netip.AddrPort // address for the load balancer's question whether the node is ready
 	Metrics       netip.AddrPort // address for metrics; invalid for none
@@ -89,6 +90,8 @@
 		g.Region = id.Region(r.name(what, m.value))
 	case "peer":
 		g.Peer = r.addr(what, m.value)
+	case "advertise":
+		g.Advertise = r.addr(what, m.value)
 	case "caller":
 		g.Caller = r.addr(what, m.value)
 	case "ready":
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -53,11 +53,13 @@
 
 // Config describes one gateway node. Port 0 in an address is replaced by a free one.
 type Config struct {
-	Self    event.Self // Self.Addr is the address to listen on for peers
-	Decoder gate.Decoder
-	Bounds  gate.Bounds
-	Codec   *wire.Codec
-	Dialect Dialect
+	Self event.Self // Self.Addr is the address to listen on for peers
+	// Advertise is the address at which peers reach Self.Addr; invalid if it is the same.
+	Advertise netip.AddrPort
+	Decoder   gate.Decoder
+	Bounds    gate.Bounds
+	Codec     *wire.Codec
+	Dialect   Dialect
 	// Store and Workers build the parts that speak to the platform.
 	Store   func(deliver func(event.Event), vars *expvar.Map, report func(error)) Store
 	Workers func(client *upstream.Client, deliver func(event.Event)) Workers
@@ -86,6 +88,9 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	cfg.Self.Addr = addrOf(listener)
+	if cfg.Advertise.IsValid() {
+		cfg.Self.Addr = cfg.Advertise
+	}
 	decider := gate.New(cfg.Self, cfg.Decoder, cfg.Bounds)
 	n.loop = runtime.NewLoop(decider, runtime.WithVars(n.vars), runtime.WithLogger(cfg.Logger))
 	n.mesh = mesh.New(cfg.Self, cfg.Codec, decider.Resolve, n.loop.Deliver,
