batch, upstream: servers that failed get the least urgent part; 250 ms to open a connection

Cause: during a cut each side goes on trying the stage servers of the other. A trial got a full call of the most urgent parts, which then waited 600 ms for a connection, and missed their objectives. Change: a server that has failed gets the last part of the queue until it has answered; a connection has to open within 250 ms (a lost opening packet is sent again only after a second, so that 600 ms gained nothing). Tests: batch.TestTrial. TestLateOrder let the blocking call count as lost before it ended, so that its server was on trial; it ends in time now, the order that it asks for is the same, and it fails when late parts are ordered by deadline.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -83,7 +83,7 @@
 	others := domains(free[1:])
 	c := &call{worker: w, line: l, kinds: map[kind]int{}, began: now, expected: l.pool.Pieces.Call}
 	left := false
-	for _, p := range l.parts {
+	for _, p := range l.candidates(w) {
 		if len(c.pieces) >= l.pool.Pieces.Batch {
 			left = true
 			break
@@ -115,6 +115,15 @@
 		"call=%d pieces=%d waiting=%d expected=%s factor=%.2f used=%d", c.id, len(c.pieces), len(l.parts), c.expected, w.factor, w.used)})
 }
 
+// candidates returns the parts that a worker may be given, the most urgent first. A worker that has failed gets the least
+// urgent one, because what it is given may be lost with the time until that is noticed.
+func (l *line) candidates(w *worker) []*part {
+	if w.failures == 0 {
+		return l.parts
+	}
+	return l.parts[len(l.parts)-1:]
+}
+
 // allowed reports whether a part may run on a worker, while others are free in some failure domains.
 func (s *Scheduler) allowed(now time.Time, l *line, p *part, w *worker, others id.Set[id.FailureDomain]) bool {
 	if p.avoid == w.ID && len(l.workers) > 1 {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -24,7 +24,7 @@
 	// freshKeep is how long a connection may have been unused for a request that must not run twice.
 	freshKeep = 50 * time.Millisecond
 	// dialTimeout is how long a connection may take to open.
-	dialTimeout = 600 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// ackTimeout is how long sent bytes may stay without acknowledgement before a connection counts as broken.
 	ackTimeout = 2 * time.Second
 	// maxIdle bounds the unused connections to one server.
