--- a/io/runtime/logs.go
+++ b/io/runtime/logs.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,6 +20,10 @@
 	// down fails several polls a second.
 	reportsPerSecond = 5
 	reportBurst      = 20
+	// linesPerSecond and lineBurst bound the lines of decisions. A gateway that serves a hundred requests a second writes
+	// about five hundred; more cost it the processor time that its callers need.
+	linesPerSecond = 1000
+	lineBurst      = 4000
 	// lastLines is how long the end of a process waits for a blocked log output.
 	lastLines = 2 * time.Second
 )
@@ -28,11 +33,14 @@
 type logWriter struct {
 	logger *log.Logger
 	vars   *expvar.Map
-	limit  *rate.Limiter
+	limit  *rate.Limiter // of errors
+	budget *rate.Limiter // of decisions
 	lines  chan func()
 	once   sync.Once
 	end    chan struct{}
 	done   chan struct{}
+
+	suppressed atomic.Int64 // decisions without a line since the last one that had one
 }
 
 func newLogWriter(logger *log.Logger, vars *expvar.Map) *logWriter {
@@ -41,7 +49,8 @@
 	}
 	return &logWriter{
 		logger: logger, vars: vars, limit: rate.NewLimiter(reportsPerSecond, reportBurst),
-		lines: make(chan func(), logQueue), end: make(chan struct{}), done: make(chan struct{}),
+		budget: rate.NewLimiter(linesPerSecond, lineBurst),
+		lines:  make(chan func(), logQueue), end: make(chan struct{}), done: make(chan struct{}),
 	}
 }
 
@@ -90,8 +99,16 @@
 	}
 }
 
-// line logs a decision.
+// line logs a decision, within the budget of lines. The first line after others were left out says how many.
 func (w *logWriter) line(a event.Log) {
+	if !w.budget.Allow() {
+		w.vars.Add("log_lines_suppressed", 1)
+		w.suppressed.Add(1)
+		return
+	}
+	if missing := w.suppressed.Swap(0); missing > 0 {
+		w.add(func() { w.logger.Warn("log", "choice", "suppress", "lines", missing) })
+	}
 	w.add(func() {
 		w.logger.Info(a.Kind, "request", a.Request, "stage", a.Stage, "choice", a.Choice, "reason", a.Reason)
 	})
--- /dev/null
+++ b/io/runtime/logs_test.go
@@ -0,0 +1,37 @@
+package runtime
+
+import (
+	"bytes"
+	"expvar"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+)
+
+// TestLineBudget guards against a log that grows with the load without bound, and against lines that are left out
+// without a word.
+func TestLineBudget(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	vars := new(expvar.Map)
+	w := newLogWriter(log.New(&out), vars)
+	const decisions = 3 * lineBurst
+	for range decisions {
+		w.line(event.Log{Kind: "place"})
+		for len(w.lines) > 0 {
+			(<-w.lines)()
+		}
+	}
+	written := strings.Count(out.String(), "place")
+	g.Expect(written).To(And(BeNumerically(">=", lineBurst), BeNumerically("<", 2*lineBurst)))
+	g.Expect(vars.Get("log_lines_suppressed").String()).NotTo(Equal("0"))
+	time.Sleep(10 * time.Millisecond) // for some more lines
+	w.line(event.Log{Kind: "place"})
+	w.drain()
+	g.Expect(out.String()).To(ContainSubstring("suppress"))
+}
