--- a/io/runtime/logs.go
+++ b/io/runtime/logs.go
@@ -23,7 +23,7 @@
 	// linesPerSecond and lineBurst bound the lines of decisions. A gateway that serves a hundred requests a second writes
 	// about five hundred; more cost it the processor time that its callers need.
 	linesPerSecond = 1000
-	lineBurst      = 4000
+	lineBurst      = 2 * logQueue
 	// lastLines is how long the end of a process waits for a blocked log output.
 	lastLines = 2 * time.Second
 )
