--- a/lab/stages/stages_test.go
+++ b/lab/stages/stages_test.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// TestTakeover answers to two leaders that are killed one after the other: it guards against a takeover that costs
+// more than the time until it is noticed, and against pieces that meet the results which the former leader has had made.
+func TestTakeover(t *testing.T) {
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			s := setup()
+			s.Nodes = 3
+			w := play(s, func(w *stages.World) {
+				w.Lead(0, true)
+				w.At(8*time.Second, func() { w.Kill(0, 1) })
+				w.At(16*time.Second, func() { w.Kill(1, 2) })
+			})
+			show(t, "leaders are killed", w)
+			g := NewWithT(t)
+			g.Expect(w.Total().Answered()).To(BeNumerically(">=", burst))
+			g.Expect(float64(w.Full)/float64(w.Pieces)).To(BeNumerically("<", 0.02), "share of pieces without room")
+		})
+	}
+}
+
 // TestTightRoom answers to twice the usual load while room for results allows calls of less than half of a full batch: it
 // guards against an admission that counts on full calls, so that most of what it accepts misses its objective.
 func TestTightRoom(t *testing.T) {
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,6 +19,9 @@
 	"bluebellflow/core/leader"
 )
 
+// notice is the time until nodes go to another leader after the one that they follow has ended.
+const notice = 700 * time.Millisecond
+
 // epoch is when every world begins.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -94,6 +99,7 @@
 	servers  map[id.Server]*server
 	byPool   map[id.Pool][]*fleet.Server
 	nodes    []*node
+	catalog  *catalog.Catalog
 	leads    int // the node that gets all requests, -1 if each gets its share
 	requests map[id.Request]*request
 	last     int
@@ -121,6 +127,8 @@
 	route   *Route
 	arrived time.Time
 	submit  batch.Submit
+
+	answered bool // its stages are done
 }
 
 // New returns a world in which nothing has happened.
@@ -139,11 +147,9 @@
 	if err != nil {
 		panic(err) // the setup is part of the program
 	}
+	w.catalog = cat
 	for i := range max(1, s.Nodes) {
-		n := &node{world: w, name: id.Node(fmt.Sprintf("n%d", i))}
-		n.scheduler = batch.New(event.Self{Node: n.name, Rand: w.rng}, w, s.Options...)
-		n.scheduler.SetCatalog(cat)
-		w.nodes = append(w.nodes, n)
+		w.nodes = append(w.nodes, w.newNode(id.Node(fmt.Sprintf("n%d", i))))
 	}
 	for i := range s.Routes {
 		w.Scores[s.Routes[i].Name] = &Score{}
@@ -153,6 +159,13 @@
 	return w
 }
 
+func (w *World) newNode(name id.Node) *node {
+	n := &node{world: w, name: name}
+	n.scheduler = batch.New(event.Self{Node: name, Rand: w.rng}, w, w.Options...)
+	n.scheduler.SetCatalog(w.catalog)
+	return n
+}
+
 func (w *World) addServers(p *Pool) {
 	for i, count := range p.Servers {
 		for j := range count {
@@ -279,6 +292,18 @@
 	w.submit(n, q)
 }
 
+// Kill ends the process of a node, which knows nothing when it is back; another node leads from now on.
+func (w *World) Kill(i, next int) {
+	w.nodes[i] = w.newNode(w.nodes[i].name)
+	w.Lead(next, true)
+	for _, name := range slices.Sorted(maps.Keys(w.requests)) {
+		if q := w.requests[name]; q.submit.Ticket != 0 && !q.answered {
+			q.submit.Again, q.submit.Made = false, nil
+			w.after(notice, func() { w.submit(w.nodes[w.leads], q) })
+		}
+	}
+}
+
 // submit asks a node for the stages of a request.
 func (w *World) submit(n *node, q *request) {
 	age := w.Now.Sub(q.arrived)
@@ -300,6 +325,7 @@
 // answer plays the model: it reads the results and begins its answer a little later.
 func (w *World) answer(n *node, name id.Request, ticket uint64, results []batch.Result) {
 	q := w.requests[name]
+	q.answered = true
 	w.after(q.route.Model, func() {
 		score := w.score(q)
 		switch took := w.Now.Sub(q.arrived); {
