--- a/core/batch/handover.go
+++ b/core/batch/handover.go
@@ -31,7 +31,7 @@
 
 // Check reports whether the answer is well formed.
 func (m Moved) Check() error {
-	if class(m.Class) > second {
+	if m.Class > uint32(second) {
 		return fmt.Errorf("moved: class %d", m.Class)
 	}
 	return checkMade(m.Made, maxStages, func(uint32) uint32 { return maxPieces })
--- a/core/batch/handover_test.go
+++ b/core/batch/handover_test.go
@@ -135,6 +135,13 @@
 	})
 }
 
+// TestClassCheck guards against a class that a peer makes up.
+func TestClassCheck(t *testing.T) {
+	for _, class := range []uint32{2, 256} {
+		NewWithT(t).Expect(batch.Moved{Class: class}.Check()).NotTo(Succeed())
+	}
+}
+
 // TestMadeCheck guards against a message that names pieces which the job does not have.
 func TestMadeCheck(t *testing.T) {
 	for name, m := range map[string]batch.Made{
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -49,7 +49,7 @@
 	if s.Request == "" || len(s.Stages) == 0 || len(s.Stages) > maxStages {
 		return fmt.Errorf("submit: request %q with %d stages", s.Request, len(s.Stages))
 	}
-	if class(s.Class) > second {
+	if s.Class > uint32(second) {
 		return fmt.Errorf("submit: class %d", s.Class)
 	}
 	for i, stage := range s.Stages {
