--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -218,18 +218,23 @@
 	g.Expect(w.running[0].Items).To(HaveLen(4), "it has answered")
 }
 
-// TestLostResults guards against stages that read results which ended with their server.
-func TestLostResults(t *testing.T) {
-	for name, lose := range map[string]func(*world, batch.Run){
+// losses are the ways to learn, with a call that reads them, that the results which the servers of a pool kept are lost.
+func losses(pool id.Pool) map[string]func(*world, batch.Run) {
+	return map[string]func(*world, batch.Run){
 		"server restarted": func(w *world, _ batch.Run) {
-			for _, s := range w.servers[cut] {
+			for _, s := range w.servers[pool] {
 				w.step(fleet.Changed{Server: s, Restarted: true})
 			}
 		},
 		"input missing": func(w *world, r batch.Run) {
 			w.step(batch.Ran{Call: r.Call, Outcomes: []batch.Outcome{{Reason: batch.Missing}}})
 		},
-	} {
+	}
+}
+
+// TestLostResults guards against stages that read results which ended with their server.
+func TestLostResults(t *testing.T) {
+	for name, lose := range losses(cut) {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			w := newWorld(t, 2)
@@ -265,16 +270,7 @@
 
 // TestLostLater guards against results that are made again from inputs which were given up: such calls cannot succeed.
 func TestLostLater(t *testing.T) {
-	for name, lose := range map[string]func(*world, batch.Run){
-		"server restarted": func(w *world, _ batch.Run) {
-			for _, s := range w.servers[read] {
-				w.step(fleet.Changed{Server: s, Restarted: true})
-			}
-		},
-		"input missing": func(w *world, r batch.Run) {
-			w.step(batch.Ran{Call: r.Call, Outcomes: []batch.Outcome{{Reason: batch.Missing}}})
-		},
-	} {
+	for name, lose := range losses(read) {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			w := newWorld(t, 2)
