batch: last results that were forgotten are made again after a handover

Cause: a result that had expired was handed over like one that was read and given up, and counted as made. Change: results of a last stage that nobody keeps are left out, and not taken in. Test: batch.TestHandOver, failing before with both faults.

--- a/core/batch/handover.go
+++ b/core/batch/handover.go
@@ -85,10 +85,12 @@
 	m := Moved{Ticket: j.Ticket, Leader: s.leader, Accepted: true, Class: uint32(j.class)}
 	for _, p := range j.parts {
 		for i := range p.pieces {
-			if r := p.pieces[i].result; r != nil {
-				m.Made = append(m.Made, r.made(now, p.index, i))
-				r.worker.pass(r)
+			r := p.pieces[i].result
+			if r == nil || (p.last() && !r.kept()) {
+				continue // what the model is to read and nobody keeps has to be made again
 			}
+			m.Made = append(m.Made, r.made(now, p.index, i))
+			r.worker.pass(r)
 		}
 	}
 	j.ended = true
@@ -98,10 +100,13 @@
 	s.reply(j.key, m, out)
 }
 
+// kept reports whether the result is still at its worker, as far as this node knows.
+func (r *result) kept() bool { return r.worker.kept[r.handle] == r }
+
 // made describes a result for another leader.
 func (r *result) made(now time.Time, stage, piece int) Made {
 	m := Made{Stage: uint32(stage), Piece: uint32(piece), Server: r.worker.ID}
-	if r.worker.kept[r.handle] == r {
+	if r.kept() {
 		m.Handle, m.Left = r.handle, int64(r.until.Sub(now))
 	}
 	return m
@@ -114,6 +119,9 @@
 	if p.pieces[m.Piece].result != nil {
 		return
 	}
+	if m.Handle == "" && p.last() {
+		return
+	}
 	if m.Handle == "" {
 		// Its readers have run; if one of them has to run again, the result is missing and made again.
 		p.made(int(m.Piece), &result{worker: newWorker(&fleet.Server{ID: m.Server})})
@@ -142,7 +150,7 @@
 
 // pass forgets a result that another leader answers for from now on.
 func (w *worker) pass(r *result) {
-	if w.kept[r.handle] == r {
+	if r.kept() {
 		delete(w.kept, r.handle)
 		w.used -= r.bytes
 	}
--- a/core/batch/handover_test.go
+++ b/core/batch/handover_test.go
@@ -82,6 +82,22 @@
 		w.submitMoved(batch.Moved{Ticket: 1, Accepted: true, Made: []batch.Made{{Handle: "h", Server: "nobody"}}}, false)
 		g.Expect(w.running[0].Items).To(HaveLen(2))
 	})
+	t.Run("last results that were forgotten", func(t *testing.T) {
+		g := NewWithT(t)
+		old, next := newWorld(t, 2), newWorld(t, 2)
+		old.servers[cut] = nil
+		last := []batch.Stage{{Pool: read, Pieces: 1, Bytes: 100}, {Pool: cut, Pieces: 1, Bytes: 100}}
+		old.submitStages(1, time.Minute, last...)
+		old.succeed()
+		old.wait(11 * time.Second) // servers keep results for ten
+		old.step(follow)
+		g.Expect(old.moved[1].Made).To(BeEmpty())
+		next.submitMoved(batch.Moved{Ticket: 1, Accepted: true, Made: []batch.Made{
+			{Server: "cut0"}, {Piece: 1, Server: "cut0"}, {Stage: 1, Server: "read0"},
+		}}, false)
+		g.Expect(next.done).To(BeEmpty(), "nothing is there to read")
+		g.Expect(next.running).NotTo(BeEmpty())
+	})
 	t.Run("results that were given up", func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, 2)
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -133,7 +133,7 @@
 		return false
 	}
 	for _, in := range p.inputs() {
-		if in.worker.kept[in.handle] != in {
+		if !in.kept() {
 			return false
 		}
 	}
