--- a/cmd/soak/config_test.go
+++ b/cmd/soak/config_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os/exec"
+	"slices"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -29,7 +30,7 @@
 func (w *world) configure() {
 	next := w.Config()
 	next.Version++
-	next.Tenants = append(standin.Example().Tenants, standin.Tenant{Name: prober, APIKeys: []string{proberKey(next.Version)}})
+	next.Tenants = slices.Concat(standin.Example().Tenants, []standin.Tenant{{Name: prober, APIKeys: []string{proberKey(next.Version)}}})
 	w.Configure(next)
 }
 
--- a/core/gate/request.go
+++ b/core/gate/request.go
@@ -60,9 +60,9 @@
 	job       uint64 // the leader's work for it, 0 for none
 	leader    id.Node
 	submitted time.Time
-	restarts  int // times that its stages were asked for again
-	moves     int // times that they went on at another leader
-	moved     *handover
+	restarts  int       // times that its stages were asked for again
+	moves     int       // times that they went on at another leader
+	moved     *handover // what the leader before had had made, nil for none
 
 	waiting time.Time // when it began to wait for a server
 	server  id.Server
