evidence: the tests of versions have a package of their own

Cause: the gateway path needs the same judgement of a new version as the rollouts of serve, without their messages and store. Change: core/evidence holds the counters, the tests and their wire form; core/move uses it. Nothing about what is judged changes.

--- a/core/move/evidence.go
+++ b/core/evidence/evidence.go
@@ -1,6 +1,8 @@
-package move
+package evidence
 
 import (
+	"cmp"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -25,18 +27,18 @@
 	coldFactor = 3
 	floorFail  = 0.02 // rates of the old version below these cannot be measured on little traffic
 	floorSlow  = 0.12
-	// Evidence is complete with this many results of the new version, and this many on each route
-	// that has at least a tenth of the old version's traffic.
-	enough      = 100
-	enoughRoute = 20
-	routeShare  = 10
+	// Enough is how many results of the new version make the evidence complete while traffic allows to wait for them.
+	Enough = 100
+	// Each route with at least a tenth of the old version's traffic needs a fifth of the results that are needed in all.
+	routeShare = 10
+	routePart  = 5
 )
 
-// bound is the score at which a version is bad. Each test is built for a false alarm from any given
+// Bound is the score at which a version is bad. Each test is built for a false alarm from any given
 // result on with a probability of at most exp(-10), one in 22,000; over a whole rollout of about 3,000
 // results the tests are built to stop at most one good version in 200. At 9, one good version in 1,000
 // simulated ones was stopped, at 10 none; each further point costs a bad version about one result.
-const bound = 10.0
+const Bound = 10.0
 
 // The rates that the tests look for in a bad version.
 var (
@@ -64,8 +66,46 @@
 // that turns bad late is judged like one that was bad from the start.
 type scores [6]float64
 
-// evidence compares the two versions of a rollout over all nodes.
-type evidence struct {
+// Sample is the result of one attempt.
+type Sample struct {
+	Route  id.Pipeline
+	Took   time.Duration
+	Failed bool
+	Load   int  // attempts in flight at the server when this one was sent
+	Cold   bool // the server was cold then
+}
+
+// Cell carries a counter of the sender's incarnation.
+type Cell struct {
+	Route id.Pipeline `protobuf:"bytes,1,opt,name=route"`
+	Slot  int64       `protobuf:"varint,2,opt,name=slot"`
+	Count []uint64    `protobuf:"varint,3,rep,name=count"`
+}
+
+// Limits of what a peer may send.
+const (
+	// MaxCells is how many cells one message may carry.
+	MaxCells  = 1024
+	maxText   = 256
+	maxCount  = 1 << 40
+	countSize = 8
+)
+
+// Check reports a malformed cell.
+func (c Cell) Check() error {
+	if len(c.Count) != countSize || len(c.Route) > maxText || c.Slot < allTime {
+		return errors.New("evidence: bad counter")
+	}
+	for _, n := range c.Count {
+		if n > maxCount {
+			return errors.New("evidence: counter out of range")
+		}
+	}
+	return nil
+}
+
+// Evidence compares the two versions of a rollout over all nodes.
+type Evidence struct {
 	by     map[id.Incarnation]map[place]cell
 	sum    map[place]cell
 	after  map[place]scores // scores at the end of each slot
@@ -90,9 +130,11 @@
 	limit time.Duration
 }
 
-func newEvidence() *evidence {
-	return &evidence{
-		by: map[id.Incarnation]map[place]cell{}, sum: map[place]cell{},
+// New returns evidence that begins at a time.
+func New(now time.Time) *Evidence {
+	return &Evidence{
+		first: slotOf(now),
+		by:    map[id.Incarnation]map[place]cell{}, sum: map[place]cell{},
 		after: map[place]scores{}, rings: map[binKey]*ring{},
 	}
 }
@@ -124,7 +166,7 @@
 
 // limit returns the latency above which a result is slow: that of the old version at the same load, or
 // at the next higher one that it has had. At a load that the old version never had there is nothing to compare.
-func (e *evidence) limit(route id.Pipeline, load int) (time.Duration, bool) {
+func (e *Evidence) limit(route id.Pipeline, load int) (time.Duration, bool) {
 	for bin := binOf(load); bin < loadBins; bin++ {
 		if r := e.rings[binKey{route, bin}]; r != nil && r.limit > 0 {
 			return r.limit, true
@@ -133,14 +175,14 @@
 	return 0, false
 }
 
-// observe counts a result of this node.
-func (e *evidence) observe(now time.Time, self id.Incarnation, s Sample, isNew bool) {
-	limit, comparable := e.limit(s.Pipeline, s.Load)
+// Observe counts a result of this node.
+func (e *Evidence) Observe(now time.Time, self id.Incarnation, s Sample, isNew bool) {
+	limit, comparable := e.limit(s.Route, s.Load)
 	if s.Cold {
 		limit *= coldFactor
 	}
 	if !isNew && !s.Failed && !s.Cold {
-		key := binKey{s.Pipeline, binOf(s.Load)}
+		key := binKey{s.Route, binOf(s.Load)}
 		if e.rings[key] == nil {
 			e.rings[key] = &ring{}
 		}
@@ -162,7 +204,7 @@
 		}
 	}
 	slot := slotOf(now)
-	for _, p := range [4]place{{"", slot}, {s.Pipeline, slot}, {"", allTime}, {s.Pipeline, allTime}} {
+	for _, p := range [4]place{{"", slot}, {s.Route, slot}, {"", allTime}, {s.Route, allTime}} {
 		c := e.by[self][p]
 		for i, f := range c.fields() {
 			*f += *d.fields()[i]
@@ -171,8 +213,36 @@
 	}
 }
 
+// Cells returns the newest counters of an incarnation; they are sent repeatedly because messages get lost.
+func (e *Evidence) Cells(now time.Time, inc id.Incarnation) []Cell {
+	var out []Cell
+	for p, c := range e.by[inc] {
+		if p.slot != allTime && p.slot < slotOf(now)-2 {
+			continue
+		}
+		var count []uint64
+		for _, f := range c.fields() {
+			count = append(count, *f)
+		}
+		out = append(out, Cell{Route: p.route, Slot: p.slot, Count: count})
+	}
+	slices.SortFunc(out, func(a, b Cell) int { return cmp.Or(cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Route, b.Route)) })
+	return out[:min(len(out), MaxCells)]
+}
+
+// Merge takes in the counters of an incarnation.
+func (e *Evidence) Merge(now time.Time, inc id.Incarnation, cells []Cell) {
+	for _, c := range cells {
+		var in cell
+		for i, f := range in.fields() {
+			*f = c.Count[i]
+		}
+		e.merge(now, inc, place{c.Route, c.Slot}, in)
+	}
+}
+
 // merge takes in a counter by maximum.
-func (e *evidence) merge(now time.Time, inc id.Incarnation, p place, c cell) {
+func (e *Evidence) merge(now time.Time, inc id.Incarnation, p place, c cell) {
 	if p.slot != allTime && (p.slot < e.first || p.slot > slotOf(now)+2) {
 		return // too old, or from a clock that is far ahead
 	}
@@ -202,7 +272,7 @@
 }
 
 // admit remembers a route; a rollout is judged on a bounded number of them.
-func (e *evidence) admit(route id.Pipeline) bool {
+func (e *Evidence) admit(route id.Pipeline) bool {
 	at, known := slices.BinarySearch(e.routes, route)
 	if known {
 		return true
@@ -214,8 +284,8 @@
 	return true
 }
 
-// judge returns the highest score and its route. Only slots that have changed are scored again.
-func (e *evidence) judge(now time.Time) (float64, id.Pipeline) {
+// Judge returns the highest score and its route. Only slots that have changed are scored again.
+func (e *Evidence) Judge(now time.Time) (float64, id.Pipeline) {
 	last := slotOf(now) + 2 // another node's clock may be ahead
 	if e.judged >= last {
 		return e.worst, e.where
@@ -238,7 +308,7 @@
 }
 
 // forget drops old slots; the old version's rates are needed a little longer than the slot itself.
-func (e *evidence) forget(keep int64) {
+func (e *Evidence) forget(keep int64) {
 	if keep <= e.first {
 		return
 	}
@@ -264,7 +334,7 @@
 }
 
 // score adds one slot.
-func (e *evidence) score(s scores, route id.Pipeline, slot int64) scores {
+func (e *Evidence) score(s scores, route id.Pipeline, slot int64) scores {
 	c := e.sum[place{route, slot}]
 	if c.newN == 0 {
 		return s
@@ -317,15 +387,24 @@
 	return float64(k)*math.Log(bad/good) + float64(n-k)*math.Log((1-bad)/(1-good))
 }
 
-// complete reports whether the evidence allows more than the first steps.
-func (e *evidence) complete() bool {
+// Results returns how many results of the new and of the old version there are.
+func (e *Evidence) Results() (fresh, old uint64) {
+	all := e.sum[place{"", allTime}]
+	return all.newN, all.oldN
+}
+
+// Worst returns the score of the last judgement.
+func (e *Evidence) Worst() float64 { return e.worst }
+
+// Complete reports whether there are enough results of the new version to give it more than a little traffic.
+func (e *Evidence) Complete(enough uint64) bool {
 	all := e.sum[place{"", allTime}]
 	if all.newN < enough || all.newTimed < enough/2 {
 		return false
 	}
 	for _, route := range e.routes {
 		c := e.sum[place{route, allTime}]
-		if c.oldN*routeShare >= all.oldN && c.newN < enoughRoute {
+		if c.oldN*routeShare >= all.oldN && c.newN < enough/routePart {
 			return false
 		}
 	}
--- a/core/move/control.go
+++ b/core/move/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
 )
 
 const (
@@ -57,8 +58,8 @@
 	step := steps[at]
 	// The steps that remain share the time that is left, with one part in reserve.
 	dwell := min(m.maxDwell, left/time.Duration(len(steps)-at+1))
-	score, _ := r.evidence.judge(now)
-	if now.Sub(r.since) < dwell || score > bound/2 || (step > little && !r.evidence.complete()) {
+	score, _ := r.evidence.Judge(now)
+	if now.Sub(r.since) < dwell || score > evidence.Bound/2 || (step > little && !r.evidence.Complete(evidence.Enough)) {
 		return false
 	}
 	next.Share = step
--- a/core/move/evidence_test.go
+++ b/core/move/evidence_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"bluebellflow/core/evidence"
 	"bluebellflow/core/id"
 )
 
@@ -32,11 +33,8 @@
 func simulate(seed uint64, by time.Duration, bad fault) ended {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	nodes := [3]*evidence{newEvidence(), newEvidence(), newEvidence()}
+	nodes := [3]*evidence.Evidence{evidence.New(start), evidence.New(start), evidence.New(start)}
 	incs := [3]id.Incarnation{"a", "b", "c"}
-	for _, e := range nodes {
-		e.first = slotOf(start)
-	}
 	share, since, burst := steps[0], start, 1.0
 	var shown time.Time
 	var out ended
@@ -59,23 +57,18 @@
 				}
 			}
 			took := 0.1 * (1 + 0.1*float64(load)) * slower * math.Exp(0.4*rng.NormFloat64())
-			nodes[node].observe(now, incs[node], Sample{
-				Pipeline: id.Pipeline(fmt.Sprint("p", route)), Load: load,
+			nodes[node].Observe(now, incs[node], evidence.Sample{
+				Route: id.Pipeline(fmt.Sprint("p", route)), Load: load,
 				Took: time.Duration(took * float64(time.Second)), Failed: rng.Float64() < fail,
 			}, isNew)
 		}
 		for i, from := range nodes {
-			for _, c := range from.cells(now, incs[i]) {
-				var in cell
-				for k, f := range in.fields() {
-					*f = c.Count[k]
-				}
-				nodes[(i+1)%3].merge(now, incs[i], place{c.Route, c.Slot}, in)
-				nodes[(i+2)%3].merge(now, incs[i], place{c.Route, c.Slot}, in)
-			}
+			cells := from.Cells(now, incs[i])
+			nodes[(i+1)%3].Merge(now, incs[i], cells)
+			nodes[(i+2)%3].Merge(now, incs[i], cells)
 		}
-		score, _ := nodes[0].judge(now)
-		if score >= bound {
+		score, _ := nodes[0].Judge(now)
+		if score >= evidence.Bound {
 			out.bad, out.after, out.share = true, now.Sub(shown), share
 			return out
 		}
@@ -84,7 +77,7 @@
 			continue
 		}
 		dwell := min(time.Minute, (by-now.Sub(start))/time.Duration(len(steps)-at+1))
-		if now.Sub(since) >= dwell && score <= bound/2 && (steps[at] <= little || nodes[0].complete()) {
+		if now.Sub(since) >= dwell && score <= evidence.Bound/2 && (steps[at] <= little || nodes[0].Complete(evidence.Enough)) {
 			share, since = steps[at], now
 		}
 	}
@@ -197,8 +190,7 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for slower, bad := range map[float64]bool{2: false, 8: true} {
 		rng := rand.New(rand.NewPCG(1, 7))
-		e := newEvidence()
-		e.first = slotOf(start)
+		e := evidence.New(start)
 		now, worst := start, 0.0
 		for i := range 3000 {
 			now = now.Add(20 * time.Millisecond)
@@ -207,10 +199,10 @@
 				factor = slower
 			}
 			took := 0.1 * factor * math.Exp(0.4*rng.NormFloat64())
-			e.observe(now, "a", Sample{Pipeline: "p", Took: time.Duration(took * float64(time.Second)), Cold: isNew}, isNew)
-			score, _ := e.judge(now)
+			e.Observe(now, "a", evidence.Sample{Route: "p", Took: time.Duration(took * float64(time.Second)), Cold: isNew}, isNew)
+			score, _ := e.Judge(now)
 			worst = max(worst, score)
 		}
-		NewWithT(t).Expect(worst >= bound).To(Equal(bad), "score %v with %v times the latency", worst, slower)
+		NewWithT(t).Expect(worst >= evidence.Bound).To(Equal(bad), "score %v with %v times the latency", worst, slower)
 	}
 }
--- a/core/move/learn.go
+++ b/core/move/learn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
 	"bluebellflow/core/id"
 )
 
@@ -35,7 +36,7 @@
 
 // Check reports a malformed message.
 func (t Told) Check() error {
-	if len(t.Known) > maxCells {
+	if len(t.Known) > evidence.MaxCells {
 		return errors.New("told: too many rollouts")
 	}
 	for _, k := range t.Known {
@@ -93,7 +94,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.moves)) {
 		r := m.moves[name]
 		raw, err := json.Marshal(r.Record)
-		if err != nil || len(told.Known) == maxCells {
+		if err != nil || len(told.Known) == evidence.MaxCells {
 			continue
 		}
 		told.Known = append(told.Known, Known{Record: raw, Version: r.version, Stopped: r.stopped, Reason: r.reason})
--- a/core/move/message.go
+++ b/core/move/message.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
 	"bluebellflow/core/id"
 )
 
@@ -42,13 +44,9 @@
 
 // Sample is the result of one attempt.
 type Sample struct {
-	Pool     id.Pool
-	Version  id.Version
-	Pipeline id.Pipeline
-	Took     time.Duration
-	Failed   bool
-	Load     int  // attempts in flight at the server when this one was sent
-	Cold     bool // the server was cold then
+	Pool    id.Pool
+	Version id.Version
+	evidence.Sample
 }
 
 // Begin is an operator's command to start a rollout.
@@ -73,25 +71,17 @@
 // Limits of what a peer may send.
 const (
 	maxMarks = 64
-	maxCells = 1024
 	maxText  = 256
 )
 
-// Cell carries a counter of the sender's incarnation.
-type Cell struct {
-	Route id.Pipeline `protobuf:"bytes,1,opt,name=route"`
-	Slot  int64       `protobuf:"varint,2,opt,name=slot"`
-	Count []uint64    `protobuf:"varint,3,rep,name=count"`
-}
-
 // Mark is what a node knows of a rollout.
 type Mark struct {
-	Name    string `protobuf:"bytes,1,opt,name=name"`
-	Version uint64 `protobuf:"varint,2,opt,name=version"` // of the object
-	Applied int64  `protobuf:"varint,3,opt,name=applied"`
-	Stopped bool   `protobuf:"varint,4,opt,name=stopped"`
-	Reason  string `protobuf:"bytes,5,opt,name=reason"`
-	Cells   []Cell `protobuf:"bytes,6,rep,name=cells"`
+	Name    string          `protobuf:"bytes,1,opt,name=name"`
+	Version uint64          `protobuf:"varint,2,opt,name=version"` // of the object
+	Applied int64           `protobuf:"varint,3,opt,name=applied"`
+	Stopped bool            `protobuf:"varint,4,opt,name=stopped"`
+	Reason  string          `protobuf:"bytes,5,opt,name=reason"`
+	Cells   []evidence.Cell `protobuf:"bytes,6,rep,name=cells"`
 }
 
 // Beat spreads evidence, stops and shares.
@@ -105,17 +95,12 @@
 		return errors.New("beat: too many rollouts")
 	}
 	for _, m := range b.Marks {
-		if m.Name == "" || len(m.Name) > maxText || len(m.Reason) > maxText || len(m.Cells) > maxCells {
+		if m.Name == "" || len(m.Name) > maxText || len(m.Reason) > maxText || len(m.Cells) > evidence.MaxCells {
 			return errors.New("beat: bad rollout")
 		}
 		for _, c := range m.Cells {
-			if len(c.Count) != 8 || len(c.Route) > maxText || c.Slot < allTime {
-				return errors.New("beat: bad counter")
-			}
-			for _, n := range c.Count {
-				if n > 1<<40 {
-					return errors.New("beat: counter out of range")
-				}
+			if err := c.Check(); err != nil {
+				return fmt.Errorf("beat: %w", err)
 			}
 		}
 	}
--- a/core/move/move_test.go
+++ b/core/move/move_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
 	"bluebellflow/core/id"
 	"bluebellflow/core/member"
 	"bluebellflow/core/move"
@@ -116,8 +117,10 @@
 		}
 		v := c.w.Stepper(n).(stepper).Choose(c.w.Now, "p", id.Fingerprint(c.w.Rand.Uint64()), "x")
 		s := move.Sample{
-			Pool: "p", Version: v, Pipeline: "x", Load: 1, Failed: c.bad && v == "v2" && c.w.Rand.IntN(2) == 0,
-			Took: time.Duration(80+c.w.Rand.IntN(40)) * time.Millisecond,
+			Pool: "p", Version: v, Sample: evidence.Sample{
+				Route: "x", Load: 1, Failed: c.bad && v == "v2" && c.w.Rand.IntN(2) == 0,
+				Took: time.Duration(80+c.w.Rand.IntN(40)) * time.Millisecond,
+			},
 		}
 		c.w.Inject(n, sample{Sample: s}, s.Took)
 	}
@@ -430,7 +433,7 @@
 		inc := id.NewIncarnation(rand.New(rand.NewPCG(1, 1)))
 		body := move.Beat{Marks: []move.Mark{{
 			Name: "m", Version: 3, Applied: 50, Stopped: true, Reason: "r",
-			Cells: []move.Cell{{Route: "x", Slot: -1, Count: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}},
+			Cells: []evidence.Cell{{Route: "x", Slot: -1, Count: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}},
 		}}}
 		raw, err := codec.Encode(wire.Envelope{From: "n", Incarnation: inc}, body)
 		Expect(err).NotTo(HaveOccurred())
@@ -458,6 +461,6 @@
 	s := c.w.Stepper("n0").(stepper)
 	b.ReportAllocs()
 	for i := range b.N {
-		s.Observe(c.w.Now, move.Sample{Pool: "p", Version: "v1", Pipeline: "x", Took: time.Duration(i%64) * time.Millisecond})
+		s.Observe(c.w.Now, move.Sample{Pool: "p", Version: "v1", Sample: evidence.Sample{Route: "x", Took: time.Duration(i%64) * time.Millisecond}})
 	}
 }
--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
 	"bluebellflow/core/id"
 	"bluebellflow/core/member"
 )
@@ -54,7 +55,7 @@
 	since     time.Time // when this node learned of the state and the share
 	stopped   bool
 	reason    string
-	evidence  *evidence
+	evidence  *evidence.Evidence
 	heard     map[id.Node]mark
 	flight    uint64 // number of the operation that busy waits for
 	busy      bool
@@ -142,7 +143,7 @@
 	if r == nil || r.State != Running || r.stopped || (s.Version != r.From && s.Version != r.To) {
 		return
 	}
-	r.evidence.observe(now, m.self.Incarnation, s, s.Version == r.To)
+	r.evidence.Observe(now, m.self.Incarnation, s.Sample, s.Version == r.To)
 }
 
 // Status returns what this node knows of all rollouts.
@@ -152,7 +153,7 @@
 		r := m.moves[name]
 		out = append(out, Status{
 			Record: r.Record, Applied: r.applied(), Stopped: r.stopped,
-			Complete: r.evidence.complete(), Score: r.evidence.worst,
+			Complete: r.evidence.Complete(evidence.Enough), Score: r.evidence.Worst(),
 		})
 	}
 	return out
@@ -246,7 +247,7 @@
 func (m *Moves) drive(now time.Time, r *rollout) []event.Action {
 	var out []event.Action
 	if r.State == Running && !r.stopped {
-		if score, route := r.evidence.judge(now); score >= bound {
+		if score, route := r.evidence.Judge(now); score >= evidence.Bound {
 			where := "over all routes"
 			if route != "" {
 				where = "on route " + string(route)
@@ -256,7 +257,7 @@
 	}
 	if !r.settledAt.IsZero() && now.Sub(r.settledAt) > m.keep {
 		r.settledAt = time.Time{}
-		r.evidence = newEvidence() // nobody asks for it any more
+		r.evidence = evidence.New(now) // nobody asks for it any more
 	}
 	if r.busy || now.Before(r.retry) {
 		return out
@@ -297,7 +298,7 @@
 		b.Marks = append(b.Marks, Mark{
 			Name: name, Version: r.version, Applied: int64(r.applied()),
 			Stopped: r.stopped || r.State == Stopping || r.State == Back, Reason: r.reason,
-			Cells: r.evidence.cells(now, m.self.Incarnation),
+			Cells: r.evidence.Cells(now, m.self.Incarnation),
 		})
 	}
 	if len(b.Marks) == 0 || m.view == nil {
@@ -317,23 +318,6 @@
 	return out
 }
 
-// cells returns the newest counters of an incarnation; they are sent repeatedly because messages get lost.
-func (e *evidence) cells(now time.Time, inc id.Incarnation) []Cell {
-	var out []Cell
-	for p, c := range e.by[inc] {
-		if p.slot != allTime && p.slot < slotOf(now)-2 {
-			continue
-		}
-		var count []uint64
-		for _, f := range c.fields() {
-			count = append(count, *f)
-		}
-		out = append(out, Cell{Route: p.route, Slot: p.slot, Count: count})
-	}
-	slices.SortFunc(out, func(a, b Cell) int { return cmp.Or(cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Route, b.Route)) })
-	return out[:min(len(out), maxCells)]
-}
-
 func (m *Moves) receive(now time.Time, ev event.Receive, b Beat) []event.Action {
 	var out []event.Action
 	for _, k := range b.Marks {
@@ -346,13 +330,7 @@
 			continue
 		}
 		r.heard[ev.From] = mark{applied: int(k.Applied), at: now}
-		for _, c := range k.Cells {
-			var in cell
-			for i, f := range in.fields() {
-				*f = c.Count[i]
-			}
-			r.evidence.merge(now, ev.Incarnation, place{c.Route, c.Slot}, in)
-		}
+		r.evidence.Merge(now, ev.Incarnation, k.Cells)
 		if k.Stopped && r.State != Done {
 			out = append(out, m.stop(now, r, k.Reason)...)
 		}
@@ -368,10 +346,9 @@
 	r := m.moves[rec.Name]
 	if r == nil {
 		r = &rollout{
-			salt: xxhash.Sum64String(rec.Name), evidence: newEvidence(),
+			salt: xxhash.Sum64String(rec.Name), evidence: evidence.New(now),
 			heard: map[id.Node]mark{}, ordered: map[id.Server]order{},
 		}
-		r.evidence.first = slotOf(now)
 		m.moves[rec.Name] = r
 	}
 	m.unread.Delete(rec.Name)
