rollout: the gateway path moves pools to a new version, or takes it back

Cause: the gateway path followed the kind of the orders, but decided nothing: an order stayed without status, and a new version got its part of the requests from its first second on. Change: core/rollout. The leader gets the results of all nodes, judges them with core/evidence, and rules the share of the new version: a trial that brings enough results for the traffic there is, little until over half of the span has passed, everything from seven tenths on. A bad version, or one without evidence at the end, is rolled back; a good one is completed when all nodes give it everything and nothing is in progress at the old servers, which stop without waiting. Results go to the leader as such, because no node has enough of them to compare latencies, and go again to the next leader. A node that does not hear from the leader gives the new version nothing until all traffic has moved. Calls to stage servers are counted and judged in the same way. The soak ends with a rollout, in half of the runs with a node killed meanwhile.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -34,8 +34,8 @@
 
 // TestSoak guards against broken promises under faults of processes, links, the store and servers: what must not run
 // twice, refusals that are not true, answers of other requests, streams that look complete, results of other requests,
-// processes that end by themselves, stops beyond the grace, configurations that go back, work for servers that leave, and a
-// deployment that does not recover.
+// processes that end by themselves, stops beyond the grace, configurations that go back, work for servers that leave, rollouts
+// that are not over in time or that end wrongly, and a deployment that does not recover.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "bluebellflow")
 	out, err := exec.Command("go", "build", "-o", program, "bluebellflow/cmd/bluebellflow").CombinedOutput()
@@ -90,6 +90,7 @@
 	w.suffer(draw(w.rng, w, *soakSpan))
 	w.recovers()
 	w.agrees()
+	w.rolls(seed)
 	stop()
 	callers.Wait()
 	w.drains()
--- a/cmd/soak/world_test.go
+++ b/cmd/soak/world_test.go
@@ -85,7 +85,7 @@
 	w.Ledger.SetTolerance(standin.Tolerance{Runs: 20, Share: 0.05})
 	for _, service := range standin.Example().Services {
 		for _, zone := range zones {
-			w.addServer(seed, service.Name, zone)
+			w.addServer(seed, service.Name, zone, oldVersion)
 		}
 	}
 	for i := range 2 * len(zones) {
@@ -96,15 +96,19 @@
 	return w
 }
 
-func (w *world) addServer(seed uint64, service, zone string) {
+func (w *world) addServer(seed uint64, service, zone, version string) *standin.Server {
 	name := service + "-" + zone
+	if version != oldVersion {
+		name += "-" + version
+	}
 	addr := w.free()
 	path, err := newProxy(func() string { return addr })
 	w.g.Expect(err).NotTo(HaveOccurred())
 	w.t.Cleanup(path.close)
 	w.paths[name] = path
-	s := w.NewServer(seed, standin.Place{ID: name, Service: service, Zone: zone, Version: "v1", Addr: addr, Via: path.addr()})
+	s := w.NewServer(seed, standin.Place{ID: name, Service: service, Zone: zone, Version: version, Addr: addr, Via: path.addr()})
 	w.g.Expect(s.Start()).To(Succeed())
+	return s
 }
 
 // firstPort and lastPort are below the ports that connections take for themselves, which would otherwise take that of a
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -53,8 +53,12 @@
 	Prompt   uint64  // identifies the shared part of the prompt, 0 for none
 	ColdRate float64 // requests a second that a cold server bears, 0 for no bound
 	Stuck    time.Duration
+	Versions Versions // nil for all
 }
 
+// Versions says which versions may serve a request.
+type Versions interface{ Allows(id.Version) bool }
+
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Fail  event.FailKind // 0 for an answer of the server
@@ -155,6 +159,9 @@
 	if usable, why := b.servers.Usable(s); !usable {
 		return why
 	}
+	if q.Versions != nil && !q.Versions.Allows(s.Version) {
+		return "version not wanted"
+	}
 	if slices.Contains(q.Avoid, s.ID) {
 		return "tried before"
 	}
@@ -259,6 +266,9 @@
 	}
 }
 
+// Inflight returns the attempts of this node at a server.
+func (b *Balance) Inflight(name id.Server) int { return b.state(name).inflight }
+
 // Answered notes that the answer to an attempt has begun.
 func (b *Balance) Answered(name id.Server, sent time.Time) { b.state(name).answered(sent) }
 
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -35,7 +35,7 @@
 	silent  bool // the node that submits does not ping
 }
 
-func newWorld(t *testing.T, servers int) *world {
+func newWorld(t *testing.T, servers int, opts ...batch.Option) *world {
 	t.Helper()
 	w := &world{
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), servers: map[id.Pool][]*fleet.Server{},
@@ -54,7 +54,7 @@
 	}
 	cat, err := catalog.New(c)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	w.Scheduler = batch.New(event.Self{Node: "n", Rand: rand.New(rand.NewPCG(1, 1))}, w)
+	w.Scheduler = batch.New(event.Self{Node: "n", Rand: rand.New(rand.NewPCG(1, 1))}, w, opts...)
 	w.SetCatalog(cat)
 	return w
 }
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -37,7 +37,7 @@
 func (s *Scheduler) free(now time.Time, l *line) []*worker {
 	var out []*worker
 	for _, w := range l.workers {
-		if usable, _ := s.servers.Usable(w.Server); !usable || s.workers[w.ID] != w {
+		if usable, _ := s.servers.Usable(w.Server); !usable || s.workers[w.ID] != w || !s.versions.AllowsCall(now, w.Pool, w.Version) {
 			continue
 		}
 		if len(w.calls) < max(1, l.pool.Pieces.Slots) && !now.Before(w.rest) {
@@ -80,6 +80,9 @@
 // call fills a call to the first of the free workers and sends it.
 func (s *Scheduler) call(now time.Time, l *line, free []*worker, out *actions) {
 	w := free[0]
+	if !s.versions.AllowsCall(now, w.Pool, w.Version) {
+		return // the call before this one has used up the share of its version
+	}
 	others := domains(free[1:])
 	c := &call{worker: w, line: l, kinds: map[kind]int{}, began: now, expected: l.pool.Pieces.Call}
 	left := false
@@ -104,6 +107,8 @@
 	c.id = s.last
 	s.calls[c.id] = c
 	w.calls[c.id] = c
+	c.version = w.Version
+	s.versions.Called(w.Pool, w.Version)
 	w.used += c.bytes
 	run := Run{Call: c.id, Server: Target{ID: w.ID, Addr: w.Addr}, Timeout: c.limit()}
 	for _, one := range c.pieces {
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -44,6 +44,7 @@
 type Scheduler struct {
 	self      event.Self
 	servers   servers
+	versions  versions
 	catalog   *catalog.Catalog
 	lines     map[id.Pool]*line
 	workers   map[id.Server]*worker
@@ -74,6 +75,7 @@
 type call struct {
 	id       uint64
 	worker   *worker
+	version  id.Version // of the worker when the call began
 	line     *line
 	pieces   []claimed
 	kinds    map[kind]int
@@ -92,7 +94,7 @@
 // New returns a scheduler without jobs.
 func New(self event.Self, servers servers, opts ...Option) *Scheduler {
 	s := &Scheduler{
-		self: self, servers: servers, lines: map[id.Pool]*line{}, workers: map[id.Server]*worker{},
+		self: self, servers: servers, versions: allVersions{}, lines: map[id.Pool]*line{}, workers: map[id.Server]*worker{},
 		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, owners: owners{}, admission: admission{routes: map[string]*demand{}},
 	}
 	for _, o := range opts {
--- a/core/batch/settle.go
+++ b/core/batch/settle.go
@@ -16,6 +16,7 @@
 	if !ok {
 		return // it was given up, and its pieces run elsewhere
 	}
+	s.observe(now, c, ev)
 	if ev.Fail != 0 {
 		s.failed(now, c, ev, out)
 		return
@@ -79,6 +80,7 @@
 func (s *Scheduler) leave(c *call) {
 	delete(s.calls, c.id)
 	delete(c.worker.calls, c.id)
+	s.versions.Ended(c.line.pool.Name, c.version)
 	c.worker.used -= c.bytes
 	for _, one := range c.pieces {
 		one.part.putBack(one.index)
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -18,6 +18,7 @@
 	"bluebellflow/core/mirror"
 	"bluebellflow/core/quota"
 	"bluebellflow/core/retry"
+	"bluebellflow/core/rollout"
 	"bluebellflow/core/roster"
 )
 
@@ -26,8 +27,6 @@
 	Config = "config"
 	// Current is the name of the object that holds the configuration.
 	Current = "main"
-	// Rollouts is the kind of the version rollouts.
-	Rollouts = "rollouts"
 	// watchers is how many of the first nodes in rank follow the store themselves.
 	watchers = 2
 	// settleTime is how long a node that starts waits for the entries of nodes that start with it.
@@ -39,6 +38,7 @@
 // Decoder reads the objects of the store that operators and servers write.
 type Decoder interface {
 	fleet.Decoder
+	rollout.Decoder
 	Catalog(spec []byte) (*catalog.Catalog, error)
 }
 
@@ -66,6 +66,7 @@
 	roster    *roster.Roster
 	leader    *leader.Tracker
 	fleet     *fleet.Fleet
+	rollouts  *rollout.Rollouts
 	balance   *balance.Balance
 	scheduler *batch.Scheduler
 	retries   *quota.Retries
@@ -88,7 +89,7 @@
 func New(self event.Self, decoder Decoder, bounds Bounds) *Gate {
 	g := &Gate{
 		self: self, decoder: decoder, bounds: bounds,
-		mirror:   mirror.New(self, roster.Nodes, Config, fleet.Servers, fleet.Evacuations, Rollouts),
+		mirror:   mirror.New(self, roster.Nodes, Config, fleet.Servers, fleet.Evacuations, rollout.Kind),
 		roster:   roster.New(self, bounds.Weight),
 		leader:   leader.New(self),
 		fleet:    fleet.New(decoder),
@@ -98,8 +99,9 @@
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balance = balance.New(self, g.fleet, g.cold)
-	g.scheduler = batch.New(self, g.fleet)
-	g.modules = []module{g.mirror, g.roster, g.fleet, g.leader, passive{g.balance}, g.scheduler}
+	g.rollouts = rollout.New(self, decoder, g.fleet)
+	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts))
+	g.modules = []module{g.mirror, g.roster, g.fleet, g.leader, g.rollouts, passive{g.balance}, g.scheduler}
 	return g
 }
 
@@ -173,6 +175,7 @@
 		g.chooseSource(now)
 	case leader.Changed:
 		g.roster.SetLeads(ev.Leader == g.self.Node)
+		g.rollouts.SetLeader(now, ev.Leader)
 		g.chooseSource(now)
 		g.leaderChanged(now, out)
 	case event.Link:
@@ -213,6 +216,7 @@
 	g.mirror.SetPeers(names)
 	g.leader.SetCandidates(candidates)
 	g.cold.SetNodes(names)
+	g.rollouts.SetNodes(names)
 	g.retries.SetNodes(len(names) + spareNodes)
 }
 
@@ -232,7 +236,7 @@
 
 // loaded reports whether the node knows what it needs to forward requests.
 func (g *Gate) loaded() bool {
-	return g.catalog != nil && g.mirror.Loaded(fleet.Servers) && g.mirror.Loaded(fleet.Evacuations) && g.mirror.Loaded(Rollouts)
+	return g.catalog != nil && g.mirror.Loaded(fleet.Servers) && g.mirror.Loaded(fleet.Evacuations) && g.mirror.Loaded(rollout.Kind)
 }
 
 // Resolve returns the address of a node.
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -19,6 +19,7 @@
 	"bluebellflow/core/id"
 	"bluebellflow/core/mirror"
 	"bluebellflow/core/quota"
+	"bluebellflow/core/rollout"
 	"bluebellflow/core/roster"
 )
 
@@ -63,9 +64,28 @@
 	if _, err := fmt.Sscanf(string(spec), "%s %d", &pool, &n); err != nil {
 		return fleet.Entry{}, errors.New("not an entry")
 	}
-	return fleet.Entry{Pool: id.Pool(pool), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), Domain: "a", Slots: 6}, nil
+	return fleet.Entry{Pool: id.Pool(pool), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), Domain: "a", Version: version(n), Slots: 6}, nil
 }
 
+// version returns the version of a server: those with high numbers are new.
+func version(n byte) id.Version {
+	if n >= 100 {
+		return "v2"
+	}
+	return "v1"
+}
+
+// Rollout reads an order to move a pool to the new version within half a minute.
+func (decoder) Rollout(spec, status []byte) (rollout.Order, rollout.Status, error) {
+	var s rollout.Status
+	if len(status) > 0 {
+		s = rollout.Status{State: rollout.State(status[0]), Target: "v2"}
+	}
+	return rollout.Order{Pool: id.Pool(spec), Target: "v2", Span: 30 * time.Second}, s, nil
+}
+
+func (decoder) RolloutStatus(s rollout.Status) ([]byte, error) { return []byte{byte(s.State)}, nil }
+
 // world is a gate that leads itself, with what it wants done.
 type world struct {
 	g     *WithT
@@ -102,7 +122,7 @@
 			{Name: "model-1", Revision: 5, Spec: []byte("model 3")},
 			{Name: "times-1", Revision: 6, Spec: []byte("times 4")},
 		},
-		fleet.Evacuations: nil, gate.Rollouts: nil, roster.Nodes: nil,
+		fleet.Evacuations: nil, rollout.Kind: nil, roster.Nodes: nil,
 	}
 	for kind, objects := range kinds {
 		w.step(mirror.Link{Kind: kind, Up: true})
--- a/core/gate/message.go
+++ b/core/gate/message.go
@@ -30,7 +30,6 @@
 	In, Out  int           // tokens of the prompt, and of the answer at most
 	Pieces   []int         // pieces of each stage
 	PieceKey string
-	Print    id.Fingerprint
 }
 
 type (
--- a/core/gate/request.go
+++ b/core/gate/request.go
@@ -10,6 +10,8 @@
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
+	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 )
 
@@ -66,6 +68,9 @@
 
 	waiting time.Time // when it began to wait for a server
 	server  id.Server
+	version id.Version // of the server
+	load    int        // requests of this node there when it was sent
+	cold    bool       // the server was cold then
 	sent    time.Time
 	sends   int
 	ran     int // servers that may have run it
@@ -186,11 +191,7 @@
 		g.giveUp(now, r, "the time left does not suffice", out)
 		return
 	}
-	s, reason := g.balance.Pick(now, g.query(r))
-	if s == nil && len(r.avoid) > 0 && r.ran == 0 {
-		r.avoid = nil // nothing else is left
-		s, reason = g.balance.Pick(now, g.query(r))
-	}
+	s, reason := g.pick(now, r)
 	if s == nil {
 		if now.Sub(r.waiting) >= placeWait || r.maybe {
 			g.giveUp(now, r, reason, out)
@@ -200,7 +201,9 @@
 		return
 	}
 	g.balance.Start(now, s, g.query(r))
+	g.rollouts.Began(r.pool.Name, s.Version)
 	r.phase, r.server, r.sent, r.began = running, s.ID, now, false
+	r.version, r.load, r.cold = s.Version, g.balance.Inflight(s.ID), s.Cold(now)
 	r.sends++
 	out.add(event.Log{Kind: "place", Request: r.Name, Stage: r.route.Name, Choice: string(s.ID), Reason: fmt.Sprintf("send=%d %s", r.sends, reason)})
 	f := Forward{
@@ -213,6 +216,39 @@
 	out.add(f)
 }
 
+// pick chooses a server of the versions that may serve the request.
+func (g *Gate) pick(now time.Time, r *request) (*fleet.Server, string) {
+	choice := g.rollouts.Choose(now, r.pool.Name, fingerprint(string(r.Name)), r.sends > 0)
+	q := g.query(r)
+	q.Versions = choice
+	s, reason := g.balance.Pick(now, q)
+	if other, there := choice.Other(); s == nil && there {
+		q.Versions = other
+		s, reason = g.balance.Pick(now, q)
+	}
+	if s == nil && len(r.avoid) > 0 && r.ran == 0 {
+		r.avoid, q.Avoid = nil, nil // nothing else is left
+		q.Versions = choice
+		s, reason = g.balance.Pick(now, q)
+	}
+	return s, reason
+}
+
+// observe tells the rollouts how a request went. A stream counts with its first event, and again if it breaks off.
+func (g *Gate) observe(now time.Time, r *request, res Result) {
+	failed := res.Fail != 0 || res.Status >= http.StatusInternalServerError
+	if res.Fail == event.FailUnsent || res.Fail == event.FailRejected || (r.began && !failed && r.route.Kind == catalog.Stream) {
+		return
+	}
+	s := g.sample(r, now.Sub(r.sent))
+	s.Failed = failed
+	g.rollouts.Observe(now, r.pool.Name, r.version, s)
+}
+
+func (g *Gate) sample(r *request, took time.Duration) evidence.Sample {
+	return evidence.Sample{Route: id.Pipeline(r.route.Name), Took: took, Load: r.load, Cold: r.cold}
+}
+
 // ended takes in the end of a forwarded request.
 func (g *Gate) ended(now time.Time, ev Ended, out *actions) {
 	r, ok := g.requests[ev.Ticket]
@@ -224,6 +260,8 @@
 	g.balance.End(now, r.server, r.sent, balance.Outcome{
 		Fail: ev.Fail, Bad: bad, Took: took, Began: ev.Began, Load: ev.Load, Known: ev.Known, Moved: ev.Moved,
 	})
+	g.rollouts.Ended(r.pool.Name, r.version)
+	g.observe(now, r, ev.Result)
 	out.add(event.Log{Kind: "end", Request: r.Name, Stage: r.route.Name, Choice: outcome(ev.Result), Reason: fmt.Sprintf(
 		"server=%s took=%s since=%s %s", r.server, took.Round(time.Millisecond), now.Sub(r.arrived).Round(time.Millisecond), ev.Detail)})
 	if ev.Fail == 0 && !ev.Held {
@@ -323,6 +361,7 @@
 		"phase=%d since=%s", r.phase, now.Sub(r.arrived).Round(time.Millisecond))})
 	if r.phase == running {
 		g.balance.End(now, r.server, r.sent, balance.Outcome{Fail: event.FailRejected})
+		g.rollouts.Ended(r.pool.Name, r.version)
 	}
 	g.finish(r, false, out)
 }
@@ -336,6 +375,9 @@
 	r.began = true
 	g.balance.Answered(r.server, r.sent)
 	g.learnFirst(r.route.Name, now.Sub(r.sent))
+	if r.route.Kind == catalog.Stream {
+		g.rollouts.Observe(now, r.pool.Name, r.version, g.sample(r, now.Sub(r.sent)))
+	}
 	g.release(r, true, out)
 }
 
--- /dev/null
+++ b/core/gate/rollout_test.go
@@ -0,0 +1,105 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/gate"
+	"bluebellflow/core/id"
+	"bluebellflow/core/mirror"
+	"bluebellflow/core/rollout"
+)
+
+// rolling returns a gate with servers of two versions and an order to move to the new one.
+func rolling(t *testing.T) *world {
+	w := loaded(t)
+	w.put(fleet.Servers, "loans-100", "loans 100", "")
+	w.put(rollout.Kind, "loans", "loans", "")
+	return w
+}
+
+// put delivers an object of the store.
+func (w *world) put(kind, name, spec, status string) {
+	w.step(mirror.Updated{Kind: kind, Revision: w.next(), Objects: []mirror.Object{{Name: name, Revision: w.next(), Spec: []byte(spec), Status: []byte(status)}}})
+}
+
+// share sends requests and returns how many of them go to the new version.
+func (w *world) share(requests int) (fresh int) {
+	for range requests {
+		ticket := w.arrive("look", nil)
+		if one[gate.Forward](w).Server.ID == "loans-100" {
+			fresh++
+		}
+		w.end(ticket, gate.Result{Status: 200})
+	}
+	return fresh
+}
+
+// TestRollout guards against requests for a version before anything is known of it, after it was taken back, and for the
+// old version after its servers may stop.
+func TestRollout(t *testing.T) {
+	t.Run("ordered", func(t *testing.T) {
+		w := rolling(t)
+		w.g.Expect(w.share(100)).To(BeZero())
+	})
+	t.Run("running", func(t *testing.T) {
+		w := rolling(t)
+		w.put(rollout.Kind, "loans", "loans", string(rune(rollout.Running)))
+		w.run(3 * time.Second)
+		w.g.Expect(w.share(1000)).To(And(BeNumerically(">", 100), BeNumerically("<", 400)))
+	})
+	t.Run("tried again at the old version", func(t *testing.T) {
+		w := rolling(t)
+		w.put(rollout.Kind, "loans", "loans", string(rune(rollout.Running)))
+		w.run(3 * time.Second)
+		for range 50 {
+			ticket := w.arrive("look", nil)
+			if first := one[gate.Forward](w).Server.ID; first == "loans-100" {
+				w.end(ticket, gate.Result{Fail: event.FailRejected, Status: 503})
+				w.g.Expect(one[gate.Forward](w).Server.ID).NotTo(Equal(first))
+			}
+			w.end(ticket, gate.Result{Status: 200})
+		}
+	})
+	for state, want := range map[rollout.State]int{rollout.Completed: 100, rollout.RolledBack: 0} {
+		t.Run(state.String(), func(t *testing.T) {
+			w := rolling(t)
+			w.put(rollout.Kind, "loans", "loans", string(rune(state)))
+			w.g.Expect(w.share(100)).To(Equal(want))
+		})
+	}
+	t.Run("only the new version is there", func(t *testing.T) {
+		w := rolling(t)
+		w.step(mirror.Updated{Kind: fleet.Servers, Revision: w.next(), Deleted: []string{"loans-1", "loans-2"}})
+		w.run(5 * time.Second)
+		w.g.Expect(w.share(10)).To(Equal(10))
+	})
+}
+
+// TestRolloutOpen guards against a completed rollout while a request is in progress at the old version, whose servers stop
+// without waiting for it.
+func TestRolloutOpen(t *testing.T) {
+	w := rolling(t)
+	ticket := w.arrive("draft", func(f *gate.Facts) { f.Patience = time.Minute })
+	old := one[gate.Forward](w)
+	w.g.Expect(old.Server.ID).To(Equal(id.Server("model-1")))
+	w.put(fleet.Servers, "model-100", "model 100", "")
+	w.put(rollout.Kind, "model", "model", string(rune(rollout.Running)))
+	completed := func() bool {
+		for _, c := range find[event.Call](w) {
+			if c.Name == rollout.Kind+"/model" && c.Value[0] == byte(rollout.Completed) {
+				return true
+			}
+		}
+		return false
+	}
+	w.run(25 * time.Second)
+	w.g.Expect(completed()).To(BeFalse())
+	w.end(ticket, gate.Result{Status: 200})
+	w.run(2 * time.Second)
+	w.g.Expect(completed()).To(BeTrue())
+}
--- /dev/null
+++ b/core/rollout/message.go
@@ -0,0 +1,122 @@
+package rollout
+
+import (
+	"errors"
+	"time"
+
+	"bluebellflow/core/id"
+)
+
+// Limits of what a peer may send.
+const (
+	maxParts = 64
+	maxText  = 256
+	maxSpan  = int64(24 * time.Hour)
+	// maxResults bounds the results in one report on an order.
+	maxResults = 1000
+)
+
+var errParts = errors.New("rollout: too many orders")
+
+// head identifies an order in a message and says how old it is.
+type head struct {
+	Name   string     `protobuf:"bytes,1,opt,name=name"`
+	Target id.Version `protobuf:"bytes,2,opt,name=target"`
+	Age    int64      `protobuf:"varint,3,opt,name=age"` // nanoseconds since a node first learned of the order
+}
+
+func (h head) check() error {
+	if h.Name == "" || h.Target == "" || len(h.Name) > maxText || len(h.Target) > maxText || h.Age < 0 || h.Age > maxSpan {
+		return errors.New("rollout: bad order")
+	}
+	return nil
+}
+
+// Part is what a node has seen of one order.
+type Part struct {
+	Name    string     `protobuf:"bytes,1,opt,name=name"`
+	Target  id.Version `protobuf:"bytes,2,opt,name=target"`
+	Age     int64      `protobuf:"varint,3,opt,name=age"` // nanoseconds since a node first learned of the order
+	Share   int64      `protobuf:"varint,4,opt,name=share"`
+	Open    int64      `protobuf:"varint,5,opt,name=open"` // requests in progress at servers of other versions
+	Stopped bool       `protobuf:"varint,6,opt,name=stopped"`
+	Reason  string     `protobuf:"bytes,7,opt,name=reason"`
+	First   int64      `protobuf:"varint,8,opt,name=first"` // number of the first result below, from 0 on
+	Results []Result   `protobuf:"bytes,9,rep,name=results"`
+}
+
+// Result is how one request went.
+type Result struct {
+	Route  id.Pipeline `protobuf:"bytes,1,opt,name=route"`
+	Took   int64       `protobuf:"varint,2,opt,name=took"` // nanoseconds
+	Load   int64       `protobuf:"varint,3,opt,name=load"`
+	Age    int64       `protobuf:"varint,4,opt,name=age"` // nanoseconds since then
+	Failed bool        `protobuf:"varint,5,opt,name=failed"`
+	Cold   bool        `protobuf:"varint,6,opt,name=cold"`
+	New    bool        `protobuf:"varint,7,opt,name=new"` // of the ordered version
+}
+
+func (r Result) check() error {
+	if len(r.Route) > maxText || r.Took < 0 || r.Took > maxSpan || r.Load < 0 || r.Age < 0 || r.Age > maxSpan {
+		return errors.New("rollout: bad result")
+	}
+	return nil
+}
+
+// Report tells the leader what a node has seen.
+type Report struct {
+	Parts []Part `protobuf:"bytes,1,rep,name=parts"`
+}
+
+// Check reports a malformed message.
+func (r Report) Check() error {
+	if len(r.Parts) > maxParts {
+		return errParts
+	}
+	for _, p := range r.Parts {
+		if err := (head{p.Name, p.Target, p.Age}).check(); err != nil {
+			return err
+		}
+		if p.Share < 0 || p.Share > whole || p.Open < 0 || p.First < 0 || len(p.Reason) > maxText || len(p.Results) > maxResults {
+			return errors.New("rollout: bad report")
+		}
+		for _, one := range p.Results {
+			if err := one.check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Ruling is the leader's decision about one order.
+type Ruling struct {
+	Name    string     `protobuf:"bytes,1,opt,name=name"`
+	Target  id.Version `protobuf:"bytes,2,opt,name=target"`
+	Age     int64      `protobuf:"varint,3,opt,name=age"` // nanoseconds since a node first learned of the order
+	Share   int64      `protobuf:"varint,4,opt,name=share"`
+	Stopped bool       `protobuf:"varint,5,opt,name=stopped"`
+	Reason  string     `protobuf:"bytes,6,opt,name=reason"`
+	Next    int64      `protobuf:"varint,7,opt,name=next"` // number of the next result that the leader wants from the node
+}
+
+// Rulings answers Report.
+type Rulings struct {
+	Parts []Ruling `protobuf:"bytes,1,rep,name=parts"`
+}
+
+// Check reports a malformed message.
+func (r Rulings) Check() error {
+	if len(r.Parts) > maxParts {
+		return errParts
+	}
+	for _, p := range r.Parts {
+		if err := (head{p.Name, p.Target, p.Age}).check(); err != nil {
+			return err
+		}
+		if p.Share < 0 || p.Share > whole || p.Next < 0 || len(p.Reason) > maxText {
+			return errors.New("rollout: bad ruling")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/rollout/rollout.go
@@ -0,0 +1,308 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/evidence"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+	"bluebellflow/core/mirror"
+)
+
+const (
+	// Kind is the kind of the orders in the store.
+	Kind = "rollouts"
+	// period is the time between two reports to the leader.
+	period = 250 * time.Millisecond
+	// rulingAge is how long a ruling of the leader holds without another one.
+	rulingAge = 2 * time.Second
+	// spare is the share above which the new version may stand in for the old one. Before that it is not known well enough.
+	spare = 100
+)
+
+// servers tells which servers a pool has.
+type servers interface {
+	Pool(id.Pool) []*fleet.Server
+}
+
+// use identifies servers of one version.
+type use struct {
+	pool    id.Pool
+	version id.Version
+}
+
+// Rollouts knows the orders of all pools, and decides on them if this node leads.
+type Rollouts struct {
+	self    event.Self
+	decoder Decoder
+	servers servers
+	leader  id.Node
+	nodes   []id.Node
+	orders  map[string]*rollout
+	pools   map[id.Pool]*rollout // the order in force
+	open    map[use]int          // requests in progress of this node
+	writes  map[uint64]*rollout  // status writes in progress
+	seq     uint64
+	tickAt  time.Time
+}
+
+// New returns rollouts without orders.
+func New(self event.Self, decoder Decoder, servers servers) *Rollouts {
+	return &Rollouts{
+		self: self, decoder: decoder, servers: servers, orders: map[string]*rollout{}, pools: map[id.Pool]*rollout{},
+		open: map[use]int{}, writes: map[uint64]*rollout{},
+	}
+}
+
+// SetLeader sets the node that decides.
+func (r *Rollouts) SetLeader(now time.Time, name id.Node) {
+	if r.leader == name {
+		return
+	}
+	r.leader = name
+	for _, o := range r.orders {
+		o.control = newControl(now, o.began)
+		o.results.confirmed = 0 // the new leader knows nothing
+	}
+}
+
+// SetNodes sets the nodes that take part.
+func (r *Rollouts) SetNodes(names []id.Node) { r.nodes = names }
+
+// Next returns the time of the next timer.
+func (r *Rollouts) Next() time.Time {
+	if !r.active() {
+		return time.Time{}
+	}
+	return r.tickAt
+}
+
+// active reports whether an order is not decided yet.
+func (r *Rollouts) active() bool {
+	for _, o := range r.orders {
+		if !o.state.final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Step handles one event.
+func (r *Rollouts) Step(now time.Time, ev event.Event) []event.Action {
+	var out []event.Action
+	switch ev := ev.(type) {
+	case mirror.Put:
+		if ev.Kind == Kind {
+			out = r.put(now, ev.Object)
+		}
+	case mirror.Gone:
+		if ev.Kind == Kind {
+			out = r.gone(ev.Name)
+		}
+	case event.Receive:
+		switch b := ev.Body.(type) {
+		case Report:
+			out = r.report(now, ev, b)
+		case Rulings:
+			out = r.rule(now, ev.From, b)
+		}
+	case event.Result:
+		if ev.Call.Owner == owner {
+			out = r.wrote(now, ev)
+		}
+	}
+	if r.active() && !now.Before(r.tickAt) {
+		r.tickAt = now.Add(period)
+		out = append(out, r.tick(now)...)
+	}
+	return out
+}
+
+// put takes in an order or its status.
+func (r *Rollouts) put(now time.Time, o mirror.Object) []event.Action {
+	order, status, err := r.decoder.Rollout(o.Spec, o.Status)
+	if err != nil {
+		out := []event.Action{event.Log{Kind: "rollout", Stage: o.Name, Choice: "ignore", Reason: fmt.Sprintf("revision=%d %v", o.Revision, err)}}
+		return append(out, r.gone(o.Name)...)
+	}
+	if status.Target != order.Target {
+		status.State = Ordered // it is about an earlier order
+	}
+	cur := r.orders[o.Name]
+	isNew := cur == nil || cur.Target != order.Target || cur.Pool != order.Pool || (cur.state.final() && status.State == Ordered)
+	if isNew {
+		if cur != nil {
+			r.gone(o.Name)
+		}
+		cur = newRollout(now, o, order)
+		r.orders[o.Name] = cur
+		r.pools[order.Pool] = cur
+	}
+	cur.Order, cur.revision = order, o.Revision
+	if !isNew && (cur.state.final() || cur.state == status.State) {
+		return nil
+	}
+	cur.state = status.State
+	return []event.Action{event.Log{Kind: "rollout", Stage: string(cur.Pool), Choice: cur.state.String(), Reason: fmt.Sprintf(
+		"target=%s span=%s revision=%d", cur.Target, cur.Span, cur.revision)}}
+}
+
+// gone forgets an order that was removed.
+func (r *Rollouts) gone(name string) []event.Action {
+	o, ok := r.orders[name]
+	if !ok {
+		return nil
+	}
+	delete(r.orders, name)
+	if r.pools[o.Pool] == o {
+		delete(r.pools, o.Pool)
+	}
+	return []event.Action{event.Log{Kind: "rollout", Stage: string(o.Pool), Choice: "removed", Reason: "target=" + string(o.Target)}}
+}
+
+// Choose returns the versions that may serve a request of a pool. Nodes with the same share agree on it. A request that
+// is tried again goes to the old version until all traffic has moved.
+func (r *Rollouts) Choose(now time.Time, pool id.Pool, print id.Fingerprint, again bool) Choice {
+	o := r.pools[pool]
+	if o == nil {
+		return Choice{}
+	}
+	if !o.stopped && o.state != RolledBack && !r.hasOld(o) {
+		return Choice{} // nothing else is there to serve it
+	}
+	share := o.applied(now)
+	fresh := scramble(uint64(print)^o.salt)%whole < uint64(share)
+	if again && share < whole {
+		fresh = false
+	}
+	return Choice{limited: true, target: o.Target, fresh: fresh, other: fresh || share > spare}
+}
+
+// hasOld reports whether a pool has a server of another version than the ordered one.
+func (r *Rollouts) hasOld(o *rollout) bool {
+	return slices.ContainsFunc(r.servers.Pool(o.Pool), func(s *fleet.Server) bool { return s.Version != o.Target })
+}
+
+// AllowsCall reports whether a stage server of a version may get the next call of its pool. Only the leader makes calls, so
+// that it can count them.
+func (r *Rollouts) AllowsCall(now time.Time, pool id.Pool, v id.Version) bool {
+	o := r.pools[pool]
+	if o == nil || (!o.stopped && o.state != RolledBack && !r.hasOld(o)) {
+		return true
+	}
+	share := o.applied(now)
+	if v == o.Target {
+		return share == whole || (o.calls.fresh+1)*whole <= share*(o.calls.all+1)
+	}
+	return share < whole
+}
+
+// Called counts a call to a stage server.
+func (r *Rollouts) Called(pool id.Pool, v id.Version) {
+	r.Began(pool, v)
+	if o := r.pools[pool]; o != nil {
+		o.calls.all++
+		if v == o.Target {
+			o.calls.fresh++
+		}
+	}
+}
+
+// Began notes that a request was sent to a server of a version.
+func (r *Rollouts) Began(pool id.Pool, v id.Version) { r.open[use{pool, v}]++ }
+
+// Ended notes that a request is no longer in progress there.
+func (r *Rollouts) Ended(pool id.Pool, v id.Version) {
+	u := use{pool, v}
+	if r.open[u]--; r.open[u] <= 0 {
+		delete(r.open, u)
+	}
+}
+
+// Observe takes in how a request went at a server of a version.
+func (r *Rollouts) Observe(now time.Time, pool id.Pool, v id.Version, s evidence.Sample) {
+	if o := r.pools[pool]; o != nil && !o.state.final() {
+		o.results.add(now, s, v == o.Target)
+	}
+}
+
+// openOld returns the requests of this node in progress at servers of other versions than the ordered one.
+func (r *Rollouts) openOld(o *rollout) int {
+	n := 0
+	for u, count := range r.open {
+		if u.pool == o.Pool && u.version != o.Target {
+			n += count
+		}
+	}
+	return n
+}
+
+// tick reports to the leader; as the leader, it decides first.
+func (r *Rollouts) tick(now time.Time) []event.Action {
+	if r.leader == "" {
+		return nil
+	}
+	var out []event.Action
+	var report Report
+	for _, name := range slices.Sorted(maps.Keys(r.orders)) {
+		o := r.orders[name]
+		if o.state.final() {
+			continue
+		}
+		if r.leader == r.self.Node {
+			out = append(out, r.decide(now, o)...)
+		}
+		if len(report.Parts) == maxParts {
+			break
+		}
+		report.Parts = append(report.Parts, Part{
+			Name: name, Target: o.Target, Age: o.age(now), Share: int64(o.applied(now)), Open: int64(r.openOld(o)),
+			Stopped: o.stopped, Reason: o.reason, First: o.results.next(), Results: o.results.unconfirmed(now),
+		})
+	}
+	if len(report.Parts) == 0 {
+		return out
+	}
+	return append(out, event.Send{To: r.leader, Body: report})
+}
+
+func (r *rollout) age(now time.Time) int64 { return min(maxSpan, int64(now.Sub(r.began))) }
+
+// learnAge takes in that another node has known the order for longer.
+func (r *rollout) learnAge(now time.Time, age int64) {
+	if began := now.Add(-time.Duration(age)); began.Before(r.began) {
+		r.began = began
+	}
+}
+
+// rule takes in what the leader has decided.
+func (r *Rollouts) rule(now time.Time, from id.Node, b Rulings) []event.Action {
+	if from != r.leader {
+		return nil
+	}
+	var out []event.Action
+	for _, p := range b.Parts {
+		o := r.orders[p.Name]
+		if o == nil || o.Target != p.Target {
+			continue
+		}
+		o.learnAge(now, p.Age)
+		if p.Stopped && !o.stopped {
+			o.stop(p.Reason)
+			out = append(out, o.log("stop", fmt.Sprintf("leader=%s %s", from, p.Reason)))
+		}
+		if o.share != int(p.Share) {
+			out = append(out, o.log("share", fmt.Sprintf("leader=%s share=%d before=%d", from, p.Share, o.share)))
+		}
+		o.share, o.ruled, o.results.confirmed = int(p.Share), now, p.Next
+	}
+	return out
+}
+
+func (r *rollout) log(choice, reason string) event.Action {
+	return event.Log{Kind: "rollout", Stage: string(r.Pool), Choice: choice, Reason: fmt.Sprintf("target=%s %s", r.Target, reason)}
+}
