permit: the last node of a failure domain lends to itself while it stops

Cause: a stopping node is no holder of permits any more. With no other node in the server's failure domain there was no holder at all, so that its open requests waited for permits in vain: README, three requests and SIGTERM 0.1 s later, one answered in 0.5 s, the others 504 and 503 after 8.0 s beside idle servers. Change: the last node of a domain stays the holder for itself until it ends. A node that starts meanwhile asks it or waits for its permits to lapse, as before.

--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -440,3 +440,22 @@
 		NewWithT(t).Expect(r.fault).NotTo(HaveOccurred())
 	}
 }
+
+// TestLastNodeStops guards against requests that wait in vain on a node which is being stopped: it is the last one of the
+// server's failure domain, so that nobody else lends it the permits that its open requests need.
+func TestLastNodeStops(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(1, 1, 1)
+	r.idle = true
+	r.Run(14 * time.Second) // no permit of an earlier process can be in use any more
+	only := r.Names()[0]
+	for _, a := range r.Stepper(only).(*unit).Leave(r.Now) {
+		if ev, ok := event.IsInternal(a); ok {
+			r.Inject(only, ev, 0)
+		}
+	}
+	r.idle = false
+	r.Run(2 * time.Second)
+	g.Expect(r.sends).To(BeNumerically(">", 5))
+	g.Expect(r.fault).NotTo(HaveOccurred())
+}
--- a/core/permit/permits.go
+++ b/core/permit/permits.go
@@ -385,6 +385,10 @@
 		return "", false
 	}
 	n, ok := p.view.Owner(string(server), member.InDomain(s.FailureDomain))
+	if !ok && s.FailureDomain == p.self.FailureDomain {
+		// This node is stopping and the last one of its domain: nobody else lends what its open requests need.
+		return p.self.Node, true
+	}
 	return n.ID, ok
 }
 
