route: a waiting request is logged once for each reason

Cause: each look for a server wrote a line, every few milliseconds while a request waited: 801 lines for three requests of the README's case. Change: the query says why the request waits already.

--- a/core/request/open.go
+++ b/core/request/open.go
@@ -51,6 +51,7 @@
 	retried   int
 	entered   time.Time // when the stage began
 	waited    time.Time // when waiting for room began
+	waitsFor  string    // why, as last logged
 
 	granted    bool      // the claim is ours
 	dispatched bool      // a non-idempotent attempt left this node
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -171,11 +171,14 @@
 	choice, more := r.parts.Router.Place(now, attempt, route.Query{
 		Request: o.arrive.Request, Stage: s.Name, Pool: s.Pool, Version: o.version,
 		Prefix: o.prefix, Avoid: o.avoid, Alone: !o.alone.IsZero(), Deadline: o.deadline,
+		Known: o.waitsFor,
 	})
 	out.add(more...)
 	if choice.Verdict != route.Chosen {
+		o.waitsFor = choice.Reason
 		return choice
 	}
+	o.waitsFor = ""
 	t := &try{
 		attempt: attempt, request: o.arrive.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
 		version: choice.Server.Version, stage: o.stage, offset: o.delivered,
--- a/core/route/place.go
+++ b/core/route/place.go
@@ -77,6 +77,9 @@
 }
 
 func (r *Router) refuse(q Query, v Verdict, reason string) (Choice, []event.Action) {
+	if reason == q.Known {
+		return Choice{Verdict: v, Reason: reason}, nil
+	}
 	choice := "none"
 	if v == Wait {
 		choice = "wait"
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -244,6 +244,22 @@
 	g.Expect(c.Verdict).To(Equal(route.None))
 }
 
+// TestWaitIsLoggedOnce guards against a line for each look for a server while a request waits, hundreds in a second.
+func TestWaitIsLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	r, now := single(1), prove.Epoch
+	for i := range 8 {
+		r.Place(now, id.Attempt(i+1), route.Query{Pool: "gen"})
+	}
+	logged := func(q route.Query) bool {
+		_, out := r.Place(now, 9, q)
+		return slices.ContainsFunc(out, func(a event.Action) bool { _, ok := a.(event.Log); return ok })
+	}
+	g.Expect(logged(route.Query{Pool: "gen"})).To(BeTrue())
+	g.Expect(logged(route.Query{Pool: "gen", Known: "no room"})).To(BeFalse())
+	g.Expect(logged(route.Query{Pool: "gen", Known: "no permit"})).To(BeTrue(), "another reason")
+}
+
 // TestEjection guards against a server that fails fast and attracts work, and against ejecting a whole pool.
 func TestEjection(t *testing.T) {
 	usable := func(opts ...route.Option) (aside int, back bool) {
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -20,6 +20,8 @@
 	Avoid    []id.Server
 	Alone    bool // only a server on which this node has nothing else in flight
 	Deadline time.Time
+	// Known is why the request is waiting already; it is not logged again at each look.
+	Known string
 }
 
 // Verdict says what came of a Query.
