contain: requests that crash servers are refused on the gateway path

Cause: only a route's attempts bounded a request that crashes each server which begins to run it; its caller sends it again and again, at any node. Change: core/contain. An attempt that broke off without an answer counts as a crash if its server's process turns out to have ended within 10 s; all nodes are told; after three processes, and no answer meanwhile, the request is refused for ten minutes. The node is the only one that reads its requests, so the content is hashed there.

--- a/core/gate/codec.go
+++ b/core/gate/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bluebellflow/core/batch"
+	"bluebellflow/core/contain"
 	"bluebellflow/core/event"
 	"bluebellflow/core/leader"
 	"bluebellflow/core/mirror"
@@ -16,6 +17,6 @@
 		60: leader.Ping{}, 61: leader.Pong{},
 		65: mirror.Have{}, 66: mirror.Supply{}, 67: mirror.Current{},
 		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{}, 74: batch.Moved{},
-		80: rollout.Report{}, 81: rollout.Rulings{},
+		80: rollout.Report{}, 81: rollout.Rulings{}, 82: contain.Crash{},
 	})
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -11,6 +11,7 @@
 	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/contain"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -67,6 +68,7 @@
 	leader    *leader.Tracker
 	fleet     *fleet.Fleet
 	rollouts  *rollout.Rollouts
+	guard     *contain.Guard
 	balance   *balance.Balance
 	scheduler *batch.Scheduler
 	retries   *quota.Retries
@@ -94,6 +96,7 @@
 		leader:   leader.New(self),
 		fleet:    fleet.New(decoder),
 		retries:  quota.NewRetries(bounds.Retries),
+		guard:    contain.New(self),
 		cold:     quota.NewCold(self.Node, spareNodes),
 		requests: map[Ticket]*request{}, jobs: map[uint64]*request{}, firsts: map[string]time.Duration{},
 		lastJob: self.Rand.Uint64(),
@@ -101,7 +104,7 @@
 	g.balance = balance.New(self, g.fleet, g.cold)
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts))
-	g.modules = []module{g.mirror, g.roster, g.fleet, g.leader, g.rollouts, passive{g.balance}, g.scheduler}
+	g.modules = []module{g.mirror, g.roster, g.fleet, g.leader, g.rollouts, g.guard, passive{g.balance}, g.scheduler}
 	return g
 }
 
@@ -217,6 +220,7 @@
 	g.leader.SetCandidates(candidates)
 	g.cold.SetNodes(names)
 	g.rollouts.SetNodes(names)
+	g.guard.SetNodes(names)
 	g.retries.SetNodes(len(names) + spareNodes)
 }
 
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -64,7 +64,7 @@
 	if _, err := fmt.Sscanf(string(spec), "%s %d", &pool, &n); err != nil {
 		return fleet.Entry{}, errors.New("not an entry")
 	}
-	return fleet.Entry{Pool: id.Pool(pool), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), Domain: "a", Version: version(n), Slots: 6}, nil
+	return fleet.Entry{Pool: id.Pool(pool), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), Domain: "a", Version: version(n), Slots: 6, Start: id.Start(fmt.Sprint(n))}, nil
 }
 
 // version returns the version of a server: those with high numbers are new.
--- a/core/gate/request.go
+++ b/core/gate/request.go
@@ -68,9 +68,11 @@
 
 	waiting time.Time // when it began to wait for a server
 	server  id.Server
-	version id.Version // of the server
-	load    int        // requests of this node there when it was sent
-	cold    bool       // the server was cold then
+	print   id.Fingerprint // of workspace and content, the same when the caller asks again
+	version id.Version     // of the server
+	start   id.Start       // of the server's process
+	load    int            // requests of this node there when it was sent
+	cold    bool           // the server was cold then
 	sent    time.Time
 	sends   int
 	ran     int // servers that may have run it
@@ -108,6 +110,11 @@
 	if r.Patience > 0 {
 		patience = min(patience, r.Patience)
 	}
+	r.print = fingerprint(fmt.Sprintf("%s %016x", r.workspace, uint64(r.Print)))
+	if ban := g.guard.Refuses(now, r.print); ban > 0 {
+		g.answer(r, http.StatusServiceUnavailable, ban, fmt.Sprintf("it crashes servers, print=%016x", uint64(r.print)), out)
+		return
+	}
 	r.deadline = now.Add(patience)
 	r.aim = now.Add(r.route.Objective)
 	g.requests[r.ticket] = r
@@ -203,7 +210,7 @@
 	g.balance.Start(now, s, g.query(r))
 	g.rollouts.Began(r.pool.Name, s.Version)
 	r.phase, r.server, r.sent, r.began = running, s.ID, now, false
-	r.version, r.load, r.cold = s.Version, g.balance.Inflight(s.ID), s.Cold(now)
+	r.version, r.start, r.load, r.cold = s.Version, s.Start, g.balance.Inflight(s.ID), s.Cold(now)
 	r.sends++
 	out.add(event.Log{Kind: "place", Request: r.Name, Stage: r.route.Name, Choice: string(s.ID), Reason: fmt.Sprintf("send=%d %s", r.sends, reason)})
 	f := Forward{
@@ -264,10 +271,16 @@
 	g.observe(now, r, ev.Result)
 	out.add(event.Log{Kind: "end", Request: r.Name, Stage: r.route.Name, Choice: outcome(ev.Result), Reason: fmt.Sprintf(
 		"server=%s took=%s since=%s %s", r.server, took.Round(time.Millisecond), now.Sub(r.arrived).Round(time.Millisecond), ev.Detail)})
+	if ev.Fail == 0 {
+		g.guard.Answered(r.print)
+	}
 	if ev.Fail == 0 && !ev.Held {
 		g.finish(r, ev.Status < http.StatusBadRequest, out)
 		return
 	}
+	if ev.Fail == event.FailBroken && !ev.Began {
+		g.guard.Broken(now, r.print, r.server, r.start)
+	}
 	if !ev.Fail.Unsent() {
 		r.ran++
 		r.maybe = true
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellflow/core/balance"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
@@ -182,6 +184,7 @@
 		}
 		return
 	}
+	x.facts.Print = contentPrint(r, x.body)
 	x.ticket = gate.Ticket(s.last.Add(1))
 	s.mu.Lock()
 	s.open[x.ticket] = x
@@ -225,6 +228,15 @@
 	return 0, nil
 }
 
+// contentPrint identifies what a request asks for, whatever its caller calls it.
+func contentPrint(r *http.Request, body []byte) id.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(r.Method + " " + r.Host + r.RequestURI + "\n") // a digest does not fail
+	_, _ = d.Write(body)
+	return id.Fingerprint(d.Sum64())
+}
+
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
