--- a/core/gate/message.go
+++ b/core/gate/message.go
@@ -84,7 +84,6 @@
 		Inputs    []string     // handles of the results of its stages
 		Once      bool         // the request must not run twice
 		Hold      bool         // a failure of the server is held back, because another server may be tried
-		Resume    bool         // continues the stream after the last event that reached the caller
 	}
 	// Deliver passes on the answer that was held back.
 	Deliver struct {
--- a/core/move/moves.go
+++ b/core/move/moves.go
@@ -104,7 +104,7 @@
 	if r == nil {
 		return m.usualVersion(now, pool)
 	}
-	if scramble(uint64(print)^r.salt)%whole < uint64(r.applied()) {
+	if print.Part(r.salt, whole) < uint64(r.applied()) {
 		return r.To
 	}
 	return r.From
@@ -119,13 +119,6 @@
 	return r.From
 }
 
-// scramble spreads fingerprints evenly (the finalizer of splitmix64).
-func scramble(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // applied is this node's own share of the new version.
 func (r *rollout) applied() int {
 	switch {
--- a/core/rollout/message.go
+++ b/core/rollout/message.go
@@ -18,16 +18,13 @@
 
 var errParts = errors.New("rollout: too many orders")
 
-// head identifies an order in a message and says how old it is.
-type head struct {
-	Name   string     `protobuf:"bytes,1,opt,name=name"`
-	Target id.Version `protobuf:"bytes,2,opt,name=target"`
-	Age    int64      `protobuf:"varint,3,opt,name=age"` // nanoseconds since a node first learned of the order
-}
-
-func (h head) check() error {
-	if h.Name == "" || h.Target == "" || len(h.Name) > maxText || len(h.Target) > maxText || h.Age < 0 || h.Age > maxSpan {
+// checkOrder reports an order that cannot be one.
+func checkOrder(name string, target id.Version, age, share int64, reason string) error {
+	switch {
+	case name == "" || len(name) > maxText || target == "" || len(target) > maxText:
 		return errors.New("rollout: bad order")
+	case age < 0 || age > maxSpan || share < 0 || share > whole || len(reason) > maxText:
+		return errors.New("rollout: bad state of an order")
 	}
 	return nil
 }
@@ -74,10 +71,10 @@
 		return errParts
 	}
 	for _, p := range r.Parts {
-		if err := (head{p.Name, p.Target, p.Age}).check(); err != nil {
+		if err := checkOrder(p.Name, p.Target, p.Age, p.Share, p.Reason); err != nil {
 			return err
 		}
-		if p.Share < 0 || p.Share > whole || p.Open < 0 || p.First < 0 || len(p.Reason) > maxText || len(p.Results) > maxResults {
+		if p.Open < 0 || p.First < 0 || len(p.Results) > maxResults {
 			return errors.New("rollout: bad report")
 		}
 		for _, one := range p.Results {
@@ -111,10 +108,10 @@
 		return errParts
 	}
 	for _, p := range r.Parts {
-		if err := (head{p.Name, p.Target, p.Age}).check(); err != nil {
+		if err := checkOrder(p.Name, p.Target, p.Age, p.Share, p.Reason); err != nil {
 			return err
 		}
-		if p.Share < 0 || p.Share > whole || p.Next < 0 || len(p.Reason) > maxText {
+		if p.Next < 0 {
 			return errors.New("rollout: bad ruling")
 		}
 	}
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -143,10 +143,3 @@
 	}
 	return Choice{limited: true, fresh: !c.fresh, target: c.target}, true
 }
-
-// scramble spreads fingerprints evenly (the finalizer of splitmix64).
-func scramble(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -175,7 +175,7 @@
 		return Choice{} // nothing else is there to serve it
 	}
 	share := o.applied(now)
-	fresh := scramble(uint64(print)^o.salt)%whole < uint64(share)
+	fresh := print.Part(o.salt, whole) < uint64(share)
 	if again && share < whole {
 		fresh = false
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -53,8 +53,6 @@
 	Mine(name id.Request, resp *http.Response) bool
 	// Note reads an answer.
 	Note(resp *http.Response) Note
-	// Event returns the number of an event of a stream, and whether it has one.
-	Event(raw []byte) (int64, bool)
 	// Refuse fills in the headers of a refusal.
 	Refuse(h http.Header, name id.Request)
 }
@@ -162,8 +160,7 @@
 	body   []byte
 	next   chan event.Action
 	held   *answer
-	begun  bool  // part of the answer has reached the caller
-	event  int64 // the last event that has reached the caller
+	begun  bool // part of the answer has reached the caller
 	start  time.Time
 }
 
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -57,13 +57,7 @@
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
-	if err := control.Flush(); err != nil {
-		return err
-	}
-	if number, ok := x.server.dialect.Event(events); ok {
-		x.event = number
-	}
-	return nil
+	return control.Flush()
 }
 
 // streamEnded passes on what came after the last whole event of a complete stream.
