scheduler: what holds for all parts is worked out once a call

A profile of the model with 33 times the fleet: for each part that a worker might take, the wait for the workers of its home domain and the median of all workers' speeds were worked out anew, and each submission counted all second-class jobs. Change: once a call, kept until a speed changes, and every 10 ms.

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -42,6 +42,8 @@
 	second
 	// late jobs have missed their objective.
 	late
+	// countPeriod is the time between two counts of the second-class jobs.
+	countPeriod = 10 * time.Millisecond
 )
 
 // demand is what the jobs of a route ask for.
@@ -57,9 +59,11 @@
 // admission decides which jobs run first when there are more than the pools can do in time. Jobs that bring much for
 // little work of the pools that are short come first; the others run with what is left.
 type admission struct {
-	routes map[string]*demand
-	at     time.Time
-	spare  map[id.Pool]float64 // workers that first-class jobs leave
+	routes  map[string]*demand
+	at      time.Time
+	spare   map[id.Pool]float64 // workers that first-class jobs leave
+	ahead   map[id.Pool]float64 // seconds of a worker that second-class jobs still ask for
+	counted time.Time           // when ahead was last counted
 }
 
 // decay brings a route's rate up to date.
@@ -166,9 +170,9 @@
 // a caller may come back.
 func (s *Scheduler) hopeless(now time.Time, j *job) (time.Duration, bool) {
 	longest := 0.0
-	ahead := s.secondClass()
+	s.countSecondClass(now)
 	for pool := range s.work(j) {
-		if work := ahead[pool].Seconds(); work > 0 {
+		if work := s.admission.ahead[pool]; work > 0 {
 			longest = max(longest, work/max(s.admission.spare[pool], leastWorkers))
 		}
 	}
@@ -179,9 +183,20 @@
 	return min(longestAfter, max(shortestAfter, time.Duration(min(over, longestAfter.Seconds())*float64(time.Second)))), true
 }
 
-// secondClass returns the time of a worker that second-class jobs still ask of each pool.
-func (s *Scheduler) secondClass() map[id.Pool]time.Duration {
-	out := map[id.Pool]time.Duration{}
+// expect counts a second-class job that was accepted since the last count.
+func (s *Scheduler) expect(j *job) {
+	for pool, work := range s.work(j) {
+		s.admission.ahead[pool] += work
+	}
+}
+
+// countSecondClass counts what second-class jobs still ask of each pool. All jobs are looked at now and then only, because
+// their number grows with that of the submissions.
+func (s *Scheduler) countSecondClass(now time.Time) {
+	if s.admission.ahead != nil && now.Sub(s.admission.counted) < countPeriod {
+		return
+	}
+	out := map[id.Pool]float64{}
 	for _, j := range s.jobs {
 		if j.class != second || j.done {
 			continue
@@ -189,11 +204,11 @@
 		for _, p := range j.parts {
 			if p.missing > 0 {
 				pool := p.stage().Pool
-				out[pool] += time.Duration(p.missing) * s.lines[pool].cost(kindOf(p))
+				out[pool] += float64(p.missing) * s.lines[pool].cost(kindOf(p)).Seconds()
 			}
 		}
 	}
-	return out
+	s.admission.ahead, s.admission.counted = out, now
 }
 
 // shortest returns the least time that the stages of a job take.
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -83,7 +83,7 @@
 	if !s.versions.AllowsCall(now, w.Pool, w.Version) {
 		return // the call before this one has used up the share of its version
 	}
-	others := domains(free[1:])
+	o := offer{worker: w, others: domains(free[1:]), slow: l.slow(w), homes: map[id.FailureDomain]homeWait{}}
 	c := &call{worker: w, line: l, kinds: map[kind]int{}, began: now, expected: l.pool.Pieces.Call}
 	left := false
 	for _, p := range l.candidates(w) {
@@ -91,7 +91,7 @@
 			left = true
 			break
 		}
-		if p.open > 0 && !s.leaving(p.job) && s.allowed(now, l, p, w, others) {
+		if p.open > 0 && !s.leaving(p.job) && s.allowed(now, l, p, &o) {
 			before := len(c.pieces)
 			s.fill(c, p)
 			left = left || len(c.pieces)-before < p.open
@@ -129,37 +129,56 @@
 	return l.parts[len(l.parts)-1:]
 }
 
-// allowed reports whether a part may run on a worker, while others are free in some failure domains.
-func (s *Scheduler) allowed(now time.Time, l *line, p *part, w *worker, others id.Set[id.FailureDomain]) bool {
+// offer is a free worker for which parts are looked for. What holds for all parts is worked out once, or the time for a call
+// would grow with the number of parts times that of workers.
+type offer struct {
+	worker *worker
+	others id.Set[id.FailureDomain] // with other free workers
+	slow   bool
+	homes  map[id.FailureDomain]homeWait
+}
+
+// homeWait is when the first worker of a failure domain will be free, if there is one.
+type homeWait struct {
+	wait    time.Duration
+	present bool
+}
+
+// allowed reports whether a part may run on a worker.
+func (s *Scheduler) allowed(now time.Time, l *line, p *part, o *offer) bool {
+	w := o.worker
 	if p.avoid == w.ID && len(l.workers) > 1 {
 		return false
 	}
 	left := p.latest.Sub(now)
-	if l.slow(w) && left > 0 && left < time.Duration((w.factor-1)*float64(l.pool.Pieces.Call)) {
+	if o.slow && left > 0 && left < time.Duration((w.factor-1)*float64(l.pool.Pieces.Call)) {
 		return false
 	}
 	if p.home == "" || p.home == w.Domain {
 		return true
 	}
-	if others.Has(p.home) {
+	if o.others.Has(p.home) {
 		return false
 	}
-	wait, present := s.homeWait(now, l, p.home)
-	return !present || (left >= 0 && left < wait)
+	home, known := o.homes[p.home]
+	if !known {
+		home = s.homeWait(now, l, p.home)
+		o.homes[p.home] = home
+	}
+	return !home.present || (left >= 0 && left < home.wait)
 }
 
-// homeWait returns when the first worker of a failure domain will be free, and whether there is one.
-func (s *Scheduler) homeWait(now time.Time, l *line, d id.FailureDomain) (time.Duration, bool) {
-	first, found := time.Duration(0), false
+func (s *Scheduler) homeWait(now time.Time, l *line, d id.FailureDomain) homeWait {
+	var out homeWait
 	for _, w := range l.workers {
 		if usable, _ := s.servers.Usable(w.Server); !usable || w.Domain != d || w.failures > 0 {
 			continue
 		}
-		if eta := w.eta(now); !found || eta < first {
-			first, found = eta, true
+		if eta := w.eta(now); !out.present || eta < out.wait {
+			out = homeWait{eta, true}
 		}
 	}
-	return first, found
+	return out
 }
 
 // fill adds the waiting pieces of a part to a call as far as there is room. A part is split only if it is larger than
--- a/core/batch/line.go
+++ b/core/batch/line.go
@@ -50,6 +50,7 @@
 	items   map[kind]time.Duration
 	latency time.Duration // smoothed time from a part's inputs to its results, of parts that were neither second-class nor late
 	filling float64       // part of a worker's room that is planned with
+	usual   float64       // median of the workers' factors, 0 if it has to be worked out
 	batch   float64       // smoothed pieces of the calls that could not take all that waited
 }
 
@@ -116,8 +117,16 @@
 	l.latency += time.Duration(latencyGain * float64(took-l.latency))
 }
 
-// median returns the median of the workers' factors, so that an error of the model makes no worker look slow.
+// median returns the median of the workers' factors, so that an error of the model makes no worker look slow. It is kept
+// until a factor changes.
 func (l *line) median() float64 {
+	if l.usual == 0 {
+		l.usual = l.middle()
+	}
+	return l.usual
+}
+
+func (l *line) middle() float64 {
 	factors := make([]float64, 0, len(l.workers))
 	for _, w := range l.workers {
 		factors = append(factors, w.factor)
@@ -170,6 +179,7 @@
 // leave drops a worker.
 func (l *line) leave(w *worker) {
 	l.workers = slices.DeleteFunc(l.workers, func(o *worker) bool { return o == w })
+	l.usual = 0
 }
 
 // domains returns the failure domains of workers that can take a call.
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -240,6 +240,7 @@
 	}
 	after, hopeless := s.hopeless(now, j)
 	if !hopeless {
+		s.expect(j)
 		return true
 	}
 	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "reject", Reason: fmt.Sprintf(
@@ -285,6 +286,7 @@
 	s.workers[one.ID] = w
 	l.touched = true
 	l.workers = append(l.workers, w)
+	l.usual = 0
 	slices.SortFunc(l.workers, func(a, b *worker) int {
 		if a.ID < b.ID {
 			return -1
--- a/core/batch/settle.go
+++ b/core/batch/settle.go
@@ -33,6 +33,7 @@
 			c.line.learn(c, took)
 		}
 		c.worker.observe(took, c.expected)
+		c.line.usual = 0
 	}
 	c.line.learnRoom(ev.Outcomes)
 	out.add(event.Log{Kind: "call", Stage: string(c.line.pool.Name), Choice: "done", Reason: fmt.Sprintf(
@@ -246,6 +247,7 @@
 		s.advance(now, j, out)
 	}
 	w.lose()
+	s.lines[w.Pool].usual = 0
 }
 
 // holds reports whether a worker keeps results of a part that are still to be read.
--- /dev/null
+++ b/lab/stages/scale_test.go
@@ -0,0 +1,57 @@
+package stages_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/lab/stages"
+)
+
+// grown is a deployment with more servers and requests by a factor, in a burst that one leader schedules.
+func grown(setup func() stages.Setup, times int) *stages.World {
+	s := setup()
+	for i := range s.Pools {
+		for j := range s.Pools[i].Servers {
+			s.Pools[i].Servers[j] *= times
+		}
+	}
+	for i := range s.Routes {
+		s.Routes[i].Rate *= float64(times)
+	}
+	w := stages.New(1, s)
+	for _, r := range s.Routes {
+		w.Burst(r.Name, 1.5, 4*time.Second, 8*time.Second)
+	}
+	w.Run(10 * time.Second)
+	return w
+}
+
+// TestGrowth answers to a fleet that has grown, in a burst: it guards against work for each call that grows with the
+// number of waiting parts times that of servers, which takes a leader's whole processor on 300 nodes.
+func TestGrowth(t *testing.T) {
+	const times = 12
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			small, large := grown(setup, 1), grown(setup, times)
+			before, after := float64(small.Looks)/float64(small.Calls), float64(large.Looks)/float64(large.Calls)
+			t.Logf("looks at servers for each call: %.1f, and %.1f with %d times the fleet", before, after, times)
+			NewWithT(t).Expect(after).To(BeNumerically("<=", times*before), "more than in proportion to the servers")
+		})
+	}
+}
+
+// BenchmarkGrowth shows the processor time for each call by the size of the fleet.
+func BenchmarkGrowth(b *testing.B) {
+	for _, times := range []int{1, 7, 33} {
+		b.Run("", func(b *testing.B) {
+			for range b.N {
+				began := time.Now()
+				w := grown(stages.Library, times)
+				b.ReportMetric(float64(time.Since(began).Microseconds())/float64(w.Calls), "us/call")
+				b.ReportMetric(w.Total().Met(), "met")
+			}
+		})
+	}
+}
--- a/lab/stages/world.go
+++ b/lab/stages/world.go
@@ -87,6 +87,7 @@
 	Scores  map[string]*Score
 	Busy    time.Duration // time that servers worked
 	Calls   int
+	Looks   int // times that a scheduler asked whether a server may be used
 	Pieces  int
 	Fetched int64 // bytes of results that were read
 	Crossed int64 // of these, the bytes that crossed failure domains
@@ -181,8 +182,11 @@
 // Pool returns the servers of a pool.
 func (w *World) Pool(name id.Pool) []*fleet.Server { return w.byPool[name] }
 
-// Usable reports that every server may be used.
-func (w *World) Usable(*fleet.Server) (bool, string) { return true, "" }
+// Usable reports that every server may be used, and counts the question.
+func (w *World) Usable(*fleet.Server) (bool, string) {
+	w.Looks++
+	return true, ""
+}
 
 func (w *World) after(d time.Duration, do func()) { w.timers.Set(w.Now.Add(d), do) }
 
