leader: a node that has just started leaves the lead to the one that has it

Change: for 20 s after its start a node says that it may not lead, unless it finds no leader for the time of a silence. Measured: TestReturning fails before and passes after.

--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -24,6 +24,9 @@
 	// pauseGap is a time between two steps after which this process must have been frozen; the silence of the others
 	// says nothing then.
 	pauseGap = 500 * time.Millisecond
+	// leadAfter is how long after its start a node leaves the lead to another node that has it. While nodes are restarted in
+	// turn, one that is back would otherwise take over all jobs, and hand them over again a moment later.
+	leadAfter = 20 * time.Second
 )
 
 // Candidate is a node that may lead. Nodes with a higher weight come first.
@@ -70,6 +73,7 @@
 	peers  map[id.Node]*peer
 	order  []*peer
 	ready  bool // this node may lead
+	tenure bool // it does not leave the lead to others for being new
 	leader id.Node
 	pingAt time.Time
 	begun  time.Time
@@ -195,7 +199,7 @@
 func (t *Tracker) receive(now time.Time, ev event.Receive) []event.Action {
 	switch b := ev.Body.(type) {
 	case Ping:
-		return []event.Action{event.Send{To: ev.From, Body: Pong{Seq: b.Seq, Ready: t.ready}}}
+		return []event.Action{event.Send{To: ev.From, Body: Pong{Seq: b.Seq, Ready: t.ready && t.tenure}}}
 	case Pong:
 		if p, ok := t.peers[ev.From]; ok {
 			p.heard, p.ready, p.asked = now, b.Ready, time.Time{}
@@ -257,11 +261,19 @@
 	return append(out, event.Send{To: p.Node, Body: Ping{Seq: t.seq}})
 }
 
+// settle ends the time in which a new node leaves the lead to another that has it.
+func (t *Tracker) settle(now time.Time) {
+	since := now.Sub(t.begun)
+	alone := t.ready && since >= silence && (t.leader == "" || t.leader == t.self.Node)
+	t.tenure = t.tenure || alone || since >= leadAfter
+}
+
 // choose follows the first node that answers and may lead.
 func (t *Tracker) choose(now time.Time) []event.Action {
+	t.settle(now)
 	best := id.Node("")
 	for _, p := range t.order {
-		if t.ready && p.before(t.own) > 0 {
+		if t.ready && t.tenure && p.before(t.own) > 0 {
 			break
 		}
 		if p.alive(now) && p.ready {
@@ -269,7 +281,7 @@
 			break
 		}
 	}
-	if best == "" && t.ready && (t.leader == t.self.Node || now.Sub(t.begun) >= silence) {
+	if best == "" && t.ready && t.tenure {
 		best = t.self.Node
 	}
 	if best == t.leader {
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -34,15 +34,24 @@
 		frozen: id.NewSet[id.Node](), relinks: map[id.Node]int{},
 	}
 	for _, c := range list {
-		t := leader.New(event.Self{Node: c.Node, FailureDomain: c.Domain})
-		t.SetCandidates(list)
-		t.SetReady(true)
 		f.names = append(f.names, c.Node)
-		f.trackers[c.Node] = t
+		f.start(c.Node, list)
 	}
 	return f
 }
 
+// start replaces a node's process by one that knows nothing.
+func (f *fleet) start(name id.Node, list []leader.Candidate) {
+	for _, c := range list {
+		if c.Node == name {
+			t := leader.New(event.Self{Node: c.Node, FailureDomain: c.Domain})
+			t.SetCandidates(list)
+			t.SetReady(true)
+			f.trackers[name] = t
+		}
+	}
+}
+
 // nodes returns candidates in three failure domains.
 func nodes(count int) []leader.Candidate {
 	var out []leader.Candidate
@@ -183,6 +192,45 @@
 	}
 }
 
+// TestReturning guards against a node that takes the lead as soon as it has started again: while nodes are restarted in turn,
+// each change of the leader hands all jobs over.
+func TestReturning(t *testing.T) {
+	g := NewWithT(t)
+	list := nodes(9)
+	f := newFleet(list...)
+	f.run(2 * time.Second)
+	first := f.one(g)
+	f.frozen.Add(first)
+	f.run(4 * time.Second)
+	second := f.one(g)
+	f.frozen.Delete(first)
+	f.start(first, list)
+	for range 20 {
+		f.run(500 * time.Millisecond)
+		g.Expect(f.one(g)).To(Equal(second))
+	}
+	f.frozen.Add(second)
+	f.run(2 * time.Second)
+	third := f.one(g)
+	g.Expect(third).NotTo(Equal(first), "others have had the time")
+	f.frozen.Delete(second)
+	f.run(12 * time.Second)
+	g.Expect(f.one(g)).To(Equal(first), "the first in rank in the end")
+}
+
+// TestAllRestart guards against a fleet in which every node leaves the lead to others.
+func TestAllRestart(t *testing.T) {
+	g := NewWithT(t)
+	list := nodes(9)
+	f := newFleet(list...)
+	f.run(2 * time.Second)
+	for _, name := range f.names {
+		f.start(name, list)
+	}
+	f.run(1500 * time.Millisecond)
+	f.one(g)
+}
+
 // TestReconnected guards against a connection that is given up because of the silence before it, so that a node which is
 // back does not count as alive for many seconds.
 func TestReconnected(t *testing.T) {
