soak: a request that crashes servers

Cause: the soak did not play requests that crash each server which begins to run them, so that containment was shown in the decision logic only. Change: after the rollout a caller sends such a request 20 times, at all nodes in turn; it may crash six servers, must be refused in the end, and other requests of the same caller must be served.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -93,6 +93,7 @@
 	w.rolls(seed)
 	stop()
 	callers.Wait()
+	w.contains()
 	w.drains()
 	w.evacuates()
 	var stops sync.WaitGroup
