--- a/io/runtime/loop_test.go
+++ b/io/runtime/loop_test.go
@@ -211,6 +211,7 @@
 	}, WithLogger(log.New(out)), WithVars(&vars))
 	g.Expect(l.Run(context.Background())).To(Succeed())
 	g.Expect(vars.Get("log_lines_dropped")).NotTo(BeNil())
+	g.Eventually(l.logs.done, 30*time.Second).Should(BeClosed(), "the queued lines are written once the output takes them")
 }
 
 // TestReport guards against a log that is flooded by a carrier's repeated errors.
