--- a/cmd/soak/rollout_test.go
+++ b/cmd/soak/rollout_test.go
@@ -47,26 +47,40 @@
 		w.kill(n)
 		w.start(n)
 	}
-	state := func() string { return w.moveState(service) }
 	if bad {
-		w.g.Eventually(state, time.Until(began.Add(moveSpan+moveMargin)), 20*time.Millisecond).Should(Equal("rolled_back"))
-		w.tell("rolled back")
-		time.Sleep(time.Second)
-		last := w.count(fresh, began)
-		time.Sleep(time.Second)
-		w.g.Expect(w.count(fresh, began)).To(Equal(last), "requests for version %s after it was taken back", newVersion)
-		all := last + w.count(old, began)
-		w.g.Expect(float64(last)).To(BeNumerically("<=", exposeShare*float64(all)+exposeSlack), "of %d requests", all)
-		retire(fresh)
+		w.takenBack(service, began, old, fresh)
 		return
 	}
-	w.g.Eventually(state, time.Until(began.Add(moveSpan+moveMargin)), 5*time.Millisecond).Should(Equal("completed"))
+	w.movesOver(service, began, old)
+}
+
+// takenBack waits until a bad version was taken back, and checks what it has had.
+func (w *world) takenBack(service string, began time.Time, old, fresh []*standin.Server) {
+	w.reaches(service, "rolled_back", began)
+	time.Sleep(time.Second)
+	last := w.count(fresh, began)
+	time.Sleep(time.Second)
+	w.g.Expect(w.count(fresh, began)).To(Equal(last), "requests for version %s after it was taken back", newVersion)
+	all := last + w.count(old, began)
+	w.g.Expect(float64(last)).To(BeNumerically("<=", exposeShare*float64(all)+exposeSlack), "of %d requests", all)
+	retire(fresh)
+}
+
+// movesOver waits until a good version has everything; the old servers stop at that moment.
+func (w *world) movesOver(service string, began time.Time, old []*standin.Server) {
+	w.reaches(service, "completed", began)
 	open := w.Ledger.Count(func(r standin.Ran) bool { return r.Ended.IsZero() && among(old, r.Server) })
 	retire(old)
-	w.tell("completed")
 	w.g.Expect(open).To(BeZero(), "requests in progress at servers of the old version, which stop")
 }
 
+// reaches waits until the store has a state of a rollout.
+func (w *world) reaches(service, state string, began time.Time) {
+	w.g.Eventually(func() string { return w.moveState(service) }, time.Until(began.Add(moveSpan+moveMargin)), 5*time.Millisecond).
+		Should(Equal(state))
+	w.tell("%s", state)
+}
+
 // moveState returns the state that the store has of a rollout.
 func (w *world) moveState(service string) string {
 	o, _ := w.Store.Object("rollouts", service)
--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -30,6 +30,8 @@
 	// shortestAfter and longestAfter bound when the caller of a refused job may come back.
 	shortestAfter = 500 * time.Millisecond
 	longestAfter  = 5 * time.Second
+	// countPeriod is the time between two counts of the second-class jobs.
+	countPeriod = 10 * time.Millisecond
 )
 
 // class orders jobs under overload.
@@ -42,8 +44,6 @@
 	second
 	// late jobs have missed their objective.
 	late
-	// countPeriod is the time between two counts of the second-class jobs.
-	countPeriod = 10 * time.Millisecond
 )
 
 // demand is what the jobs of a route ask for.
--- a/core/gate/message.go
+++ b/core/gate/message.go
@@ -30,7 +30,7 @@
 	In, Out  int           // tokens of the prompt, and of the answer at most
 	Pieces   []int         // pieces of each stage
 	PieceKey string
-	Print    id.Fingerprint // of method, target and body
+	Print    id.Fingerprint // of method, host, target and body
 }
 
 type (
--- a/core/gate/rollout_test.go
+++ b/core/gate/rollout_test.go
@@ -56,14 +56,17 @@
 		w := rolling(t)
 		w.put(rollout.Kind, "loans", "loans", string(rune(rollout.Running)))
 		w.run(3 * time.Second)
+		tried := 0
 		for range 50 {
 			ticket := w.arrive("look", nil)
 			if first := one[gate.Forward](w).Server.ID; first == "loans-100" {
 				w.end(ticket, gate.Result{Fail: event.FailRejected, Status: 503})
 				w.g.Expect(one[gate.Forward](w).Server.ID).NotTo(Equal(first))
+				tried++
 			}
 			w.end(ticket, gate.Result{Status: 200})
 		}
+		w.g.Expect(tried).To(BeNumerically(">", 0))
 	})
 	for state, want := range map[rollout.State]int{rollout.Completed: 100, rollout.RolledBack: 0} {
 		t.Run(state.String(), func(t *testing.T) {
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -68,17 +68,17 @@
 
 // Tracker follows the leader.
 type Tracker struct {
-	self   event.Self
-	own    Candidate
-	peers  map[id.Node]*peer
-	order  []*peer
-	ready  bool // this node may lead
-	tenure bool // it does not leave the lead to others for being new
-	leader id.Node
-	pingAt time.Time
-	begun  time.Time
-	last   time.Time
-	seq    uint64
+	self        event.Self
+	own         Candidate
+	peers       map[id.Node]*peer
+	order       []*peer
+	ready       bool // this node may lead
+	established bool // this node has been up for long enough to take the lead from another
+	leader      id.Node
+	pingAt      time.Time
+	begun       time.Time
+	last        time.Time
+	seq         uint64
 }
 
 // peer is another node.
@@ -199,7 +199,7 @@
 func (t *Tracker) receive(now time.Time, ev event.Receive) []event.Action {
 	switch b := ev.Body.(type) {
 	case Ping:
-		return []event.Action{event.Send{To: ev.From, Body: Pong{Seq: b.Seq, Ready: t.ready && t.tenure}}}
+		return []event.Action{event.Send{To: ev.From, Body: Pong{Seq: b.Seq, Ready: t.ready && t.established}}}
 	case Pong:
 		if p, ok := t.peers[ev.From]; ok {
 			p.heard, p.ready, p.asked = now, b.Ready, time.Time{}
@@ -261,19 +261,19 @@
 	return append(out, event.Send{To: p.Node, Body: Ping{Seq: t.seq}})
 }
 
-// settle ends the time in which a new node leaves the lead to another that has it.
-func (t *Tracker) settle(now time.Time) {
+// establish ends the time in which a new node leaves the lead to another that has it.
+func (t *Tracker) establish(now time.Time) {
 	since := now.Sub(t.begun)
 	alone := t.ready && since >= silence && (t.leader == "" || t.leader == t.self.Node)
-	t.tenure = t.tenure || alone || since >= leadAfter
+	t.established = t.established || alone || since >= leadAfter
 }
 
 // choose follows the first node that answers and may lead.
 func (t *Tracker) choose(now time.Time) []event.Action {
-	t.settle(now)
+	t.establish(now)
 	best := id.Node("")
 	for _, p := range t.order {
-		if t.ready && t.tenure && p.before(t.own) > 0 {
+		if t.ready && t.established && p.before(t.own) > 0 {
 			break
 		}
 		if p.alive(now) && p.ready {
@@ -281,7 +281,7 @@
 			break
 		}
 	}
-	if best == "" && t.ready && t.tenure {
+	if best == "" && t.ready && t.established {
 		best = t.self.Node
 	}
 	if best == t.leader {
--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -340,11 +340,7 @@
 	r := newRig(1, 6, 2)
 	r.Run(14 * time.Second)
 	old := r.holder()
-	for _, a := range r.Stepper(old).(*unit).Leave(r.Now) {
-		if s, ok := a.(event.Send); ok {
-			r.Inject(s.To, event.Receive{From: old, Incarnation: r.Self(old).Incarnation, Body: s.Body}, 0)
-		}
-	}
+	r.leave(old)
 	r.Run(100 * time.Millisecond)
 	g.Expect(r.holder()).NotTo(Equal(old))
 	r.restart()
@@ -448,14 +444,40 @@
 	r := newRig(1, 1, 1)
 	r.idle = true
 	r.Run(14 * time.Second) // no permit of an earlier process can be in use any more
-	only := r.Names()[0]
-	for _, a := range r.Stepper(only).(*unit).Leave(r.Now) {
-		if ev, ok := event.IsInternal(a); ok {
-			r.Inject(only, ev, 0)
-		}
-	}
+	r.leave(r.Names()[0])
 	r.idle = false
 	r.Run(2 * time.Second)
 	g.Expect(r.sends).To(BeNumerically(">", 5))
 	g.Expect(r.fault).NotTo(HaveOccurred())
 }
+
+// TestLastNodesStop guards against several nodes that stop at once and each lend permits of the same server: they would
+// overload it while it is cold, or take the lending from each other again and again.
+func TestLastNodesStop(t *testing.T) {
+	for seed := range uint64(5) {
+		g := NewWithT(t)
+		r := newRig(seed, 3, 1)
+		r.idle = true
+		r.Run(14 * time.Second)
+		for _, name := range r.Names() {
+			r.leave(name)
+		}
+		r.Run(time.Second)
+		r.idle = false
+		r.Run(3 * time.Second)
+		g.Expect(r.sends).To(BeNumerically(">", 250), "nodes that take the lending from each other come to about 210")
+		g.Expect(r.fault).NotTo(HaveOccurred())
+	}
+}
+
+// leave begins the stop of a node.
+func (r *rig) leave(name id.Node) {
+	for _, a := range r.Stepper(name).(*unit).Leave(r.Now) {
+		if ev, ok := event.IsInternal(a); ok {
+			r.Inject(name, ev, 0)
+		}
+		if s, ok := a.(event.Send); ok {
+			r.Inject(s.To, event.Receive{From: name, Incarnation: r.Self(name).Incarnation, Body: s.Body}, 0)
+		}
+	}
+}
--- a/core/permit/permits.go
+++ b/core/permit/permits.go
@@ -384,11 +384,8 @@
 	if !ok || p.view == nil {
 		return "", false
 	}
-	n, ok := p.view.Owner(string(server), member.InDomain(s.FailureDomain))
-	if !ok && s.FailureDomain == p.self.FailureDomain {
-		// This node is stopping and the last one of its domain: nobody else lends what its open requests need.
-		return p.self.Node, true
-	}
+	// While all nodes of the domain are being stopped, their open requests still need permits.
+	n, ok := p.view.LastOwner(string(server), member.InDomain(s.FailureDomain))
 	return n.ID, ok
 }
 
--- a/core/rollout/control.go
+++ b/core/rollout/control.go
@@ -115,7 +115,8 @@
 	}
 	if next := o.next(now, score); next != o.share {
 		out = append(out, o.log("share", fmt.Sprintf("share=%d before=%d score=%.1f left=%s %s", next, o.share, score, left.Round(time.Millisecond), o.counts())))
-		o.share, o.since = next, now
+		o.setShare(next)
+		o.since = now
 	}
 	return out
 }
@@ -220,7 +221,7 @@
 
 // write writes a state to the order's status.
 func (r *Rollouts) write(now time.Time, o *rollout, s State) []event.Action {
-	if o.writing != Ordered || (!o.again.Next().IsZero() && now.Before(o.again.Next())) {
+	if o.writing != Ordered || now.Before(o.again.Next()) {
 		return nil
 	}
 	value, err := r.decoder.RolloutStatus(Status{State: s, Target: o.Target})
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -91,7 +91,7 @@
 	next  int64 // number of the next result
 }
 
-// calls counts the calls to stage servers of the leader.
+// calls counts the calls to stage servers since the share last changed; the leader makes all of them.
 type calls struct{ fresh, all int }
 
 func newRollout(now time.Time, o mirror.Object, order Order) *rollout {
@@ -120,6 +120,14 @@
 	return r.share
 }
 
+// setShare sets the share of the new version. Calls are counted anew, or the version would get all of them until it has
+// caught up with a share that has grown.
+func (r *rollout) setShare(share int) {
+	if r.share != share {
+		r.share, r.calls = share, calls{}
+	}
+}
+
 // stop ends the traffic of the new version for good.
 func (r *rollout) stop(reason string) {
 	r.stopped, r.reason = true, reason[:min(len(reason), maxText)]
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -171,8 +171,8 @@
 	if o == nil {
 		return Choice{}
 	}
-	if !o.stopped && o.state != RolledBack && !r.hasOld(o) {
-		return Choice{} // nothing else is there to serve it
+	if r.alone(o) {
+		return Choice{}
 	}
 	share := o.applied(now)
 	fresh := print.Part(o.salt, whole) < uint64(share)
@@ -182,16 +182,17 @@
 	return Choice{limited: true, target: o.Target, fresh: fresh, other: fresh || share > spare}
 }
 
-// hasOld reports whether a pool has a server of another version than the ordered one.
-func (r *Rollouts) hasOld(o *rollout) bool {
-	return slices.ContainsFunc(r.servers.Pool(o.Pool), func(s *fleet.Server) bool { return s.Version != o.Target })
+// alone reports whether nothing but the ordered version is there to serve the pool, and it was not found bad.
+func (r *Rollouts) alone(o *rollout) bool {
+	hasOld := slices.ContainsFunc(r.servers.Pool(o.Pool), func(s *fleet.Server) bool { return s.Version != o.Target })
+	return !hasOld && !o.stopped && o.state != RolledBack
 }
 
 // AllowsCall reports whether a stage server of a version may get the next call of its pool. Only the leader makes calls, so
 // that it can count them.
 func (r *Rollouts) AllowsCall(now time.Time, pool id.Pool, v id.Version) bool {
 	o := r.pools[pool]
-	if o == nil || (!o.stopped && o.state != RolledBack && !r.hasOld(o)) {
+	if o == nil || r.alone(o) {
 		return true
 	}
 	share := o.applied(now)
@@ -298,7 +299,8 @@
 		if o.share != int(p.Share) {
 			out = append(out, o.log("share", fmt.Sprintf("leader=%s share=%d before=%d", from, p.Share, o.share)))
 		}
-		o.share, o.ruled, o.results.confirmed = int(p.Share), now, p.Next
+		o.setShare(int(p.Share))
+		o.ruled, o.results.confirmed = now, p.Next
 	}
 	return out
 }
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -45,11 +45,15 @@
 type store struct {
 	object mirror.Object
 	away   bool
+	noOld  bool // servers of the old version have gone
 }
 
-func (*store) Pool(id.Pool) []*fleet.Server {
+func (s *store) Pool(id.Pool) []*fleet.Server {
 	old, fresh := &fleet.Server{ID: "old"}, &fleet.Server{ID: "new"}
 	old.Version, fresh.Version = "v1", "v2"
+	if s.noOld {
+		return []*fleet.Server{fresh}
+	}
 	return []*fleet.Server{old, fresh}
 }
 
@@ -338,22 +342,32 @@
 	})
 }
 
-// TestCalls guards against stage calls that go to a version of which too little is known, and against a pool whose only
-// servers are of the new version and get nothing.
-func TestCalls(t *testing.T) {
-	w := newWorld(t, 1, 0, good)
-	w.order()
-	w.run(4 * time.Second)
-	r, fresh := w.nodes["a"], 0
-	const calls = 1000
-	for range calls {
+// calls makes calls to stage servers, to the new version wherever it may get one, and returns how many of them it got.
+func (w *world) calls(count int) (fresh int) {
+	r := w.nodes[w.leader]
+	for range count {
 		if r.AllowsCall(w.now, pool, "v2") {
 			r.Called(pool, "v2")
 			fresh++
 			continue
 		}
-		w.g.Expect(r.AllowsCall(w.now, pool, "v1")).To(BeTrue())
+		w.g.ExpectWithOffset(1, r.AllowsCall(w.now, pool, "v1")).To(BeTrue())
 		r.Called(pool, "v1")
 	}
-	w.g.Expect(fresh).To(And(BeNumerically(">", 0), BeNumerically("<=", calls/4)))
+	return fresh
+}
+
+// TestCalls guards against stage calls that go to a version of which too little is known, also while it has had less than a
+// share that has just grown, and against a pool whose only servers are of the new version and get nothing.
+func TestCalls(t *testing.T) {
+	const calls, quarter = 1000, 4
+	w := newWorld(t, 1, 0, good)
+	w.order()
+	w.run(500 * time.Millisecond)
+	w.g.Expect(w.calls(calls)).To(And(BeNumerically(">", 0), BeNumerically("<=", calls/50)), "the first share")
+	w.run(4 * time.Second)
+	w.g.Expect(w.calls(20)).To(And(BeNumerically(">", 0), BeNumerically("<=", 20/quarter)), "just after the share has grown")
+	w.g.Expect(w.calls(calls)).To(BeNumerically("<=", calls/quarter))
+	w.store.noOld = true
+	w.g.Expect(w.calls(calls)).To(Equal(calls))
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"syscall"
@@ -64,3 +65,11 @@
 	})
 	return err == nil && quiet
 }
+
+// use describes the connection of a request that failed, as a hint whether the server may have closed it before.
+func (c *conn) use(reused bool) string {
+	if !reused {
+		return "new connection"
+	}
+	return fmt.Sprintf("connection last used %s before, kept for %s", time.Since(c.idle).Round(time.Millisecond), c.keep)
+}
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -70,15 +70,13 @@
 // Do sends a request. The context bounds the whole exchange, the body of the answer included.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*Answer, error) {
 	one := c.get(addr, req.Once)
-	use := "new connection"
-	if one == nil {
+	reused := one != nil
+	if !reused {
 		dialed, err := c.dial(ctx, addr)
 		if err != nil {
 			return nil, &Error{Kind: event.FailUnsent, Err: err}
 		}
 		one = dialed
-	} else {
-		use = fmt.Sprintf("connection unused for %s of %s", time.Since(one.idle).Round(time.Millisecond), one.keep)
 	}
 	a := &Answer{client: c, conn: one, ctx: ctx, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = one.Close() })
@@ -89,7 +87,7 @@
 	}
 	if err != nil {
 		_ = a.abort()
-		return nil, a.failure(sent, fmt.Errorf("%s: %w", use, err))
+		return nil, a.failure(sent, fmt.Errorf("%s: %w", one.use(reused), err))
 	}
 	return a, nil
 }
--- a/lab/stages/scale_test.go
+++ b/lab/stages/scale_test.go
@@ -29,7 +29,7 @@
 }
 
 // TestGrowth answers to a fleet that has grown, in a burst: it guards against work for each call that grows with the
-// number of waiting parts times that of servers, which takes a leader's whole processor on 300 nodes.
+// number of waiting parts times that of servers.
 func TestGrowth(t *testing.T) {
 	const times = 12
 	for name, setup := range setups {
