batch: admission by what binds a pool, and by the urgency of routes

With memory full, calls held two to four pieces; the average of these (learnBatchSize) made a piece look several times as expensive, and the pool as small. Second-class jobs were accepted by their deadline, so that the longest deadline got the capacity.

Ruled out: a slow return of servers. Two of the three were removed by scale_in, at 2.4 s and 18.5 s, and none came back.

Change: package capacity models a pool by the time of its workers and the memory for results, with pieces charged their share of a full call or of the memory. A job is accepted to meet its objective, or its deadline behind all on-time work, by the work that waits and the more urgent work that arrives meanwhile, or if half of the capacity suffices for all that waits. Routes are weighed by their own priority too (Submit.RoutePriority). Rejected callers are told times that are spread by what they need. A server without memory counts as holding results of another leader until these expire. Replaced and deleted: classify, shareCapacity, learnBatchSize, the backlog of second-class jobs.

lab/stagesim: Quotes, callers that return, and KillLeader that really kills.

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -1,268 +1,236 @@
 package batch
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"bluebellflow/core/capacity"
 	"bluebellflow/core/id"
 )
 
 const (
-	// rateWindow is the time constant of the exponential decay of a route's job rate.
-	rateWindow = time.Second
-	// firstClassLoad is the fraction of a pool's capacity that first-class jobs may use.
-	firstClassLoad = 0.95
-	// priorityFactor multiplies the value of a job for each level of priority above the lowest.
-	priorityFactor = 1.5
+	// objectiveMargin is how long before its objective a job has to end by the estimate, because waits vary.
+	objectiveMargin = 200 * time.Millisecond
+	// sharedCapacity is the part of a pool's capacity that all flows may use in the order of their arrival.
+	sharedCapacity = 0.5
+	// minSlowdown bounds the credit that a fast worker gets.
+	minSlowdown = 0.5
+	// countPeriod is how often the waiting pieces are counted again.
+	countPeriod = 20 * time.Millisecond
+	// callerPriorityFactor and routePriorityFactor multiply the value of a job for each level of priority above the lowest.
+	callerPriorityFactor = 1.25
+	routePriorityFactor  = 2.0
 	// lowestPriority is the priority (0 is the highest) at and below which the value of a job is not raised.
 	lowestPriority = 4
-	// demandGain is the weight of a new job in the moving averages of its route.
-	demandGain = 0.05
-	// sharePeriod is how often the capacity is shared out again.
-	sharePeriod = 50 * time.Millisecond
-	// minRate is the rate below which a route is removed, in jobs per second.
-	minRate = 0.01
-	// minCapacity replaces a capacity of zero in divisions.
-	minCapacity = 1e-6
 	// minRetryAfter and maxRetryAfter bound the retry delay given to the caller of a rejected job.
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// backlogPeriod is how often the work of the second-class jobs is counted again.
-	backlogPeriod = 10 * time.Millisecond
 )
 
 // class orders jobs under overload; lower classes run first.
 type class uint8
 
 const (
-	// classFirst is for jobs that fit into the capacity of their pools.
+	// classFirst is for jobs that can meet their objectives.
 	classFirst class = iota
-	// classSecond is for jobs that run on the capacity that first-class jobs leave unused.
+	// classSecond is for jobs that can only meet their deadlines. They run on the capacity that first-class jobs leave unused.
 	classSecond
 	// classLate is for tasks that can no longer start early enough for the objective of their job.
 	classLate
 )
 
-// routeDemand holds moving averages of the jobs of a route.
-type routeDemand struct {
-	rate            float64 // jobs per second
-	updatedAt       time.Time
-	value           float64             // per job
-	work            map[id.Pool]float64 // seconds of calls per job
-	firstClassShare float64             // fraction of the jobs that are first-class
-	credit          float64             // accumulated share; a first-class job takes 1
+// admission decides which jobs are accepted when the pools cannot complete all of them in time.
+type admission struct {
+	flows     capacity.Flows
+	countedAt time.Time // when the waiting pieces were last counted
+	pools     map[id.Pool]capacity.Pool
+	returns   returns
 }
 
-// admission decides which jobs run first when the pools cannot complete all of them in time. Jobs with a high value per
-// work in overloaded pools come first; the others run on the remaining capacity.
-type admission struct {
-	routes    map[string]*routeDemand
-	sharedAt  time.Time
-	spare     map[id.Pool]float64 // capacity that first-class jobs leave unused, in calls at once
-	backlog   map[id.Pool]float64 // seconds of calls that second-class jobs still need
-	backlogAt time.Time           // when the jobs were last counted
+// newAdmission returns the state before the first job.
+func newAdmission() admission {
+	return admission{pools: map[id.Pool]capacity.Pool{}, returns: returns{}}
 }
 
-// decay updates the rate for the time since the last update.
-func (d *routeDemand) decay(now time.Time) {
-	if !d.updatedAt.IsZero() {
-		d.rate *= math.Exp(-float64(now.Sub(d.updatedAt)) / float64(rateWindow))
+// flowKey returns the flow that a job belongs to.
+func (j *job) flowKey() capacity.Key { return capacity.Key{Route: j.Route, Priority: j.Priority} }
+
+// weight returns the value of a job, raised by the priorities of its caller and of its route.
+func (j *job) weight() float64 {
+	byCaller := math.Pow(callerPriorityFactor, float64(max(0, lowestPriority-int(j.Priority))))
+	byRoute := math.Pow(routePriorityFactor, float64(max(0, lowestPriority-int(j.RoutePriority))))
+	return float64(max(1, j.Value)) * byCaller * byRoute
+}
+
+// admit assigns a class to a new job, or rejects it with the time after which its caller may retry.
+func (s *Scheduler) admit(now time.Time, j *job) (after time.Duration, accepted bool) {
+	s.refreshAdmission(now)
+	key, demand := j.flowKey(), s.demandOf(j)
+	s.admission.flows.Arrive(now, key, j.weight(), demand)
+	waitAs := func(class capacity.Class) waitFunc {
+		return func(pool id.Pool, lead time.Duration) time.Duration {
+			queue := s.admission.flows.Ahead(now, key, class, pool)
+			queue.Lead = lead
+			return s.admission.pools[pool].Wait(queue)
+		}
+	}
+	slack := j.objective.Sub(now) - time.Duration(j.Rest) - objectiveMargin
+	if s.duration(j, waitAs(capacity.OnTime)) < slack || s.duration(j, s.reserveWait) < slack {
+		j.class = classFirst
+		s.admission.flows.AcceptOnTime(now, key)
+		s.countWaiting(j)
+		return 0, true
 	}
-	d.updatedAt = now
+	excess := s.duration(j, waitAs(capacity.Late)) - j.deadline.Sub(now)
+	if excess <= 0 {
+		j.class = classSecond
+		s.countWaiting(j)
+		return 0, true
+	}
+	return s.admission.returns.reserve(now, key, excess, s.busyTime(demand)), false
+}
+
+// reserveWait returns how long a pool takes for all on-time work, as if it could use only a part of its capacity for it. A job
+// of any flow that ends in time all the same leaves enough for more urgent ones that arrive meanwhile.
+func (s *Scheduler) reserveWait(pool id.Pool, _ time.Duration) time.Duration {
+	return s.admission.pools[pool].Wait(capacity.Queue{Waiting: s.admission.flows.Waiting(pool).Scale(1 / sharedCapacity)})
 }
 
-// classify counts a job and returns its class.
-func (s *Scheduler) classify(now time.Time, j *job) class {
-	d, known := s.admission.routes[j.Route]
-	if !known {
-		d = &routeDemand{work: map[id.Pool]float64{}, firstClassShare: 1}
-		s.admission.routes[j.Route] = d
+// refreshAdmission updates what the pools can do, and counts the waiting pieces, at most once per countPeriod: counting at
+// each submission would take time quadratic in the number of jobs.
+func (s *Scheduler) refreshAdmission(now time.Time) {
+	a := &s.admission
+	if !a.countedAt.IsZero() && now.Sub(a.countedAt) < countPeriod {
+		return
 	}
-	d.decay(now)
-	d.rate += 1 / rateWindow.Seconds()
-	d.observe(j, s.jobWork(j), !known)
-	if now.Sub(s.admission.sharedAt) >= sharePeriod {
-		s.admission.sharedAt = now
-		s.shareCapacity(now)
+	a.countedAt = now
+	a.flows.ResetWaiting(now)
+	for name, q := range s.queues {
+		a.pools[name] = s.capacityOf(now, q)
 	}
-	if d.credit = min(2, d.credit+d.firstClassShare); d.credit >= 1 {
-		d.credit--
-		return classFirst
+	for _, j := range s.jobs {
+		s.countWaiting(j)
 	}
-	return classSecond
 }
 
-// observe updates the moving averages with the value and the work of a job.
-func (d *routeDemand) observe(j *job, work map[id.Pool]float64, isNew bool) {
-	gain := demandGain
-	if isNew {
-		gain = 1
+// countWaiting adds the pieces of a job that do not run yet to the waiting work.
+func (s *Scheduler) countWaiting(j *job) {
+	if j.done || j.ended {
+		return
 	}
-	value := float64(max(1, j.Value)) * math.Pow(priorityFactor, float64(lowestPriority-min(lowestPriority, int(j.Priority))))
-	d.value += gain * (value - d.value)
-	for pool := range d.work {
-		d.work[pool] -= gain * d.work[pool]
+	class := capacity.OnTime
+	if j.class != classFirst {
+		class = capacity.Late
 	}
-	for pool, seconds := range work {
-		d.work[pool] += gain * seconds
+	for _, t := range j.tasks {
+		if t.waiting > 0 {
+			pool := t.stage().Pool
+			s.admission.flows.AddWaiting(j.flowKey(), class, pool, s.queues[pool].demand(t).Scale(float64(t.waiting)))
+		}
 	}
 }
 
-// jobWork returns the seconds of calls that a job takes in each pool when calls are full.
-func (s *Scheduler) jobWork(j *job) map[id.Pool]float64 {
-	out := map[id.Pool]float64{}
+// demandOf returns what a job needs from each pool.
+func (s *Scheduler) demandOf(j *job) map[id.Pool]capacity.Demand {
+	out := map[id.Pool]capacity.Demand{}
 	for _, t := range j.tasks {
-		q := s.queues[t.stage().Pool]
-		out[t.stage().Pool] += float64(len(t.pieces)) * q.cost(kindOf(t)).Seconds()
+		pool := t.stage().Pool
+		out[pool] = out[pool].Add(s.queues[pool].demand(t).Scale(float64(len(t.pieces))))
 	}
 	return out
 }
 
-// shareCapacity assigns the capacity of the pools to the routes, in descending order of value per work in overloaded
-// pools.
-func (s *Scheduler) shareCapacity(now time.Time) {
-	left := map[id.Pool]float64{}
-	scarce := map[id.Pool]float64{} // capacity needed; pools with enough capacity are removed below
-	total := map[id.Pool]float64{}
-	for name, q := range s.queues {
-		total[name] = s.capacity(now, q)
-		left[name] = firstClassLoad * total[name]
-	}
-	var order []*routeDemand
-	for _, route := range slices.Sorted(maps.Keys(s.admission.routes)) {
-		d := s.admission.routes[route]
-		if d.decay(now); d.rate < minRate {
-			delete(s.admission.routes, route)
+// capacityOf returns what the available workers of a pool can do.
+func (s *Scheduler) capacityOf(now time.Time, q *poolQueue) capacity.Pool {
+	p := capacity.Pool{Hold: q.hold}
+	for _, w := range q.workers {
+		if usable, _ := s.servers.Usable(w.Server); !usable || (w.failures > 0 && !now.After(w.backoffUntil)) {
 			continue
 		}
-		order = append(order, d)
-		for pool, seconds := range d.work {
-			scarce[pool] += d.rate * seconds
-		}
-	}
-	for pool, load := range scarce {
-		if load <= left[pool] {
-			delete(scarce, pool)
-		}
-	}
-	slices.SortStableFunc(order, func(a, b *routeDemand) int { return cmp.Compare(b.density(scarce, left), a.density(scarce, left)) })
-	for _, d := range order {
-		d.firstClassShare = 1
-		for pool := range scarce {
-			if needed := d.rate * d.work[pool]; needed > 0 {
-				d.firstClassShare = min(d.firstClassShare, max(0, left[pool])/needed)
-			}
-		}
-		for pool, seconds := range d.work {
-			left[pool] -= d.firstClassShare * d.rate * seconds
-		}
-	}
-	s.admission.spare = map[id.Pool]float64{}
-	for pool, capacity := range total {
-		s.admission.spare[pool] = max(0, left[pool]) + (1-firstClassLoad)*capacity
+		p.Workers += float64(max(1, q.pool.Pieces.MaxCalls)) / max(minSlowdown, w.slowdown)
+		p.Memory += q.usableMemory()
+		p.Held += w.usedBytes + w.foreign.at(now)
 	}
+	return p
 }
 
-// infeasible reports whether a second-class job cannot meet its deadline behind the others of its class. If so, it returns
-// the time after which the caller may retry.
-func (s *Scheduler) infeasible(now time.Time, j *job) (time.Duration, bool) {
-	longest := 0.0
-	s.updateBacklog(now)
-	for pool := range s.jobWork(j) {
-		if work := s.admission.backlog[pool]; work > 0 {
-			longest = max(longest, work/max(s.admission.spare[pool], minCapacity))
+// busyTime returns how long a demand keeps the pools busy, for the one that is busy longest.
+func (s *Scheduler) busyTime(demand map[id.Pool]capacity.Demand) time.Duration {
+	longest := time.Duration(0)
+	for pool, d := range demand {
+		if workers := s.admission.pools[pool].Workers; workers > 0 {
+			longest = max(longest, time.Duration(float64(d.Time)/workers))
 		}
 	}
-	excess := longest - j.deadline.Sub(now).Seconds() + s.minDuration(j).Seconds()
-	if excess <= 0 {
-		return 0, false
-	}
-	return min(maxRetryAfter, max(minRetryAfter, time.Duration(min(excess, maxRetryAfter.Seconds())*float64(time.Second)))), true
+	return longest
 }
 
-// addToBacklog adds the work of a second-class job that was accepted since the last count.
-func (s *Scheduler) addToBacklog(j *job) {
-	for pool, work := range s.jobWork(j) {
-		s.admission.backlog[pool] += work
-	}
-}
+// waitFunc returns how long a pool takes for what goes before a job that reaches it after lead at the earliest.
+type waitFunc func(pool id.Pool, lead time.Duration) time.Duration
 
-// updateBacklog counts the work that second-class jobs still need from each pool, at most once per backlogPeriod: counting
-// all jobs at each submission would take time quadratic in their number.
-func (s *Scheduler) updateBacklog(now time.Time) {
-	if s.admission.backlog != nil && now.Sub(s.admission.backlogAt) < backlogPeriod {
-		return
-	}
-	out := map[id.Pool]float64{}
-	for _, j := range s.jobs {
-		if j.class != classSecond || j.done {
+// duration returns how long the stages of a job take. The pools serve what goes before the job at the same time, so that a
+// task only waits for what is left when its inputs are complete.
+func (s *Scheduler) duration(j *job, wait waitFunc) time.Duration {
+	longest := time.Duration(0)
+	leads := make([]time.Duration, len(j.tasks)) // without any wait
+	ends := make([]time.Duration, len(j.tasks))
+	for i, t := range j.tasks { // predecessors come first
+		if len(t.pieces) == 0 {
 			continue
 		}
-		for _, t := range j.tasks {
-			if t.missing > 0 {
-				pool := t.stage().Pool
-				out[pool] += float64(t.missing) * s.queues[pool].cost(kindOf(t)).Seconds()
-			}
+		lead, start := time.Duration(0), time.Duration(0)
+		for _, pred := range t.stage().After {
+			lead, start = max(lead, leads[pred]), max(start, ends[pred])
 		}
+		start = max(start, wait(t.stage().Pool, lead))
+		leads[i], ends[i] = lead+s.shortestRun(t), min(capacity.Never, start+s.shortestRun(t))
+		longest = max(longest, ends[i])
 	}
-	s.admission.backlog, s.admission.backlogAt = out, now
+	return longest
 }
 
-// minDuration returns the shortest time in which the stages of a job can run.
-func (s *Scheduler) minDuration(j *job) time.Duration {
-	longest := time.Duration(0)
-	for _, t := range j.tasks {
-		if len(t.pieces) > 0 {
-			longest = max(longest, s.minDurationFrom(t))
-		}
-	}
-	return longest
+// shortestRun returns the time of a call with one piece of a task.
+func (s *Scheduler) shortestRun(t *task) time.Duration {
+	q := s.queues[t.stage().Pool]
+	return q.pool.Pieces.CallTime + q.pieceTime(kindOf(t))
 }
 
-// minDurationFrom returns the shortest time from the start of a task to the end of the last task that depends on it.
-func (s *Scheduler) minDurationFrom(t *task) time.Duration {
+// shortestRest returns the shortest time from the start of a task to the end of the last task that depends on it.
+func (s *Scheduler) shortestRest(t *task) time.Duration {
 	after := time.Duration(0)
 	for _, other := range t.job.tasks {
 		if len(other.pieces) > 0 && slices.Contains(other.stage().After, uint32(t.index)) {
-			after = max(after, s.minDurationFrom(other))
+			after = max(after, s.shortestRest(other))
 		}
 	}
-	q := s.queues[t.stage().Pool]
-	return q.pool.Pieces.CallTime + q.pieceTime(kindOf(t)) + after
+	return s.shortestRun(t) + after
 }
 
 // failInfeasible fails the jobs with waiting tasks that can no longer complete before their deadlines.
 func (s *Scheduler) failInfeasible(now time.Time, q *poolQueue, out *actions) {
 	for _, t := range q.tasks {
-		if j := t.job; !j.ended && t.waiting > 0 && now.Add(s.minDurationFrom(t)).After(j.deadline) {
+		if j := t.job; !j.ended && t.waiting > 0 && now.Add(s.shortestRest(t)).After(j.deadline) {
 			s.failJob(now, j, "cannot end before its deadline any more", minRetryAfter, out)
 		}
 	}
 }
 
-// density returns the value of a job per fraction of the overloaded pools that it uses.
-func (d *routeDemand) density(scarce, capacity map[id.Pool]float64) float64 {
-	fraction := 0.0
-	for _, pool := range slices.Sorted(maps.Keys(scarce)) { // sorted, because the sum of floats depends on their order
-		fraction += d.work[pool] / max(capacity[pool], minCapacity)
-	}
-	if fraction == 0 {
-		return math.Inf(1)
-	}
-	return d.value / fraction
-}
+// returns spreads the times at which rejected callers may retry, so that they do not return together.
+type returns map[capacity.Key]time.Time
 
-// capacity returns the number of calls that the available workers of a pool run at once, each divided by the worker's
-// slowdown.
-func (s *Scheduler) capacity(now time.Time, q *poolQueue) float64 {
-	sum := 0.0
-	for _, w := range q.workers {
-		if usable, _ := s.servers.Usable(w.Server); usable && (w.failures == 0 || now.After(w.backoffUntil)) {
-			sum += float64(max(1, q.pool.Pieces.MaxCalls)) / max(1, w.slowdown)
-		}
+// reserve returns when the caller of a job may retry: not before the job could be accepted, and not while the pools are
+// busy with the jobs of the callers of the same flow that were rejected before. Each job keeps the pools busy for share.
+func (r returns) reserve(now time.Time, key capacity.Key, earliest, share time.Duration) time.Duration {
+	maps.DeleteFunc(r, func(_ capacity.Key, at time.Time) bool { return at.Before(now) })
+	at := now.Add(min(maxRetryAfter, max(minRetryAfter, earliest)))
+	if last, ok := r[key]; ok && last.Add(share).After(at) {
+		at = last.Add(share)
+	}
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
+		at = latest
 	}
-	return sum
+	r[key] = at
+	return at.Sub(now)
 }
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -85,24 +85,17 @@
 	}
 	cand := candidateWorker{worker: w, otherDomains: workerDomains(free[1:]), slow: q.slow(w), waits: map[id.FailureDomain]domainWait{}}
 	c := &call{worker: w, queue: q, kinds: map[pieceKind]int{}, startedAt: now, expected: q.pool.Pieces.CallTime}
-	piecesLeft := false
 	for _, t := range q.candidates(w) {
 		if len(c.pieces) >= q.pool.Pieces.MaxBatch {
-			piecesLeft = true
 			break
 		}
 		if t.waiting > 0 && !s.mustHandOver(t.job) && s.mayRun(now, q, t, &cand) {
-			before := len(c.pieces)
 			s.addPieces(c, t)
-			piecesLeft = piecesLeft || len(c.pieces)-before < t.waiting
 		}
 	}
 	if len(c.pieces) == 0 {
 		return
 	}
-	if piecesLeft {
-		q.learnBatchSize(len(c.pieces))
-	}
 	s.lastCall++
 	c.id = s.lastCall
 	s.calls[c.id] = c
@@ -193,7 +186,7 @@
 	size := int64(t.stage().Bytes)
 	fits := min(batch-len(c.pieces), count)
 	if size > 0 {
-		fits = min(fits, int(q.freeMemory(c.worker, c.bytes)/size))
+		fits = min(fits, int(q.freeMemory(c.startedAt, c.worker, c.bytes)/size))
 	}
 	wanted := min(count, batch)
 	if fits < wanted && (len(c.pieces) > 0 || fits == 0) {
--- a/core/batch/handover.go
+++ b/core/batch/handover.go
@@ -55,7 +55,10 @@
 
 // setLeader sets the node that leads. A node that does not lead hands its jobs over: if two nodes scheduled on the same
 // servers, neither would know the calls and results of the other.
-func (s *Scheduler) setLeader(leader id.Node) {
+func (s *Scheduler) setLeader(now time.Time, leader id.Node) {
+	if leader == s.self.Node && s.leader != leader {
+		s.leadsSince = now
+	}
 	s.leader = leader
 	for _, q := range s.queues {
 		q.dirty = true
@@ -131,7 +134,7 @@
 	if !known {
 		return
 	}
-	r := &result{handle: m.Handle, worker: w, domain: w.Domain, bytes: int64(t.stage().Bytes), expiresAt: now.Add(time.Duration(m.Left))}
+	r := &result{handle: m.Handle, worker: w, domain: w.Domain, bytes: int64(t.stage().Bytes), since: now, expiresAt: now.Add(time.Duration(m.Left))}
 	w.addResult(r)
 	t.setResult(int(m.Piece), r)
 }
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -43,6 +43,8 @@
 	Class       uint32           `protobuf:"varint,13,opt,name=class"`
 	Made        []PriorResult    `protobuf:"bytes,14,rep,name=made"`    // results that other leaders have obtained
 	Insist      bool             `protobuf:"varint,15,opt,name=insist"` // run it even if this node does not lead
+	// RoutePriority is the priority of the route, which orders requests whose callers have the same Priority.
+	RoutePriority uint32 `protobuf:"varint,16,opt,name=urgency"`
 }
 
 // Check reports whether the message is well formed.
--- a/core/batch/outcome.go
+++ b/core/batch/outcome.go
@@ -42,11 +42,28 @@
 	for i, ref := range c.pieces {
 		s.recordOutcome(now, c, ref, ev.Outcomes[i], expiresAt, out)
 	}
+	s.observeMemory(now, c, ev.Outcomes)
 	for _, j := range jobsOf(c) {
 		s.advanceAfterCall(now, j, out)
 	}
 }
 
+// observeMemory learns from a call how much memory its worker has.
+func (s *Scheduler) observeMemory(now time.Time, c *call, outcomes []Outcome) {
+	smallest := int64(0)
+	for i, o := range outcomes {
+		if size := int64(c.pieces[i].task.stage().Bytes); o.Reason == ReasonServerFull && (smallest == 0 || size < smallest) {
+			smallest = size
+		}
+	}
+	q := c.queue
+	if smallest == 0 {
+		c.worker.observeFit(c.bytes)
+		return
+	}
+	c.worker.observeFull(now, s.leadsSince, q.usableMemory(), smallest, q.pool.Pieces)
+}
+
 // allSucceeded reports whether all pieces have a result. A piece without one may have taken no time, so the duration of its
 // call is no measure of the worker's speed.
 func allSucceeded(outcomes []Outcome) bool {
@@ -94,7 +111,7 @@
 func (s *Scheduler) recordOutcome(now time.Time, c *call, ref pieceRef, o Outcome, expiresAt time.Time, out *actions) {
 	p := &ref.task.pieces[ref.index]
 	if o.Reason == 0 {
-		r := &result{handle: o.Handle, worker: c.worker, domain: c.worker.Domain, bytes: int64(ref.task.stage().Bytes), expiresAt: expiresAt}
+		r := &result{handle: o.Handle, worker: c.worker, domain: c.worker.Domain, bytes: int64(ref.task.stage().Bytes), since: c.startedAt, expiresAt: expiresAt}
 		c.worker.addResult(r)
 		if ref.task.job.ended {
 			c.worker.freeResult(now, r.handle)
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bluebellflow/core/capacity"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/id"
 )
@@ -14,12 +15,14 @@
 	affinityBytes = 150 << 10
 	// pieceTimeGain is the weight of a new call in the estimated time of a piece.
 	pieceTimeGain = 0.1
-	// batchSizeGain is the weight of a new call in the average number of pieces per call.
-	batchSizeGain = 0.05
+	// holdGain is the weight of a new result in the average time for which results are kept, if it takes at least
+	// holdBytesShare of the memory of a worker; smaller results weigh less.
+	holdGain       = 0.05
+	holdBytesShare = 0.05
 	// taskLatencyGain is the weight of a new task in the average time that a task takes.
 	taskLatencyGain = 0.1
 	// priorityStep is how much later a task is sorted for each step to a lower priority.
-	priorityStep = 100 * time.Millisecond
+	priorityStep = 50 * time.Millisecond
 	// latePriorityPieces is how many pieces are added to the missing pieces of a late job for each step to a lower priority,
 	// when late jobs are sorted.
 	latePriorityPieces = 4
@@ -52,14 +55,14 @@
 	taskLatency  time.Duration // average time from a first-class task's inputs to its results, late tasks left out
 	fill         float64       // fraction of a worker's result memory that is used at most
 	cachedMedian float64       // median slowdown of the workers, 0 if unknown
-	batchSize    float64       // average pieces per call, of calls that left pieces waiting
+	hold         time.Duration // average time from the start of a call until the memory of its results is free again
 }
 
 func newPoolQueue(pool *catalog.Pool) *poolQueue {
 	return &poolQueue{
 		pool: pool, pieceTimes: map[pieceKind]time.Duration{},
 		taskLatency: pool.Pieces.CallTime + initialPieces*pool.Pieces.PieceTime,
-		fill:        maxFill, batchSize: float64(pool.Pieces.MaxBatch),
+		fill:        maxFill, hold: 2 * pool.Pieces.CallTime,
 	}
 }
 
@@ -73,15 +76,15 @@
 	return q.pool.Pieces.PieceTime
 }
 
-// cost returns the time of a piece with its share of the fixed time of a full call.
-func (q *poolQueue) cost(k pieceKind) time.Duration {
-	return q.pieceTime(k) + time.Duration(float64(q.pool.Pieces.CallTime)/max(1, q.batchSize))
+// demand returns what a piece of a task needs from the pool.
+func (q *poolQueue) demand(t *task) capacity.Demand {
+	return capacity.Piece(q.pool.Pieces, q.pieceTime(kindOf(t)), int64(t.stage().Bytes))
 }
 
-// learnBatchSize updates the average with a call that left pieces waiting: the result memory may limit a call to
-// fewer pieces than the pool allows.
-func (q *poolQueue) learnBatchSize(pieces int) {
-	q.batchSize += batchSizeGain * (min(float64(pieces), float64(q.pool.Pieces.MaxBatch)) - q.batchSize)
+// learnHold updates the average time for which memory is taken by a result, weighted by its size.
+func (q *poolQueue) learnHold(held time.Duration, bytes int64) {
+	gain := holdGain * min(1, float64(bytes)/max(1, holdBytesShare*float64(q.pool.Pieces.ResultMemory)))
+	q.hold += time.Duration(gain * float64(held-q.hold))
 }
 
 // learnPieceTimes adjusts the piece times of the kinds in a call by the relative error of the expected time.
@@ -110,10 +113,13 @@
 }
 
 // freeMemory returns how many more bytes of results a worker can hold besides those of the call that is being filled.
-func (q *poolQueue) freeMemory(w *worker, planned int64) int64 {
-	return max(0, int64(q.fill*float64(q.pool.Pieces.ResultMemory))-w.usedBytes-planned)
+func (q *poolQueue) freeMemory(now time.Time, w *worker, planned int64) int64 {
+	return max(0, q.usableMemory()-w.usedBytes-w.foreign.at(now)-planned)
 }
 
+// usableMemory returns how many bytes of a worker's result memory are used at most.
+func (q *poolQueue) usableMemory() int64 { return int64(q.fill * float64(q.pool.Pieces.ResultMemory)) }
+
 // learnLatency updates the average with the time that a task took from its inputs to its results.
 func (q *poolQueue) learnLatency(took time.Duration) {
 	q.taskLatency += time.Duration(taskLatencyGain * float64(took-q.taskLatency))
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -52,6 +52,7 @@
 	calls      map[uint64]*call
 	lastCall   uint64
 	leader     id.Node // the leader that this node follows, empty for none
+	leadsSince time.Time
 	submitters submitters
 	deadlines  timerqueue.Heap[jobKey] // deadlines of jobs
 	admission  admission
@@ -95,7 +96,7 @@
 func New(self event.Self, servers serverSource, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		self: self, servers: servers, versions: allVersions{}, queues: map[id.Pool]*poolQueue{}, workers: map[id.Server]*worker{},
-		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, submitters: submitters{}, admission: admission{routes: map[string]*routeDemand{}},
+		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, submitters: submitters{}, admission: newAdmission(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -139,7 +140,7 @@
 	case fleet.ServerRemoved:
 		s.serverRemoved(now, ev.Server, &out)
 	case leader.Changed:
-		s.setLeader(ev.Leader)
+		s.setLeader(now, ev.Leader)
 	}
 	s.handOver(now, &out)
 	if !s.sweepAt.IsZero() && !now.Before(s.sweepAt) {
@@ -237,12 +238,8 @@
 
 // accept assigns a class to a new job, or rejects it if it cannot meet its deadline.
 func (s *Scheduler) accept(now time.Time, j *job, out *actions) bool {
-	if j.class = s.classify(now, j); j.class != classSecond {
-		return true
-	}
-	after, infeasible := s.infeasible(now, j)
-	if !infeasible {
-		s.addToBacklog(j)
+	after, ok := s.admit(now, j)
+	if ok {
 		return true
 	}
 	out.add(event.Log{Kind: "job", Request: j.Request, Stage: j.Route, Choice: "reject", Reason: fmt.Sprintf(
@@ -436,9 +433,15 @@
 		if expire {
 			w.expire(now)
 		}
-		if handles := w.dueFrees(now, s.queues[w.Pool].pool.Pieces.ResultMemory); len(handles) > 0 {
-			out.add(FreeResults{Server: Target{ID: w.ID, Addr: w.Addr}, Handles: handles})
-			s.queues[w.Pool].dirty = true
+		q := s.queues[w.Pool]
+		if results := w.dueFrees(now, q.pool.Pieces.ResultMemory); len(results) > 0 {
+			free := FreeResults{Server: Target{ID: w.ID, Addr: w.Addr}}
+			for _, r := range results {
+				free.Handles = append(free.Handles, r.handle)
+				q.learnHold(now.Sub(r.since), r.bytes)
+			}
+			out.add(free)
+			q.dirty = true
 		}
 		idle = idle && w.pendingSince.IsZero()
 	}
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellflow/core/catalog"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 )
@@ -26,6 +27,10 @@
 	// lowMemoryShare is the used fraction of a worker's result memory above which its results are freed as soon as they were
 	// fetched, and not only when the call that reads them has ended.
 	lowMemoryShare = 0.4
+	// minForeignShare is the fraction of a worker's result memory that may be missing because sizes are approximate.
+	minForeignShare = 0.15
+	// minForeignTime is how long a server that had no memory left is assumed to have none.
+	minForeignTime = 200 * time.Millisecond
 	// freeBatchSize is the number of collected results at which they are freed without waiting for the delay.
 	freeBatchSize = 256
 )
@@ -38,17 +43,33 @@
 	failures     int     // consecutive
 	backoffUntil time.Time
 	usedBytes    int64 // bytes of the results that it keeps or is computing
+	foreign      foreignResults
 	results      map[string]*result
 	pendingFree  []*result // to be freed with the next FreeResults
 	pendingSince time.Time // when the first of them was added, zero if there are none
 }
 
+// foreignResults is memory for results of another leader, of which this node knows nothing else.
+type foreignResults struct {
+	bytes int64
+	until time.Time // the worker has discarded them by then
+}
+
+// at returns the bytes that are still taken.
+func (f foreignResults) at(now time.Time) int64 {
+	if now.Before(f.until) {
+		return f.bytes
+	}
+	return 0
+}
+
 // result is the result of a piece, which a worker keeps.
 type result struct {
 	handle    string
 	worker    *worker
 	domain    id.FailureDomain
 	bytes     int64
+	since     time.Time // when the call that made it was sent, or when this node learned of it
 	expiresAt time.Time // the worker discards it then
 }
 
@@ -85,8 +106,8 @@
 	}
 }
 
-// dueFrees returns and removes the handles to be freed, or nil if they are to be collected for longer.
-func (w *worker) dueFrees(now time.Time, memory int64) []string {
+// dueFrees returns and removes the results to be freed, or nil if they are to be collected for longer.
+func (w *worker) dueFrees(now time.Time, memory int64) []*result {
 	delay := freeDelay
 	if w.lowMemory(memory) {
 		delay = lowMemoryFreeDelay
@@ -94,15 +115,31 @@
 	if w.pendingSince.IsZero() || (now.Sub(w.pendingSince) < delay && len(w.pendingFree) < freeBatchSize) {
 		return nil
 	}
-	var out []string
-	for _, r := range w.pendingFree {
-		out = append(out, r.handle)
+	out := w.pendingFree
+	for _, r := range out {
 		w.usedBytes -= r.bytes
 	}
 	w.pendingFree, w.pendingSince = nil, time.Time{}
 	return out
 }
 
+// observeFull records that a server had no memory left for a result of the given size, out of the usable bytes: what this
+// node does not know of belongs to another leader, which led until the given time.
+func (w *worker) observeFull(now, ledUntil time.Time, usable, size int64, p *catalog.Pieces) {
+	unknown := usable - w.usedBytes - size/2
+	if float64(unknown) < minForeignShare*float64(p.ResultMemory) {
+		return
+	}
+	until := ledUntil.Add(p.ResultTTL + p.CallTime)
+	if earliest := now.Add(minForeignTime); until.Before(earliest) {
+		until = earliest
+	}
+	w.foreign = foreignResults{unknown, until}
+}
+
+// observeFit records that a server had memory for the results of a call, so that as much of the other leader's may be gone.
+func (w *worker) observeFit(bytes int64) { w.foreign.bytes = max(0, w.foreign.bytes-bytes) }
+
 // lowMemory reports whether more than lowMemoryShare of the worker's result memory mem is used.
 func (w *worker) lowMemory(mem int64) bool { return float64(w.usedBytes) > lowMemoryShare*float64(mem) }
 
@@ -118,7 +155,7 @@
 // reset clears all state of a worker whose process has ended.
 func (w *worker) reset() {
 	clear(w.results)
-	w.usedBytes = 0
+	w.usedBytes, w.foreign = 0, foreignResults{}
 	w.pendingFree, w.pendingSince = nil, time.Time{}
 	w.slowdown, w.failures, w.backoffUntil = 1, 0, time.Time{}
 }
--- a/core/proxy/stages.go
+++ b/core/proxy/stages.go
@@ -52,6 +52,7 @@
 		Ticket: r.job, Request: r.Name, Route: r.route.Name, Key: r.PieceKey,
 		Left: int64(r.stagesDeadline().Add(-g.expectedFirstByte(r.route.Name)).Sub(now)), Aim: int64(r.objectiveAt.Sub(now)), Rest: int64(g.expectedFirstByte(r.route.Name)),
 		Priority: uint32(max(0, r.priority)), Value: uint64(r.In + outputTokenWeight*r.Out), Insist: r.handovers >= maxHandovers,
+		RoutePriority: uint32(max(0, r.route.Priority)),
 	}
 	r.handover.addTo(now, &s)
 	for i, stage := range r.route.Stages {
--- a/lab/stagesim/setups.go
+++ b/lab/stagesim/setups.go
@@ -98,6 +98,52 @@
 	}
 }
 
+// quotePool returns a pool of the deployment of Quotes.
+func quotePool(name id.Pool, servers []int, maxBatch int, pieceTime time.Duration, memory int64) Pool {
+	const callTime = 150 * time.Millisecond
+	return Pool{Servers: servers, Pool: catalog.Pool{Name: name, Pieces: &catalog.Pieces{
+		MaxCalls: 1, MaxQueuedCalls: 2, MaxBatch: maxBatch, CallTime: callTime, PieceTime: pieceTime, ResultMemory: memory, ResultTTL: resultTTL,
+	}}}
+}
+
+// Quotes returns a deployment in which few servers keep large results: surveys that are read by the model at once, and chats
+// that read theirs only after three further stages.
+func Quotes() Setup {
+	note := []Stage{
+		{Pool: "stock", Pieces: 1, Bytes: 8 * kilobyte, WorkFactor: 0.3},
+		{Pool: "invoices", After: []int{0}, Pieces: 8, Bytes: 60 * kilobyte},
+		{Pool: "crews", After: []int{1}, Pieces: 16, Bytes: 6 * kilobyte},
+	}
+	chat := []Stage{
+		{Pool: "stock", Pieces: 1.5, Share: 0.4, Bytes: 3 * megabyte},
+		{Pool: "stock", Pieces: 1, Bytes: 8 * kilobyte, WorkFactor: 0.3},
+		{Pool: "invoices", After: []int{1}, Pieces: 8, Bytes: 60 * kilobyte},
+		{Pool: "crews", After: []int{2}, Pieces: 16, Bytes: 6 * kilobyte},
+	}
+	return Setup{
+		Domains: []id.FailureDomain{"a", "b", "c"}, Nodes: 1, SamePriority: true,
+		Pools: []Pool{
+			quotePool("stock", []int{1, 1, 1}, 8, 16*time.Millisecond, 42*megabyte),
+			quotePool("invoices", []int{2, 2, 1}, 22, 5800*time.Microsecond, 4*megabyte),
+			quotePool("crews", []int{2, 2, 1}, 46, 2800*time.Microsecond, 810*kilobyte),
+		},
+		Routes: []Route{
+			{
+				Name: "survey", Rate: 10.5, Objective: 1300 * time.Millisecond, Deadline: 6 * time.Second, Priority: 1, Value: 11000, Worth: 3.8,
+				ModelTime: 300 * time.Millisecond, Stages: []Stage{{Pool: "stock", Pieces: 2.5, Share: 0.7, Bytes: 3 * megabyte}},
+			},
+			{
+				Name: "note", Rate: 13, Objective: 1700 * time.Millisecond, Deadline: 6 * time.Second, Value: 3100, Worth: 2.1,
+				ModelTime: 100 * time.Millisecond, Stages: note,
+			},
+			{
+				Name: "chat", Rate: 13.2, Objective: 1600 * time.Millisecond, Deadline: 15 * time.Second, Priority: 2, Value: 9800, Worth: 0.47,
+				ModelTime: 100 * time.Millisecond, Stages: chat,
+			},
+		},
+	}
+}
+
 // ScaleUp multiplies the request rates and the number of servers by factor. It modifies s and returns it.
 func ScaleUp(s Setup, factor int) Setup {
 	for i := range s.Routes {
--- a/lab/stagesim/simulation.go
+++ b/lab/stagesim/simulation.go
@@ -42,7 +42,8 @@
 	Objective time.Duration // time by which a request should be answered
 	Deadline  time.Duration
 	Priority  int
-	Value     int           // size of a request in tokens, its weight in WeightedAttainment
+	Value     int           // size of a request in tokens
+	Worth     float64       // weight of a request in WeightedAttainment; 0 means Value
 	ModelTime time.Duration // from the end of the stages to the answer
 	Stages    []Stage
 }
@@ -60,17 +61,20 @@
 	Routes  []Route
 	Nodes   int // number of nodes, each of which schedules a share of the requests; 0 means 1
 	Options []batch.Option
+	Retries Retries
+	// SamePriority means that all callers have one priority, which overrides that of their routes.
+	SamePriority bool
 }
 
 // Outcomes counts requests by outcome. OnTime requests were answered within their objective, Late ones after it but before
-// their deadline, and Failed ones were not answered before their deadline.
+// their deadline, and Failed ones were not answered before their deadline. Refusals counts attempts.
 type Outcomes struct {
-	Arrived, OnTime, Late, Failed int
+	Arrived, OnTime, Late, Failed, Refusals int
 }
 
 // Add returns the sum of two counts.
 func (o Outcomes) Add(other Outcomes) Outcomes {
-	return Outcomes{o.Arrived + other.Arrived, o.OnTime + other.OnTime, o.Late + other.Late, o.Failed + other.Failed}
+	return Outcomes{o.Arrived + other.Arrived, o.OnTime + other.OnTime, o.Late + other.Late, o.Failed + other.Failed, o.Refusals + other.Refusals}
 }
 
 // Attainment returns the share of the ended requests that met their objective.
@@ -122,13 +126,15 @@
 	name      id.Node
 	scheduler *batch.Scheduler
 	wakeAt    time.Time // time of the pending tick, zero if there is none
+	killed    bool      // its process has ended: it handles no event and its messages are lost
 }
 
 // request is a request that has not ended.
 type request struct {
-	route   *Route
-	arrived time.Time
-	submit  batch.Submit
+	route    *Route
+	arrived  time.Time // first attempt
+	attempts int       // submitted so far
+	submit   batch.Submit
 
 	stagesDone bool
 }
@@ -205,13 +211,21 @@
 	sim.Now = end
 }
 
-// WeightedAttainment returns the share of the ended requests that met their objective, weighted by Route.Value.
+// weight returns the weight of a request in WeightedAttainment.
+func (r *Route) weight() float64 {
+	if r.Worth > 0 {
+		return r.Worth
+	}
+	return float64(r.Value)
+}
+
+// WeightedAttainment returns the share of the ended requests that met their objective, weighted by their worth.
 func (sim *Simulation) WeightedAttainment() float64 {
 	met, ended := 0.0, 0.0
 	for i := range sim.Routes {
-		outcomes, value := sim.Outcomes[sim.Routes[i].Name], float64(sim.Routes[i].Value)
-		met += value * float64(outcomes.OnTime)
-		ended += value * float64(outcomes.OnTime+outcomes.Late+outcomes.Failed)
+		outcomes, weight := sim.Outcomes[sim.Routes[i].Name], sim.Routes[i].weight()
+		met += weight * float64(outcomes.OnTime)
+		ended += weight * float64(outcomes.OnTime+outcomes.Late+outcomes.Failed)
 	}
 	return met / ended
 }
@@ -294,7 +308,11 @@
 		return
 	}
 	q.submit.Ticket, q.submit.Request, q.submit.Route, q.submit.Key = uint64(sim.lastTicket), name, r.Name, "k"
-	q.submit.Rest, q.submit.Priority, q.submit.Value = int64(r.ModelTime), uint32(r.Priority), uint64(r.Value)
+	q.submit.Rest, q.submit.Value = int64(r.ModelTime), uint64(r.Value)
+	q.submit.RoutePriority = uint32(r.Priority)
+	if !sim.SamePriority {
+		q.submit.Priority = uint32(r.Priority)
+	}
 	q.submit.Prefer = sim.Domains[sim.requestRand.IntN(len(sim.Domains))]
 	sim.submit(n, q)
 }
@@ -302,6 +320,7 @@
 // KillLeader restarts leader i, which loses its state, and makes node next the leader. The requests whose stages are not done
 // are submitted again, after failoverDelay.
 func (sim *Simulation) KillLeader(i, next int) {
+	sim.nodes[i].killed = true
 	sim.nodes[i] = sim.newNode(sim.nodes[i].name)
 	sim.SetLeader(next, true)
 	for _, name := range slices.Sorted(maps.Keys(sim.requests)) {
@@ -315,6 +334,7 @@
 // submit submits the stages of a request to a node.
 func (sim *Simulation) submit(n *node, q *request) {
 	age := sim.Now.Sub(q.arrived)
+	q.attempts++
 	q.submit.Left, q.submit.Aim = int64(q.route.Deadline-age), int64(q.route.Objective-age)
 	n.step(event.Receive{From: n.name, Body: q.submit})
 }
@@ -389,6 +409,9 @@
 
 // step passes an event to the scheduler of a node, executes the resulting actions and sets the next tick.
 func (n *node) step(ev event.Event) {
+	if n.killed {
+		return
+	}
 	for _, a := range n.scheduler.Step(n.sim.Now, ev) {
 		n.execute(a)
 	}
@@ -446,8 +469,7 @@
 		}
 	case batch.Failed:
 		if name, ok := sim.requestByTicket(b.Ticket); ok {
-			sim.outcomesOf(sim.requests[name]).Failed++
-			delete(sim.requests, name)
+			sim.refused(n, name, time.Duration(b.After))
 		}
 	}
 }
