upstream, platform: bytes without end, and late copies of stage answers

Shown by tests that failed first: - A second copy of an answer of a stage server, late, on a connection that was in use again, was taken for the answer to the next call: its pieces got the results of the pieces before (TestLateCopyOfStageAnswer). Status lines, headers, copies of other answers were bounded already. - Closing an answer whose short body stalls waited for it until the request's deadline, before another server could be tried (TestCloseOfStalledBody); 20 ms now. - A skipped body of exactly 1 MiB wrapped a nil error.

Ruled out: trailers and chunk lines, which net/http bounds.

--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -25,6 +25,10 @@
 	maxSkippedResponses = 4
 	// maxSkippedBodyBytes bounds the body of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
+	// maxInformational bounds the informational responses (1xx) before a response.
+	maxInformational = 8
+	// drainTimeout bounds how long Close waits for the rest of an unread body.
+	drainTimeout = 20 * time.Millisecond
 	// maxDrainBytes bounds the rest of an unread body that Close reads so that the connection can be reused.
 	maxDrainBytes = 4 << 10
 )
@@ -39,6 +43,9 @@
 	// AtMostOnce is set if the request must not run twice. Such a request reuses a connection only if it was idle for less
 	// than maxIdleAtMostOnce, so that no close by the server can be in flight.
 	AtMostOnce bool
+	// NewConn is set if the request needs a connection of its own, because its response cannot be told from a late copy of the
+	// response to an earlier request.
+	NewConn bool
 	// HeaderDeadline is the deadline for the response header, zero for none.
 	HeaderDeadline time.Time
 	// Matches reports whether a response belongs to this request. If it is nil, every response does.
@@ -65,12 +72,16 @@
 	stopAfterFunc  func() bool   // returned by the context.AfterFunc that closes conn when ctx ends
 	requestWritten chan struct{} // closed when the request has been written
 	ctx            context.Context
+	singleUse      bool // the connection is not reused
 	bodyComplete   bool // the body was read to its end
 }
 
 // Do sends a request and reads the response header. The context bounds the whole exchange, including the response body.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*ResponseReader, error) {
-	cn := c.getIdle(addr, req.AtMostOnce)
+	var cn *conn
+	if !req.NewConn {
+		cn = c.getIdle(addr, req.AtMostOnce)
+	}
 	reused := cn != nil
 	if !reused {
 		dialed, err := c.dial(ctx, addr)
@@ -79,7 +90,7 @@
 		}
 		cn = dialed
 	}
-	r := &ResponseReader{client: c, conn: cn, ctx: ctx, requestWritten: make(chan struct{})}
+	r := &ResponseReader{client: c, conn: cn, ctx: ctx, singleUse: req.NewConn, requestWritten: make(chan struct{})}
 	r.stopAfterFunc = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent, err := r.writeRequest(req)
 	if err == nil {
@@ -142,13 +153,16 @@
 	if !req.HeaderDeadline.IsZero() {
 		_ = r.conn.SetReadDeadline(req.HeaderDeadline)
 	}
-	for skipped := 0; ; {
+	for skipped, informational := 0, 0; ; {
 		r.conn.headerBytesLeft = maxHeaderBytes
 		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
 		if err != nil {
 			return fmt.Errorf("read response: %w", err)
 		}
 		if resp.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return errors.New("too many informational responses")
+			}
 			continue
 		}
 		r.conn.headerBytesLeft = int(^uint(0) >> 1)
@@ -160,9 +174,13 @@
 		if skipped++; skipped > maxSkippedResponses || resp.Close {
 			return errors.New("response to another request")
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil || n == maxSkippedBodyBytes {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
+		if err != nil {
 			return fmt.Errorf("response to another request: %w", err)
 		}
+		if n > maxSkippedBodyBytes {
+			return fmt.Errorf("response to another request is larger than %d bytes", maxSkippedBodyBytes)
+		}
 	}
 	if !req.HeaderDeadline.IsZero() {
 		_ = r.conn.SetReadDeadline(time.Time{})
@@ -185,15 +203,13 @@
 
 // Close ends the exchange. The connection is kept for reuse if the response was read to its end.
 func (r *ResponseReader) Close() error {
-	if !r.bodyComplete && r.ContentLength >= 0 && r.ContentLength <= maxDrainBytes && !r.Response.Close {
-		_, _ = io.CopyN(io.Discard, r, maxDrainBytes)
-	}
+	r.drain()
 	select {
 	case <-r.requestWritten:
 	default:
 		return r.abort() // the server responded before it had read the whole request
 	}
-	if !r.bodyComplete || r.Response.Close || !r.stopAfterFunc() || r.conn.br.Buffered() > 0 {
+	if r.singleUse || !r.bodyComplete || r.Response.Close || !r.stopAfterFunc() || r.conn.br.Buffered() > 0 {
 		return r.abort()
 	}
 	r.conn.idleTimeout = parseKeepAlive(r.Header.Get("Keep-Alive"))
@@ -201,6 +217,16 @@
 	return nil
 }
 
+// drain reads the rest of a short body, so that the connection can be reused.
+func (r *ResponseReader) drain() {
+	if r.bodyComplete || r.ContentLength < 0 || r.ContentLength > maxDrainBytes || r.Response.Close {
+		return
+	}
+	_ = r.conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.CopyN(io.Discard, r, maxDrainBytes) // on failure the connection is not reused
+	_ = r.conn.SetReadDeadline(time.Time{})
+}
+
 // abort closes the connection.
 func (r *ResponseReader) abort() error {
 	r.stopAfterFunc()
