batch: a node that was silent for a while is told of its dropped jobs

Cause: the leader drops the jobs of a node that it has not heard for a second. A node that was only paused, or cut off for less than it takes to follow another leader, waited for them until their deadline. Found while looking for machines whose work is given up because they were slow to report; TestSilentNode failed before. The leader now answers with Moved when it hears the node again, and the node submits the jobs once more. Ruled out: keeping the jobs instead, because most silent nodes are gone and their results take memory for seconds.

--- a/core/batch/handover_test.go
+++ b/core/batch/handover_test.go
@@ -108,8 +108,8 @@
 	})
 }
 
-// TestSilentNode guards against work for nodes that have ended or follow another leader, and against jobs that are dropped
-// although their node is alive.
+// TestSilentNode guards against work for nodes that have ended or follow another leader, against jobs that are dropped
+// although their node is alive, and against a node that was only silent for a while and waits for a job that was dropped.
 func TestSilentNode(t *testing.T) {
 	ping := func(from id.Node, incarnation id.Incarnation) event.Receive {
 		return event.Receive{From: from, Incarnation: incarnation, Body: leader.Ping{}}
@@ -129,6 +129,26 @@
 		g.Expect(h.OpenJobs()).To(BeZero())
 		g.Expect(h.failed).To(BeEmpty(), "the submitter is gone")
 	})
+	t.Run("heard again", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 0)
+		run(h, func() {})
+		g.Expect(h.moved).To(BeEmpty())
+		h.step(ping("g", ""))
+		g.Expect(h.moved).To(HaveKey(uint64(1)), "the submitter still waits for the job")
+		g.Expect(h.moved[1].Accepted).To(BeTrue())
+		clear(h.moved)
+		h.step(ping("g", ""))
+		g.Expect(h.moved).To(BeEmpty(), "told once")
+	})
+	t.Run("heard again after the deadline", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 0)
+		run(h, func() {})
+		h.advance(jobTimeout)
+		h.step(ping("g", ""))
+		g.Expect(h.moved).To(BeEmpty())
+	})
 	t.Run("heard", func(t *testing.T) {
 		g := NewWithT(t)
 		h := newHarness(t, 0)
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -51,9 +51,10 @@
 	jobs       map[jobKey]*job
 	calls      map[uint64]*call
 	lastCall   uint64
-	leader     id.Node // the leader that this node follows, empty for none
-	leadsSince time.Time
+	leader     id.Node   // the leader that this node follows, empty for none
+	leadsSince time.Time // when this node began to lead
 	submitters submitters
+	dropped    map[submitter][]droppedJob
 	deadlines  timerqueue.Heap[jobKey] // deadlines of jobs
 	admission  admission
 	lastStep   time.Time
@@ -96,7 +97,7 @@
 func New(self event.Self, servers serverSource, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		self: self, servers: servers, versions: allVersions{}, queues: map[id.Pool]*poolQueue{}, workers: map[id.Server]*worker{},
-		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, submitters: submitters{}, admission: newAdmission(),
+		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, submitters: submitters{}, dropped: map[submitter][]droppedJob{}, admission: newAdmission(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -130,6 +131,7 @@
 	switch ev := ev.(type) {
 	case event.Receive:
 		s.submitters.touch(now, ev)
+		s.notifyDropped(now, ev, &out)
 		s.receive(now, ev, &out)
 	case CallEnded:
 		s.callEnded(now, ev, &out)
--- a/core/batch/submitters.go
+++ b/core/batch/submitters.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,35 @@
 // submitters holds the time of the last message from each process with jobs on this node.
 type submitters map[submitter]time.Time
 
+// droppedJob is a job that was dropped because its submitter was silent.
+type droppedJob struct {
+	ticket   uint64
+	class    class
+	deadline time.Time
+}
+
+// notifyDropped tells a submitter that was silent for a while which of its jobs were dropped, so that it submits them again.
+func (s *Scheduler) notifyDropped(now time.Time, ev event.Receive, out *actions) {
+	sub := submitter{ev.From, ev.Incarnation}
+	jobs, ok := s.dropped[sub]
+	if !ok {
+		return
+	}
+	delete(s.dropped, sub)
+	for _, j := range jobs {
+		if now.Before(j.deadline) {
+			out.add(event.Send{To: sub.node, Body: Moved{Ticket: j.ticket, Leader: s.self.Node, Accepted: true, Class: uint32(j.class)}})
+		}
+	}
+}
+
+// forgetDropped removes the dropped jobs of submitters that have not returned before the deadline of any of them.
+func (s *Scheduler) forgetDropped(now time.Time) {
+	maps.DeleteFunc(s.dropped, func(_ submitter, jobs []droppedJob) bool {
+		return !slices.ContainsFunc(jobs, func(j droppedJob) bool { return now.Before(j.deadline) })
+	})
+}
+
 // touch records a message of a known submitter.
 func (m submitters) touch(now time.Time, ev event.Receive) {
 	key := submitter{ev.From, ev.Incarnation}
@@ -46,9 +76,10 @@
 	}
 }
 
-// dropSilent ends the jobs of silent submitters. They have ended or follow a leader that they can reach, so nobody waits
-// for the results.
+// dropSilent ends the jobs of silent submitters. Most of them have ended or follow a leader that they can reach, so that
+// nobody waits for the results; the others are told when they are heard again.
 func (s *Scheduler) dropSilent(now time.Time, out *actions) {
+	s.forgetDropped(now)
 	var silent []submitter
 	for sub, heard := range s.submitters {
 		if sub.node != s.self.Node && now.Sub(heard) > submitterTimeout {
@@ -63,7 +94,9 @@
 		count := 0
 		for _, key := range s.sortedJobs() {
 			if key.submitter == sub {
-				s.endJob(now, s.jobs[key])
+				j := s.jobs[key]
+				s.dropped[sub] = append(s.dropped[sub], droppedJob{key.ticket, j.class, j.deadline})
+				s.endJob(now, j)
 				count++
 			}
 		}
