--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -64,7 +64,6 @@
 	Fail        event.FailKind // 0 if the server responded
 	ServerError bool           // the response has a 5xx status
 	Took        time.Duration  // duration of the attempt
-	Began       bool           // part of the response was sent to the caller
 	Load        Load
 	LoadKnown   bool // Load is set
 	Moved       bool // a different server responded at the address
--- a/core/domain/commit.go
+++ b/core/domain/commit.go
@@ -57,7 +57,7 @@
 func (m *commitState) nextDeadline() time.Time { return m.due }
 
 func (s *Domains) handleCommand(now time.Time, t task) {
-	if t.domain == "" || len(t.domain) > maxNameLen || len(t.by) > maxNameLen || !s.known(t.domain) {
+	if t.domain == "" || len(t.domain) > maxNameLen || len(t.by) > maxNameLen {
 		s.refuse(t, event.ProblemInvalid, fmt.Sprintf("failure domain %.40q does not exist, or the operator's name has more than %d bytes", t.domain, maxNameLen))
 		return
 	}
--- a/core/domain/domain.go
+++ b/core/domain/domain.go
@@ -17,8 +17,8 @@
 const (
 	// watchersPerDomain is the number of nodes of a failure domain that watch the records, so that one may fail.
 	watchersPerDomain = 2
-	// defaultRampDuration is how long a restored domain counts as ramping up.
-	defaultRampDuration = 30 * time.Second
+	// rampDuration is how long a restored domain counts as ramping up.
+	rampDuration = 30 * time.Second
 	// defaultTimeout is how long a restore may take until it is answered.
 	defaultTimeout = 10 * time.Second
 	// provisionalAfter is how long a drain waits for the platform before it is accepted provisionally. A drain must
@@ -73,15 +73,9 @@
 // Option configures a Domains.
 type Option func(*Domains)
 
-// WithRamp sets how long a restored domain counts as ramping up.
-func WithRamp(d time.Duration) Option { return func(s *Domains) { s.rampDuration = d } }
-
 // WithTimeout sets how long a restore may wait for the platform before it is answered with an error.
 func WithTimeout(d time.Duration) Option { return func(s *Domains) { s.timeout = d } }
 
-// WithKnownDomains rejects commands for domains for which the function returns false.
-func WithKnownDomains(f func(id.FailureDomain) bool) Option { return func(s *Domains) { s.known = f } }
-
 // WithoutConditionalUpdate treats a version conflict as success. It exists to show that the tests notice the missing
 // mechanism.
 func WithoutConditionalUpdate() Option { return func(s *Domains) { s.noConditionalUpdate = true } }
@@ -97,9 +91,7 @@
 // Domains holds the states of all failure domains as known to one node.
 type Domains struct {
 	self                event.Self
-	rampDuration        time.Duration
 	timeout             time.Duration
-	known               func(id.FailureDomain) bool
 	noConditionalUpdate bool
 	noGossip            bool
 	noMerge             bool
@@ -143,9 +135,7 @@
 func New(self event.Self, opts ...Option) *Domains {
 	s := &Domains{
 		self:         self,
-		rampDuration: defaultRampDuration,
 		timeout:      defaultTimeout,
-		known:        func(id.FailureDomain) bool { return true },
 		records:      map[id.FailureDomain]Record{},
 		rampEnd:      map[id.FailureDomain]time.Time{},
 		announced:    map[id.FailureDomain]State{},
@@ -305,7 +295,7 @@
 		if start.After(now) {
 			start = now
 		}
-		if end := start.Add(s.rampDuration); end.After(now) {
+		if end := start.Add(rampDuration); end.After(now) {
 			s.rampEnd[r.Domain] = end
 		}
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -33,8 +33,7 @@
 type Server struct {
 	ID id.Server
 	Entry
-	coldUntil    time.Time
-	missingSince time.Time // time at which its entry was deleted, zero if it exists
+	coldUntil time.Time
 }
 
 // Cold reports whether the server can take requests only at its cold rate.
@@ -114,7 +113,7 @@
 	case watchcache.ObjectChanged:
 		out = f.handleObjectChanged(now, ev)
 	case watchcache.ObjectDeleted:
-		out = f.handleObjectDeleted(now, ev)
+		out = f.handleObjectDeleted(ev)
 	}
 	if next := f.Next(); !next.IsZero() && !now.Before(next) {
 		out = append(out, f.expire()...)
@@ -166,7 +165,6 @@
 	}
 	changed := !known || s.Draining != entry.Draining || restarted
 	s.Entry = entry
-	s.missingSince = time.Time{}
 	delete(f.missing, name)
 	s.coldUntil = time.Time{}
 	if entry.Cold > 0 {
@@ -224,7 +222,7 @@
 // handleObjectDeleted handles the deletion of an object. A server's entry may expire while the store is unreachable, and
 // a running server writes it again afterwards. Therefore, unless the deletion is settled or the server was draining, the
 // server stays until the store has been reachable for SettleTime.
-func (f *Fleet) handleObjectDeleted(now time.Time, ev watchcache.ObjectDeleted) []event.Action {
+func (f *Fleet) handleObjectDeleted(ev watchcache.ObjectDeleted) []event.Action {
 	switch ev.Kind {
 	case KindEvacuations:
 		f.evacuated.Delete(id.FailureDomain(ev.Name))
@@ -237,7 +235,6 @@
 		if ev.Settled || s.Draining {
 			return f.remove(s, "entry removed")
 		}
-		s.missingSince = now
 		f.missing[s.ID] = s
 	}
 	return nil
--- a/core/permit/permits.go
+++ b/core/permit/permits.go
@@ -51,7 +51,6 @@
 type Permits struct {
 	self         event.Self
 	startedAt    time.Time // time of the first call
-	now          time.Time
 	next         time.Time // earliest timer
 	dirty        bool      // next must be computed again
 	view         *member.View
@@ -291,12 +290,11 @@
 	return out
 }
 
-// setTime records the current time, and the start time at the first call.
+// setTime records the start time at the first call.
 func (p *Permits) setTime(now time.Time) {
 	if p.startedAt.IsZero() {
 		p.startedAt = now
 	}
-	p.now = now
 }
 
 func (p *Permits) thisProcess() Process { return Process{p.self.Node, p.self.Incarnation} }
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -60,7 +60,6 @@
 	inputs      []string
 	job         uint64    // ticket of its batch job, 0 for none
 	leader      id.Node   // schedules the job
-	submitted   time.Time // when the job was submitted
 	restarts    int       // how often its stages were submitted again
 	handovers   int       // how often its job was handed over to another leader
 	handover    *handover // progress of the job at the previous leader, nil for none
@@ -189,7 +188,7 @@
 	took := now.Sub(r.sent)
 	serverError := ev.Status >= http.StatusInternalServerError
 	g.balancer.End(now, r.server, r.sent, balance.Outcome{
-		Fail: ev.Fail, ServerError: serverError, Took: took, Began: ev.Began, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved,
+		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved,
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
--- a/core/proxy/stages.go
+++ b/core/proxy/stages.go
@@ -45,7 +45,7 @@
 // submitTo submits the stages of a request to a node.
 func (g *Gateway) submitTo(now time.Time, r *request, leader id.Node, out *actions) {
 	g.lastJob++
-	r.job, r.leader, r.submitted = g.lastJob, leader, now
+	r.job, r.leader = g.lastJob, leader
 	g.jobs[r.job] = r
 	g.timers.Set(r.stagesDeadline(), r.ticket)
 	s := batch.Submit{
--- a/core/quarantine/options.go
+++ b/core/quarantine/options.go
@@ -5,7 +5,6 @@
 type config struct {
 	banDuration     time.Duration
 	promiseDuration time.Duration
-	window          time.Duration
 	promiseTimeout  time.Duration
 	maxWait         time.Duration
 	gossipInterval  time.Duration
@@ -20,7 +19,6 @@
 	return config{
 		banDuration:     10 * time.Minute,
 		promiseDuration: 10 * time.Second, // the longest request deadline of 8 s, plus slack for its cancellation
-		window:          time.Second,
 		promiseTimeout:  300 * time.Millisecond,
 		maxWait:         4 * time.Second, // half of a request deadline; the attempt itself needs the other half
 		gossipInterval:  time.Second,
--- a/core/request/stage.go
+++ b/core/request/stage.go
@@ -37,14 +37,12 @@
 	version      id.Version
 	pool         id.Pool
 	stage        int
-	offset       int // tokens accepted from earlier attempts of the stage
 	startedAt    time.Time
 	lastOutputAt time.Time // startedAt until the first part of the stream arrives
 	timeoutAt    time.Time
 	load         int      // attempts of this node on the server, including this one
 	cold         bool     // the server was cold when the attempt was sent
 	start        id.Start // the server's start identity when the attempt was sent
-	hedge        bool
 }
 
 // beginStage starts the current stage. An action claims the idempotency key first.
@@ -77,7 +75,7 @@
 	if !r.chooseVersion(now, o, out) {
 		return
 	}
-	choice := r.dispatch(now, o, false, out)
+	choice := r.dispatch(now, o, out)
 	switch choice.Decision {
 	case route.Chosen:
 		o.phase = phaseRunning
@@ -165,7 +163,7 @@
 }
 
 // dispatch chooses a server for one attempt and sends it there.
-func (r *Requests) dispatch(now time.Time, o *openRequest, hedge bool, out *actions) route.Choice {
+func (r *Requests) dispatch(now time.Time, o *openRequest, out *actions) route.Choice {
 	s := o.currentStage()
 	r.lastAttempt++
 	attempt := r.lastAttempt
@@ -182,8 +180,8 @@
 	o.waitReason = ""
 	a := &attemptState{
 		attempt: attempt, request: o.arrival.Request, server: choice.Server.ID, addr: choice.Server.Addr, pool: s.Pool,
-		version: choice.Server.Version, stage: o.stage, offset: o.acceptedTokens,
-		startedAt: now, lastOutputAt: now, timeoutAt: o.deadline, load: r.deps.Router.InFlight(choice.Server.ID), start: choice.Server.Start, hedge: hedge,
+		version: choice.Server.Version, stage: o.stage,
+		startedAt: now, lastOutputAt: now, timeoutAt: o.deadline, load: r.deps.Router.InFlight(choice.Server.ID), start: choice.Server.Start,
 		cold: !r.deps.Router.Warm(choice.Server.ID),
 	}
 	if !o.isolatedUntil.IsZero() && o.isolatedUntil.Before(a.timeoutAt) {
@@ -232,7 +230,7 @@
 		return
 	}
 	o.avoid = append(o.avoid, o.attempts[0].server)
-	if r.dispatch(now, o, true, out).Decision == route.Chosen {
+	if r.dispatch(now, o, out).Decision == route.Chosen {
 		r.counters.Hedges++
 		out.log("hedge", o, string(o.attempts[1].server), "the first attempt is slow")
 	}
