--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -42,8 +42,8 @@
 	slowdown     float64 // average ratio of the measured to the expected time of its calls
 	failures     int     // consecutive
 	backoffUntil time.Time
-	usedBytes    int64 // bytes of the results that it keeps or is computing
-	foreign      foreignResults
+	usedBytes    int64          // bytes of the results that it keeps or is computing
+	foreign      foreignResults // memory that this node cannot account for
 	results      map[string]*result
 	pendingFree  []*result // to be freed with the next FreeResults
 	pendingSince time.Time // when the first of them was added, zero if there are none
--- a/core/capacity/flow.go
+++ b/core/capacity/flow.go
@@ -54,9 +54,9 @@
 
 // Arrive counts a job with its value and its demand.
 func (f *Flows) Arrive(now time.Time, key Key, value float64, demand map[id.Pool]Demand) {
-	fl, isNew := f.get(key)
+	fl := f.get(key)
 	gain := valueGain
-	if isNew {
+	if fl.arrivals.updatedAt.IsZero() {
 		gain = 1
 	}
 	fl.arrivals.count(now)
@@ -69,17 +69,17 @@
 	}
 }
 
-// get returns the flow of a key, and whether it was unknown before.
-func (f *Flows) get(key Key) (fl *flow, isNew bool) {
+// get returns the flow of a key.
+func (f *Flows) get(key Key) *flow {
 	i, found := f.find(key)
 	if !found {
-		fl = &flow{key: key, demand: map[id.Pool]Demand{}}
+		fl := &flow{key: key, demand: map[id.Pool]Demand{}}
 		for c := range fl.waiting {
 			fl.waiting[c] = map[id.Pool]Demand{}
 		}
 		f.flows = slices.Insert(f.flows, i, fl)
 	}
-	return f.flows[i], !found
+	return f.flows[i]
 }
 
 func (f *Flows) find(key Key) (int, bool) {
@@ -88,13 +88,13 @@
 
 // AcceptOnTime counts a job that was accepted to meet its objective.
 func (f *Flows) AcceptOnTime(now time.Time, key Key) {
-	fl, _ := f.get(key)
+	fl := f.get(key)
 	fl.onTime.count(now)
 }
 
 // AddWaiting adds pieces that wait for a worker.
 func (f *Flows) AddWaiting(key Key, class Class, pool id.Pool, d Demand) {
-	fl, _ := f.get(key)
+	fl := f.get(key)
 	fl.waiting[class][pool] = fl.waiting[class][pool].Add(d)
 }
 
--- a/core/capacity/flow_test.go
+++ b/core/capacity/flow_test.go
@@ -104,3 +104,16 @@
 		f.Ahead(start, capacity.Key{Route: "7"}, capacity.Late, "2")
 	}
 }
+
+// TestReturningFlow guards against a flow whose averages begin at zero, because it was forgotten while one of its jobs waited.
+func TestReturningFlow(t *testing.T) {
+	g := NewWithT(t)
+	var f capacity.Flows
+	d := capacity.Demand{Time: 20 * time.Millisecond}
+	now := arrive(&f, note, 10, d).Add(time.Minute)
+	f.ResetWaiting(now)
+	f.AddWaiting(note, capacity.OnTime, pool, d)
+	f.Arrive(now, note, jobValue, map[id.Pool]capacity.Demand{pool: d})
+	f.AcceptOnTime(now, note)
+	g.Expect(f.Ahead(now, note, capacity.Late, pool).Rate.Time).To(BeNumerically("~", 20*time.Millisecond, time.Microsecond))
+}
