--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -32,9 +32,6 @@
 	storeWatchers = 2
 	// settleTime is how long a starting node waits for the entries of nodes that start at the same time.
 	settleTime = 100 * time.Millisecond
-	// watchSettleTime is how long after that a node does not watch the store beside the leader: while the nodes of a fleet
-	// start and find each other, most of them rank among the first for a moment.
-	watchSettleTime = 1500 * time.Millisecond
 	// unseenNodes is the number of nodes that may have joined unnoticed. It is added to the known nodes when a global bound
 	// is divided among them.
 	unseenNodes = 3
@@ -89,8 +86,6 @@
 	ready          bool
 	settle         retry.Timer // set while the list of nodes may be incomplete
 	settled        bool        // the list of nodes is considered complete
-	watchSettle    retry.Timer // ends watchSettleTime
-	mayWatch       bool        // this node may watch the store beside the leader
 }
 
 // New returns a gateway that knows only its own node.
@@ -147,11 +142,6 @@
 	g.dispatch(now, ev, &out)
 	if g.settle.Due(now) {
 		g.settled = true
-		g.watchSettle.Set(now, watchSettleTime)
-		g.chooseSource(now)
-	}
-	if g.watchSettle.Due(now) {
-		g.mayWatch = true
 		g.chooseSource(now)
 	}
 	for g.timers.Due(now) {
@@ -246,7 +236,7 @@
 		g.settle.Set(now, settleTime)
 	}
 	rank, domainRank := g.leader.Rank(now)
-	g.cache.SetSource(now, g.leader.Leader(), g.mayWatch && (rank < storeWatchers || domainRank == 0))
+	g.cache.SetSource(now, g.leader.Leader(), g.settled && (rank < storeWatchers || domainRank == 0))
 }
 
 // loaded reports whether the node has loaded the objects that it needs to forward requests.
@@ -259,7 +249,7 @@
 
 // Next returns the time of the next timer, zero for none.
 func (g *Gateway) Next() time.Time {
-	times := []time.Time{g.timers.Next(), g.shutdown.nextPoll, g.settle.Next(), g.watchSettle.Next()}
+	times := []time.Time{g.timers.Next(), g.shutdown.nextPoll, g.settle.Next()}
 	for _, m := range g.modules {
 		times = append(times, m.Next())
 	}
--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -53,7 +53,7 @@
 	unconfirmedSince time.Time // since when the source has not confirmed that the store answers it, zero if it has
 	confirmedSince   time.Time // since when the source has confirmed it without interruption
 	nextPoll         time.Time
-	sourceDown       bool           // the source has replied that the store does not answer it any more
+	sourceDown       bool           // the source has replied that the store does not answer it
 	followsStore     bool           // this node follows the store itself
 	peerSettledAt    time.Time      // when a peer last reported that its kinds are settled
 	following        id.Set[string] // kinds with a Follow in effect
@@ -211,8 +211,7 @@
 	if from != c.source {
 		return out
 	}
-	// A source that has never confirmed it may be starting, like this node.
-	c.sourceDown = !reply.Up && (c.sourceDown || !c.confirmedSince.IsZero())
+	c.sourceDown = !reply.Up
 	switch {
 	case !reply.Up:
 		c.confirmedSince = time.Time{}
