mend: what a newcomer would read twice

The overload test compares with the best goodput at all smaller loads, also with -short, and no longer only with that at 1.5 times the load. No behaviour changes.

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -46,12 +46,12 @@
 	flows     capacity.Flows
 	countedAt time.Time // when the waiting pieces were last counted
 	pools     map[id.Pool]capacity.Pool
-	returns   returns
+	retries   retryTimes
 }
 
 // newAdmission returns the state before the first job.
 func newAdmission() admission {
-	return admission{pools: map[id.Pool]capacity.Pool{}, returns: returns{}}
+	return admission{pools: map[id.Pool]capacity.Pool{}, retries: retryTimes{}}
 }
 
 // flowKey returns the flow that a job belongs to.
@@ -89,7 +89,7 @@
 		s.countWaiting(j)
 		return 0, true
 	}
-	return s.admission.returns.reserve(now, key, excess, s.busyTime(demand)), false
+	return s.admission.retries.reserve(now, key, excess, s.busyTime(demand)), false
 }
 
 // reserveWait returns how long a pool takes for all on-time work, as if it could use only a part of its capacity for it. A job
@@ -225,16 +225,16 @@
 	}
 }
 
-// returns spreads the times at which rejected callers may retry, so that they do not return together.
-type returns map[capacity.Key]time.Time
+// retryTimes holds when the last rejected caller of each flow may retry, so that callers do not return together.
+type retryTimes map[capacity.Key]time.Time
 
-// reserve returns when the caller of a job may retry: not before the job could be accepted, and not while the pools are
-// busy with the jobs of the callers of the same flow that were rejected before. Each job keeps the pools busy for share.
-func (r returns) reserve(now time.Time, key capacity.Key, earliest, share time.Duration) time.Duration {
+// reserve returns after which time the caller of a job may retry: not before earliest, when the job could be accepted, and
+// not before the callers of its flow that were rejected earlier are served. The job keeps the pools busy for busy.
+func (r retryTimes) reserve(now time.Time, key capacity.Key, earliest, busy time.Duration) time.Duration {
 	maps.DeleteFunc(r, func(_ capacity.Key, at time.Time) bool { return at.Before(now) })
 	at := now.Add(min(maxRetryAfter, max(minRetryAfter, earliest)))
-	if last, ok := r[key]; ok && last.Add(share).After(at) {
-		at = last.Add(share)
+	if last, ok := r[key]; ok && last.Add(busy).After(at) {
+		at = last.Add(busy)
 	}
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
 		at = latest
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -54,8 +54,8 @@
 	leader     id.Node   // the leader that this node follows, empty for none
 	leadsSince time.Time // when this node began to lead
 	submitters submitters
-	dropped    map[submitter][]droppedJob
-	deadlines  timerqueue.Heap[jobKey] // deadlines of jobs
+	dropped    map[submitter][]droppedJob // of submitters that are silent
+	deadlines  timerqueue.Heap[jobKey]    // deadlines of jobs
 	admission  admission
 	lastStep   time.Time
 	sweepAt    time.Time // zero if there are no jobs, calls or results to free
@@ -238,7 +238,7 @@
 	s.advance(now, j, out)
 }
 
-// accept assigns a class to a new job, or rejects it if it cannot meet its deadline.
+// accept admits a new job, or tells its submitter that it is rejected.
 func (s *Scheduler) accept(now time.Time, j *job, out *actions) bool {
 	after, ok := s.admit(now, j)
 	if ok {
--- a/core/capacity/flow.go
+++ b/core/capacity/flow.go
@@ -88,8 +88,7 @@
 
 // AcceptOnTime counts a job that was accepted to meet its objective.
 func (f *Flows) AcceptOnTime(now time.Time, key Key) {
-	fl := f.get(key)
-	fl.onTime.count(now)
+	f.get(key).onTime.count(now)
 }
 
 // AddWaiting adds pieces that wait for a worker.
@@ -118,16 +117,14 @@
 	own := f.flows[i]
 	for _, fl := range f.flows {
 		before := fl.precedes(own, pool)
-		if before || fl == own || class == Late {
+		if class == Late { // the on-time work of all flows goes before it
 			q.Waiting = q.Waiting.Add(fl.waiting[OnTime][pool])
+			q.Rate = q.Rate.Add(fl.demand[pool].Scale(fl.onTime.at(now)))
 		}
-		if class == Late && (before || fl == own) {
-			q.Waiting = q.Waiting.Add(fl.waiting[Late][pool])
+		if before || fl == own {
+			q.Waiting = q.Waiting.Add(fl.waiting[class][pool])
 		}
-		switch {
-		case class == Late:
-			q.Rate = q.Rate.Add(fl.demand[pool].Scale(fl.onTime.at(now)))
-		case before:
+		if before && class == OnTime {
 			q.Rate = q.Rate.Add(fl.demand[pool].Scale(fl.arrivals.at(now)))
 		}
 	}
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -11,40 +11,26 @@
 	. "github.com/onsi/gomega"
 
 	"bluebellflow/core/event"
+	"bluebellflow/io/rawserver"
 	"bluebellflow/io/upstream"
 )
 
-// startEndless starts a server that answers a request with start, and then repeats filler until its connection is closed.
-func startEndless(t *testing.T, start, filler string) *rawServer {
+// startEndless starts a server that sends first, and then repeats filler until its connection is closed.
+func startEndless(t *testing.T, first, filler string) *rawserver.Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	s := &rawServer{listener: listener}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.conns.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				_, err := io.WriteString(conn, start)
-				for err == nil {
-					_, err = io.WriteString(conn, filler)
-				}
-			}()
+	return start(t, func(conn net.Conn) {
+		_, err := io.WriteString(conn, first)
+		for err == nil {
+			_, err = io.WriteString(conn, filler)
 		}
-	}()
-	return s
+	})
 }
 
 // TestEndlessHeader guards against a request that reads bytes which never become a response until its deadline, while the
 // server sends them as fast as it can.
 func TestEndlessHeader(t *testing.T) {
 	const maxDuration = exchangeTimeout / 2
-	cases := map[string]struct{ start, filler string }{
+	cases := map[string]struct{ first, filler string }{
 		"status line":             {"HTTP/1.1 ", "2"},
 		"reason":                  {"HTTP/1.1 200 ", "k"},
 		"header name":             {"HTTP/1.1 200 OK\r\n", "X"},
@@ -57,11 +43,11 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			s := startEndless(t, tc.start, tc.filler)
+			s := startEndless(t, tc.first, tc.filler)
 			c := upstream.New()
 			defer c.Close()
 			began := time.Now()
-			_, err := exchange(t, c, s.addr(), &upstream.Request{Matches: func(resp *http.Response) bool { return resp.Header.Get("Id") == "mine" }})
+			_, err := exchange(t, c, s.Addr(), &upstream.Request{Matches: func(resp *http.Response) bool { return resp.Header.Get("Id") == "mine" }})
 			g.Expect(failKind(g, err)).To(Equal(event.FailBroken))
 			g.Expect(time.Since(began)).To(BeNumerically("<", maxDuration))
 		})
@@ -73,25 +59,17 @@
 func TestCloseOfStalledBody(t *testing.T) {
 	const maxDuration = exchangeTimeout / 4
 	g := NewWithT(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
 	closed := make(chan struct{})
-	go func() {
+	s := start(t, func(conn net.Conn) {
 		defer close(closed)
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 10\r\n\r\nhalf")
 		_, _ = io.Copy(io.Discard, conn) // until the client closes
-		_ = conn.Close()
-	}()
+	})
 	c := upstream.New()
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	resp, err := c.Do(ctx, listener.Addr().(*net.TCPAddr).AddrPort(), &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+	resp, err := c.Do(ctx, s.Addr(), &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 	g.Expect(err).NotTo(HaveOccurred())
 	began := time.Now()
 	g.Expect(resp.Close()).To(Succeed())
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"bluebellflow/core/event"
+	"bluebellflow/io/rawserver"
 	"bluebellflow/io/upstream"
 )
 
@@ -25,36 +25,24 @@
 // exchangeTimeout bounds one exchange in these tests.
 const exchangeTimeout = 2 * time.Second
 
-// rawServer responds to each request on a connection with the next of its raw responses and closes the connection after
-// the last one.
-type rawServer struct {
-	listener net.Listener
-	conns    atomic.Int64
-}
-
-// startServer starts a server that sends the given responses on each connection.
-func startServer(t *testing.T, responses ...string) *rawServer {
+// start starts a server for a test.
+func start(t *testing.T, serve func(net.Conn)) *rawserver.Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawserver.Start(serve)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	s := &rawServer{listener: listener}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.conns.Add(1)
-			go serveConn(conn, responses)
-		}
-	}()
+	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
 
+// startServer starts a server that responds to each request on a connection with the next of its raw responses and closes
+// the connection after the last one.
+func startServer(t *testing.T, responses ...string) *rawserver.Server {
+	t.Helper()
+	return start(t, func(conn net.Conn) { serveConn(conn, responses) })
+}
+
 // serveConn reads requests from a connection and responds to each with the next of the raw responses.
 func serveConn(conn net.Conn, responses []string) {
-	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
 	for _, raw := range responses {
 		req, err := http.ReadRequest(br)
@@ -68,8 +56,6 @@
 	}
 }
 
-func (s *rawServer) addr() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
-
 // exchange sends a request and returns the body of the response.
 func exchange(t *testing.T, c *upstream.Client, addr netip.AddrPort, req *upstream.Request) (string, error) {
 	t.Helper()
@@ -118,11 +104,11 @@
 			g := NewWithT(t)
 			s := startServer(t, tc.responses...)
 			if tc.gone {
-				_ = s.listener.Close()
+				_ = s.Close()
 			}
 			c := upstream.New()
 			defer c.Close()
-			_, err := exchange(t, c, s.addr(), &upstream.Request{})
+			_, err := exchange(t, c, s.Addr(), &upstream.Request{})
 			g.Expect(failKind(g, err)).To(Equal(tc.want))
 		})
 	}
@@ -147,7 +133,7 @@
 		s := startServer(t, otherResponse+ownResponse)
 		c := upstream.New()
 		defer c.Close()
-		body, err := exchange(t, c, s.addr(), &upstream.Request{Matches: matches})
+		body, err := exchange(t, c, s.Addr(), &upstream.Request{Matches: matches})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(body).To(Equal("fine"))
 	})
@@ -156,7 +142,7 @@
 		s := startServer(t, strings.Repeat(otherResponse, 10))
 		c := upstream.New()
 		defer c.Close()
-		_, err := exchange(t, c, s.addr(), &upstream.Request{Matches: matches})
+		_, err := exchange(t, c, s.Addr(), &upstream.Request{Matches: matches})
 		g.Expect(failKind(g, err)).To(Equal(event.FailBroken))
 	})
 	t.Run("after the response", func(t *testing.T) {
@@ -165,11 +151,11 @@
 		c := upstream.New()
 		defer c.Close()
 		for range 2 {
-			body, err := exchange(t, c, s.addr(), &upstream.Request{Matches: matches})
+			body, err := exchange(t, c, s.Addr(), &upstream.Request{Matches: matches})
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(body).To(Equal("fine"))
 		}
-		g.Expect(s.conns.Load()).To(Equal(int64(2)), "a connection with unread bytes is not reused")
+		g.Expect(s.Conns()).To(Equal(int64(2)), "a connection with unread bytes is not reused")
 	})
 }
 
@@ -197,11 +183,11 @@
 				if i > 0 {
 					time.Sleep(tc.wait)
 				}
-				body, err := exchange(t, c, s.addr(), &upstream.Request{AtMostOnce: tc.once})
+				body, err := exchange(t, c, s.Addr(), &upstream.Request{AtMostOnce: tc.once})
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(body).To(Equal("fine"))
 			}
-			g.Expect(s.conns.Load()).To(Equal(tc.want))
+			g.Expect(s.Conns()).To(Equal(tc.want))
 		})
 	}
 }
--- a/lab/stagesim/quotes_test.go
+++ b/lab/stagesim/quotes_test.go
@@ -23,18 +23,20 @@
 	t.Logf("  weighted attainment %.3f", sim.WeightedAttainment())
 }
 
-// loaded simulates quotes with a multiple of the usual load from the fourth second on.
-func loaded(factor float64, retries stagesim.Retries, faults func(*stagesim.Simulation)) *stagesim.Simulation {
+// runQuotes simulates quotes whose callers return as given, with faults.
+func runQuotes(retries stagesim.Retries, faults func(*stagesim.Simulation)) *stagesim.Simulation {
 	s := stagesim.Quotes()
 	s.Retries = retries
-	return run(s, func(sim *stagesim.Simulation) {
-		for _, r := range s.Routes {
+	return run(s, faults)
+}
+
+// loaded simulates quotes with a multiple of the usual load from the fourth second on.
+func loaded(factor float64, retries stagesim.Retries) *stagesim.Simulation {
+	return runQuotes(retries, func(sim *stagesim.Simulation) {
+		for _, r := range sim.Routes {
 			sim.Burst(r.Name, factor, 4*time.Second, runLength)
 		}
 		sim.At(6*time.Second, sim.ResetOutcomes)
-		if faults != nil {
-			faults(sim)
-		}
 	})
 }
 
@@ -62,20 +64,17 @@
 // ones are answered.
 func TestSustainedOverload(t *testing.T) {
 	const minGoodputShare = 0.95
-	factors := []float64{3, 2}
-	if testing.Short() {
-		factors = factors[:1]
-	}
 	for kind, retries := range retryKinds {
 		t.Run(kind, func(t *testing.T) {
-			atCapacity := loaded(1.5, retries, nil)
-			for _, factor := range factors {
+			best := goodput(loaded(1.5, retries)) // at smaller loads
+			for _, factor := range []float64{2, 3} {
 				t.Run(fmt.Sprintf("%g times the load", factor), func(t *testing.T) {
-					sim := loaded(factor, retries, nil)
+					sim := loaded(factor, retries)
 					logOutcomes(t, kind, sim)
 					logRoutes(t, sim)
-					NewWithT(t).Expect(goodput(sim)).To(BeNumerically(">=", minGoodputShare*goodput(atCapacity)), "goodput")
+					NewWithT(t).Expect(goodput(sim)).To(BeNumerically(">=", minGoodputShare*best), "goodput")
 					expectUrgentFirst(t, sim)
+					best = max(best, goodput(sim))
 				})
 			}
 		})
@@ -89,9 +88,7 @@
 	const minAttainment = 0.7 // weighted; the pool has a third of its servers
 	for kind, retries := range retryKinds {
 		t.Run(kind, func(t *testing.T) {
-			s := stagesim.Quotes()
-			s.Retries = retries
-			sim := run(s, func(sim *stagesim.Simulation) {
+			sim := runQuotes(retries, func(sim *stagesim.Simulation) {
 				sim.Burst("survey", 2.4, 4*time.Second, 10*time.Second)
 				sim.Burst("note", 2.4, 14*time.Second, 20*time.Second)
 				sim.Crash("stock", 2, 2*time.Second, runLength, false)
@@ -109,9 +106,7 @@
 func TestRecoveryWithLargeResults(t *testing.T) {
 	for kind, retries := range retryKinds {
 		t.Run(kind, func(t *testing.T) {
-			s := stagesim.Quotes()
-			s.Retries = retries
-			sim := run(s, func(sim *stagesim.Simulation) {
+			sim := runQuotes(retries, func(sim *stagesim.Simulation) {
 				sim.Burst("survey", 2, 6*time.Second, 11*time.Second)
 				sim.Crash("stock", 1, 6*time.Second, 5*time.Second, false)
 				sim.At(13*time.Second, sim.ResetOutcomes)
--- a/lab/stagesim/retry.go
+++ b/lab/stagesim/retry.go
@@ -1,7 +1,6 @@
 package stagesim
 
 import (
-	"fmt"
 	"time"
 
 	"bluebellflow/core/id"
@@ -56,9 +55,8 @@
 		return
 	}
 	sim.after(delay, func() {
-		sim.lastTicket++
+		q.submit.Request = sim.nextName(q.route)
 		q.submit.Ticket = uint64(sim.lastTicket)
-		q.submit.Request = id.Request(fmt.Sprintf("%s-%d", q.route.Name, sim.lastTicket))
 		q.submit.PreAccepted, q.submit.Made = false, nil
 		sim.requests[q.submit.Request] = q
 		if sim.leader >= 0 {
--- a/lab/stagesim/simulation.go
+++ b/lab/stagesim/simulation.go
@@ -280,10 +280,15 @@
 	})
 }
 
+// nextName returns the name of a new attempt, whose ticket is lastTicket.
+func (sim *Simulation) nextName(r *Route) id.Request {
+	sim.lastTicket++
+	return id.Request(fmt.Sprintf("%s-%d", r.Name, sim.lastTicket))
+}
+
 // arrive submits a request to one of the nodes.
 func (sim *Simulation) arrive(r *Route) {
-	sim.lastTicket++
-	name := id.Request(fmt.Sprintf("%s-%d", r.Name, sim.lastTicket))
+	name := sim.nextName(r)
 	q := &request{route: r, arrived: sim.Now}
 	hasPieces := false
 	for _, s := range r.Stages {
