gateway: log the requests that are cut when a node exits

The logs could not tell whether a request without an answer had been read too late, was still undecided, or was with a server. A node now logs each request whose connection it closes at its exit, with its progress, and counts them in requests_unanswered.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -45,6 +45,7 @@
 	}
 	x.server.dialect.SetRequestHeaders(req.Header, f, time.Until(f.Until))
 	x.server.vars.Add("forwarded", 1)
+	x.progress.Store(int32(forwarded))
 	reader, err := x.server.client.Do(ctx, f.Server.Addr, req)
 	if err != nil {
 		cancel()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -153,6 +153,40 @@
 	return len(s.inProgress)
 }
 
+// progress is how far the gateway has got with a request.
+type progress int32
+
+const (
+	reading   progress = iota // its head or body is being read
+	undecided                 // the decision logic has not chosen a server yet
+	forwarded                 // it was sent to a server
+)
+
+// String returns the name of the progress in log lines.
+func (p progress) String() string { return [...]string{"reading", "undecided", "forwarded"}[p] }
+
+// OpenRequest describes a request in progress.
+type OpenRequest struct {
+	Name     id.Request // empty if it is not known yet
+	Progress string
+	Age      time.Duration
+}
+
+// OpenRequests returns the requests in progress.
+func (s *Server) OpenRequests() []OpenRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []OpenRequest
+	for _, x := range s.inProgress {
+		r := OpenRequest{Progress: progress(x.progress.Load()).String(), Age: time.Since(x.start)}
+		if r.Progress != reading.String() {
+			r.Name = x.info.Name
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // exchange is a caller's request in progress.
 type exchange struct {
 	server          *Server
@@ -165,6 +199,7 @@
 	held            *response
 	responseStarted bool // the response to the caller has begun
 	start           time.Time
+	progress        atomic.Int32 // a progress
 }
 
 // recordLatency adds the time since the request arrived to a histogram.
@@ -176,7 +211,8 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{server: s, w: w, r: r, actions: make(chan event.Action, actionQueueSize), start: time.Now()}
+	x := s.open(w, r)
+	defer s.remove(x.ticket)
 	if status, err := x.readRequest(); err != nil {
 		s.vars.Add("requests_rejected", 1)
 		if r.Context().Err() == nil {
@@ -185,15 +221,23 @@
 		return
 	}
 	x.info.Fingerprint = requestFingerprint(r, x.body)
-	x.ticket = proxy.Ticket(s.lastTicket.Add(1))
-	s.mu.Lock()
-	s.inProgress[x.ticket] = x
-	s.mu.Unlock()
-	defer s.remove(x.ticket)
+	x.progress.Store(int32(undecided))
 	s.deliver(proxy.Arrive{Ticket: x.ticket, RequestInfo: x.info})
 	x.serve()
 }
 
+// open returns an exchange that is in progress.
+func (s *Server) open(w http.ResponseWriter, r *http.Request) *exchange {
+	x := &exchange{
+		server: s, ticket: proxy.Ticket(s.lastTicket.Add(1)), w: w, r: r,
+		actions: make(chan event.Action, actionQueueSize), start: time.Now(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inProgress[x.ticket] = x
+	return x
+}
+
 func (s *Server) remove(t proxy.Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -77,12 +77,16 @@
 	server      *Server
 	client      *upstream.Client
 	workers     Workers
+	logger      *log.Logger
 	httpServers []*httpServer
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
 func NewNode(cfg Config) (*Node, error) {
-	n := &Node{vars: new(expvar.Map)}
+	n := &Node{vars: new(expvar.Map), logger: cfg.Logger}
+	if n.logger == nil {
+		n.logger = log.New(io.Discard)
+	}
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Self.Addr))
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
@@ -146,9 +150,18 @@
 		}
 		n.httpServers = append(n.httpServers, s)
 	}
+	n.httpServers[0].beforeClose = n.logUnanswered
 	return nil
 }
 
+// logUnanswered logs the requests whose connections are about to be closed without a response.
+func (n *Node) logUnanswered() {
+	for _, r := range n.server.OpenRequests() {
+		n.vars.Add("requests_unanswered", 1)
+		n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
+	}
+}
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = io.WriteString(w, n.vars.String()+"\n")
@@ -211,9 +224,10 @@
 
 // httpServer is an HTTP server with its listener.
 type httpServer struct {
-	server   *http.Server
-	listener net.Listener
-	stopped  chan struct{} // closed at the end of stop
+	server      *http.Server
+	listener    net.Listener
+	stopped     chan struct{} // closed at the end of stop
+	beforeClose func()        // called if stop closes connections in use, nil for none
 }
 
 func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop) (*httpServer, error) {
@@ -244,7 +258,11 @@
 	defer close(s.stopped)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	if s.server.Shutdown(ctx) != nil {
-		_ = s.server.Close()
+	if s.server.Shutdown(ctx) == nil {
+		return
+	}
+	if s.beforeClose != nil {
+		s.beforeClose()
 	}
+	_ = s.server.Close()
 }
