proxy: a stopping node refuses requests that cannot end before its exit

Callers of a node that was being stopped got neither a complete response nor a refusal: the node took requests for 3 s after the signal and went on sending requests to servers, and cut what was still running when its grace period ended.

The node now measures how long requests of a route take. A request that arrives is refused with a short Retry-After if it would rarely end in time, and one that waits as soon as a run would not fit; after the listener was closed every arrival is refused. The listener closes after 2.5 s, since the load balancer takes a node out after two misses at one second.

--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -76,16 +76,16 @@
 	coldLimiter  *ratelimit.ColdLimiter
 	modules      []module
 
-	catalog        *catalog.Catalog
-	requests       map[Ticket]*request
-	jobs           map[uint64]*request // by the ticket of the batch job that runs their stages
-	lastJob        uint64              // starts at random, because replies to the previous process may still arrive
-	timers         timerqueue.Heap[Ticket]
-	firstByteTimes map[string]time.Duration // by route: smoothed time to the first part of a response
-	shutdown       shutdown
-	ready          bool
-	settle         retry.Timer // set while the list of nodes may be incomplete
-	settled        bool        // the list of nodes is considered complete
+	catalog   *catalog.Catalog
+	requests  map[Ticket]*request
+	jobs      map[uint64]*request // by the ticket of the batch job that runs their stages
+	lastJob   uint64              // starts at random, because replies to the previous process may still arrive
+	timers    timerqueue.Heap[Ticket]
+	durations map[string]*routeDurations // by route
+	shutdown  shutdown
+	ready     bool
+	settle    retry.Timer // set while the list of nodes may be incomplete
+	settled   bool        // the list of nodes is considered complete
 }
 
 // New returns a gateway that knows only its own node.
@@ -99,7 +99,7 @@
 		retryLimiter: ratelimit.NewRetryLimiter(bounds.Retries),
 		crashGuard:   denylist.New(self),
 		coldLimiter:  ratelimit.NewColdLimiter(self.Node, unseenNodes),
-		requests:     map[Ticket]*request{}, jobs: map[uint64]*request{}, firstByteTimes: map[string]time.Duration{},
+		requests:     map[Ticket]*request{}, jobs: map[uint64]*request{}, durations: map[string]*routeDurations{},
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter)
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -113,6 +113,10 @@
 		g.sendRefusal(r, http.StatusServiceUnavailable, left, fmt.Sprintf("the request crashes servers, print=%016x", uint64(r.crashKey)), out)
 		return
 	}
+	if g.rejectsArrival(now, r) {
+		g.sendRefusal(r, http.StatusServiceUnavailable, shutdownRetryAfter, shutdownReason, out)
+		return
+	}
 	r.deadline = now.Add(patience)
 	r.objectiveAt = now.Add(r.route.LatencyObjective)
 	g.requests[r.ticket] = r
@@ -154,6 +158,10 @@
 		g.giveUp(now, r, "not enough time left", out)
 		return
 	}
+	if g.stopsBeforeResponse(now, r) {
+		g.refuse(r, http.StatusServiceUnavailable, shutdownRetryAfter, shutdownReason, out)
+		return
+	}
 	s, reason := g.pickServer(now, r)
 	if s == nil {
 		if now.Sub(r.placingSince) >= maxPlaceWait || r.mayHaveRun {
@@ -198,6 +206,7 @@
 		g.crashGuard.RecordResponse(r.crashKey)
 	}
 	if ev.Fail == 0 && !ev.Held {
+		g.recordDurations(now, r)
 		g.finish(r, ev.Status < http.StatusBadRequest, out)
 		return
 	}
@@ -311,7 +320,7 @@
 	}
 	r.began = true
 	g.balancer.ResponseStarted(r.server, r.sent)
-	g.recordFirstByte(r.route.Name, now.Sub(r.sent))
+	g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
 	if r.route.Kind == catalog.Stream {
 		g.rollouts.Observe(now, r.pool.Name, r.version, g.sample(r, now.Sub(r.sent)))
 	}
@@ -334,15 +343,6 @@
 	}
 }
 
-// recordFirstByte updates the smoothed time to the first part of a response of a route.
-func (g *Gateway) recordFirstByte(route string, took time.Duration) {
-	old, ok := g.firstByteTimes[route]
-	if !ok {
-		old = took
-	}
-	g.firstByteTimes[route] = old + (took-old)/8
-}
-
 // hasStages reports whether a request has stages that run before it.
 func (g *Gateway) hasStages(r *request) bool {
 	return slices.ContainsFunc(r.Pieces, func(n int) bool { return n > 0 })
--- a/core/proxy/stages.go
+++ b/core/proxy/stages.go
@@ -70,14 +70,6 @@
 		event.Send{To: leader, Body: s})
 }
 
-// expectedFirstByte returns the expected time to the first part of a response of a route.
-func (g *Gateway) expectedFirstByte(route string) time.Duration {
-	if d, ok := g.firstByteTimes[route]; ok {
-		return d
-	}
-	return defaultFirstByte
-}
-
 // retrySubmit submits a request that has no job, because there was no leader or its job was handed over.
 func (g *Gateway) retrySubmit(now time.Time, r *request, out *actions) {
 	if r.job == 0 {
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -11,16 +11,19 @@
 )
 
 const (
-	// balancerLag is how long the platform's load balancer may still send callers to a node that is not ready.
-	balancerLag = 3 * time.Second
+	// balancerLag is how long the platform's load balancer may still send callers to a node that is not ready: it asks once
+	// a second, and takes a node out after two misses.
+	balancerLag = 2500 * time.Millisecond
 	// shutdownPollInterval is how often a stopping node checks whether its last request has ended.
 	shutdownPollInterval = 50 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the last responses when the node exits.
 	exitMargin = 300 * time.Millisecond
-	// refuseMargin is the part of the grace period that is left when requests that no server has received are refused.
+	// refuseMargin is the least part of the grace period in which a request is still sent to a server.
 	refuseMargin = 800 * time.Millisecond
 	// shutdownRetryAfter is the Retry-After of these requests; another node will serve them.
 	shutdownRetryAfter = 100 * time.Millisecond
+	// shutdownReason is the reason of these refusals in the log.
+	shutdownReason = "this node stops"
 )
 
 // shutdown is the state of a graceful shutdown.
@@ -72,23 +75,38 @@
 	return out
 }
 
-// advanceShutdown closes the listener after balancerLag, and refuses waiting requests at the end of the grace period.
+// advanceShutdown closes the listener after balancerLag, and refuses waiting requests that could not end in time.
 func (g *Gateway) advanceShutdown(now time.Time, out *actions) {
-	since := now.Sub(g.shutdown.began)
-	if since >= balancerLag && !g.shutdown.closed {
+	if now.Sub(g.shutdown.began) >= balancerLag && !g.shutdown.closed {
 		g.shutdown.closed = true
 		out.add(Close{})
 	}
-	if since < g.bounds.Grace-refuseMargin {
-		return
-	}
 	for _, t := range slices.Sorted(maps.Keys(g.requests)) {
-		if r := g.requests[t]; r.phase != running && !r.mayHaveRun {
-			g.refuse(r, http.StatusServiceUnavailable, shutdownRetryAfter, "this node stops", out)
+		if r := g.requests[t]; r.phase != running && g.stopsBeforeResponse(now, r) {
+			g.refuse(r, http.StatusServiceUnavailable, shutdownRetryAfter, shutdownReason, out)
 		}
 	}
 }
 
+// rejectsArrival reports whether a stopping node refuses a request that arrives now, because it would not end in time.
+func (g *Gateway) rejectsArrival(now time.Time, r *request) bool {
+	total := g.durationsOf(r.route.Name).total
+	return g.shutdown.closed || g.stopsWithin(now, total.mean+maxDeviations*total.deviation)
+}
+
+// stopsBeforeResponse reports whether the node stops before a request that no server has run would end if it were sent to
+// a server now. The limit is lower than for an arrival, because its stages would have to run again.
+func (g *Gateway) stopsBeforeResponse(now time.Time, r *request) bool {
+	response := g.durationsOf(r.route.Name).response
+	return !r.mayHaveRun && g.stopsWithin(now, max(refuseMargin-exitMargin, response.mean+response.deviation))
+}
+
+// stopsWithin reports whether the node exits earlier than d from now.
+func (g *Gateway) stopsWithin(now time.Time, d time.Duration) bool {
+	exitAt := g.shutdown.began.Add(g.bounds.Grace - exitMargin)
+	return !g.shutdown.began.IsZero() && now.Add(d).After(exitAt)
+}
+
 // shutdownDone reports whether a stopping node has no work left, or no time.
 func (g *Gateway) shutdownDone(now time.Time) bool {
 	since := now.Sub(g.shutdown.began)
