gateway: a node that exits answers every request that it has read

A caller whose request was read while its node exited got the end of the connection, up to 300 ms later, and neither an answer nor a refusal. The decision to exit was taken from the requests that the decision logic knew; one that the HTTP server was reading, or whose arrival was queued when the event loop ended, was not among them, and nobody decided about it afterwards.

The node now exits when no connection of a caller is open, or at the end of the grace period. After the event loop has ended, the HTTP server refuses each request for which no server was chosen, and answers 502 where one may have run it.

TestStop now also asserts that an open connection holds up the exit.

--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -157,6 +157,8 @@
 		g.handleArrive(now, ev, out)
 	case Disconnected:
 		g.handleDisconnect(now, ev.Ticket, out)
+	case Closed:
+		g.shutdown.idle = true
 	case Began:
 		g.handleBegan(now, ev.Ticket, out)
 	case Ended:
--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -424,6 +424,8 @@
 	h.end(ticket, proxy.Result{Status: 200})
 	h.g.Expect(actionsOf[event.Exit](h)).To(BeEmpty(), "one request is open")
 	h.end(ticket+1, proxy.Result{Status: 200})
+	h.g.Expect(actionsOf[event.Exit](h)).To(BeEmpty(), "a connection is open, on which another request may be read")
+	h.step(proxy.Closed{})
 	onlyAction[event.Exit](h)
 }
 
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -45,6 +45,8 @@
 		event.In
 		Ticket Ticket
 	}
+	// Closed reports that Close has been carried out: all connections of callers are closed.
+	Closed struct{ event.In }
 	// Began reports that the first part of the server's response has been sent to the caller.
 	Began struct {
 		event.In
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -31,13 +31,14 @@
 	began    time.Time // zero if the node is not stopping
 	nextPoll time.Time
 	closed   bool // no new connections are accepted
+	idle     bool // no connection is open
 	exited   bool
 }
 
 type (
 	// Drain tells the HTTP server to close connections after their next response.
 	Drain struct{ event.Out }
-	// Close tells the HTTP server to accept no new connections and to close idle ones.
+	// Close tells the HTTP server to accept no new connections and to close each one as soon as it is idle. Closed follows.
 	Close struct{ event.Out }
 )
 
@@ -113,5 +114,5 @@
 	if since >= g.bounds.Grace-exitMargin {
 		return true
 	}
-	return since >= balancerLag && len(g.requests) == 0 && g.scheduler.ActiveCalls() == 0 && g.scheduler.OpenJobs() == 0
+	return g.shutdown.idle && len(g.requests) == 0 && g.scheduler.ActiveCalls() == 0 && g.scheduler.OpenJobs() == 0
 }
--- a/core/proxy/stop_test.go
+++ b/core/proxy/stop_test.go
@@ -84,6 +84,7 @@
 		h.arrive("look", nil) // on a connection that was accepted before
 		h.expectRefused("the node is about to exit")
 		h.end(ticket, proxy.Result{Status: http.StatusOK})
+		h.step(proxy.Closed{})
 		onlyAction[event.Exit](h)
 	})
 }
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -66,6 +66,7 @@
 	if errors.As(err, &failure) {
 		res.Fail = failure.Kind
 	}
+	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
 	res.Began = x.responseStarted
 	x.server.deliver(proxy.Ended{Ticket: x.ticket, Result: res})
 	return false
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -30,6 +30,8 @@
 	defaultMaxBodyBytes = 1 << 20
 	// writeTimeout is the time limit for one write to a caller.
 	writeTimeout = 5 * time.Second
+	// stopRetryAfter is the Retry-After of requests that a stopped server refuses; another node will serve them.
+	stopRetryAfter = 100 * time.Millisecond
 	// actionQueueSize is the maximum number of queued actions for one request.
 	actionQueueSize = 8
 )
@@ -70,8 +72,9 @@
 	ready      atomic.Bool
 	draining   atomic.Bool
 	lastTicket atomic.Uint64
-	idleConns  *idleConns
+	conns      *conns
 	latency    latencies
+	stopped    chan struct{} // closed by Stop
 
 	mu         sync.Mutex
 	inProgress map[proxy.Ticket]*exchange
@@ -87,7 +90,7 @@
 func New(dialect Dialect, client *upstream.Client, deliver func(event.Event), opts ...Option) *Server {
 	s := &Server{
 		dialect: dialect, client: client, deliver: deliver, vars: new(expvar.Map),
-		inProgress: map[proxy.Ticket]*exchange{}, idleConns: newIdleConns(),
+		inProgress: map[proxy.Ticket]*exchange{}, conns: newConns(), stopped: make(chan struct{}),
 	}
 	s.limits.Store(&catalog.Limits{BodyBytes: defaultMaxBodyBytes})
 	for _, o := range opts {
@@ -109,6 +112,10 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
+// Stop tells the server that no more decisions will come: requests for which no server was chosen are refused from now on.
+// It must be called only once.
+func (s *Server) Stop() { close(s.stopped) }
+
 // Execute passes an action to the request that it concerns, or applies it to the server.
 func (s *Server) Execute(a event.Action) error {
 	switch a := a.(type) {
@@ -122,7 +129,7 @@
 		s.sendAction(a.Ticket, a)
 	case proxy.Limit:
 		s.limits.Store(&a.Limits)
-		s.idleConns.setTimeout(a.Limits.IdleTime)
+		s.conns.setTimeout(a.Limits.IdleTime)
 	case proxy.Drain:
 		s.draining.Store(true)
 	default:
@@ -197,6 +204,7 @@
 	body            []byte
 	actions         chan event.Action
 	held            *response
+	mayHaveRun      bool // a server may have run it
 	responseStarted bool // the response to the caller has begun
 	start           time.Time
 	progress        atomic.Int32 // a progress
@@ -305,7 +313,29 @@
 			if x.execute(a) {
 				return
 			}
+		case <-x.server.stopped:
+			x.end()
+			return
+		}
+	}
+}
+
+// end ends an exchange about which no more decisions will come, with the last decision if there is one.
+func (x *exchange) end() {
+	select {
+	case a := <-x.actions:
+		if _, forward := a.(proxy.Forward); !forward && x.execute(a) {
+			return
 		}
+	default:
+	}
+	switch {
+	case x.held != nil:
+		x.sendHeld()
+	case x.mayHaveRun:
+		x.refuse(proxy.Refuse{Status: http.StatusBadGateway})
+	default:
+		x.refuse(proxy.Refuse{Status: http.StatusServiceUnavailable, After: stopRetryAfter})
 	}
 }
 
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -134,7 +134,7 @@
 		handler http.Handler
 		state   func(net.Conn, http.ConnState)
 	}{
-		{"callers", cfg.Callers, n.server, n.server.idleConns.trackState},
+		{"callers", cfg.Callers, n.server, n.server.conns.trackState},
 		{"the load balancer", cfg.Ready, routes, nil},
 		{"metrics", cfg.Metrics, metrics, nil},
 	} {
@@ -150,7 +150,11 @@
 		}
 		n.httpServers = append(n.httpServers, s)
 	}
-	n.httpServers[0].beforeClose = n.logUnanswered
+	callers := n.httpServers[0]
+	callers.beforeClose = n.logUnanswered
+	callers.server.RegisterOnShutdown(func() { // the listener is closed
+		n.server.conns.notifyEmpty(func() { n.loop.Deliver(proxy.Closed{}) })
+	})
 	return nil
 }
 
@@ -200,7 +204,7 @@
 // Run serves until the decision logic exits or a component fails; all components stop together.
 func (n *Node) Run() error {
 	var group run.Group
-	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run} {
+	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.conns.run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return do(ctx) }, func(error) { cancel() })
 	}
@@ -211,8 +215,9 @@
 	return group.Run()
 }
 
-// runLoop runs the event loop and then waits up to flushTimeout until the last messages to peers are written.
+// runLoop runs the event loop, and then waits up to flushTimeout until the last messages to peers are written.
 func (n *Node) runLoop(ctx context.Context) error {
+	defer n.server.Stop()
 	if err := n.loop.Run(ctx); err != nil {
 		return err
 	}
