--- a/io/callers/callers.go
+++ b/io/callers/callers.go
@@ -63,6 +63,7 @@
 
 	mu         sync.Mutex
 	inProgress map[id.Request]*replyQueue
+	stopped    bool // no more replies will come
 }
 
 // Option sets an option of a Server.
@@ -134,6 +135,17 @@
 	return len(s.inProgress)
 }
 
+// Stop tells the server that no more replies will come: requests without a final one get the problem that their outcome is
+// unknown, and those that arrive from now on are refused.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for request, queue := range s.inProgress {
+		queue.push(event.Reply{Request: request, Problem: &event.Problem{Kind: event.ProblemUnknown, Detail: "this node has stopped", RetryAfter: busyRetryAfter}})
+	}
+}
+
 // Reply queues a part of a response for its caller without blocking; parts for callers that have disconnected are dropped.
 func (s *Server) Reply(r event.Reply) {
 	s.mu.Lock()
@@ -171,7 +183,7 @@
 	}
 	queue := newReplyQueue()
 	if s.busy() || !s.register(arrived.Request, queue) {
-		p := event.Problem{Kind: event.ProblemRefused, Detail: "too many requests in progress on this node", RetryAfter: busyRetryAfter}
+		p := event.Problem{Kind: event.ProblemRefused, Detail: "this node has stopped, or has too many requests in progress", RetryAfter: busyRetryAfter}
 		if arrived.Key != "" {
 			// An earlier request with the key may have run; this node is too busy to look it up.
 			p.Kind = event.ProblemUnknown
@@ -203,7 +215,7 @@
 func (s *Server) register(request id.Request, queue *replyQueue) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.inProgress) >= s.maxRequests {
+	if s.stopped || len(s.inProgress) >= s.maxRequests {
 		return false
 	}
 	s.inProgress[request] = queue
--- a/io/callers/callers_test.go
+++ b/io/callers/callers_test.go
@@ -276,3 +276,19 @@
 	_, raw := s.call(t, "GET", "/debug/vars", "")
 	g.Expect(json.Valid(raw)).To(BeTrue())
 }
+
+// TestStop guards against a request that gets no response because the event loop, which decides about it, has ended.
+func TestStop(t *testing.T) {
+	t.Run("arrived before", func(t *testing.T) {
+		s := startServer(t, func(s *callers.Server, _ event.Event) { s.Stop() })
+		resp, raw := s.call(t, "POST", "/v1/pipelines/quotes", "body", "Bluebellflow-Workspace", "wien", "Idempotency-Key", `"k1"`)
+		expectProblem(t, resp, raw, http.StatusConflict, event.ProblemUnknown)
+	})
+	t.Run("arrives later", func(t *testing.T) {
+		s := startServer(t, nil)
+		s.server.Stop()
+		resp, raw := s.call(t, "POST", "/v1/pipelines/quotes", "body", "Bluebellflow-Workspace", "wien")
+		expectProblem(t, resp, raw, http.StatusServiceUnavailable, event.ProblemRefused)
+		NewWithT(t).Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+}
--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -207,7 +207,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(n.killed, func() { cancel(ErrKilled) })()
-	if err := n.loop.Run(ctx); err != nil {
+	err := n.loop.Run(ctx)
+	n.callers.Stop()
+	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			return cause
 		}
