denylist, proxy: requests that crash servers by one part of their prompts are recognised

Cause: a request that crashes servers was known by its whole content only. These requests differ in everything but one part, so no count reached the threshold in time; and a crash was counted when the store told of it, about 3 s later.

Each part of a prompt but the last is a key of its own now. A broken attempt counts against all keys of its request, a complete response on any node clears them on all, and a refused connection tells of the end of a process at once. Requests are checked before each send as well. A refused key is tried again by one request on one node.

The tests of package denylist now run three nodes; what they asserted still is, except that a node reports a broken attempt at once instead of each crash when the store shows it. Nodes of the release before send Crash, which is still understood; they do not understand the new messages and go on without them.

--- a/core/denylist/doc.go
+++ b/core/denylist/doc.go
@@ -1,6 +1,11 @@
 // Package denylist refuses requests that crash the servers that run them.
 //
-// A crash is an attempt that broke off without a response at a server whose process ended shortly afterwards. Every node
-// reports the crashes that it observes to all others. A request is identified by its content, because a caller that
-// retries it gives it a new name.
+// A request is identified by its content, because a caller that retries it gives it a new name, and by each part of its
+// prompt that other requests may share, because one part may crash a server whatever else the request holds. These are its
+// keys. An attempt that breaks off at a server whose process has ended counts against all its keys, and a complete
+// response clears all its keys. So a part that sound requests share with a crashing one stays usable.
+//
+// Nodes tell each other at once which attempts broke off, which processes have ended, and which keys got a response. A
+// refused key is tried again from time to time, by one request on one node, since it may be refused only because all
+// servers ended at the same time.
 package denylist
--- a/core/denylist/guard_test.go
+++ b/core/denylist/guard_test.go
@@ -15,82 +15,250 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-const bad, innocent = id.Fingerprint(1), id.Fingerprint(2)
+const (
+	bad      = id.Fingerprint(1) // a key that crashes servers
+	innocent = id.Fingerprint(2)
+)
+
+var nodeNames = []id.Node{"a", "b", "c"}
 
 func newGuard(name id.Node) *denylist.Guard {
 	g := denylist.New(event.Self{Node: name})
-	g.SetNodes([]id.Node{"a", "b"})
+	g.SetNodes(nodeNames)
 	return g
 }
 
-// crash breaks off an attempt, ends its server's process some time later, and returns the messages that are sent.
-func crash(g *denylist.Guard, now time.Time, fingerprint id.Fingerprint, n int, after time.Duration) []event.Send {
-	s := &fleet.Server{ID: id.Server(fmt.Sprint("s", n))}
-	g.RecordBroken(now, fingerprint, s.ID, id.Start(fmt.Sprint("start", n)))
-	var out []event.Send
-	for _, a := range g.Step(now.Add(after), fleet.ServerChanged{Server: s, Restarted: true}) {
+// cluster is the guards of several nodes that see the same servers.
+type cluster struct {
+	*WithT
+	guards map[id.Node]*denylist.Guard
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{NewWithT(t), map[id.Node]*denylist.Guard{}}
+	for _, name := range nodeNames {
+		c.guards[name] = newGuard(name)
+	}
+	return c
+}
+
+// deliver delivers messages twice each, and returns how many there were.
+func (c *cluster) deliver(now time.Time, from id.Node, actions []event.Action) int {
+	count := 0
+	for _, a := range actions {
 		if send, ok := a.(event.Send); ok {
-			out = append(out, send)
+			count++
+			for range 2 {
+				c.guards[send.To].Step(now, event.Receive{From: from, Body: send.Body})
+			}
+		}
+	}
+	return count
+}
+
+// breakOff breaks off an attempt of a node at process n, and returns the process.
+func (c *cluster) breakOff(now time.Time, node id.Node, n int, keys ...id.Fingerprint) denylist.Process {
+	p := process(n)
+	c.deliver(now, node, c.guards[node].RecordBroken(now, keys, p))
+	return p
+}
+
+func process(n int) denylist.Process {
+	return denylist.Process{Server: id.Server(fmt.Sprint("s", n)), Start: id.Start(fmt.Sprint("start", n))}
+}
+
+// restart lets all nodes learn from the store that process n has been replaced.
+func (c *cluster) restart(now time.Time, n int) {
+	for _, g := range c.guards {
+		g.Step(now, fleet.ServerChanged{Server: &fleet.Server{ID: process(n).Server}, Restarted: true})
+	}
+}
+
+func (c *cluster) respond(now time.Time, node id.Node, keys ...id.Fingerprint) {
+	c.deliver(now, node, c.guards[node].RecordResponse(keys))
+}
+
+// crash breaks off an attempt and ends its process a second later.
+func (c *cluster) crash(now time.Time, node id.Node, n int, keys ...id.Fingerprint) {
+	c.breakOff(now, node, n, keys...)
+	c.restart(now.Add(time.Second), n)
+}
+
+// expectRefused asserts on all nodes whether a key is refused.
+func (c *cluster) expectRefused(now time.Time, key id.Fingerprint, want bool, why string) {
+	for name, g := range c.guards {
+		left, _ := g.RefusedFor(now, []id.Fingerprint{key})
+		c.ExpectWithOffset(1, left > 0).To(Equal(want), "node %s: %s", name, why)
+	}
+}
+
+// trials returns the nodes that may try a key.
+func (c *cluster) trials(now time.Time, key id.Fingerprint) []id.Node {
+	var out []id.Node
+	for _, name := range nodeNames {
+		if c.guards[name].TakeTrial(now, []id.Fingerprint{key}) {
+			out = append(out, name)
 		}
 	}
 	return out
 }
 
-// TestRefusal guards against a request that continues to crash servers, and against refusing one that did not crash any.
+// TestRefusal guards against a key that continues to crash servers, against refusing one that crashed fewer, and against
+// counting a process twice because a message is repeated.
 func TestRefusal(t *testing.T) {
-	g := NewWithT(t)
-	local, remote := newGuard("a"), newGuard("b")
+	c := newCluster(t)
 	for n := range 3 {
 		now := epoch.Add(time.Duration(n) * time.Minute)
-		g.Expect(local.RefusedFor(now, bad)).To(BeZero(), "after %d crashes", n)
-		sent := crash(local, now, bad, n, time.Second)
-		g.Expect(sent).To(HaveLen(1))
-		for range 2 { // a repeated message counts once
-			remote.Step(now, event.Receive{From: "a", Body: sent[0].Body})
-		}
+		c.expectRefused(now, bad, false, fmt.Sprintf("after %d crashes", n))
+		c.crash(now, nodeNames[n], n, bad)
 	}
-	crash(local, epoch, innocent, 7, time.Second)
+	c.crash(epoch, "a", 7, innocent)
 	now := epoch.Add(3 * time.Minute)
-	for _, guard := range []*denylist.Guard{local, remote} {
-		g.Expect(guard.RefusedFor(now, bad)).To(BeNumerically("~", 9*time.Minute, 2*time.Second))
-		g.Expect(guard.RefusedFor(now, innocent)).To(BeZero())
-		g.Expect(guard.RefusedFor(now.Add(10*time.Minute), bad)).To(BeZero(), "refused without end")
+	for _, g := range c.guards {
+		left, key := g.RefusedFor(now, []id.Fingerprint{innocent, bad})
+		c.Expect(left).To(BeNumerically("~", 9*time.Minute, 2*time.Second))
+		c.Expect(key).To(Equal(bad))
 	}
+	c.expectRefused(now, innocent, false, "one crash")
+	c.expectRefused(now.Add(10*time.Minute), bad, false, "refused without end")
+}
+
+// TestSharedParts guards against refusing sound requests because they share a part of their prompts with requests that
+// crash servers, or were in progress at the same servers.
+func TestSharedParts(t *testing.T) {
+	c := newCluster(t)
+	const common, session = id.Fingerprint(3), id.Fingerprint(4)
+	for n := range 4 {
+		now := epoch.Add(time.Duration(n) * time.Second)
+		c.breakOff(now, "a", n, id.Fingerprint(100+n), common, bad)
+		c.breakOff(now, "b", n, id.Fingerprint(200+n), common, session)
+		c.respond(now.Add(500*time.Millisecond), "c", id.Fingerprint(300+n), common)
+		c.respond(now.Add(500*time.Millisecond), "b", session)
+		c.restart(now.Add(900*time.Millisecond), n)
+	}
+	now := epoch.Add(5 * time.Second)
+	c.expectRefused(now, bad, true, "four crashes")
+	c.expectRefused(now, common, false, "others with the part got responses")
+	c.expectRefused(now, session, false, "others with the part got responses")
+}
+
+// TestRefusedConn guards against waiting for the store, which reports the end of a process seconds later, while more servers
+// crash.
+func TestRefusedConn(t *testing.T) {
+	c := newCluster(t)
+	for n := range 3 {
+		now := epoch.Add(time.Duration(n) * 100 * time.Millisecond)
+		p := c.breakOff(now, "a", n, bad)
+		observed := c.guards["b"].RecordRefusedConn(now.Add(50*time.Millisecond), p)
+		c.Expect(c.deliver(now.Add(50*time.Millisecond), "b", observed)).To(Equal(2))
+		c.Expect(c.guards["a"].RecordRefusedConn(now.Add(60*time.Millisecond), p)).To(BeEmpty(), "it is known")
+	}
+	c.expectRefused(epoch.Add(300*time.Millisecond), bad, true, "three processes have ended")
+	c.Expect(c.guards["a"].RecordRefusedConn(epoch, process(9))).To(BeEmpty(), "no attempt broke off there")
+}
+
+// TestLateReport guards against losing a crash because the end of the process is known before the broken attempt of another
+// node.
+func TestLateReport(t *testing.T) {
+	c := newCluster(t)
+	for n := range 3 {
+		c.breakOff(epoch, "a", n, innocent)
+		c.restart(epoch.Add(time.Second), n)
+		c.breakOff(epoch.Add(2*time.Second), "b", n, bad)
+	}
+	c.expectRefused(epoch.Add(3*time.Second), bad, true, "three processes have ended")
 }
 
 // TestCrashWindow guards against counting broken attempts that were not followed by the end of the server's process.
 func TestCrashWindow(t *testing.T) {
-	g := NewWithT(t)
-	late, running := newGuard("a"), newGuard("a")
+	c := newCluster(t)
+	const running = id.Fingerprint(3)
 	for n := range 5 {
-		crash(late, epoch, bad, n, 11*time.Second)
-		s := &fleet.Server{ID: id.Server(fmt.Sprint("s", n))}
-		running.RecordBroken(epoch, bad, s.ID, "start")
-		running.Step(epoch, fleet.ServerChanged{Server: s})
+		c.breakOff(epoch, "a", n, bad)
+		c.breakOff(epoch, "a", 10+n, running)
+		for _, g := range c.guards {
+			g.Step(epoch, fleet.ServerChanged{Server: &fleet.Server{ID: process(10 + n).Server}})
+		}
+		c.restart(epoch.Add(11*time.Second), n)
 	}
-	g.Expect(late.RefusedFor(epoch.Add(time.Minute), bad)).To(BeZero())
-	g.Expect(running.RefusedFor(epoch.Add(time.Minute), bad)).To(BeZero())
+	c.expectRefused(epoch.Add(time.Minute), bad, false, "the processes ended later")
+	c.expectRefused(epoch.Add(time.Minute), running, false, "the processes have not ended")
 }
 
 // TestResponseClearsCrashes guards against refusing a request only because many callers send it, so that it is in progress
 // at most servers that end.
 func TestResponseClearsCrashes(t *testing.T) {
-	guard := newGuard("a")
+	c := newCluster(t)
 	for n := range 5 {
-		crash(guard, epoch, innocent, n, time.Second)
-		guard.RecordResponse(innocent)
+		c.crash(epoch, "a", n, innocent)
+		c.respond(epoch, "b", innocent)
+		c.respond(epoch, "a", innocent)
 	}
-	NewWithT(t).Expect(guard.RefusedFor(epoch.Add(time.Second), innocent)).To(BeZero())
+	c.expectRefused(epoch.Add(time.Second), innocent, false, "it got responses")
+}
+
+// TestTrial guards against a key that stays refused although it crashes no servers, as when all servers ended at the same
+// time, and against trials that cost more than one server.
+func TestTrial(t *testing.T) {
+	c := newCluster(t)
+	for n := range 3 {
+		c.crash(epoch, "a", n, bad)
+	}
+	now := epoch.Add(2 * time.Second)
+	c.expectRefused(now, bad, true, "three crashes")
+	c.Expect(c.trials(now, bad)).To(BeEmpty(), "too early")
+	now = now.Add(10 * time.Second)
+	tester := c.trials(now, bad)
+	c.Expect(tester).To(HaveLen(1))
+	c.Expect(c.trials(now, bad)).To(BeEmpty(), "one is under way")
+	c.crash(now, tester[0], 3, bad)
+	c.Expect(c.trials(now.Add(19*time.Second), bad)).To(BeEmpty(), "too early after a failed trial")
+	now = now.Add(21 * time.Second)
+	c.Expect(c.trials(now, bad)).To(Equal(tester))
+	c.respond(now, tester[0], bad)
+	c.expectRefused(now, bad, false, "the trial got a response")
 }
 
 // TestBounded guards against memory that grows with the number of requests in progress at servers that end.
 func TestBounded(t *testing.T) {
-	guard := newGuard("a")
+	c := newCluster(t)
 	for n := range 3 {
-		crash(guard, epoch, bad, n, time.Second)
+		c.crash(epoch, "a", n, bad)
 	}
 	for n := range 5000 {
-		crash(guard, epoch, id.Fingerprint(100+n), n, time.Second)
+		c.guards["a"].RecordBroken(epoch, []id.Fingerprint{id.Fingerprint(100 + n)}, process(n))
+	}
+	left, _ := c.guards["a"].RefusedFor(epoch.Add(time.Second), []id.Fingerprint{bad})
+	c.Expect(left).To(BeZero(), "the oldest record was not dropped")
+}
+
+// TestManyKeys guards against messages that other nodes reject, because a prompt has many parts.
+func TestManyKeys(t *testing.T) {
+	g := newGuard("a")
+	keys := make([]id.Fingerprint, 200)
+	for i := range keys {
+		keys[i] = id.Fingerprint(i)
+	}
+	sent := append(g.RecordBroken(epoch, keys, process(1)), g.RecordResponse(keys)...)
+	NewWithT(t).Expect(sent).To(HaveLen(2 * 2 * 4))
+	for _, a := range sent {
+		NewWithT(t).Expect(a.(event.Send).Body.Check()).To(Succeed())
+	}
+}
+
+// TestCheck guards against malformed messages of other nodes.
+func TestCheck(t *testing.T) {
+	g := NewWithT(t)
+	for _, valid := range []event.Body{
+		denylist.Broken{Process: process(1), Keys: []uint64{1}}, denylist.Ended{Process: process(1)},
+		denylist.Responded{Keys: []uint64{1}}, denylist.Crash{Server: "s"},
+	} {
+		g.Expect(valid.Check()).To(Succeed())
+	}
+	for _, malformed := range []event.Body{
+		denylist.Broken{Keys: []uint64{1}}, denylist.Broken{Process: process(1), Keys: make([]uint64, 65)}, denylist.Ended{},
+		denylist.Responded{Keys: make([]uint64, 65)}, denylist.Crash{},
+	} {
+		g.Expect(malformed.Check()).NotTo(Succeed())
 	}
-	NewWithT(t).Expect(guard.RefusedFor(epoch.Add(time.Second), bad)).To(BeZero(), "the oldest record was not dropped")
 }
--- a/core/proxy/codec.go
+++ b/core/proxy/codec.go
@@ -18,5 +18,6 @@
 		65: watchcache.KnownRevisions{}, 66: watchcache.ChangeSet{}, 67: watchcache.PollReply{},
 		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{}, 74: batch.Moved{},
 		80: rollout.Report{}, 81: rollout.Decisions{}, 82: denylist.Crash{},
+		83: denylist.Broken{}, 84: denylist.Ended{}, 85: denylist.Responded{},
 	})
 }
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -62,15 +62,16 @@
 
 // Result describes how a forwarded request ended.
 type Result struct {
-	Fail       event.FailKind // 0 if the server responded
-	Status     int            // HTTP status of the server's response
-	Held       bool           // the response is held back until Deliver or another Forward
-	Began      bool           // part of a response has reached the caller
-	InputsGone bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
-	Moved      bool           // a different server responded at the address
-	Load       balance.Load
-	LoadKnown  bool `json:"Known"` // Load is set
-	Detail     string
+	Fail        event.FailKind // 0 if the server responded
+	Status      int            // HTTP status of the server's response
+	Held        bool           // the response is held back until Deliver or another Forward
+	Began       bool           // part of a response has reached the caller
+	ConnRefused bool           // the server refused the connection
+	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
+	Moved       bool           // a different server responded at the address
+	Load        balance.Load
+	LoadKnown   bool `json:"Known"` // Load is set
+	Detail      string
 }
 
 type (
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -63,6 +63,9 @@
 		rollout.Report{},
 		rollout.Decisions{},
 		denylist.Crash{},
+		denylist.Broken{},
+		denylist.Ended{},
+		denylist.Responded{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -84,6 +87,9 @@
 		80: "rollout.Report",
 		81: "rollout.Rulings",
 		82: "contain.Crash",
+		83: "denylist.Broken",
+		84: "denylist.Ended",
+		85: "denylist.Responded",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -66,11 +66,12 @@
 
 	placingSince time.Time      // start of the wait for a server
 	server       id.Server      // the server that it was sent to last
-	crashKey     id.Fingerprint // hash of workspace and content; the same if the caller retries
-	version      id.Version     // of the server
-	start        id.Start       // of the server's process
-	load         int            // open requests of this node at the server, including this one
-	cold         bool           // the server was cold when the request was sent
+	crashKeys    []id.Fingerprint // identify its content and the shared parts of its prompt
+	trial        bool             // sent although it was refused, to learn whether it still crashes servers
+	version      id.Version       // of the server
+	start        id.Start         // of the server's process
+	load         int              // open requests of this node at the server, including this one
+	cold         bool             // the server was cold when the request was sent
 	sent         time.Time
 	sends        int
 	runs         int         // sends that a server may have run
@@ -108,9 +109,9 @@
 	if r.Patience > 0 {
 		patience = min(patience, r.Patience)
 	}
-	r.crashKey = fingerprint(fmt.Sprintf("%s %016x", r.workspace, uint64(r.Fingerprint)))
-	if left := g.crashGuard.RefusedFor(now, r.crashKey); left > 0 {
-		g.sendRefusal(r, http.StatusServiceUnavailable, left, fmt.Sprintf("the request crashes servers, print=%016x", uint64(r.crashKey)), out)
+	r.crashKeys = crashKeys(r)
+	if left, reason := g.crashRefusal(now, r); left > 0 {
+		g.sendRefusal(r, http.StatusServiceUnavailable, left, reason, out)
 		return
 	}
 	if g.rejectsArrival(now, r) {
@@ -162,6 +163,10 @@
 		g.refuse(r, http.StatusServiceUnavailable, shutdownRetryAfter, shutdownReason, out)
 		return
 	}
+	if left, reason := g.crashRefusal(now, r); left > 0 {
+		g.giveUp(now, r, reason, out)
+		return
+	}
 	s, reason := g.pickServer(now, r)
 	if s == nil {
 		if now.Sub(r.placingSince) >= maxPlaceWait || r.mayHaveRun {
@@ -202,17 +207,12 @@
 	g.reportOutcome(now, r, ev.Result)
 	out.add(event.Log{Kind: "end", Request: r.Name, Stage: r.route.Name, Choice: outcomeName(ev.Result), Reason: fmt.Sprintf(
 		"server=%s took=%s since=%s %s", r.server, took.Round(time.Millisecond), now.Sub(r.arrived).Round(time.Millisecond), ev.Detail)})
-	if ev.Fail == 0 {
-		g.crashGuard.RecordResponse(r.crashKey)
-	}
+	g.recordCrashEvidence(now, r, ev.Result, out)
 	if ev.Fail == 0 && !ev.Held {
 		g.recordDurations(now, r)
 		g.finish(r, ev.Status < http.StatusBadRequest, out)
 		return
 	}
-	if ev.Fail == event.FailBroken && !ev.Began {
-		g.crashGuard.RecordBroken(now, r.crashKey, r.server, r.start)
-	}
 	if !ev.Fail.NotRun() {
 		r.runs++
 		r.mayHaveRun = true
@@ -253,7 +253,7 @@
 	if res.Fail == event.FailUnsent {
 		return true // nothing reached the server, so that no retry is counted
 	}
-	if !res.Fail.NotRun() && (r.route.AtMostOnce() || r.runs >= r.route.MaxAttempts) {
+	if !res.Fail.NotRun() && (r.trial || r.route.AtMostOnce() || r.runs >= r.route.MaxAttempts) {
 		return false
 	}
 	return g.retryLimiter.Take(now, r.pool.Name)
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"syscall"
 	"time"
 
 	"bluebellflow/core/event"
@@ -66,6 +67,7 @@
 	if errors.As(err, &failure) {
 		res.Fail = failure.Kind
 	}
+	res.ConnRefused = errors.Is(err, syscall.ECONNREFUSED)
 	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
 	res.Began = x.responseStarted
 	x.server.deliver(proxy.Ended{Ticket: x.ticket, Result: res})
