--- a/core/denylist/guard_test.go
+++ b/core/denylist/guard_test.go
@@ -250,14 +250,19 @@
 func TestCheck(t *testing.T) {
 	g := NewWithT(t)
 	for _, valid := range []event.Body{
-		denylist.Broken{Process: process(1), Keys: []uint64{1}}, denylist.Ended{Process: process(1)},
-		denylist.Responded{Keys: []uint64{1}}, denylist.Crash{Server: "s"},
+		denylist.Broken{Process: process(1), Keys: []uint64{1}},
+		denylist.Ended{Process: process(1)},
+		denylist.Responded{Keys: []uint64{1}},
+		denylist.Crash{Server: "s"},
 	} {
 		g.Expect(valid.Check()).To(Succeed())
 	}
 	for _, malformed := range []event.Body{
-		denylist.Broken{Keys: []uint64{1}}, denylist.Broken{Process: process(1), Keys: make([]uint64, 65)}, denylist.Ended{},
-		denylist.Responded{Keys: make([]uint64, 65)}, denylist.Crash{},
+		denylist.Broken{Keys: []uint64{1}},
+		denylist.Broken{Process: process(1), Keys: make([]uint64, 65)},
+		denylist.Ended{},
+		denylist.Responded{Keys: make([]uint64, 65)},
+		denylist.Crash{},
 	} {
 		g.Expect(malformed.Check()).NotTo(Succeed())
 	}
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -64,8 +64,8 @@
 	handovers   int       // how often its job was handed over to another leader
 	handover    *handover // progress of the job at the previous leader, nil for none
 
-	placingSince time.Time      // start of the wait for a server
-	server       id.Server      // the server that it was sent to last
+	placingSince time.Time        // start of the wait for a server
+	server       id.Server        // the server that it was sent to last
 	crashKeys    []id.Fingerprint // identify its content and the shared parts of its prompt
 	trial        bool             // sent although it was refused, to learn whether it still crashes servers
 	version      id.Version       // of the server
