gateway: a stream that ends inside an event is broken off

A caller could take a broken stream for a complete one: a stream with neither a length nor chunks, whose server crashed inside an event, was relayed with its rest and ended like a whole one; one that ended before its first event was a complete answer without events. Now the first is broken off, and the second counts as a broken attempt, so that another server may be tried.

--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -13,8 +13,12 @@
 // maxEventBytes is the size limit for one event of a stream.
 const maxEventBytes = 1 << 20
 
-// errEventTooLarge means that no event boundary was found within maxEventBytes.
-var errEventTooLarge = errors.New("event in stream is too large")
+var (
+	// errEventTooLarge means that no event boundary was found within maxEventBytes.
+	errEventTooLarge = errors.New("event in stream is too large")
+	// errStreamBrokenOff means that a stream ended inside an event, or before the first if nothing marks its end.
+	errStreamBrokenOff = errors.New("stream ends inside an event")
+)
 
 // relayStream sends each event of a stream to the caller as soon as it has arrived completely.
 func (x *exchange) relayStream(resp *response, res proxy.Result) bool {
@@ -60,10 +64,13 @@
 	return control.Flush()
 }
 
-// finishStream sends what follows the last complete event at the end of a stream.
+// finishStream completes a stream at its end, given what follows its last complete event.
 func (x *exchange) finishStream(resp *http.Response, control *http.ResponseController, rest []byte, res proxy.Result) bool {
-	if len(rest) > 0 || !x.responseStarted {
-		if err := x.writeEvents(resp, control, rest); err != nil {
+	if len(rest) > 0 || !x.responseStarted && endsWithConn(resp) {
+		return x.reportInterrupted(errStreamBrokenOff, res)
+	}
+	if !x.responseStarted {
+		if err := x.writeEvents(resp, control, nil); err != nil {
 			return x.reportInterrupted(err, res)
 		}
 	}
@@ -71,6 +78,11 @@
 	return true
 }
 
+// endsWithConn reports whether only the end of the connection marks the end of a response.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // completeEventsLength returns the length of the complete events at the start of raw.
 func completeEventsLength(raw []byte) int {
 	end := 0
