denylist, proxy: sound requests that share a part with crashing ones are not refused

Also: a node that starts later had to see three crashes of its own; two refused keys could leave a request without any node that may try it; a client error cleared a key; a key was dropped while refused; and a crash of ten minutes ago still counted.

A key that has had a response lately needs six crashes, and a refused key explains the crashes of its requests for their other keys. New nodes, and those that report a broken attempt with a refused key, are told of it. One key decides which node tries, in an order with a second between nodes, and a trial is announced and counted when it is sent. Requests that wait are refused as soon as one of their keys is.

--- a/core/denylist/guard.go
+++ b/core/denylist/guard.go
@@ -5,67 +5,49 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 )
 
-const (
-	// crashThreshold is how many processes must end under a key before it is refused. An innocent key is rarely in progress
-	// at three processes that end, without a response meanwhile.
-	crashThreshold = 3
-	// refusalDuration is how long a key is refused after its last crash.
-	refusalDuration = 10 * time.Minute
-	// crashWindow is the time after a broken attempt in which the end of the server's process counts against its keys.
-	crashWindow = 10 * time.Second
-	// firstTrialDelay is how long a refused key waits for its first trial. The delay doubles with each trial, because each
-	// may cost a server.
-	firstTrialDelay = 10 * time.Second
-	// maxRecords bounds the keys that are kept; the oldest are dropped.
-	maxRecords = 4096
-	// maxEnded bounds the ended processes that are remembered for reports that arrive late.
-	maxEnded = 256
-)
+// maxEnded bounds the ended processes that are remembered for reports that arrive late.
+const maxEnded = 256
 
 // Guard counts the processes that ended under each key, and refuses requests with a key under which too many did. A key
 // identifies a request by its content, or a part of a prompt that several requests share.
 type Guard struct {
-	self    event.Self
-	nodes   []id.Node
-	records map[id.Fingerprint]*record
-	order   []id.Fingerprint // keys of records, oldest first
-	ended   []ending         // oldest first
-}
-
-// record holds the processes at which attempts with a key broke off since the last response to one.
-type record struct {
-	suspicions []suspicion
-	lastCrash  time.Time
-	refused    bool
-	trialAt    time.Time     // when a request may be tried again
-	trialDelay time.Duration // until the trial after that
-}
-
-type suspicion struct {
-	process Process
-	at      time.Time // when the attempt broke off
-	crashed bool      // the process has ended
-}
-
-type ending struct {
-	process Process
-	at      time.Time
+	self      event.Self
+	nodes     []id.Node
+	records   records
+	responses responses
+	ended     []Process // oldest first
+	refusals  int       // how often a key has become refused
 }
 
 // New returns a guard without records.
 func New(self event.Self) *Guard {
-	return &Guard{self: self, records: map[id.Fingerprint]*record{}}
+	return &Guard{
+		self: self, records: records{byKey: map[id.Fingerprint]*record{}},
+		responses: responses{keys: id.NewSet[id.Fingerprint]()},
+	}
 }
 
-// SetNodes sets the nodes that share their observations.
-func (g *Guard) SetNodes(names []id.Node) { g.nodes = names }
+// SetNodes sets the nodes that share their observations. New ones are told which keys are refused.
+func (g *Guard) SetNodes(now time.Time, names []id.Node) []event.Action {
+	var out []event.Action
+	for _, key := range g.refusedKeys(now, g.records.order) {
+		if g.rank(key) > 0 {
+			continue // another node tells them
+		}
+		for _, name := range names {
+			if name != g.self.Node && !slices.Contains(g.nodes, name) {
+				out = append(out, event.Send{To: name, Body: g.refusalOf(now, key)})
+			}
+		}
+	}
+	g.nodes = slices.Clone(names)
+	return out
+}
 
 // Next returns zero, for no timer.
 func (g *Guard) Next() time.Time { return time.Time{} }
@@ -75,25 +57,29 @@
 	switch ev := ev.(type) {
 	case fleet.ServerChanged:
 		if ev.Restarted {
-			return g.serverEnded(now, ev.Server.ID)
+			return g.serverEnded(now, ev.Server.ID, ev.Server.Start)
 		}
 	case fleet.ServerRemoved:
-		return g.serverEnded(now, ev.Server.ID)
+		return g.serverEnded(now, ev.Server.ID, "")
 	case event.Receive:
-		return g.handleMessage(now, ev.Body)
+		return g.handleMessage(now, ev)
 	}
 	return nil
 }
 
-func (g *Guard) handleMessage(now time.Time, body event.Body) []event.Action {
-	switch m := body.(type) {
+func (g *Guard) handleMessage(now time.Time, ev event.Receive) []event.Action {
+	switch m := ev.Body.(type) {
 	case Broken:
-		_, out := g.suspect(now, toFingerprints(m.Keys), m.Process)
-		return out
+		return g.handleBroken(now, ev.From, m)
 	case Ended:
 		return g.processEnded(now, m.Process)
 	case Responded:
+		g.responses.add(toFingerprints(m.Keys))
 		g.clear(toFingerprints(m.Keys))
+	case Trial:
+		g.scheduleTrials(now, toFingerprints(m.Keys))
+	case Refused:
+		g.adopt(now, m)
 	case Crash:
 		p := Process{m.Server, m.Start}
 		_, out := g.suspect(now, []id.Fingerprint{id.Fingerprint(m.Fingerprint)}, p)
@@ -102,8 +88,23 @@
 	return nil
 }
 
-// RecordBroken records that an attempt with some keys broke off at a process of a server, and reports it to the other nodes.
+// handleBroken records a broken attempt of another node. If this node refuses one of its keys, the other does not know it.
+func (g *Guard) handleBroken(now time.Time, from id.Node, m Broken) []event.Action {
+	keys := toFingerprints(m.Keys)
+	var out []event.Action
+	for _, key := range g.refusedKeys(now, keys) {
+		out = append(out, event.Send{To: from, Body: g.refusalOf(now, key)})
+	}
+	_, counted := g.suspect(now, keys, m.Process)
+	return append(out, counted...)
+}
+
+// RecordBroken records that an attempt with some keys broke off without a response at a process of a server, and reports it
+// to the other nodes.
 func (g *Guard) RecordBroken(now time.Time, keys []id.Fingerprint, p Process) []event.Action {
+	if p.check() != nil {
+		return nil
+	}
 	unreported, out := g.suspect(now, keys, p)
 	for chunk := range slices.Chunk(unreported, maxKeys) {
 		out = append(out, g.broadcast(Broken{p, toNumbers(chunk)})...)
@@ -113,15 +114,16 @@
 
 // RecordRefusedConn records that a server refused a connection: if attempts have broken off at this process, it has ended.
 func (g *Guard) RecordRefusedConn(now time.Time, p Process) []event.Action {
-	if g.hasEnded(p) || !g.suspected(p) {
+	if g.hasEnded(p) || !slices.Contains(g.suspectedProcesses(p.Server), p) {
 		return nil
 	}
 	return append(g.processEnded(now, p), g.broadcast(Ended{p})...)
 }
 
-// RecordResponse records that a request with some keys got a complete response, which clears the keys on all nodes. A key that
-// crashes servers never gets one, while one that many requests share is often in progress when a server ends.
+// RecordResponse records that a server has begun to answer a request with some keys, which clears the keys on all nodes. A
+// server that a key crashes never does, while a key that many requests share is often in progress when a server ends.
 func (g *Guard) RecordResponse(keys []id.Fingerprint) []event.Action {
+	g.responses.add(keys)
 	var out []event.Action
 	for chunk := range slices.Chunk(g.clear(keys), maxKeys) {
 		out = append(out, g.broadcast(Responded{toNumbers(chunk)})...)
@@ -129,6 +131,19 @@
 	return out
 }
 
+// RefusedFor returns how much longer requests with some keys are refused, and one of the keys for which they are. It
+// returns 0 if they are not refused.
+func (g *Guard) RefusedFor(now time.Time, keys []id.Fingerprint) (time.Duration, id.Fingerprint) {
+	refused := g.refusedKeys(now, keys)
+	if len(refused) == 0 {
+		return 0, 0
+	}
+	return g.records.byKey[refused[0]].refusedFor(now), refused[0]
+}
+
+// Refusals returns how often a key has become refused.
+func (g *Guard) Refusals() int { return g.refusals }
+
 // broadcast sends a message to all other nodes.
 func (g *Guard) broadcast(body event.Body) []event.Action {
 	var out []event.Action
@@ -140,51 +155,34 @@
 	return out
 }
 
-// suspect adds a process to the records of some keys, and returns the keys for which it is new.
+// suspect adds a process to the records of some keys, and returns the keys for which it is new. If one of the keys is
+// refused, that explains the broken attempt, and the others are not suspected.
 func (g *Guard) suspect(now time.Time, keys []id.Fingerprint, p Process) ([]id.Fingerprint, []event.Action) {
+	if refused := g.refusedKeys(now, keys); len(refused) > 0 {
+		keys = refused
+	}
 	var added []id.Fingerprint
 	var out []event.Action
 	for _, key := range keys {
-		r := g.openRecord(key)
-		r.expire(now)
-		if slices.ContainsFunc(r.suspicions, func(s suspicion) bool { return s.process == p }) {
+		r := g.records.open(key)
+		if !r.add(now, p) {
 			continue
 		}
 		added = append(added, key)
-		r.suspicions = append(r.suspicions, suspicion{process: p, at: now})
 		if g.hasEnded(p) {
-			out = append(out, g.countCrash(now, key, r, p)...)
+			out = append(out, g.countCrash(now, key, p)...)
 		}
 	}
 	return added, out
 }
 
-// expire removes the processes that have not ended within crashWindow.
-func (r *record) expire(now time.Time) {
-	r.suspicions = slices.DeleteFunc(r.suspicions, func(s suspicion) bool { return !s.crashed && now.Sub(s.at) > crashWindow })
-}
-
-// openRecord returns the record of a key. It drops the oldest one if the limit is reached.
-func (g *Guard) openRecord(key id.Fingerprint) *record {
-	r := g.records[key]
-	if r != nil {
-		return r
-	}
-	if len(g.order) >= maxRecords {
-		delete(g.records, g.order[0])
-		g.order = g.order[1:]
-	}
-	r = &record{trialDelay: firstTrialDelay}
-	g.records[key] = r
-	g.order = append(g.order, key)
-	return r
-}
-
-// serverEnded counts the crashes of all processes of a server.
-func (g *Guard) serverEnded(now time.Time, server id.Server) []event.Action {
+// serverEnded counts the crashes of all processes of a server but the running one.
+func (g *Guard) serverEnded(now time.Time, server id.Server, running id.Start) []event.Action {
 	var out []event.Action
 	for _, p := range g.suspectedProcesses(server) {
-		out = append(out, g.processEnded(now, p)...)
+		if running == "" || p.Start != running {
+			out = append(out, g.processEnded(now, p)...)
+		}
 	}
 	return out
 }
@@ -192,8 +190,8 @@
 // suspectedProcesses returns the processes of a server that are in records.
 func (g *Guard) suspectedProcesses(server id.Server) []Process {
 	var out []Process
-	for _, key := range g.order {
-		for _, s := range g.records[key].suspicions {
+	for _, key := range g.records.order {
+		for _, s := range g.records.byKey[key].suspicions {
 			if s.process.Server == server && !slices.Contains(out, s.process) {
 				out = append(out, s.process)
 			}
@@ -202,15 +200,8 @@
 	return out
 }
 
-// suspected reports whether an attempt has broken off at a process.
-func (g *Guard) suspected(p Process) bool {
-	return slices.Contains(g.suspectedProcesses(p.Server), p)
-}
-
 // hasEnded reports whether a process is known to have ended.
-func (g *Guard) hasEnded(p Process) bool {
-	return slices.ContainsFunc(g.ended, func(e ending) bool { return e.process == p })
-}
+func (g *Guard) hasEnded(p Process) bool { return slices.Contains(g.ended, p) }
 
 // processEnded counts a crash against all keys of the attempts that broke off at a process within crashWindow before.
 func (g *Guard) processEnded(now time.Time, p Process) []event.Action {
@@ -218,109 +209,51 @@
 		if len(g.ended) == maxEnded {
 			g.ended = g.ended[1:]
 		}
-		g.ended = append(g.ended, ending{p, now})
+		g.ended = append(g.ended, p)
 	}
 	var out []event.Action
-	for _, key := range g.order {
-		r := g.records[key]
-		r.expire(now)
-		out = append(out, g.countCrash(now, key, r, p)...)
+	for _, key := range g.records.order {
+		g.records.byKey[key].expire(now)
+		out = append(out, g.countCrash(now, key, p)...)
 	}
 	return out
 }
 
 // countCrash counts a crash of a process against a key; each process counts once.
-func (g *Guard) countCrash(now time.Time, key id.Fingerprint, r *record, p Process) []event.Action {
-	i := slices.IndexFunc(r.suspicions, func(s suspicion) bool { return s.process == p })
+func (g *Guard) countCrash(now time.Time, key id.Fingerprint, p Process) []event.Action {
+	r := g.records.byKey[key]
+	i := r.index(p)
 	if i < 0 || r.suspicions[i].crashed {
 		return nil
 	}
 	r.suspicions[i].crashed = true
 	r.lastCrash = now
-	crashes := r.crashes()
-	if crashes >= crashThreshold && !r.refused {
-		r.refused = true
-		r.trialAt = now.Add(r.trialDelay)
-		r.trialDelay *= 2
+	threshold := crashThreshold
+	if g.responses.keys.Has(key) {
+		threshold = respondedThreshold
 	}
-	return []event.Action{event.Log{Kind: "crash", Stage: string(p.Server), Choice: "count", Reason: fmt.Sprintf(
-		"print=%016x start=%s crashes=%d of=%d", uint64(key), p.Start, crashes, crashThreshold)}}
-}
-
-// crashes returns how many processes have ended under the key.
-func (r *record) crashes() int {
-	count := 0
-	for _, s := range r.suspicions {
-		if s.crashed {
-			count++
-		}
+	crashes := r.crashes()
+	choice := "count"
+	if crashes >= threshold && !r.refused {
+		r.refuse(now)
+		g.refusals++
+		choice = "refuse"
 	}
-	return count
+	return []event.Action{event.Log{Kind: "crash", Stage: string(p.Server), Choice: choice, Reason: fmt.Sprintf(
+		"print=%016x start=%s crashes=%d of=%d", uint64(key), p.Start, crashes, threshold)}}
 }
 
 // clear removes the records of keys and returns those that had one.
 func (g *Guard) clear(keys []id.Fingerprint) []id.Fingerprint {
 	var cleared []id.Fingerprint
 	for _, key := range keys {
-		if _, ok := g.records[key]; !ok {
-			continue
+		if g.records.remove(key) {
+			cleared = append(cleared, key)
 		}
-		cleared = append(cleared, key)
-		delete(g.records, key)
-		g.order = slices.DeleteFunc(g.order, func(other id.Fingerprint) bool { return other == key })
 	}
 	return cleared
 }
 
-// RefusedFor returns how much longer requests with some keys are refused, and one of the keys for which they are. It
-// returns 0 if they are not refused.
-func (g *Guard) RefusedFor(now time.Time, keys []id.Fingerprint) (time.Duration, id.Fingerprint) {
-	for _, key := range keys {
-		r := g.records[key]
-		if r == nil || !r.refused {
-			continue
-		}
-		if left := r.lastCrash.Add(refusalDuration).Sub(now); left > 0 {
-			return left, key
-		}
-	}
-	return 0, 0
-}
-
-// TakeTrial reports whether a refused request may be sent once, to learn whether its keys still crash servers. Only one
-// node tries a key, so that a trial costs at most one server.
-func (g *Guard) TakeTrial(now time.Time, keys []id.Fingerprint) bool {
-	for _, key := range keys {
-		r := g.records[key]
-		if r == nil || !r.refused {
-			continue
-		}
-		if now.Before(r.trialAt) || g.tester(key) != g.self.Node {
-			return false
-		}
-	}
-	for _, key := range keys {
-		if r := g.records[key]; r != nil && r.refused {
-			r.trialAt = now.Add(r.trialDelay)
-			r.trialDelay *= 2
-		}
-	}
-	return true
-}
-
-// tester returns the node that tries a key: the first in a rendezvous order.
-func (g *Guard) tester(key id.Fingerprint) id.Node {
-	var first id.Node
-	lowest := uint64(0)
-	for _, name := range g.nodes {
-		hash := xxhash.Sum64String(fmt.Sprintf("%016x %s", uint64(key), name))
-		if first == "" || hash < lowest {
-			first, lowest = name, hash
-		}
-	}
-	return first
-}
-
 func toFingerprints(numbers []uint64) []id.Fingerprint {
 	out := make([]id.Fingerprint, len(numbers))
 	for i, n := range numbers {
--- a/core/denylist/message.go
+++ b/core/denylist/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"bluebellflow/core/id"
 )
@@ -39,6 +40,17 @@
 	Responded struct {
 		Keys []uint64 `protobuf:"varint,1,rep,name=keys"`
 	}
+	// Trial reports to other nodes that a request with some refused keys is being tried.
+	Trial struct {
+		Keys []uint64 `protobuf:"varint,1,rep,name=keys"`
+	}
+	// Refused tells a node that does not know it that a key is refused. Its times are in nanoseconds.
+	Refused struct {
+		Key        uint64 `protobuf:"varint,1,opt,name=key"`
+		Age        int64  `protobuf:"varint,2,opt,name=age"` // of the last crash
+		TrialIn    int64  `protobuf:"varint,3,opt,name=in"`  // time until the next trial
+		TrialDelay int64  `protobuf:"varint,4,opt,name=delay"`
+	}
 	// Crash is what nodes of earlier releases report: a request has crashed a process of a server.
 	Crash struct {
 		Fingerprint uint64    `protobuf:"varint,1,opt,name=print" json:"Print"`
@@ -47,16 +59,29 @@
 	}
 )
 
-// Check reports a malformed message.
+// Check returns an error if the process or the keys are malformed.
 func (b Broken) Check() error { return errors.Join(b.Process.check(), checkKeys(b.Keys)) }
 
-// Check reports a malformed message.
+// Check returns an error if the process is malformed.
 func (e Ended) Check() error { return e.Process.check() }
 
-// Check reports a malformed message.
+// Check returns an error if there are too many keys.
 func (r Responded) Check() error { return checkKeys(r.Keys) }
 
-// Check reports a malformed message.
+// Check returns an error if there are too many keys.
+func (t Trial) Check() error { return checkKeys(t.Keys) }
+
+// Check returns an error if a time is negative or longer than a refusal.
+func (r Refused) Check() error {
+	for _, d := range []int64{r.Age, r.TrialIn, r.TrialDelay} {
+		if d < 0 || time.Duration(d) > refusalDuration {
+			return errors.New("time out of range")
+		}
+	}
+	return nil
+}
+
+// Check returns an error if the server or the start is malformed.
 func (c Crash) Check() error { return Process{c.Server, c.Start}.check() }
 
 func checkKeys(keys []uint64) error {
--- a/core/proxy/codec.go
+++ b/core/proxy/codec.go
@@ -19,5 +19,6 @@
 		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{}, 74: batch.Moved{},
 		80: rollout.Report{}, 81: rollout.Decisions{}, 82: denylist.Crash{},
 		83: denylist.Broken{}, 84: denylist.Ended{}, 85: denylist.Responded{},
+		86: denylist.Trial{}, 87: denylist.Refused{},
 	})
 }
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -76,16 +76,17 @@
 	coldLimiter  *ratelimit.ColdLimiter
 	modules      []module
 
-	catalog   *catalog.Catalog
-	requests  map[Ticket]*request
-	jobs      map[uint64]*request // by the ticket of the batch job that runs their stages
-	lastJob   uint64              // starts at random, because replies to the previous process may still arrive
-	timers    timerqueue.Heap[Ticket]
-	durations map[string]*routeDurations // by route
-	shutdown  shutdown
-	ready     bool
-	settle    retry.Timer // set while the list of nodes may be incomplete
-	settled   bool        // the list of nodes is considered complete
+	catalog      *catalog.Catalog
+	requests     map[Ticket]*request
+	jobs         map[uint64]*request // by the ticket of the batch job that runs their stages
+	lastJob      uint64              // starts at random, because replies to the previous process may still arrive
+	timers       timerqueue.Heap[Ticket]
+	durations    map[string]*routeDurations // by route
+	refusalsSeen int                        // refusals of the crash guard that waiting requests were checked for
+	shutdown     shutdown
+	ready        bool
+	settle       retry.Timer // set while the list of nodes may be incomplete
+	settled      bool        // the list of nodes is considered complete
 }
 
 // New returns a gateway that knows only its own node.
@@ -123,7 +124,10 @@
 // Step handles one event and returns the resulting actions in order.
 func (g *Gateway) Step(now time.Time, ev event.Event) []event.Action {
 	out := event.Propagate(ev, g.toInternal, func(ev event.Event) []event.Action { return g.handle(now, ev) })
-	return append(out, g.updateLifecycle(now)...)
+	var rest actions
+	g.refuseWaiting(now, &rest)
+	rest.add(g.updateLifecycle(now)...)
+	return append(out, rest...)
 }
 
 // toInternal converts an action addressed to this node into the event that it causes.
@@ -160,7 +164,7 @@
 	case Closed:
 		g.shutdown.idle = true
 	case Began:
-		g.handleBegan(now, ev.Ticket, out)
+		g.handleBegan(now, ev, out)
 	case Ended:
 		g.handleEnded(now, ev, out)
 	case event.Receive:
@@ -177,7 +181,7 @@
 			g.applyConfig(ev.Object, out)
 		}
 	case roster.Changed:
-		g.nodesChanged()
+		g.nodesChanged(now, out)
 		g.chooseSource(now)
 	case leader.Changed:
 		g.roster.SetLeading(ev.Leader == g.self.Node)
@@ -212,7 +216,7 @@
 		Limit{Limits: next.Limits()})
 }
 
-func (g *Gateway) nodesChanged() {
+func (g *Gateway) nodesChanged(now time.Time, out *actions) {
 	names := g.roster.Nodes()
 	var candidates []leader.Candidate
 	for _, name := range names {
@@ -223,7 +227,7 @@
 	g.leader.SetCandidates(candidates)
 	g.coldLimiter.SetNodes(names)
 	g.rollouts.SetNodes(names)
-	g.crashGuard.SetNodes(names)
+	out.add(g.crashGuard.SetNodes(now, names)...)
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
 }
 
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -51,6 +51,7 @@
 	Began struct {
 		event.In
 		Ticket Ticket
+		Status int // HTTP status of the response
 	}
 	// Ended reports the end of a forwarded request.
 	Ended struct {
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -66,6 +66,8 @@
 		denylist.Broken{},
 		denylist.Ended{},
 		denylist.Responded{},
+		denylist.Trial{},
+		denylist.Refused{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -90,6 +92,8 @@
 		83: "denylist.Broken",
 		84: "denylist.Ended",
 		85: "denylist.Responded",
+		86: "denylist.Trial",
+		87: "denylist.Refused",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -163,8 +163,8 @@
 		g.refuse(r, http.StatusServiceUnavailable, shutdownRetryAfter, shutdownReason, out)
 		return
 	}
-	if left, reason := g.crashRefusal(now, r); left > 0 {
-		g.giveUp(now, r, reason, out)
+	if left, reason := g.crashRefusal(now, r); left > 0 && !r.mayHaveRun {
+		g.refuse(r, http.StatusServiceUnavailable, left, reason, out)
 		return
 	}
 	s, reason := g.pickServer(now, r)
@@ -176,6 +176,7 @@
 		g.timers.Set(now.Add(placePollInterval), r.ticket)
 		return
 	}
+	g.startTrial(now, r, out)
 	g.balancer.Start(now, s, g.serverQuery(r))
 	g.rollouts.RequestStarted(r.pool.Name, s.Version)
 	r.phase, r.server, r.sent, r.began = running, s.ID, now, false
@@ -250,6 +251,9 @@
 	if r.deadline.Sub(now) < minTimeLeft || r.sends >= maxSends {
 		return false
 	}
+	if left, _ := g.crashRefusal(now, r); left > 0 {
+		return false
+	}
 	if res.Fail == event.FailUnsent {
 		return true // nothing reached the server, so that no retry is counted
 	}
@@ -313,13 +317,16 @@
 }
 
 // handleBegan handles the first part of a response. The server has read the inputs by then, so they are released.
-func (g *Gateway) handleBegan(now time.Time, t Ticket, out *actions) {
-	r, ok := g.requests[t]
+func (g *Gateway) handleBegan(now time.Time, ev Began, out *actions) {
+	r, ok := g.requests[ev.Ticket]
 	if !ok || r.phase != running || r.began {
 		return
 	}
 	r.began = true
 	g.balancer.ResponseStarted(r.server, r.sent)
+	if ev.Status < http.StatusBadRequest {
+		out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
+	}
 	g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
 	if r.route.Kind == catalog.Stream {
 		g.rollouts.Observe(now, r.pool.Name, r.version, g.sample(r, now.Sub(r.sent)))
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return x.reportFailure(err, res)
 	}
-	x.server.deliver(proxy.Began{Ticket: x.ticket})
+	x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode})
 	x.copyHeaders(resp.Response)
 	x.w.WriteHeader(resp.StatusCode)
 	x.responseStarted = true
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -55,7 +55,7 @@
 		x.responseStarted = true
 		x.copyHeaders(resp)
 		x.w.WriteHeader(resp.StatusCode)
-		x.server.deliver(proxy.Began{Ticket: x.ticket})
+		x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode})
 	}
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.w.Write(events); err != nil {
