httpserver: requests that are read after the listener closed get an answer

A caller whose connection was accepted before a node closed its listener, and whose request came or was completed afterwards, saw the connection closed without an answer: http.Server.Shutdown makes net/http return from the connection as soon as it has read the head of a request, before the handler is called. Nothing was logged.

io/httpserver closes the listener itself, waits until the last accepted connection is counted, and closes each connection after its next response. Both kinds of node use it in place of two copies of the same code.

The exit after the last answer is asserted to be prompt.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -72,7 +72,7 @@
 	ready      atomic.Bool
 	draining   atomic.Bool
 	lastTicket atomic.Uint64
-	conns      *conns
+	idleConns  *idleConns
 	latency    latencies
 	stopped    chan struct{} // closed by Stop
 
@@ -90,7 +90,7 @@
 func New(dialect Dialect, client *upstream.Client, deliver func(event.Event), opts ...Option) *Server {
 	s := &Server{
 		dialect: dialect, client: client, deliver: deliver, vars: new(expvar.Map),
-		inProgress: map[proxy.Ticket]*exchange{}, conns: newConns(), stopped: make(chan struct{}),
+		inProgress: map[proxy.Ticket]*exchange{}, idleConns: newIdleConns(), stopped: make(chan struct{}),
 	}
 	s.limits.Store(&catalog.Limits{BodyBytes: defaultMaxBodyBytes})
 	for _, o := range opts {
@@ -129,7 +129,7 @@
 		s.sendAction(a.Ticket, a)
 	case proxy.Limit:
 		s.limits.Store(&a.Limits)
-		s.conns.setTimeout(a.Limits.IdleTime)
+		s.idleConns.setTimeout(a.Limits.IdleTime)
 	case proxy.Drain:
 		s.draining.Store(true)
 	default:
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
 	"io"
@@ -21,6 +20,7 @@
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
+	"bluebellflow/io/httpserver"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/runtime"
 	"bluebellflow/io/upstream"
@@ -78,7 +78,7 @@
 	client      *upstream.Client
 	workers     Workers
 	logger      *log.Logger
-	httpServers []*httpServer
+	httpServers []*httpserver.Server
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
@@ -117,10 +117,10 @@
 func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
 
 // CallerAddr returns the address at which the node listens for callers.
-func (n *Node) CallerAddr() netip.AddrPort { return addrOf(n.httpServers[0].listener) }
+func (n *Node) CallerAddr() netip.AddrPort { return n.httpServers[0].Addr() }
 
 // ReadyAddr returns the address of the readiness check for the load balancer.
-func (n *Node) ReadyAddr() netip.AddrPort { return addrOf(n.httpServers[1].listener) }
+func (n *Node) ReadyAddr() netip.AddrPort { return n.httpServers[1].Addr() }
 
 // listen opens the listeners for callers, the load balancer and metrics.
 func (n *Node) listen(cfg Config) error {
@@ -134,7 +134,7 @@
 		handler http.Handler
 		state   func(net.Conn, http.ConnState)
 	}{
-		{"callers", cfg.Callers, n.server, n.server.conns.trackState},
+		{"callers", cfg.Callers, n.server, n.server.idleConns.trackState},
 		{"the load balancer", cfg.Ready, routes, nil},
 		{"metrics", cfg.Metrics, metrics, nil},
 	} {
@@ -144,17 +144,13 @@
 		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop)
 		if err != nil {
 			for _, open := range n.httpServers {
-				_ = open.listener.Close()
+				_ = open.Close()
 			}
 			return fmt.Errorf("listen for %s: %w", endpoint.name, err)
 		}
 		n.httpServers = append(n.httpServers, s)
 	}
-	callers := n.httpServers[0]
-	callers.beforeClose = n.logUnanswered
-	callers.server.RegisterOnShutdown(func() { // the listener is closed
-		n.server.conns.notifyEmpty(func() { n.loop.Deliver(proxy.Closed{}) })
-	})
+	n.httpServers[0].BeforeClose(n.logUnanswered)
 	return nil
 }
 
@@ -187,7 +183,7 @@
 	case event.Readiness:
 		n.server.SetReady(a.Ready)
 	case proxy.Close:
-		go n.httpServers[0].drain()
+		go n.httpServers[0].Drain(func() { n.loop.Deliver(proxy.Closed{}) })
 	case batch.StartCall:
 		n.workers.Run(a)
 	case batch.FreeResults:
@@ -204,12 +200,12 @@
 // Run serves until the decision logic exits or a component fails; all components stop together.
 func (n *Node) Run() error {
 	var group run.Group
-	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.conns.run} {
+	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return do(ctx) }, func(error) { cancel() })
 	}
 	for _, s := range n.httpServers {
-		group.Add(s.serve, s.stop)
+		group.Add(s.Serve, func(error) { s.Stop(shutdownTimeout) })
 	}
 	defer n.client.Close()
 	return group.Run()
@@ -227,47 +223,9 @@
 	return nil
 }
 
-// httpServer is an HTTP server with its listener.
-type httpServer struct {
-	server      *http.Server
-	listener    net.Listener
-	stopped     chan struct{} // closed at the end of stop
-	beforeClose func()        // called if stop closes connections in use, nil for none
-}
-
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop) (*httpServer, error) {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, err
-	}
-	return &httpServer{listener: listener, stopped: make(chan struct{}), server: &http.Server{
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop) (*httpserver.Server, error) {
+	return httpserver.New(addr, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: state,
 		ErrorLog: stdlog.New(runtime.ReportWriter(loop), "", 0),
-	}}, nil
-}
-
-// serve accepts connections until the server fails or stop returns.
-func (s *httpServer) serve() error {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	<-s.stopped
-	return nil
-}
-
-// drain stops accepting connections and closes each open one as soon as it is idle.
-func (s *httpServer) drain() { _ = s.server.Shutdown(context.Background()) }
-
-// stop waits up to shutdownTimeout for responses in progress and then closes all connections.
-func (s *httpServer) stop(error) {
-	defer close(s.stopped)
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if s.server.Shutdown(ctx) == nil {
-		return
-	}
-	if s.beforeClose != nil {
-		s.beforeClose()
-	}
-	_ = s.server.Close()
+	})
 }
--- /dev/null
+++ b/io/httpserver/server.go
@@ -0,0 +1,111 @@
+package httpserver
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Server is an HTTP server with its listener.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	served   chan struct{} // closed when no connection is accepted any more
+	stopped  chan struct{} // closed at the end of Stop
+
+	mu          sync.Mutex
+	open        int    // connections that are not closed
+	onEmpty     func() // called when no connection is open, nil for none
+	beforeClose func() // called before connections in use are closed, nil for none
+}
+
+// New listens on an address for an HTTP server, which is not used otherwise.
+func New(addr netip.AddrPort, server *http.Server) (*Server, error) {
+	if !addr.IsValid() {
+		return nil, errors.New("no address")
+	}
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{http: server, listener: listener, served: make(chan struct{}), stopped: make(chan struct{})}
+	next := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		s.trackState(state)
+		if next != nil {
+			next(conn, state)
+		}
+	}
+	return s, nil
+}
+
+// Addr returns the address of the listener.
+func (s *Server) Addr() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// BeforeClose sets a function that Stop calls if it closes connections in use.
+func (s *Server) BeforeClose(f func()) { s.beforeClose = f }
+
+// Serve accepts connections until the server fails, or until Stop has returned.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	close(s.served)
+	if !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	<-s.stopped
+	return nil
+}
+
+// Drain closes the listener and all idle connections. Requests on open connections are served, and each connection is
+// closed after its response. It then calls empty as soon as no connection is open; empty must not block.
+func (s *Server) Drain(empty func()) {
+	_ = s.listener.Close()
+	<-s.served
+	s.http.SetKeepAlivesEnabled(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onEmpty = empty
+	s.callIfEmpty()
+}
+
+// Stop drains the server, and closes the connections that are open after the timeout. Serve must have been called.
+func (s *Server) Stop(timeout time.Duration) {
+	defer close(s.stopped)
+	empty := make(chan struct{})
+	s.Drain(func() { close(empty) })
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-empty:
+	case <-timer.C:
+		if s.beforeClose != nil {
+			s.beforeClose()
+		}
+	}
+	_ = s.http.Close()
+}
+
+// Close closes the listener of a server that has not served.
+func (s *Server) Close() error { return s.listener.Close() }
+
+func (s *Server) trackState(state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.open++
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+		s.callIfEmpty()
+	}
+}
+
+func (s *Server) callIfEmpty() {
+	if s.open == 0 && s.onEmpty != nil {
+		s.onEmpty()
+		s.onEmpty = nil
+	}
+}
--- /dev/null
+++ b/io/httpserver/server_test.go
@@ -0,0 +1,129 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"bluebellflow/io/httpserver"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	// testTimeout bounds each wait for an expected event.
+	testTimeout = 10 * time.Second
+	request     = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+)
+
+// testServer is a running server.
+type testServer struct {
+	*httpserver.Server
+	accepted chan struct{} // receives a value for each connection
+	served   chan error    // result of Serve
+}
+
+func start(t *testing.T, handler http.HandlerFunc) *testServer {
+	s := &testServer{accepted: make(chan struct{}, 10), served: make(chan error, 1)}
+	state := func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.accepted <- struct{}{}
+		}
+	}
+	var err error
+	s.Server, err = httpserver.New(netip.MustParseAddrPort("127.0.0.1:0"), &http.Server{Handler: handler, ConnState: state})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	go func() { s.served <- s.Serve() }()
+	return s
+}
+
+func answer(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+
+// connect opens a connection and sends the beginning of a request. It returns when the server has accepted the connection.
+func connect(t *testing.T, s *testServer, sent string) net.Conn {
+	g := NewWithT(t)
+	conn, err := net.Dial("tcp", s.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(s.accepted, testTimeout).Should(Receive())
+	return conn
+}
+
+// finish sends the rest of a request and expects its answer, after which the connection is closed.
+func finish(t *testing.T, conn net.Conn, rest string) {
+	g := NewWithT(t)
+	_, err := io.WriteString(conn, rest)
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	br := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(br, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("abc"))
+	_, err = br.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+}
+
+// TestDrain guards against a server that closes connections without an answer to a request whose end it reads after it has
+// stopped accepting connections.
+func TestDrain(t *testing.T) {
+	for name, sent := range map[string]int{"nothing sent": 0, "part of the head": 20, "head": len(request) - 3, "part of the body": len(request) - 1} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := start(t, answer)
+			conn := connect(t, s, request[:sent])
+			empty := make(chan struct{})
+			s.Drain(func() { close(empty) })
+			g.Expect(net.Dial("tcp", s.Addr().String())).Error().To(HaveOccurred(), "connections are accepted")
+			g.Consistently(empty, 20*time.Millisecond).ShouldNot(BeClosed())
+			finish(t, conn, request[sent:])
+			g.Eventually(empty, testTimeout).Should(BeClosed())
+			s.Stop(testTimeout)
+			g.Eventually(s.served, testTimeout).Should(Receive(BeNil()))
+		})
+	}
+	t.Run("idle connections are closed", func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, answer)
+		resp, err := http.Post("http://"+s.Addr().String(), "text/plain", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		empty := make(chan struct{})
+		s.Drain(func() { close(empty) })
+		g.Eventually(empty, testTimeout).Should(BeClosed())
+		s.Stop(testTimeout)
+		g.Eventually(s.served, testTimeout).Should(Receive(BeNil()))
+	})
+}
+
+// TestStop guards against a stop that does not end because a request does not, and against closing its connection without
+// notice.
+func TestStop(t *testing.T) {
+	g := NewWithT(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := start(t, func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-release
+	})
+	defer close(release)
+	noticed := false
+	s.BeforeClose(func() { noticed = true })
+	conn := connect(t, s, request)
+	<-entered
+	s.Stop(50 * time.Millisecond)
+	g.Expect(noticed).To(BeTrue())
+	g.Eventually(s.served, testTimeout).Should(Receive(BeNil()))
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	_, err := conn.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+}
--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -20,6 +20,7 @@
 	"bluebellflow/io/admin"
 	"bluebellflow/io/backend"
 	"bluebellflow/io/callers"
+	"bluebellflow/io/httpserver"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/requestreply"
 	"bluebellflow/io/store"
@@ -79,7 +80,7 @@
 	store       *store.Client
 	backend     *backend.Client
 	callers     *callers.Server
-	httpServers []*httpServer
+	httpServers []*httpserver.Server
 	addrs       [3]netip.AddrPort // peers, callers, operators
 	kill        context.CancelCauseFunc
 	killed      context.Context
@@ -156,17 +157,17 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	n.httpServers = append(n.httpServers, callers)
-	n.addrs[1] = callers.addr
+	n.addrs[1] = callers.Addr()
 	if !cfg.Admin.IsValid() {
 		return nil
 	}
 	operators, err := newHTTPServer(cfg.Admin, api.Handler(), n.loop)
 	if err != nil {
-		_ = callers.listener.Close()
+		_ = callers.Close()
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	n.httpServers = append(n.httpServers, operators)
-	n.addrs[2] = operators.addr
+	n.addrs[2] = operators.Addr()
 	return nil
 }
 
@@ -197,7 +198,7 @@
 	addContext(&group, n.store.Run)
 	addContext(&group, n.backend.Run)
 	for _, s := range n.httpServers {
-		group.Add(s.serve, func(err error) { s.stop(err) })
+		group.Add(s.Serve, func(err error) { s.Stop(stopTimeout(err)) })
 	}
 	return group.Run()
 }
@@ -227,49 +228,22 @@
 	group.Add(func() error { return do(ctx) }, func(error) { cancel() })
 }
 
-// httpServer is an HTTP server with its listener.
-type httpServer struct {
-	server   *http.Server
-	listener net.Listener
-	addr     netip.AddrPort
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, loop *Loop) (*httpserver.Server, error) {
+	return httpserver.New(addr, &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          stdlog.New(ReportWriter(loop), "", 0),
+	})
 }
 
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, loop *Loop) (*httpServer, error) {
-	listener, addr, err := listen(addr)
-	if err != nil {
-		return nil, err
-	}
-	return &httpServer{
-		server: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          stdlog.New(ReportWriter(loop), "", 0),
-		},
-		listener: listener,
-		addr:     addr,
-	}, nil
-}
-
-func (s *httpServer) serve() error {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-// stop waits up to shutdownTimeout for responses in progress after a graceful exit, and closes all connections at once
-// after a failure.
-func (s *httpServer) stop(reason error) {
-	if reason == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		if s.server.Shutdown(ctx) == nil {
-			return
-		}
+// stopTimeout returns how long a node waits for responses in progress: not at all after a failure.
+func stopTimeout(failure error) time.Duration {
+	if failure != nil {
+		return 0
 	}
-	_ = s.server.Close()
+	return shutdownTimeout
 }
 
 // ReportWriter returns a writer for the error log of an HTTP server; it reports each line to a loop.
