gateway: nothing is sent after the event loop has ended, and a 503 then is true

Found by the review of the exit of a node. A request that was with a server was cut without an answer. One whose error response had been held back, and whose next server refused the connection, was answered 503 although it had run.

After the end of the loop a queued decision to forward is not executed. An attempt with a response counts as run. The HTTP server learns of the end of the loop before the messages to peers are flushed.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -38,7 +38,7 @@
 
 // forward sends the request to a server and relays the response. It reports whether the exchange is complete.
 func (x *exchange) forward(f proxy.Forward) bool {
-	ctx, cancel := context.WithDeadline(x.r.Context(), f.Until)
+	ctx, cancel := x.attemptContext(f.Until)
 	req := &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: forwardedHeaders(x.r.Header), Body: x.body,
 		AtMostOnce: f.Once, HeaderDeadline: f.First,
@@ -55,12 +55,19 @@
 	return x.handleResponse(f, &response{ResponseReader: reader, cancel: cancel})
 }
 
+// attemptContext returns a context that ends at a deadline, when the caller disconnects, or lastResponseTime after Stop.
+func (x *exchange) attemptContext(deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(x.r.Context(), deadline)
+	release := context.AfterFunc(x.server.stopped, func() { time.AfterFunc(lastResponseTime, cancel) })
+	return ctx, func() {
+		release()
+		cancel()
+	}
+}
+
 // reportFailure reports an attempt that got no complete response, unless the caller has disconnected. It returns false,
 // because the exchange continues.
 func (x *exchange) reportFailure(err error, res proxy.Result) bool {
-	if !x.callerConnected() {
-		return false // serve handles the disconnect
-	}
 	res.Detail = err.Error()
 	res.Fail = event.FailBroken
 	var failure *upstream.Error
@@ -69,6 +76,9 @@
 	}
 	res.ConnRefused = errors.Is(err, syscall.ECONNREFUSED)
 	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
+	if !x.callerConnected() {
+		return false // serve handles the disconnect
+	}
 	res.Began = x.responseStarted
 	x.server.deliver(proxy.Ended{Ticket: x.ticket, Result: res})
 	return false
@@ -114,6 +124,7 @@
 	}
 	resp.body = raw
 	x.held = resp
+	x.mayHaveRun = true
 	res.Held = true
 	x.server.deliver(proxy.Ended{Ticket: x.ticket, Result: res})
 	return false
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -30,6 +30,8 @@
 	defaultMaxBodyBytes = 1 << 20
 	// writeTimeout is the time limit for one write to a caller.
 	writeTimeout = 5 * time.Second
+	// lastResponseTime is how long after Stop a server may complete its response.
+	lastResponseTime = 100 * time.Millisecond
 	// stopRetryAfter is the Retry-After of requests that a stopped server refuses; another node will serve them.
 	stopRetryAfter = 100 * time.Millisecond
 	// actionQueueSize is the maximum number of queued actions for one request.
@@ -74,7 +76,8 @@
 	lastTicket atomic.Uint64
 	idleConns  *idleConns
 	latency    latencies
-	stopped    chan struct{} // closed by Stop
+	stopped    context.Context // ended by Stop
+	stop       context.CancelFunc
 
 	mu         sync.Mutex
 	inProgress map[proxy.Ticket]*exchange
@@ -90,8 +93,9 @@
 func New(dialect Dialect, client *upstream.Client, deliver func(event.Event), opts ...Option) *Server {
 	s := &Server{
 		dialect: dialect, client: client, deliver: deliver, vars: new(expvar.Map),
-		inProgress: map[proxy.Ticket]*exchange{}, idleConns: newIdleConns(), stopped: make(chan struct{}),
+		inProgress: map[proxy.Ticket]*exchange{}, idleConns: newIdleConns(),
 	}
+	s.stopped, s.stop = context.WithCancel(context.Background())
 	s.limits.Store(&catalog.Limits{BodyBytes: defaultMaxBodyBytes})
 	for _, o := range opts {
 		o(s)
@@ -112,9 +116,9 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
-// Stop tells the server that no more decisions will come: requests for which no server was chosen are refused from now on.
-// It must be called only once.
-func (s *Server) Stop() { close(s.stopped) }
+// Stop tells the server that no more decisions will come. Requests that were not sent to a server are refused from now on,
+// and those without a complete response are ended after lastResponseTime.
+func (s *Server) Stop() { s.stop() }
 
 // Execute passes an action to the request that it concerns, or applies it to the server.
 func (s *Server) Execute(a event.Action) error {
@@ -313,7 +317,7 @@
 			if x.execute(a) {
 				return
 			}
-		case <-x.server.stopped:
+		case <-x.server.stopped.Done():
 			x.end()
 			return
 		}
@@ -324,7 +328,7 @@
 func (x *exchange) end() {
 	select {
 	case a := <-x.actions:
-		if _, forward := a.(proxy.Forward); !forward && x.execute(a) {
+		if x.execute(a) {
 			return
 		}
 	default:
@@ -343,6 +347,9 @@
 func (x *exchange) execute(a event.Action) bool {
 	switch a := a.(type) {
 	case proxy.Forward:
+		if x.server.stopped.Err() != nil {
+			return false // serve ends the exchange
+		}
 		x.discardHeld()
 		return x.forward(a)
 	case proxy.Deliver:
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -213,8 +213,9 @@
 
 // runLoop runs the event loop, and then waits up to flushTimeout until the last messages to peers are written.
 func (n *Node) runLoop(ctx context.Context) error {
-	defer n.server.Stop()
-	if err := n.loop.Run(ctx); err != nil {
+	err := n.loop.Run(ctx)
+	n.server.Stop()
+	if err != nil {
 		return err
 	}
 	ctx, done := context.WithTimeout(ctx, flushTimeout)
--- a/io/gateway/stream_test.go
+++ b/io/gateway/stream_test.go
@@ -1,33 +1,18 @@
 package gateway_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
-	"bluebellflow/core/batch"
 	"bluebellflow/core/event"
-	"bluebellflow/core/id"
 	"bluebellflow/core/proxy"
-	"bluebellflow/io/gateway"
-	"bluebellflow/io/upstream"
 )
 
-func (dialect) SetRequestHeaders(http.Header, proxy.Forward, time.Duration) {}
-
-func (dialect) Matches(id.Request, *http.Response) bool { return true }
-
-func (dialect) ResponseInfo(*http.Response) gateway.ResponseInfo {
-	return gateway.ResponseInfo{Sealed: true}
-}
-
 const (
 	streamHead  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	wholeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -47,6 +32,8 @@
 		"unframed, before the first":     {streamHead + "\r\n", "", event.FailBroken},
 		"with a length, whole":           {streamHead + "Content-Length: 30\r\n\r\n" + wholeEvents, wholeEvents, 0},
 		"with a length, inside an event": {streamHead + "Content-Length: 29\r\n\r\n" + wholeEvents[:29], "", event.FailBroken},
+		"in chunks, whole":               {streamHead + "Transfer-Encoding: chunked\r\n\r\n1e\r\n" + wholeEvents + "\r\n0\r\n\r\n", wholeEvents, 0},
+		"in chunks, inside an event":     {streamHead + "Transfer-Encoding: chunked\r\n\r\n1d\r\n" + wholeEvents[:29] + "\r\n0\r\n\r\n", "", event.FailBroken},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -65,38 +52,31 @@
 
 // TestRefusedConn guards against losing the sign that a server's process has ended: it refuses connections.
 func TestRefusedConn(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	_ = listener.Close()
-	_, _, ended := relayTo(listener.Addr().(*net.TCPAddr).AddrPort())
+	_, _, ended := relayTo(t, closedAddr(t))
 	NewWithT(t).Expect(ended.Fail).To(Equal(event.FailUnsent))
 	NewWithT(t).Expect(ended.ConnRefused).To(BeTrue())
 }
 
-// relay sends a request through a gateway to a server that gives a raw response.
+// relay sends a request through a gateway to a server that gives a raw response and closes the connection.
 func relay(t *testing.T, response string) (body string, err error, ended proxy.Ended) {
-	return relayTo(rawBackend(t, response))
+	return relayTo(t, listen(t, func(conn net.Conn) { _, _ = io.WriteString(conn, response) }))
 }
 
 // relayTo sends a request through a gateway to a server. It returns what the caller gets, and the result that is reported.
-// The decision logic is replaced by one that sends the request once.
-func relayTo(backend netip.AddrPort) (body string, err error, ended proxy.Ended) {
+func relayTo(t *testing.T, server netip.AddrPort) (body string, err error, ended proxy.Ended) {
 	results := make(chan proxy.Ended, 1)
-	var server *gateway.Server
-	server = gateway.New(dialect{}, upstream.New(), func(ev event.Event) {
+	f := newFront(t, func(f *front, ev event.Event) {
 		switch ev := ev.(type) {
 		case proxy.Arrive:
-			_ = server.Execute(proxy.Forward{Ticket: ev.Ticket, Server: batch.Target{ID: "s", Addr: backend}, Until: time.Now().Add(10 * time.Second)})
+			f.forward(ev.Ticket, server)
 		case proxy.Ended:
 			results <- ev
 			if ev.Fail != 0 {
-				_ = server.Execute(proxy.Abort{Ticket: ev.Ticket})
+				_ = f.Execute(proxy.Abort{Ticket: ev.Ticket})
 			}
 		}
 	})
-	front := httptest.NewServer(server)
-	defer front.Close()
-	resp, err := http.Get(front.URL)
+	resp, err := http.Get(f.http.URL)
 	if err != nil {
 		return "", err, <-results
 	}
@@ -104,23 +84,3 @@
 	_ = resp.Body.Close()
 	return string(raw), err, <-results
 }
-
-// rawBackend starts a server that gives a raw response to its only request and closes the connection.
-func rawBackend(t *testing.T, response string) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, response)
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
