gateway: a stream that ends in a comment or an empty line is complete

Found by the review: what followed the last event was taken for the beginning of another one even if it was a comment or one more line end, so that a complete stream was broken off, or not, depending on how it arrived.

--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -66,11 +66,11 @@
 
 // finishStream completes a stream at its end, given what follows its last complete event.
 func (x *exchange) finishStream(resp *http.Response, control *http.ResponseController, rest []byte, res proxy.Result) bool {
-	if len(rest) > 0 || !x.responseStarted && endsWithConn(resp) {
+	if insideEvent(rest) || !x.responseStarted && endsWithConn(resp) {
 		return x.reportInterrupted(errStreamBrokenOff, res)
 	}
-	if !x.responseStarted {
-		if err := x.writeEvents(resp, control, nil); err != nil {
+	if len(rest) > 0 || !x.responseStarted {
+		if err := x.writeEvents(resp, control, rest); err != nil {
 			return x.reportInterrupted(err, res)
 		}
 	}
@@ -78,6 +78,17 @@
 	return true
 }
 
+// insideEvent reports whether what follows the last complete event of a stream is the beginning of another one, and not only
+// empty lines and comments.
+func insideEvent(rest []byte) bool {
+	for line := range bytes.FieldsFuncSeq(rest, func(r rune) bool { return r == '\r' || r == '\n' }) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // endsWithConn reports whether only the end of the connection marks the end of a response.
 func endsWithConn(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/io/gateway/stream_test.go
+++ b/io/gateway/stream_test.go
@@ -34,6 +34,8 @@
 		"with a length, inside an event": {streamHead + "Content-Length: 29\r\n\r\n" + wholeEvents[:29], "", event.FailBroken},
 		"in chunks, whole":               {streamHead + "Transfer-Encoding: chunked\r\n\r\n1e\r\n" + wholeEvents + "\r\n0\r\n\r\n", wholeEvents, 0},
 		"in chunks, inside an event":     {streamHead + "Transfer-Encoding: chunked\r\n\r\n1d\r\n" + wholeEvents[:29] + "\r\n0\r\n\r\n", "", event.FailBroken},
+		"one more line end":              {streamHead + "Content-Length: 31\r\n\r\n" + wholeEvents + "\n", wholeEvents + "\n", 0},
+		"a comment after the last event": {streamHead + "\r\n" + wholeEvents + ": done\n", wholeEvents + ": done\n", 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
