proxy: a stopping node refuses long requests only if it knows how long they take

Found by the review: after one measurement of 3 s a stopping node refused the whole route, because the first deviation is half of the first measurement; and one request of 15 s among hundreds of 0.1 s made it refuse until eleven more had passed. A bound now needs four measurements, the deviation follows faster (the gains of RFC 6298), and a request that ends by its own deadline earlier is not refused.

TestStopFewMeasurements failed before in two of its three cases.

--- a/core/proxy/durations.go
+++ b/core/proxy/durations.go
@@ -3,27 +3,42 @@
 import "time"
 
 const (
-	// durationDivisor divides the difference of a new measurement from a smoothed duration, before it is added to it.
-	durationDivisor = 8
-	// maxDeviations is the number of mean deviations by which a duration rarely exceeds its mean, as for the retransmission
-	// timeout of RFC 6298.
-	maxDeviations = 4
+	// meanDivisor and deviationDivisor divide the difference of a new measurement before it is added to a smoothed mean or
+	// deviation, and maxDeviations is the number of deviations by which a duration rarely exceeds its mean. All are those of
+	// the retransmission timeout of RFC 6298.
+	meanDivisor      = 8
+	deviationDivisor = 4
+	maxDeviations    = 4
+	// minMeasurements is how many measurements a bound needs: the first ones have hardly shown how durations vary.
+	minMeasurements = 4
 )
 
 // duration is a smoothed duration with its mean deviation.
-type duration struct{ mean, deviation time.Duration }
+type duration struct {
+	mean, deviation time.Duration
+	measurements    int
+}
 
 // observe adds a measurement.
 func (d *duration) observe(took time.Duration) {
-	if d.mean == 0 {
+	d.measurements++
+	if d.measurements == 1 {
 		d.mean, d.deviation = took, took/2
 		return
 	}
-	d.deviation += ((took - d.mean).Abs() - d.deviation) / durationDivisor
-	d.mean += (took - d.mean) / durationDivisor
+	d.deviation += ((took - d.mean).Abs() - d.deviation) / deviationDivisor
+	d.mean += (took - d.mean) / meanDivisor
+}
+
+// bound returns the mean and some deviations, or 0 if there are too few measurements.
+func (d *duration) bound(deviations time.Duration) time.Duration {
+	if d.measurements < minMeasurements {
+		return 0
+	}
+	return d.mean + deviations*d.deviation
 }
 
-// routeDurations holds how long the successful requests of a route took.
+// routeDurations holds how long the requests of a route took that got a response.
 type routeDurations struct {
 	firstByte duration // from the send to the first part of the response
 	response  duration // from the send to the end of the response
@@ -49,8 +64,8 @@
 
 // expectedFirstByte returns the expected time to the first part of a response of a route.
 func (g *Gateway) expectedFirstByte(route string) time.Duration {
-	if mean := g.durationsOf(route).firstByte.mean; mean > 0 {
-		return mean
+	if first := g.durationsOf(route).firstByte; first.measurements > 0 {
+		return first.mean
 	}
 	return defaultFirstByte
 }
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -114,7 +114,7 @@
 		g.sendRefusal(r, http.StatusServiceUnavailable, left, reason, out)
 		return
 	}
-	if g.rejectsArrival(now, r) {
+	if g.rejectsArrival(now, r, patience) {
 		g.sendRefusal(r, http.StatusServiceUnavailable, shutdownRetryAfter, shutdownReason, out)
 		return
 	}
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -18,8 +18,8 @@
 	shutdownPollInterval = 50 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the last responses when the node exits.
 	exitMargin = 300 * time.Millisecond
-	// refuseMargin is the least part of the grace period in which a request is still sent to a server.
-	refuseMargin = 800 * time.Millisecond
+	// minRunTime is the least time before the exit in which a request is still sent to a server.
+	minRunTime = 500 * time.Millisecond
 	// shutdownRetryAfter is the Retry-After of these requests; another node will serve them.
 	shutdownRetryAfter = 100 * time.Millisecond
 	// shutdownReason is the reason of these refusals in the log.
@@ -89,17 +89,18 @@
 	}
 }
 
-// rejectsArrival reports whether a stopping node refuses a request that arrives now, because it would not end in time.
-func (g *Gateway) rejectsArrival(now time.Time, r *request) bool {
-	total := g.durationsOf(r.route.Name).total
-	return g.shutdown.closed || g.stopsWithin(now, total.mean+maxDeviations*total.deviation)
+// rejectsArrival reports whether a stopping node refuses a request that arrives now: it would rarely end before the exit,
+// or comes after the listener was closed. No request lasts longer than its patience.
+func (g *Gateway) rejectsArrival(now time.Time, r *request, patience time.Duration) bool {
+	total := g.durationsOf(r.route.Name).total.bound(maxDeviations)
+	return g.shutdown.closed || g.stopsWithin(now, min(total, patience))
 }
 
-// stopsBeforeResponse reports whether the node stops before a request that no server has run would end if it were sent to
-// a server now. The limit is lower than for an arrival, because its stages would have to run again.
+// stopsBeforeResponse reports whether the node would often exit before the end of a request that no server has run, if it
+// were sent to a server now. The limit is lower than for an arrival, because its stages would have to run again.
 func (g *Gateway) stopsBeforeResponse(now time.Time, r *request) bool {
-	response := g.durationsOf(r.route.Name).response
-	return !r.mayHaveRun && g.stopsWithin(now, max(refuseMargin-exitMargin, response.mean+response.deviation))
+	response := min(g.durationsOf(r.route.Name).response.bound(1), r.deadline.Sub(now))
+	return !r.mayHaveRun && g.stopsWithin(now, max(minRunTime, response))
 }
 
 // stopsWithin reports whether the node exits earlier than d from now.
--- a/core/proxy/stop_test.go
+++ b/core/proxy/stop_test.go
@@ -88,3 +88,37 @@
 		onlyAction[event.Exit](h)
 	})
 }
+
+// TestStopFewMeasurements guards against a stopping node that refuses requests which it could serve, because it has measured
+// few of a route, one took long, or they end earlier by their own deadline.
+func TestStopFewMeasurements(t *testing.T) {
+	expectForwarded := func(h *harness, patience time.Duration) {
+		h.step(event.Stop{})
+		h.arrive("draft", func(r *proxy.RequestInfo) { r.Patience = patience })
+		h.g.ExpectWithOffset(1, actionsOf[proxy.Forward](h)).To(HaveLen(1))
+	}
+	t.Run("few measurements", func(t *testing.T) {
+		h := newLoadedHarness(t)
+		h.serve("draft", 3*time.Second)
+		h.serve("draft", 3*time.Second)
+		expectForwarded(h, time.Minute)
+	})
+	t.Run("one took long", func(t *testing.T) {
+		h := newLoadedHarness(t)
+		for range 100 {
+			h.serve("draft", 100*time.Millisecond)
+		}
+		h.serve("draft", 9*time.Second)
+		for range 4 {
+			h.serve("draft", 100*time.Millisecond)
+		}
+		expectForwarded(h, time.Minute)
+	})
+	t.Run("its deadline comes first", func(t *testing.T) {
+		h := newLoadedHarness(t)
+		for range 30 {
+			h.serve("draft", 9*time.Second)
+		}
+		expectForwarded(h, 5*time.Second)
+	})
+}
