requestreply: commands get an answer when a node exits

Found by the review: POST /v1/keys and operators' commands that were open when the event loop of a bluebellflow serve node had ended got no answer; the connection was closed 2 s later. The wait of all commands ends with the loop now, and later ones are not started. requestreply.TestStop waits for its deadline of 10 s without the change.

--- a/io/requestreply/correlator.go
+++ b/io/requestreply/correlator.go
@@ -14,12 +14,16 @@
 // ErrBusy means that too many commands wait for a result; the new command was not started.
 var ErrBusy = errors.New("too many commands in progress")
 
+// ErrStopped means that no more results will come. A command that was delivered before may still have taken effect.
+var ErrStopped = errors.New("this node has stopped")
+
 // Correlator numbers commands and passes each result to the caller that waits for it.
 type Correlator struct {
 	deliver func(event.Event)
 
 	mu         sync.Mutex
 	lastNumber uint64
+	stopped    bool // no more results will come
 	pending    map[uint64]chan event.CommandResult
 }
 
@@ -38,7 +42,10 @@
 	defer c.remove(number)
 	c.deliver(build(number))
 	select {
-	case result := <-results:
+	case result, ok := <-results:
+		if !ok {
+			return event.CommandResult{}, ErrStopped
+		}
 		return result, nil
 	case <-ctx.Done():
 		return event.CommandResult{}, ctx.Err()
@@ -48,6 +55,9 @@
 func (c *Correlator) begin() (uint64, chan event.CommandResult, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.stopped {
+		return 0, nil, ErrStopped
+	}
 	if len(c.pending) >= maxPending {
 		return 0, nil, ErrBusy
 	}
@@ -73,3 +83,14 @@
 		results <- result
 	}
 }
+
+// Stop ends the wait of all callers, because no more results will come.
+func (c *Correlator) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, results := range c.pending {
+		close(results)
+	}
+	clear(c.pending)
+}
--- a/io/requestreply/correlator_test.go
+++ b/io/requestreply/correlator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -33,3 +34,18 @@
 	_, err := unanswered.Do(ctx, build)
 	g.Expect(errors.Is(err, context.Canceled)).To(BeTrue())
 }
+
+// TestStop guards against a command whose caller gets no answer because the event loop, which decides about it, has ended.
+func TestStop(t *testing.T) {
+	g := NewWithT(t)
+	build := func(n uint64) event.Event { return event.Command{Number: n} }
+	var correlator *requestreply.Correlator
+	correlator = requestreply.New(func(event.Event) { correlator.Stop() })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 2 { // the second one comes after the end
+		_, err := correlator.Do(ctx, build)
+		g.Expect(err).To(MatchError(requestreply.ErrStopped))
+	}
+	correlator.Complete(event.CommandResult{Number: 1})
+}
--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -80,6 +80,7 @@
 	store       *store.Client
 	backend     *backend.Client
 	callers     *callers.Server
+	correlator  *requestreply.Correlator // of operators' commands
 	httpServers []*httpserver.Server
 	addrs       [3]netip.AddrPort // peers, callers, operators
 	kill        context.CancelCauseFunc
@@ -124,16 +125,16 @@
 	n.backend = backend.New(cfg.Self, deliver, append([]backend.Option{
 		backend.WithVars(n.vars), backend.WithErrorHandler(report), backend.WithNow(clock.Now),
 	}, cfg.Backend...)...)
-	correlator := requestreply.New(deliver)
+	n.correlator = requestreply.New(deliver)
 	n.callers = callers.New(cfg.Self, deliver, append([]callers.Option{
-		callers.WithVars(n.vars), callers.WithNow(clock.Now), callers.WithBusy(n.loop.Busy), callers.WithKeys(correlator, cfg.Keys),
+		callers.WithVars(n.vars), callers.WithNow(clock.Now), callers.WithBusy(n.loop.Busy), callers.WithKeys(n.correlator, cfg.Keys),
 	}, cfg.Caller...)...)
-	if err := n.listenHTTP(cfg, admin.New(correlator, cfg.Commands, admin.WithNow(clock.Now))); err != nil {
+	if err := n.listenHTTP(cfg, admin.New(n.correlator, cfg.Commands, admin.WithNow(clock.Now))); err != nil {
 		_ = listener.Close()
 		return nil, err
 	}
 	versions, _ := decider.(Versions)
-	n.loop.SetExecutor(Executors{Platform: n.store, Servers: n.backend, Peers: n.mesh, Callers: n.callers, Operators: correlator, Versions: versions})
+	n.loop.SetExecutor(Executors{Platform: n.store, Servers: n.backend, Peers: n.mesh, Callers: n.callers, Operators: n.correlator, Versions: versions})
 	n.vars.Set("queue", expvar.Func(func() any { return n.loop.QueueLength() }))
 	n.vars.Set("process", expvar.Func(func() any { return ReadProcessStats() }))
 	n.vars.Set("requests_open", expvar.Func(func() any { return n.callers.InProgress() }))
@@ -210,6 +211,7 @@
 	defer context.AfterFunc(n.killed, func() { cancel(ErrKilled) })()
 	err := n.loop.Run(ctx)
 	n.callers.Stop()
+	n.correlator.Stop()
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			return cause
