cli: signals are subscribed to before the process listens

A reload is planned work; the process must not end by it. TestEarlySignal failed before for both kinds of node (SIGTERM; the subscription to SIGHUP stands beside it).

--- a/cmd/cli/cli_test.go
+++ b/cmd/cli/cli_test.go
@@ -72,7 +72,7 @@
 }
 
 func (f fakeSystem) Gateway(_ string, source []byte) (gateway.Config, int, error) {
-	return gateway.Config{}, 0, fakeSystem{}.Check("", source)
+	return gateway.Config{Self: event.Self{Node: "n1", Addr: f.platform}}, 0, fakeSystem{}.Check("", source)
 }
 
 func (f fakeSystem) Step(_ time.Time, ev event.Event) []event.Action {
@@ -277,3 +277,29 @@
 		})
 	}
 }
+
+// TestEarlySignal guards against a signal that ends a process without notice, because it comes when the process listens
+// already, and before it has subscribed.
+func TestEarlySignal(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = taken.Close() }()
+	for name, system := range map[string]fakeSystem{
+		"serve":   {},
+		"gateway": {platform: netip.MustParseAddrPort(taken.Addr().String())}, // the node cannot listen
+	} {
+		t.Run(name, func(t *testing.T) {
+			signals := make(chan os.Signal, 1)
+			signals <- syscall.SIGTERM
+			subscribed := false
+			var out, errs syncBuffer
+			streams := cli.Streams{Out: &out, Err: &errs, Signals: func() <-chan os.Signal {
+				subscribed = true
+				NewWithT(t).Expect(errs.String()+out.String()).NotTo(ContainSubstring("node=n1"), "the node has been created")
+				return signals
+			}}
+			cli.Main([]string{name, settingsFile(t, "{}")}, streams, system)
+			NewWithT(t).Expect(subscribed).To(BeTrue())
+		})
+	}
+}
--- a/cmd/cli/gateway.go
+++ b/cmd/cli/gateway.go
@@ -50,19 +50,22 @@
 	if memoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryLimitMB) * megabyte))
 	}
+	signals := e.streams.Signals()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	node, err := gateway.NewNode(cfg)
 	if err != nil {
 		return err
 	}
 	cfg.Logger.Info("start", "node", cfg.Self.Node, "incarnation", cfg.Self.Incarnation, "domain", cfg.Self.FailureDomain,
 		"callers", addrText(cfg.Callers), "peers", addrText(cfg.Self.Addr))
-	go logReloadRequests(cfg.Logger)
+	go logReloadRequests(cfg.Logger, reloads)
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
 		select {
 		case <-ended:
-		case <-e.streams.Signals():
+		case <-signals:
 			node.Stop()
 		}
 	}()
@@ -73,9 +76,7 @@
 
 // logReloadRequests logs each SIGHUP. Nothing is reloaded: the settings of a process take effect at its next start, and
 // configuration that changes while a gateway runs is read from the store.
-func logReloadRequests(logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func logReloadRequests(logger *log.Logger, signals <-chan os.Signal) {
 	for range signals {
 		logger.Info("reload", "result", "settings apply from the next start on")
 	}
--- a/cmd/cli/local.go
+++ b/cmd/cli/local.go
@@ -111,6 +111,7 @@
 	if err := initSelf(&cfg.Self); err != nil {
 		return err
 	}
+	signals := e.streams.Signals()
 	node, err := runtime.New(cfg)
 	if err != nil {
 		return err
@@ -119,7 +120,7 @@
 		"callers", addrText(node.CallerAddr()), "admin", addrText(node.AdminAddr()), "peers", addrText(node.PeerAddr()))
 	ended := make(chan struct{})
 	defer close(ended)
-	go stopOnSignal(node, e.streams.Signals(), ended)
+	go stopOnSignal(node, signals, ended)
 	return node.Run()
 }
 
