denylist: nodes that start again are told the refused keys

In the log each restarted node counts from its first crash again: refused keys were sent to names that were not in the list of nodes before, and a node that comes back keeps its name. They are sent when the connection to a node comes up now, which also serves nodes that were unreachable.

--- a/core/denylist/guard.go
+++ b/core/denylist/guard.go
@@ -10,8 +10,12 @@
 	"bluebellflow/core/id"
 )
 
-// maxEnded bounds the ended processes that are remembered for reports that arrive late.
-const maxEnded = 256
+const (
+	// maxEnded bounds the ended processes that are remembered for reports that arrive late.
+	maxEnded = 256
+	// tellers is how many nodes tell another one of a refused key. Some of them may have started lately themselves.
+	tellers = 3
+)
 
 // Guard counts the processes that ended under each key, and refuses requests with a key under which too many did. A key
 // identifies a request by its content, or a part of a prompt that several requests share.
@@ -32,22 +36,8 @@
 	}
 }
 
-// SetNodes sets the nodes that share their observations. New ones are told which keys are refused.
-func (g *Guard) SetNodes(now time.Time, names []id.Node) []event.Action {
-	var out []event.Action
-	for _, key := range g.refusedKeys(now, g.records.order) {
-		if g.rank(key) > 0 {
-			continue // another node tells them
-		}
-		for _, name := range names {
-			if name != g.self.Node && !slices.Contains(g.nodes, name) {
-				out = append(out, event.Send{To: name, Body: g.refusalOf(now, key)})
-			}
-		}
-	}
-	g.nodes = slices.Clone(names)
-	return out
-}
+// SetNodes sets the nodes that share their observations.
+func (g *Guard) SetNodes(names []id.Node) { g.nodes = names }
 
 // Next returns zero, for no timer.
 func (g *Guard) Next() time.Time { return time.Time{} }
@@ -61,12 +51,27 @@
 		}
 	case fleet.ServerRemoved:
 		return g.serverEnded(now, ev.Server.ID, "")
+	case event.PeerLink:
+		if ev.Up {
+			return g.tellRefusals(now, ev.Peer)
+		}
 	case event.Receive:
 		return g.handleMessage(now, ev)
 	}
 	return nil
 }
 
+// tellRefusals tells a node that has started or was unreachable which keys are refused.
+func (g *Guard) tellRefusals(now time.Time, peer id.Node) []event.Action {
+	var out []event.Action
+	for _, key := range g.refusedKeys(now, g.records.order) {
+		if g.rank(key) < tellers {
+			out = append(out, event.Send{To: peer, Body: g.refusalOf(now, key)})
+		}
+	}
+	return out
+}
+
 func (g *Guard) handleMessage(now time.Time, ev event.Receive) []event.Action {
 	switch m := ev.Body.(type) {
 	case Broken:
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -181,7 +181,7 @@
 			g.applyConfig(ev.Object, out)
 		}
 	case roster.Changed:
-		g.nodesChanged(now, out)
+		g.nodesChanged()
 		g.chooseSource(now)
 	case leader.Changed:
 		g.roster.SetLeading(ev.Leader == g.self.Node)
@@ -216,7 +216,7 @@
 		Limit{Limits: next.Limits()})
 }
 
-func (g *Gateway) nodesChanged(now time.Time, out *actions) {
+func (g *Gateway) nodesChanged() {
 	names := g.roster.Nodes()
 	var candidates []leader.Candidate
 	for _, name := range names {
@@ -227,7 +227,7 @@
 	g.leader.SetCandidates(candidates)
 	g.coldLimiter.SetNodes(names)
 	g.rollouts.SetNodes(names)
-	out.add(g.crashGuard.SetNodes(now, names)...)
+	g.crashGuard.SetNodes(names)
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
 }
 
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -20,7 +20,7 @@
 	exitMargin = 300 * time.Millisecond
 	// minRunTime is the least time before the exit in which a request is still sent to a server.
 	minRunTime = 500 * time.Millisecond
-	// shutdownRetryAfter is the Retry-After of these requests; another node will serve them.
+	// shutdownRetryAfter is the Retry-After of requests that a stopping node refuses; another node will serve them.
 	shutdownRetryAfter = 100 * time.Millisecond
 	// shutdownReason is the reason of these refusals in the log.
 	shutdownReason = "this node stops"
