gateway: requests that get 502 at the exit of a node are logged as unanswered

Since attempts end with the event loop, their connections were closed before the log line for requests without a complete response was written.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -79,6 +79,8 @@
 	stopped    context.Context // ended by Stop
 	stop       context.CancelFunc
 
+	onUnanswered func(OpenRequest) // told of requests that are left without a complete response
+
 	mu         sync.Mutex
 	inProgress map[proxy.Ticket]*exchange
 }
@@ -89,11 +91,15 @@
 // WithVars sets the map in which requests and outcomes are counted.
 func WithVars(vars *expvar.Map) Option { return func(s *Server) { s.vars = vars } }
 
+// WithUnanswered sets a function that is told of each request which a stopping server leaves without a complete response.
+func WithUnanswered(f func(OpenRequest)) Option { return func(s *Server) { s.onUnanswered = f } }
+
 // New returns a server that passes requests and their outcomes to deliver, which must not block.
 func New(dialect Dialect, client *upstream.Client, deliver func(event.Event), opts ...Option) *Server {
 	s := &Server{
 		dialect: dialect, client: client, deliver: deliver, vars: new(expvar.Map),
 		inProgress: map[proxy.Ticket]*exchange{}, idleConns: newIdleConns(),
+		onUnanswered: func(OpenRequest) {},
 	}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	s.limits.Store(&catalog.Limits{BodyBytes: defaultMaxBodyBytes})
@@ -183,19 +189,29 @@
 	Age      time.Duration
 }
 
-// OpenRequests returns the requests in progress.
-func (s *Server) OpenRequests() []OpenRequest {
+// describe returns a description of the exchange.
+func (x *exchange) describe() OpenRequest {
+	r := OpenRequest{Progress: progress(x.progress.Load()).String(), Age: time.Since(x.start)}
+	if r.Progress != reading.String() {
+		r.Name = x.info.Name
+	}
+	return r
+}
+
+// ReportUnanswered reports all requests in progress as unanswered, because their connections are about to be closed.
+func (s *Server) ReportUnanswered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []OpenRequest
 	for _, x := range s.inProgress {
-		r := OpenRequest{Progress: progress(x.progress.Load()).String(), Age: time.Since(x.start)}
-		if r.Progress != reading.String() {
-			r.Name = x.info.Name
-		}
-		out = append(out, r)
+		s.reportUnanswered(x)
 	}
-	return out
+}
+
+// reportUnanswered counts and reports a request that gets no complete response of a server although it was sent to one, or
+// none at all.
+func (s *Server) reportUnanswered(x *exchange) {
+	s.vars.Add("requests_unanswered", 1)
+	s.onUnanswered(x.describe())
 }
 
 // exchange is a caller's request in progress.
@@ -337,6 +353,7 @@
 	case x.held != nil:
 		x.sendHeld()
 	case x.mayHaveRun:
+		x.server.reportUnanswered(x)
 		x.refuse(proxy.Refuse{Status: http.StatusBadGateway})
 	default:
 		x.refuse(proxy.Refuse{Status: http.StatusServiceUnavailable, After: stopRetryAfter})
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -101,7 +101,7 @@
 		mesh.WithVars(n.vars), mesh.WithErrorHandler(n.loop.Report), mesh.WithTiming(mesh.LowLatencyTiming()))
 	n.mesh.SetListener(listener)
 	n.client = upstream.New(upstream.WithVars(n.vars))
-	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars))
+	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars), WithUnanswered(n.logUnanswered))
 	n.store = cfg.NewStore(n.loop.Deliver, n.vars, n.loop.Report)
 	n.workers = cfg.NewWorkers(n.client, n.loop.Deliver)
 	n.loop.SetExecutor(n)
@@ -150,16 +150,13 @@
 		}
 		n.httpServers = append(n.httpServers, s)
 	}
-	n.httpServers[0].BeforeClose(n.logUnanswered)
+	n.httpServers[0].BeforeClose(n.server.ReportUnanswered)
 	return nil
 }
 
-// logUnanswered logs the requests whose connections are about to be closed without a response.
-func (n *Node) logUnanswered() {
-	for _, r := range n.server.OpenRequests() {
-		n.vars.Add("requests_unanswered", 1)
-		n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
-	}
+// logUnanswered logs a request that the node leaves without a complete response when it exits.
+func (n *Node) logUnanswered(r OpenRequest) {
+	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
 }
 
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/io/gateway/stop_test.go
+++ b/io/gateway/stop_test.go
@@ -43,12 +43,14 @@
 // front is a gateway server whose decision logic is replaced by a function.
 type front struct {
 	*gateway.Server
-	http *httptest.Server
+	http       *httptest.Server
+	unanswered chan gateway.OpenRequest
 }
 
 func newFront(t *testing.T, decide func(f *front, ev event.Event)) *front {
-	f := &front{}
-	f.Server = gateway.New(dialect{}, upstream.New(), func(ev event.Event) { decide(f, ev) })
+	f := &front{unanswered: make(chan gateway.OpenRequest, 1)}
+	f.Server = gateway.New(dialect{}, upstream.New(), func(ev event.Event) { decide(f, ev) },
+		gateway.WithUnanswered(func(r gateway.OpenRequest) { f.unanswered <- r }))
 	f.http = httptest.NewServer(f.Server)
 	t.Cleanup(f.http.Close)
 	return f
@@ -152,6 +154,7 @@
 			}
 		})
 		NewWithT(t).Expect(f.get(t).StatusCode).To(Equal(http.StatusBadGateway))
+		NewWithT(t).Expect((<-f.unanswered).Progress).To(Equal("forwarded"))
 	})
 	for name, c := range map[string]struct {
 		status int
