--- a/core/denylist/guard.go
+++ b/core/denylist/guard.go
@@ -13,8 +13,9 @@
 const (
 	// maxEnded bounds the ended processes that are remembered for reports that arrive late.
 	maxEnded = 256
-	// tellers is how many nodes tell another one of a refused key. Some of them may have started lately themselves.
-	tellers = 3
+	// refusalSenders is how many nodes tell a newly connected one of a refused key. Some of them may have started lately
+	// themselves and not know it.
+	refusalSenders = 3
 )
 
 // Guard counts the processes that ended under each key, and refuses requests with a key under which too many did. A key
@@ -65,7 +66,7 @@
 func (g *Guard) tellRefusals(now time.Time, peer id.Node) []event.Action {
 	var out []event.Action
 	for _, key := range g.refusedKeys(now, g.records.order) {
-		if g.rank(key) < tellers {
+		if g.rank(key) < refusalSenders {
 			out = append(out, event.Send{To: peer, Body: g.refusalOf(now, key)})
 		}
 	}
--- a/core/proxy/stop_test.go
+++ b/core/proxy/stop_test.go
@@ -9,6 +9,7 @@
 
 	"bluebellflow/core/batch"
 	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
 	"bluebellflow/core/proxy"
 )
 
@@ -25,8 +26,8 @@
 	h.end(ticket, proxy.Result{Status: http.StatusOK, Began: true})
 }
 
-// newExperiencedHarness returns a gateway that has measured how long drafts and lookups take.
-func newExperiencedHarness(t *testing.T) *harness {
+// newTimedHarness returns a gateway that has measured how long drafts and lookups take.
+func newTimedHarness(t *testing.T) *harness {
 	h := newLoadedHarness(t)
 	for range 30 {
 		h.serve("draft", draftTime)
@@ -48,7 +49,7 @@
 func TestStopLongRequests(t *testing.T) {
 	draft := func(r *proxy.RequestInfo) { r.Patience = time.Minute }
 	t.Run("arrives", func(t *testing.T) {
-		h := newExperiencedHarness(t)
+		h := newTimedHarness(t)
 		h.step(event.Stop{})
 		h.arrive("draft", draft)
 		onlyAction[proxy.Forward](h)
@@ -59,7 +60,7 @@
 		onlyAction[proxy.Forward](h)
 	})
 	t.Run("its stages last too long", func(t *testing.T) {
-		h := newExperiencedHarness(t)
+		h := newTimedHarness(t)
 		h.arrive("draft", func(r *proxy.RequestInfo) { r.Pieces, r.Patience = []int{1}, time.Minute })
 		onlyAction[batch.StartCall](h) // never ends
 		h.step(event.Stop{})
@@ -68,9 +69,11 @@
 		h.run(500 * time.Millisecond)
 		h.expectRefused("6.7 s are left for 7 s")
 	})
-	t.Run("its server was not reached", func(t *testing.T) {
-		h := newExperiencedHarness(t)
+	t.Run("its server was not reached, and there is another", func(t *testing.T) {
+		h := newTimedHarness(t)
+		h.put(fleet.KindServers, "model-2", "model 5", "")
 		ticket := h.arrive("draft", draft)
+		onlyAction[proxy.Forward](h)
 		h.step(event.Stop{})
 		h.run(2 * time.Second)
 		h.end(ticket, proxy.Result{Fail: event.FailUnsent})
