runtime: a node that is killed or fails answers nothing more

After a failure or a kill connections are closed at once, as before; only after a graceful exit do the open requests get their problem. The test is unchanged.

--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -209,15 +209,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(n.killed, func() { cancel(ErrKilled) })()
-	err := n.loop.Run(ctx)
-	n.callers.Stop()
-	n.correlator.Stop()
-	if err != nil {
+	if err := n.loop.Run(ctx); err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			return cause
 		}
 		return err
 	}
+	n.callers.Stop()
+	n.correlator.Stop()
 	ctx, done := context.WithTimeout(ctx, flushTimeout)
 	defer done()
 	n.mesh.Flush(ctx)
