selfreport, platform: the log tells what servers say of themselves in responses

The log could not tell whether a node had read the limit that a server names, or when. Server-Limit, Server-Leaving and the Retry-After of a 503 are read next to Instance-Load, and carried with it to the decision logic by one type, at the begin of a response. They are logged when they change, and change nothing else yet.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -13,6 +13,7 @@
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/ratelimit"
+	"bluebellflow/core/selfreport"
 )
 
 const (
@@ -41,11 +42,6 @@
 	stickyExcess = 6
 )
 
-// Load is a server's own report of its load.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // Query describes an attempt that needs a server.
 type Query struct {
 	Pool       id.Pool
@@ -64,7 +60,7 @@
 	Fail        event.FailKind // 0 if the server responded
 	ServerError bool           // the response has a 5xx status
 	Took        time.Duration  // duration of the attempt
-	Load        Load
+	Load        selfreport.Load
 	LoadKnown   bool // Load is set
 	Moved       bool // a different server responded at the address
 }
@@ -79,7 +75,7 @@
 	backoffUntil time.Time     // it gets no requests before
 	latency      time.Duration // smoothed, 0 before the first response
 	latencyAt    time.Time
-	load         Load
+	load         selfreport.Load
 	loadAt       time.Time
 }
 
--- a/core/batch/message.go
+++ b/core/batch/message.go
@@ -8,6 +8,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/selfreport"
 )
 
 // Limits of a message; a peer that exceeds them is not a bluebellflow node.
@@ -161,6 +162,8 @@
 		Outcomes []Outcome
 		Fail     event.FailKind
 		Detail   string
+		Answered bool // the server has answered, and Report is set
+		selfreport.Report
 	}
 	// FreeFailed reports that results could not be freed; the server discards them when they expire.
 	FreeFailed struct {
--- a/core/batch/outcome.go
+++ b/core/batch/outcome.go
@@ -8,6 +8,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/selfreport"
 )
 
 // callEnded handles the end of a call.
@@ -16,6 +17,9 @@
 	if !ok {
 		return // the call had timed out or its server was lost; its pieces run elsewhere
 	}
+	if ev.Answered {
+		out.add(s.reports.Observe(now, selfreport.Process{Server: c.worker.ID, Start: c.worker.Start}, c.startedAt, ev.Report)...)
+	}
 	s.observeVersion(now, c, ev)
 	if ev.Fail != 0 {
 		s.callFailed(now, c, ev, out)
--- a/core/batch/scheduler.go
+++ b/core/batch/scheduler.go
@@ -45,6 +45,7 @@
 	self       event.Self
 	servers    serverSource
 	versions   versionPolicy
+	reports    serverReports
 	catalog    *catalog.Catalog
 	queues     map[id.Pool]*poolQueue
 	workers    map[id.Server]*worker
@@ -96,7 +97,7 @@
 // New returns a scheduler without jobs.
 func New(self event.Self, servers serverSource, opts ...Option) *Scheduler {
 	s := &Scheduler{
-		self: self, servers: servers, versions: allVersions{}, queues: map[id.Pool]*poolQueue{}, workers: map[id.Server]*worker{},
+		self: self, servers: servers, versions: allVersions{}, reports: noReports{}, queues: map[id.Pool]*poolQueue{}, workers: map[id.Server]*worker{},
 		jobs: map[jobKey]*job{}, calls: map[uint64]*call{}, submitters: submitters{}, dropped: map[submitter][]droppedJob{}, admission: newAdmission(),
 	}
 	for _, o := range opts {
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -19,6 +19,7 @@
 	"bluebellflow/core/retry"
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/roster"
+	"bluebellflow/core/selfreport"
 	"bluebellflow/core/timerqueue"
 	"bluebellflow/core/watchcache"
 )
@@ -70,6 +71,7 @@
 	fleet        *fleet.Fleet
 	rollouts     *rollout.Rollouts
 	crashGuard   *denylist.Guard
+	reports      *selfreport.Tracker
 	balancer     *balance.Balancer
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
@@ -99,14 +101,15 @@
 		fleet:        fleet.New(decoder),
 		retryLimiter: ratelimit.NewRetryLimiter(bounds.Retries),
 		crashGuard:   denylist.New(self),
+		reports:      selfreport.New(),
 		coldLimiter:  ratelimit.NewColdLimiter(self.Node, unseenNodes),
 		requests:     map[Ticket]*request{}, jobs: map[uint64]*request{}, durations: map[string]*routeDurations{},
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter)
 	g.rollouts = rollout.New(self, decoder, g.fleet)
-	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts))
-	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, noTimers{g.balancer}, g.scheduler}
+	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
+	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, noTimers{g.balancer}, g.scheduler}
 	return g
 }
 
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/selfreport"
 )
 
 // Ticket identifies an open request within one process.
@@ -52,6 +52,7 @@
 		event.In
 		Ticket Ticket
 		Status int // HTTP status of the response
+		selfreport.Report
 	}
 	// Ended reports the end of a forwarded request.
 	Ended struct {
@@ -70,9 +71,8 @@
 	ConnRefused bool           // the server refused the connection
 	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
 	Moved       bool           // a different server responded at the address
-	Load        balance.Load
-	LoadKnown   bool `json:"Known"` // Load is set
 	Detail      string
+	selfreport.Report
 }
 
 type (
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -11,6 +11,7 @@
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/selfreport"
 )
 
 const (
@@ -208,6 +209,7 @@
 	g.reportOutcome(now, r, ev.Result)
 	out.add(event.Log{Kind: "end", Request: r.Name, Stage: r.route.Name, Choice: outcomeName(ev.Result), Reason: fmt.Sprintf(
 		"server=%s took=%s since=%s %s", r.server, took.Round(time.Millisecond), now.Sub(r.arrived).Round(time.Millisecond), ev.Detail)})
+	g.observeReport(now, r, ev.Result, out)
 	g.recordCrashEvidence(now, r, ev.Result, out)
 	if ev.Fail == 0 && !ev.Held {
 		g.recordDurations(now, r)
@@ -235,6 +237,15 @@
 	}
 }
 
+// observeReport records what a server said of itself in a response that has ended, unless it was recorded at its begin. A
+// different server at the address says nothing of the one that was meant.
+func (g *Gateway) observeReport(now time.Time, r *request, res Result, out *actions) {
+	if r.began || res.Status == 0 || res.Moved {
+		return
+	}
+	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, res.Report)...)
+}
+
 func outcomeName(res Result) string {
 	if res.Fail == 0 {
 		return fmt.Sprint(res.Status)
@@ -324,6 +335,7 @@
 	}
 	r.began = true
 	g.balancer.ResponseStarted(r.server, r.sent)
+	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, ev.Report)...)
 	if ev.Status < http.StatusBadRequest {
 		out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
 	}
--- /dev/null
+++ b/core/selfreport/report.go
@@ -0,0 +1,29 @@
+package selfreport
+
+import (
+	"fmt"
+	"time"
+)
+
+// Load is a server's own report of its load.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Report is what a server says of itself in a response. The zero Report says nothing.
+type Report struct {
+	Load      Load
+	LoadKnown bool          `json:"Known"` // Load is set
+	Limited   bool          // the server is in need, and Rate is set
+	Rate      float64       // requests per second that it takes from all nodes together
+	Leaving   bool          // it is about to exit
+	Pause     time.Duration // time in which it wants no requests from this node, 0 for none
+}
+
+// limit formats the rate limit for the log.
+func (r Report) limit() string {
+	if !r.Limited {
+		return "no limit"
+	}
+	return fmt.Sprintf("limit %g/s", r.Rate)
+}
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -77,7 +77,7 @@
 // handleResponse decides by the status and headers of a response whether to relay it, hold it back or report a failure.
 func (x *exchange) handleResponse(f proxy.Forward, resp *response) bool {
 	info := x.server.dialect.ResponseInfo(resp.Response)
-	res := proxy.Result{Status: resp.StatusCode, Load: info.Load, LoadKnown: info.LoadKnown, Moved: info.Moved, InputsGone: info.InputsGone}
+	res := proxy.Result{Status: resp.StatusCode, Moved: info.Moved, InputsGone: info.InputsGone, Report: info.Report}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	switch {
 	case info.NotRun:
@@ -139,7 +139,7 @@
 	if err != nil {
 		return x.reportFailure(err, res)
 	}
-	x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode})
+	x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode, Report: res.Report})
 	x.copyHeaders(resp.Response)
 	x.w.WriteHeader(resp.StatusCode)
 	x.responseStarted = true
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -14,11 +14,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"bluebellflow/core/balance"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/proxy"
+	"bluebellflow/core/selfreport"
 	"bluebellflow/core/typename"
 	"bluebellflow/io/upstream"
 )
@@ -39,9 +39,8 @@
 	NotRun     bool // the server says that it did not run the request
 	Moved      bool // a different server responded at the address
 	InputsGone bool // the server no longer holds an input of the request
-	Load       balance.Load
-	LoadKnown  bool // Load is set
 	Sealed     bool // the seal header shows that a server produced the response
+	selfreport.Report
 }
 
 // Dialect translates between HTTP headers and the types of the decision logic.
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellflow/core/proxy"
+	"bluebellflow/core/selfreport"
 )
 
 // maxEventBytes is the size limit for one event of a stream.
@@ -30,7 +31,7 @@
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		if end := completeEventsLength(pending); end > 0 {
-			if writeErr := x.writeEvents(resp.Response, control, pending[:end]); writeErr != nil {
+			if writeErr := x.writeEvents(resp.Response, res.Report, control, pending[:end]); writeErr != nil {
 				return x.reportInterrupted(writeErr, res)
 			}
 			pending = append(pending[:0], pending[end:]...)
@@ -50,12 +51,12 @@
 const readBufferSize = 8 << 10
 
 // writeEvents sends events to the caller, preceded by the status and headers if nothing was sent yet.
-func (x *exchange) writeEvents(resp *http.Response, control *http.ResponseController, events []byte) error {
+func (x *exchange) writeEvents(resp *http.Response, report selfreport.Report, control *http.ResponseController, events []byte) error {
 	if !x.responseStarted {
 		x.responseStarted = true
 		x.copyHeaders(resp)
 		x.w.WriteHeader(resp.StatusCode)
-		x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode})
+		x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode, Report: report})
 	}
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.w.Write(events); err != nil {
@@ -70,7 +71,7 @@
 		return x.reportInterrupted(errStreamBrokenOff, res)
 	}
 	if len(rest) > 0 || !x.responseStarted {
-		if err := x.writeEvents(resp, control, rest); err != nil {
+		if err := x.writeEvents(resp, res.Report, control, rest); err != nil {
 			return x.reportInterrupted(err, res)
 		}
 	}
