ratelimit: one limiter for the rates of servers, fractions included

ColdLimiter counted whole requests in slots of a second, and left what does not divide evenly among the nodes unused. A quota is now a whole number of requests in a span that makes up for the fraction, and nodes that come first in a server's order take the remainder.

--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -116,3 +116,38 @@
 	w.Add(epoch.Add(time.Hour), 2)
 	g.Expect(w.Sum(epoch.Add(time.Hour))).To(Equal(2.0))
 }
+
+// TestQuota guards against a quota above the rate, and against shares that do not add up to it.
+func TestQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.05, 5000).Draw(t, "rate")
+		count := rapid.IntRange(1, 400).Draw(t, "nodes")
+		q := ratelimit.QuotaOf(rate, count)
+		if perSecond := float64(q.Requests) / q.Span.Seconds(); perSecond > rate*1.001 || perSecond < rate*0.999 {
+			t.Fatalf("%d requests in %v for a rate of %v", q.Requests, q.Span, rate)
+		}
+		var names []id.Node
+		for i := range count {
+			names = append(names, id.Node(fmt.Sprint("n", i)))
+		}
+		sum := 0
+		for _, n := range names {
+			l := ratelimit.NewServerLimiter(n, 0)
+			l.SetNodes(names)
+			sum += l.Share("s", q)
+		}
+		if sum != q.Requests {
+			t.Fatalf("shares add up to %d of %d", sum, q.Requests)
+		}
+	})
+}
+
+// TestExtremeRates guards against quotas without requests, without an end or beyond the range of numbers.
+func TestExtremeRates(t *testing.T) {
+	g := NewWithT(t)
+	for _, rate := range []float64{0, 1e-300, 0.01, 1e7, 1e300} {
+		q := ratelimit.QuotaOf(rate, 9)
+		g.Expect(q.Requests).To(BeNumerically(">", 0), "rate %g", rate)
+		g.Expect(q.Span).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 20*time.Second)), "rate %g", rate)
+	}
+}
