selfreport, balance, batch: a server that names a limit gets no more from all nodes together

Cause: no part of the system read Server-Limit (the header was unknown to platform/dialect.go, the only place where answers are read).

Now a node keeps to its share of the limit, counted over a span that is long enough for a request of each node, within 1 s to 3 s. A share needs no messages and holds during partitions. If there are fewer requests than nodes, those that come first in the server's order have one each; the others hear from these that the limit still holds, and take over one after another if they hear nothing. The leader, which alone calls stage servers, has the whole limit there. A limit ends when the response to a request that was sent after the limit was last named does not name it. Balancer and scheduler choose another server meanwhile.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -85,17 +85,24 @@
 	Usable(*fleet.Server) (bool, string)
 }
 
+// serverReports tells when servers may get requests by what they say of themselves.
+type serverReports interface {
+	ReadyAt(time.Time, *fleet.Server, selfreport.Senders) (time.Time, string)
+	CountRequest(time.Time, *fleet.Server)
+}
+
 // Balancer chooses servers and keeps the statistics of one node's attempts.
 type Balancer struct {
 	self    event.Self
 	servers serverSource
 	states  map[id.Server]*serverState
 	cold    *ratelimit.ColdLimiter
+	reports serverReports
 }
 
 // New returns a balancer without statistics.
-func New(self event.Self, servers serverSource, cold *ratelimit.ColdLimiter) *Balancer {
-	return &Balancer{self: self, servers: servers, states: map[id.Server]*serverState{}, cold: cold}
+func New(self event.Self, servers serverSource, cold *ratelimit.ColdLimiter, reports serverReports) *Balancer {
+	return &Balancer{self: self, servers: servers, states: map[id.Server]*serverState{}, cold: cold, reports: reports}
 }
 
 func (b *Balancer) state(name id.Server) *serverState {
@@ -163,6 +170,9 @@
 	if s.Cold(now) && q.ColdRate > 0 && !b.cold.Allows(now, s.ID, q.ColdRate) {
 		return "cold, and its rate limit is reached"
 	}
+	if at, why := b.reports.ReadyAt(now, s, selfreport.AllNodes); at.After(now) {
+		return why
+	}
 	if now.Before(b.state(s.ID).backoffUntil) {
 		return "backing off after a failed attempt"
 	}
@@ -264,6 +274,7 @@
 	if s.Cold(now) && q.ColdRate > 0 {
 		b.cold.Take(now, s.ID)
 	}
+	b.reports.CountRequest(now, s)
 }
 
 // Inflight returns the number of open attempts of this node at a server.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -13,6 +13,7 @@
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/ratelimit"
+	"bluebellflow/core/selfreport"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -49,7 +50,7 @@
 		})
 	}
 	self := event.Self{Node: "n", FailureDomain: "d0", Rand: rand.New(rand.NewPCG(1, 1))}
-	return &harness{Balancer: balance.New(self, s, ratelimit.NewColdLimiter("n", 0)), servers: s, now: epoch}
+	return &harness{Balancer: balance.New(self, s, ratelimit.NewColdLimiter("n", 0), selfreport.New(self)), servers: s, now: epoch}
 }
 
 const sendTime = 10 * time.Millisecond
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -40,7 +40,7 @@
 		if usable, _ := s.servers.Usable(w.Server); !usable || s.workers[w.ID] != w || !s.versions.AllowsCall(now, w.Pool, w.Version) {
 			continue
 		}
-		if len(w.calls) < max(1, q.pool.Pieces.MaxCalls) && !now.Before(w.backoffUntil) {
+		if len(w.calls) < max(1, q.pool.Pieces.MaxCalls) && !now.Before(w.backoffUntil) && s.readyIn(now, w) == 0 {
 			out = append(out, w)
 		}
 	}
@@ -102,6 +102,7 @@
 	w.calls[c.id] = c
 	c.version = w.Version
 	s.versions.CountCall(w.Pool, w.Version)
+	s.reports.CountRequest(now, w.Server)
 	w.usedBytes += c.bytes
 	start := StartCall{Call: c.id, Server: Target{ID: w.ID, Addr: w.Addr}, Timeout: c.timeout()}
 	for _, ref := range c.pieces {
@@ -170,7 +171,7 @@
 		if usable, _ := s.servers.Usable(w.Server); !usable || w.Domain != d || w.failures > 0 {
 			continue
 		}
-		if eta := w.eta(now); !out.present || eta < out.eta {
+		if eta := max(w.eta(now), s.readyIn(now, w)); !out.present || eta < out.eta {
 			out = domainWait{eta, true}
 		}
 	}
--- a/core/batch/reports.go
+++ b/core/batch/reports.go
@@ -4,15 +4,18 @@
 	"time"
 
 	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
 	"bluebellflow/core/selfreport"
 )
 
-// serverReports keeps what servers say of themselves in the responses to calls.
+// serverReports keeps what servers say of themselves in the responses to calls, and tells when they may get calls.
 type serverReports interface {
 	Observe(now time.Time, p selfreport.Process, sent time.Time, r selfreport.Report) []event.Action
+	ReadyAt(time.Time, *fleet.Server, selfreport.Senders) (time.Time, string)
+	CountRequest(time.Time, *fleet.Server)
 }
 
-// WithReports passes what servers say of themselves to r.
+// WithReports passes what servers say of themselves to r, and calls them only when r allows it.
 func WithReports(r serverReports) Option { return func(s *Scheduler) { s.reports = r } }
 
 // noReports ignores all reports.
@@ -21,3 +24,15 @@
 func (noReports) Observe(time.Time, selfreport.Process, time.Time, selfreport.Report) []event.Action {
 	return nil
 }
+
+func (noReports) ReadyAt(time.Time, *fleet.Server, selfreport.Senders) (time.Time, string) {
+	return time.Time{}, ""
+}
+
+func (noReports) CountRequest(time.Time, *fleet.Server) {}
+
+// readyIn returns how long a worker gets no calls because of what it said of itself. Only the leader calls it.
+func (s *Scheduler) readyIn(now time.Time, w *worker) time.Duration {
+	at, _ := s.reports.ReadyAt(now, w.Server, selfreport.OneNode)
+	return max(0, at.Sub(now))
+}
--- a/core/proxy/codec.go
+++ b/core/proxy/codec.go
@@ -6,6 +6,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/leader"
 	"bluebellflow/core/rollout"
+	"bluebellflow/core/selfreport"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 )
@@ -19,6 +20,6 @@
 		70: batch.Submit{}, 71: batch.Done{}, 72: batch.Failed{}, 73: batch.Release{}, 74: batch.Moved{},
 		80: rollout.Report{}, 81: rollout.Decisions{}, 82: denylist.Crash{},
 		83: denylist.Broken{}, 84: denylist.Ended{}, 85: denylist.Responded{},
-		86: denylist.Trial{}, 87: denylist.Refused{},
+		86: denylist.Trial{}, 87: denylist.Refused{}, 88: selfreport.Shared{},
 	})
 }
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -101,12 +101,12 @@
 		fleet:        fleet.New(decoder),
 		retryLimiter: ratelimit.NewRetryLimiter(bounds.Retries),
 		crashGuard:   denylist.New(self),
-		reports:      selfreport.New(),
+		reports:      selfreport.New(self),
 		coldLimiter:  ratelimit.NewColdLimiter(self.Node, unseenNodes),
 		requests:     map[Ticket]*request{}, jobs: map[uint64]*request{}, durations: map[string]*routeDurations{},
 		lastJob: self.Rand.Uint64(),
 	}
-	g.balancer = balance.New(self, g.fleet, g.coldLimiter)
+	g.balancer = balance.New(self, g.fleet, g.coldLimiter, g.reports)
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
 	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, noTimers{g.balancer}, g.scheduler}
@@ -231,6 +231,7 @@
 	g.coldLimiter.SetNodes(names)
 	g.rollouts.SetNodes(names)
 	g.crashGuard.SetNodes(names)
+	g.reports.SetNodes(names)
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
 }
 
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -13,6 +13,7 @@
 	"bluebellflow/core/leader"
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/rollout"
+	"bluebellflow/core/selfreport"
 	"bluebellflow/core/typename"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
@@ -68,6 +69,7 @@
 		denylist.Responded{},
 		denylist.Trial{},
 		denylist.Refused{},
+		selfreport.Shared{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -94,6 +96,7 @@
 		85: "denylist.Responded",
 		86: "denylist.Trial",
 		87: "denylist.Refused",
+		88: "selfreport.Shared",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -126,6 +126,9 @@
 		if perSecond := float64(q.Requests) / q.Span.Seconds(); perSecond > rate*1.001 || perSecond < rate*0.999 {
 			t.Fatalf("%d requests in %v for a rate of %v", q.Requests, q.Span, rate)
 		}
+		if needed := float64(count) / rate; needed >= 1 && needed <= 3 && q.Requests < count {
+			t.Fatalf("%d requests for %d nodes", q.Requests, count)
+		}
 		var names []id.Node
 		for i := range count {
 			names = append(names, id.Node(fmt.Sprint("n", i)))
--- a/core/ratelimit/server.go
+++ b/core/ratelimit/server.go
@@ -12,11 +12,13 @@
 	// minQuotaSpan and maxQuotaSpan bound the span of the quota for a rate. A longer span lets more requests come at once, and
 	// a shorter one leaves more nodes without a share.
 	minQuotaSpan = time.Second
-	maxQuotaSpan = 4 * time.Second
+	maxQuotaSpan = 3 * time.Second
 	// minRate is the lowest rate in requests per second. With a lower one, nodes would learn too late that a limit has ended.
 	minRate = 0.05
 	// maxRate is the rate in requests per second from which there is no limit in practice.
 	maxRate = 1e6
+	// roundingSlack keeps a product that is a whole number but for rounding from being cut to the next lower one.
+	roundingSlack = 1e-6
 	// maxSpan is the longest span of a quota, and how long requests are remembered.
 	maxSpan = time.Duration(float64(time.Second) / minRate)
 )
@@ -32,7 +34,7 @@
 func QuotaOf(rate float64, nodes int) Quota {
 	rate = min(max(rate, minRate), maxRate)
 	span := min(max(float64(nodes)/rate, minQuotaSpan.Seconds()), maxQuotaSpan.Seconds())
-	requests := max(1, int(rate*span))
+	requests := max(1, int(rate*span+roundingSlack))
 	return Quota{requests, time.Duration(float64(requests) / rate * float64(time.Second))}
 }
 
@@ -116,7 +118,6 @@
 	return rank
 }
 
-
 func hashNode(n id.Node, server id.Server) uint64 {
 	return xxhash.Sum64String(string(n) + "/" + string(server))
 }
--- a/core/selfreport/doc.go
+++ b/core/selfreport/doc.go
@@ -1,4 +1,10 @@
-// Package selfreport keeps what backend servers say of themselves in their responses.
+// Package selfreport keeps what backend servers say of themselves in their responses, and says when they may get requests.
 //
-// What a server said belongs to the process that said it, and ends with it.
+// A server in need names the requests per second that it takes from all nodes together. Each node keeps to a share of them,
+// which needs no messages, so that the limit holds even while nodes cannot reach each other. If there are more nodes than
+// requests to share, some nodes have none; they hear from the others whether the limit still holds, and if these are silent,
+// they send a request now and then themselves, one after another.
+//
+// Nodes tell each other of a limit at once, because a server that is in need answers slowly. What a server said belongs to
+// the process that said it, and ends with it.
 package selfreport
--- a/core/selfreport/report.go
+++ b/core/selfreport/report.go
@@ -20,6 +20,9 @@
 	Pause     time.Duration // time in which it wants no requests from this node, 0 for none
 }
 
+// notable reports whether the server says anything that matters to the choice of a server but its load.
+func (r Report) notable() bool { return r.Limited || r.Leaving || r.Pause > 0 }
+
 // limit formats the rate limit for the log.
 func (r Report) limit() string {
 	if !r.Limited {
--- a/core/selfreport/tracker_test.go
+++ b/core/selfreport/tracker_test.go
@@ -28,7 +28,7 @@
 // TestLog guards against a log that does not tell what servers say of themselves, or repeats it for each response.
 func TestLog(t *testing.T) {
 	g := NewWithT(t)
-	tr := selfreport.New()
+	tr := selfreport.New(event.Self{Node: "n"})
 	limited := selfreport.Report{Limited: true, Rate: 1.4}
 	leaving := selfreport.Report{Leaving: true}
 	for _, c := range []struct {
