selfreport, batch: a server that says it is leaving gets no more requests

A server that is about to exit says so in all its answers, often before its entry in the store does, or while the store is away. Nodes went on sending to it, and their callers' requests were cut when it exited.

Cause: as for limits, nothing that a server says of itself in an answer was read but its load; only the store said who leaves. The node that hears it now stops at once, and tells the others. It holds for the process, whatever its entry says, and ends with it.

The scheduler counted servers that are leaving as the ones to wait for, if they were alone in the failure domain of a late piece's results, or the only other server after a failed call; so pieces waited until their job failed.

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -147,7 +147,7 @@
 func (s *Scheduler) capacityOf(now time.Time, q *poolQueue) capacity.Pool {
 	available, backedOff := capacity.Pool{Hold: q.hold}, capacity.Pool{Hold: q.hold}
 	for _, w := range q.workers {
-		if usable, _ := s.servers.Usable(w.Server); !usable || s.readyIn(now, w) > q.pool.Pieces.CallTime {
+		if !s.usable(now, w) {
 			continue
 		}
 		p := &available
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -83,7 +83,7 @@
 	if !s.versions.AllowsCall(now, w.Pool, w.Version) {
 		return // the previous call has used up the share of this version
 	}
-	cand := candidateWorker{worker: w, otherDomains: workerDomains(free[1:]), slow: q.slow(w), waits: map[id.FailureDomain]domainWait{}}
+	cand := candidateWorker{worker: w, otherDomains: workerDomains(free[1:]), slow: q.slow(w), replaceable: s.replaceable(now, w), waits: map[id.FailureDomain]domainWait{}}
 	c := &call{worker: w, queue: q, kinds: map[pieceKind]int{}, startedAt: now, expected: q.pool.Pieces.CallTime}
 	for _, t := range q.candidates(w) {
 		if len(c.pieces) >= q.pool.Pieces.MaxBatch {
@@ -114,6 +114,11 @@
 		"call=%d pieces=%d waiting=%d expected=%s factor=%.2f used=%d", c.id, len(c.pieces), len(q.tasks), c.expected, w.slowdown, w.usedBytes)})
 }
 
+// replaceable reports whether another worker of the same pool takes calls now or before long.
+func (s *Scheduler) replaceable(now time.Time, w *worker) bool {
+	return slices.ContainsFunc(s.queues[w.Pool].workers, func(o *worker) bool { return o != w && s.usable(now, o) })
+}
+
 // candidates returns the tasks that a worker may run, the most urgent first. A worker whose last call failed gets only the
 // least urgent one, because its next call may fail as well, and be noticed only at its timeout.
 func (q *poolQueue) candidates(w *worker) []*task {
@@ -129,6 +134,7 @@
 	worker       *worker
 	otherDomains id.Set[id.FailureDomain] // of the other free workers
 	slow         bool
+	replaceable  bool // another worker of the pool is usable
 	waits        map[id.FailureDomain]domainWait
 }
 
@@ -143,7 +149,7 @@
 // would be free too late for the objective.
 func (s *Scheduler) mayRun(now time.Time, q *poolQueue, t *task, cand *candidateWorker) bool {
 	w := cand.worker
-	if t.avoid == w.ID && len(q.workers) > 1 {
+	if t.avoid == w.ID && cand.replaceable {
 		return false
 	}
 	slack := t.latestStart.Sub(now)
@@ -168,7 +174,7 @@
 func (s *Scheduler) domainWaitFor(now time.Time, q *poolQueue, d id.FailureDomain) domainWait {
 	var out domainWait
 	for _, w := range q.workers {
-		if usable, _ := s.servers.Usable(w.Server); !usable || w.Domain != d || w.failures > 0 {
+		if w.Domain != d || w.failures > 0 || !s.usable(now, w) {
 			continue
 		}
 		if eta := max(w.eta(now), s.readyIn(now, w)); !out.present || eta < out.eta {
--- a/core/batch/reports.go
+++ b/core/batch/reports.go
@@ -31,6 +31,12 @@
 
 func (noReports) CountRequest(time.Time, *fleet.Server) {}
 
+// usable reports whether a worker takes calls now or before long.
+func (s *Scheduler) usable(now time.Time, w *worker) bool {
+	usable, _ := s.servers.Usable(w.Server)
+	return usable && s.readyIn(now, w) <= s.queues[w.Pool].pool.Pieces.CallTime
+}
+
 // readyIn returns how long a worker gets no calls because of what it said of itself. Only the leader calls it.
 func (s *Scheduler) readyIn(now time.Time, w *worker) time.Duration {
 	at, _ := s.reports.ReadyAt(now, w.Server, selfreport.OneNode)
--- a/core/selfreport/doc.go
+++ b/core/selfreport/doc.go
@@ -5,6 +5,8 @@
 // requests to share, some nodes have none; they hear from the others whether the limit still holds, and if these are silent,
 // they send a request now and then themselves, one after another.
 //
-// Nodes tell each other of a limit at once, because a server that is in need answers slowly. What a server said belongs to
+// A server that is leaving gets no requests any more, whatever it says later or its entry in the store says.
+//
+// Nodes tell each other of both at once, because a server that is in need answers slowly, and some nodes seldom send to it. What a server said belongs to
 // the process that said it, and ends with it.
 package selfreport
--- a/core/selfreport/message.go
+++ b/core/selfreport/message.go
@@ -19,6 +19,7 @@
 	Start   id.Start  `protobuf:"bytes,2,opt,name=start"`
 	Limited bool      `protobuf:"varint,3,opt,name=limited"`
 	Rate    uint64    `protobuf:"varint,4,opt,name=rate"` // in units of rateUnit
+	Leaving bool      `protobuf:"varint,5,opt,name=leaving"`
 }
 
 // Check returns an error if the server or the start is malformed.
@@ -31,9 +32,12 @@
 
 func (m Shared) process() Process { return Process{m.Server, m.Start} }
 
-func (m Shared) report() Report { return Report{Limited: m.Limited, Rate: float64(m.Rate) * rateUnit} }
+func (m Shared) report() Report {
+	return Report{Limited: m.Limited, Rate: float64(m.Rate) * rateUnit, Leaving: m.Leaving}
+}
 
 // newShared returns the message about a process. A rate that is too large for it is no limit in practice.
 func newShared(p Process, r Report) Shared {
-	return Shared{Server: p.Server, Start: p.Start, Limited: r.Limited, Rate: uint64(min(math.Round(r.Rate/rateUnit), math.MaxUint32))}
+	rate := min(math.Round(r.Rate/rateUnit), math.MaxUint32)
+	return Shared{Server: p.Server, Start: p.Start, Limited: r.Limited, Rate: uint64(rate), Leaving: r.Leaving}
 }
--- a/core/selfreport/tracker.go
+++ b/core/selfreport/tracker.go
@@ -16,13 +16,16 @@
 const (
 	// shareInterval is the least time between two messages about a process.
 	shareInterval = time.Second
-	// newcomerSenders is how many nodes tell a newly connected one of a limit. Some of them may have started lately themselves
+	// newcomerSenders is how many nodes tell a newly connected one of a server. Some of them may have started lately themselves
 	// and not know it.
 	newcomerSenders = 3
 	// maxStates bounds the processes whose reports are kept.
 	maxStates = 4096
 )
 
+// never is a time that does not come.
+var never = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // Process identifies the process of a server.
 type Process struct {
 	Server id.Server
@@ -107,6 +110,9 @@
 	if !known {
 		return time.Time{}, ""
 	}
+	if s.report.Leaving {
+		return never, "it has said that it is leaving"
+	}
 	if s.report.Limited {
 		if at := t.limitedUntil(server.ID, s, by); at.After(now) {
 			return at, "the limit that it has named is reached"
@@ -193,6 +199,9 @@
 		s.beganAt = now
 	}
 	s.unshared = s.unshared || r.limit() != old.limit()
+	if r.Leaving && !old.Leaving {
+		s.unshared, s.sharedAt = true, time.Time{}
+	}
 	return logChanges(p, old, r, source)
 }
 
@@ -237,11 +246,11 @@
 	return out
 }
 
-// tellNewcomer tells a node that has started or was unreachable which servers have named a limit.
+// tellNewcomer tells a node that has started or was unreachable which servers have named a limit or are leaving.
 func (t *Tracker) tellNewcomer(peer id.Node) []event.Action {
 	var out []event.Action
 	for _, p := range slices.SortedFunc(maps.Keys(t.states), Process.compare) {
-		if s := t.states[p]; s.report.Limited && t.limiter.Rank(p.Server) < newcomerSenders {
+		if s := t.states[p]; (s.report.Limited || s.report.Leaving) && t.limiter.Rank(p.Server) < newcomerSenders {
 			out = append(out, event.Send{To: peer, Body: newShared(p, s.report)})
 		}
 	}
