selfreport: a server that names a Retry-After in a 503 is left alone for so long

A server that turns a request away with 503 may say for how long it wants nothing from the node. The node sent the next request a moment later, which is answered 503 again: work for a server in trouble, and a retry from the budget.

Cause: Retry-After was read on no answer of a server.

--- a/core/selfreport/doc.go
+++ b/core/selfreport/doc.go
@@ -7,6 +7,8 @@
 //
 // A server that is leaving gets no requests any more, whatever it says later or its entry in the store says.
 //
-// Nodes tell each other of both at once, because a server that is in need answers slowly, and some nodes seldom send to it. What a server said belongs to
-// the process that said it, and ends with it.
+// A server that turns a request away may want no more from the same node for some time.
+//
+// Nodes tell each other of limits and of servers that are leaving at once, because a server that is in need answers slowly,
+// and some nodes seldom send to it. What a server said belongs to the process that said it, and ends with it.
 package selfreport
--- a/core/selfreport/tracker.go
+++ b/core/selfreport/tracker.go
@@ -50,10 +50,11 @@
 
 // state is what a process has said of itself, to this node or another one.
 type state struct {
-	report  Report
-	limitAt time.Time // when the limit was last named
-	beganAt time.Time // when the limit was first named
-	heardAt time.Time // when a response was last heard of
+	report      Report
+	limitAt     time.Time // when the limit was last named
+	beganAt     time.Time // when the limit was first named
+	pausedUntil time.Time // it wants no requests from this node before
+	heardAt     time.Time // when a response was last heard of
 	// sharedAt is when this node last told the others, and unshared is set if something has changed since.
 	sharedAt time.Time
 	unshared bool
@@ -114,11 +115,11 @@
 		return never, "it has said that it is leaving"
 	}
 	if s.report.Limited {
-		if at := t.limitedUntil(server.ID, s, by); at.After(now) {
+		if at := t.limitedUntil(server.ID, s, by); at.After(now) && at.After(s.pausedUntil) {
 			return at, "the limit that it has named is reached"
 		}
 	}
-	return time.Time{}, ""
+	return s.pausedUntil, "it wants no requests for a while"
 }
 
 // limitedUntil returns when this node may send the next request to a server that has named a limit.
@@ -169,6 +170,7 @@
 	if !r.Limited && sent.Before(s.limitAt) {
 		r.Limited, r.Rate = s.report.Limited, s.report.Rate
 	}
+	s.pausedUntil = latest(s.pausedUntil, now.Add(r.Pause))
 	out := t.record(now, p, s, r, "response")
 	return append(out, t.share(now, p, s)...)
 }
