proxy: requests are refused at once if all servers have said that they want none

A request for which no server could be found waited up to 100 ms and was told to come back in a second, although the servers of its pool had said for how long they want no requests. It is refused at once now, with the time until the first of them takes one, at most a second, because other nodes may send earlier.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -179,6 +179,25 @@
 	return ""
 }
 
+// ReadyIn returns how long all usable servers for an attempt want no requests from this node, by what they say of themselves. It
+// returns 0 if one of them takes requests, or if there is none.
+func (b *Balancer) ReadyIn(now time.Time, q Query) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range b.servers.Pool(q.Pool) {
+		if usable, _ := b.servers.Usable(s); !usable || q.Versions != nil && !q.Versions.Allows(s.Version) {
+			continue
+		}
+		at, _ := b.reports.ReadyAt(now, s, selfreport.AllNodes)
+		if !at.After(now) {
+			return 0
+		}
+		if wait := at.Sub(now); shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // leastCost returns the server with the lowest cost.
 func (b *Balancer) leastCost(now time.Time, q Query, candidates []*fleet.Server) (*fleet.Server, string) {
 	var best *fleet.Server
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -19,6 +19,9 @@
 	bootRetryAfter = time.Second
 	// placeRetryAfter is the Retry-After if no server was found.
 	placeRetryAfter = time.Second
+	// minReadyRetryAfter is the least Retry-After if all servers want no requests for some time. The greatest is
+	// placeRetryAfter, because other nodes may send to them earlier.
+	minReadyRetryAfter = 100 * time.Millisecond
 	// maxPlaceWait is how long a request may wait for a server.
 	maxPlaceWait = 100 * time.Millisecond
 	// placePollInterval is the time between two attempts to find a server.
@@ -170,11 +173,7 @@
 	}
 	s, reason := g.pickServer(now, r)
 	if s == nil {
-		if now.Sub(r.placingSince) >= maxPlaceWait || r.mayHaveRun {
-			g.giveUp(now, r, reason, out)
-			return
-		}
-		g.timers.Set(now.Add(placePollInterval), r.ticket)
+		g.waitForServer(now, r, reason, out)
 		return
 	}
 	g.startTrial(now, r, out)
@@ -194,6 +193,20 @@
 	out.add(f)
 }
 
+// waitForServer lets a request wait until it is placed again, or gives it up: at once if no server will take it in time.
+func (g *Gateway) waitForServer(now time.Time, r *request, reason string, out *actions) {
+	left := r.placingSince.Add(maxPlaceWait).Sub(now)
+	if ready := g.balancer.ReadyIn(now, g.serverQuery(r)); ready > left && !r.mayHaveRun {
+		g.refuse(r, http.StatusServiceUnavailable, min(max(ready, minReadyRetryAfter), placeRetryAfter), reason, out)
+		return
+	}
+	if left <= 0 || r.mayHaveRun {
+		g.giveUp(now, r, reason, out)
+		return
+	}
+	g.timers.Set(now.Add(placePollInterval), r.ticket)
+}
+
 // handleEnded handles the end of a forwarded request: it finishes the request, sends it again or refuses it.
 func (g *Gateway) handleEnded(now time.Time, ev Ended, out *actions) {
 	r, ok := g.requests[ev.Ticket]
