upstream, platform: a refusal that a server repeats on a kept connection is not taken for the next response

Reported by operators of similar systems, and possible here: a faulty server writes an earlier refusal once more on a kept connection.

Cause: a response of 300 and above without an id counted as the request's own on any connection, and an id names the request, not the attempt, so that a second attempt, or the caller's repeat, on the connection of the first could get the refusal of the first. A response without an id now belongs to a request only on a new connection, which is not used again; on a kept one it leaves open whether the request has run. A request does not use a connection on which its id was sent before.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -50,8 +50,8 @@
 	// SetRequestHeaders turns the headers of a caller's request into those for a server; left is the time until the
 	// deadline.
 	SetRequestHeaders(h http.Header, f proxy.Forward, left time.Duration)
-	// Matches reports whether a response belongs to the request.
-	Matches(name id.Request, resp *http.Response) bool
+	// Matches tells whether a response belongs to the request.
+	Matches(name id.Request, resp *http.Response) upstream.Match
 	// ResponseInfo reads a server's response.
 	ResponseInfo(resp *http.Response) ResponseInfo
 	// SetRefusalHeaders sets the headers of an error response of the gateway itself.
--- a/io/gateway/stop_test.go
+++ b/io/gateway/stop_test.go
@@ -34,7 +34,7 @@
 
 func (dialect) SetRequestHeaders(http.Header, proxy.Forward, time.Duration) {}
 
-func (dialect) Matches(id.Request, *http.Response) bool { return true }
+func (dialect) Matches(id.Request, *http.Response) upstream.Match { return upstream.MatchOwn }
 
 func (dialect) ResponseInfo(*http.Response) gateway.ResponseInfo {
 	return gateway.ResponseInfo{Sealed: true}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -84,9 +84,9 @@
 	}
 }
 
-// getIdle returns an idle connection that can be reused, or nil. For an at-most-once request it accepts only a connection
-// that was idle for less than maxIdleAtMostOnce.
-func (c *Client) getIdle(addr netip.AddrPort, atMostOnce bool) *conn {
+// getIdle returns an idle connection that can be reused for a request, or nil. For an at-most-once request it accepts only a
+// connection that was idle for less than maxIdleAtMostOnce.
+func (c *Client) getIdle(addr netip.AddrPort, req *Request) *conn {
 	for {
 		cn := c.popIdle(addr)
 		if cn == nil {
@@ -94,12 +94,12 @@
 		}
 		cn.idleTimer.Stop()
 		age := time.Since(cn.idleSince)
-		if age < cn.idleTimeout && (!atMostOnce || age < maxIdleAtMostOnce) && cn.reusable() {
+		if age < cn.idleTimeout && (!req.AtMostOnce || age < maxIdleAtMostOnce) && !cn.hasSent(req.ID) && cn.reusable() {
 			c.vars.Add("upstream_reused", 1)
 			return cn
 		}
 		_ = cn.Close()
-		if atMostOnce {
+		if req.AtMostOnce {
 			return nil // the others have been idle for longer
 		}
 	}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -6,10 +6,16 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// maxIDs bounds the requests of a connection that are remembered. Copies of responses arrive before that many others.
+const maxIDs = 32
+
 // maxHeaderBytes bounds the status line and headers of a response.
 const maxHeaderBytes = 64 << 10
 
@@ -25,8 +31,23 @@
 	idleSince       time.Time     // when the previous exchange ended
 	idleTimeout     time.Duration // how long it may stay idle
 	idleTimer       *time.Timer   // closes it after idleTimeout
+	ids             []uint64      // hashes of the IDs of the last requests, oldest first
 }
 
+// rememberID records the ID of a request that is sent on the connection.
+func (c *conn) rememberID(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.ids) == maxIDs {
+		c.ids = c.ids[1:]
+	}
+	c.ids = append(c.ids, xxhash.Sum64String(id))
+}
+
+// hasSent reports whether a request with the same ID was sent on the connection lately.
+func (c *conn) hasSent(id string) bool { return id != "" && slices.Contains(c.ids, xxhash.Sum64String(id)) }
+
 func newConn(raw net.Conn, addr netip.AddrPort) *conn {
 	c := &conn{Conn: raw, addr: addr, idleTimeout: defaultIdleTimeout}
 	c.br = bufio.NewReaderSize(c, readBufferSize)
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -47,7 +47,7 @@
 			c := upstream.New()
 			defer c.Close()
 			began := time.Now()
-			_, err := exchange(t, c, s.Addr(), &upstream.Request{Matches: func(resp *http.Response) bool { return resp.Header.Get("Id") == "mine" }})
+			_, err := exchange(t, c, s.Addr(), &upstream.Request{Matches: matchMine})
 			g.Expect(failKind(g, err)).To(Equal(event.FailBroken))
 			g.Expect(time.Since(began)).To(BeNumerically("<", maxDuration))
 		})
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -48,10 +48,29 @@
 	NewConn bool
 	// HeaderDeadline is the deadline for the response header, zero for none.
 	HeaderDeadline time.Time
-	// Matches reports whether a response belongs to this request. If it is nil, every response does.
-	Matches func(*http.Response) bool
+	// Matches tells whether a response belongs to this request. If it is nil, every response does.
+	Matches func(*http.Response) Match
+	// ID is what responses to this request name, empty for nothing. A connection on which a request with the same ID was sent
+	// before is not reused, because a late copy of the response to that one names it too.
+	ID string
 }
 
+// Match tells whether a response belongs to a request.
+type Match uint8
+
+const (
+	// MatchOther means that the response belongs to another request.
+	MatchOther Match = iota
+	// MatchOwn means that the response belongs to the request.
+	MatchOwn
+	// MatchUnknown means that the response does not say to which request it belongs. On a new connection it can only belong
+	// to the first request, and the connection is not reused. On a reused one it may be a late copy of an earlier response.
+	MatchUnknown
+)
+
+// errUnidentified means that a response may belong to an earlier request on its connection.
+var errUnidentified = errors.New("response that does not say to which request it belongs")
+
 // Error is the error of a request that got no complete response.
 type Error struct {
 	Kind event.FailKind // FailUnsent, FailBroken or FailTimeout
@@ -72,6 +91,7 @@
 	stopAfterFunc  func() bool   // returned by the context.AfterFunc that closes conn when ctx ends
 	requestWritten chan struct{} // closed when the request has been written
 	ctx            context.Context
+	reused         bool // the connection has carried another request before
 	singleUse      bool // the connection is not reused
 	bodyComplete   bool // the body was read to its end
 }
@@ -80,7 +100,7 @@
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*ResponseReader, error) {
 	var cn *conn
 	if !req.NewConn {
-		cn = c.getIdle(addr, req.AtMostOnce)
+		cn = c.getIdle(addr, req)
 	}
 	reused := cn != nil
 	if !reused {
@@ -90,7 +110,8 @@
 		}
 		cn = dialed
 	}
-	r := &ResponseReader{client: c, conn: cn, ctx: ctx, singleUse: req.NewConn, requestWritten: make(chan struct{})}
+	cn.rememberID(req.ID)
+	r := &ResponseReader{client: c, conn: cn, reused: reused, ctx: ctx, singleUse: req.NewConn, requestWritten: make(chan struct{})}
 	r.stopAfterFunc = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent, err := r.writeRequest(req)
 	if err == nil {
@@ -166,8 +187,16 @@
 			continue
 		}
 		r.conn.headerBytesLeft = int(^uint(0) >> 1)
-		if req.Matches == nil || req.Matches(resp) {
+		match := MatchOwn
+		if req.Matches != nil {
+			match = req.Matches(resp)
+		}
+		if match == MatchUnknown && (r.reused || skipped > 0) {
+			return errUnidentified
+		}
+		if match != MatchOther {
 			r.Response = resp
+			r.singleUse = r.singleUse || match == MatchUnknown
 			break
 		}
 		r.client.vars.Add("upstream_skipped", 1)
--- a/io/upstream/upstream_test.go
+++ b/io/upstream/upstream_test.go
@@ -125,9 +125,17 @@
 	})
 }
 
+// matchMine is a Matches function that takes every response for another request's unless its Id is "mine".
+func matchMine(resp *http.Response) upstream.Match {
+	if resp.Header.Get("Id") == "mine" {
+		return upstream.MatchOwn
+	}
+	return upstream.MatchOther
+}
+
 // TestSkippedResponses guards against taking the response to an earlier request for the response to this one.
 func TestSkippedResponses(t *testing.T) {
-	matches := func(resp *http.Response) bool { return resp.Header.Get("Id") == "mine" }
+	matches := matchMine
 	t.Run("before the response", func(t *testing.T) {
 		g := NewWithT(t)
 		s := startServer(t, otherResponse+ownResponse)
