gateway, proxy: nothing follows a response that has begun and broke off

In a whole node this was not seen here: the decision logic aborts a request whose response has begun. But each layer relied on the other: the gateway wrote a held response after the events and ended the stream in order if it was told to, and the decision logic sent the request to another server if the I/O did not repeat that the response had begun. Each refuses by itself now.

Evidence: gateway.TestBrokenStream (another server) and proxy.TestBrokenOffResponse (begin reported before) failed before.

--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -439,3 +439,22 @@
 	h.g.Expect(onlyAction[proxy.Refuse](h).Status).To(Equal(http.StatusServiceUnavailable))
 	onlyAction[event.Exit](h)
 }
+
+// TestBrokenOffResponse guards against another attempt, or a refusal, after part of a response has reached the caller.
+func TestBrokenOffResponse(t *testing.T) {
+	for name, r := range map[string]proxy.Result{
+		"broken":          {Fail: event.FailBroken, Status: http.StatusOK, Began: true},
+		"timeout":         {Fail: event.FailTimeout, Status: http.StatusOK, Began: true},
+		"begin reported before": {Fail: event.FailBroken, Status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newLoadedHarness(t)
+			ticket := h.arrive("look", nil) // idempotent, with two attempts
+			h.step(proxy.Began{Ticket: ticket, Status: http.StatusOK})
+			h.end(ticket, r)
+			h.g.Expect(actionsOf[proxy.Forward](h)).To(BeEmpty())
+			h.g.Expect(actionsOf[proxy.Refuse](h)).To(BeEmpty())
+			h.g.Expect(actionsOf[proxy.Abort](h)).To(HaveLen(1))
+		})
+	}
+}
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -234,7 +234,7 @@
 		r.mayHaveRun = true
 	}
 	switch {
-	case ev.Began:
+	case ev.Began || r.began:
 		out.add(Abort{Ticket: r.ticket})
 		g.finish(r, false, out)
 	case ev.InputsGone && g.hasStages(r):
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -287,8 +287,12 @@
 	}
 }
 
-// execute executes one action and reports whether the exchange is complete.
+// execute executes one action and reports whether the exchange is complete. Once part of a response has reached the caller,
+// nothing of another one may follow: the connection is closed instead.
 func (x *exchange) execute(a event.Action) bool {
+	if x.responseStarted {
+		x.abort()
+	}
 	switch a := a.(type) {
 	case proxy.Forward:
 		if x.server.stopped.Err() != nil {
@@ -303,12 +307,17 @@
 		x.refuse(a)
 		return true
 	case proxy.Abort:
-		x.recordLatency(&x.server.latency.aborted)
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	return false
 }
 
+// abort closes the connection to the caller, which cannot take the response for complete then.
+func (x *exchange) abort() {
+	x.recordLatency(&x.server.latency.aborted)
+	panic(http.ErrAbortHandler)
+}
+
 // discardHeld closes a response that was held back.
 func (x *exchange) discardHeld() {
 	if x.held != nil {
@@ -320,7 +329,7 @@
 // refuse sends an error response of the gateway itself.
 func (x *exchange) refuse(a proxy.Refuse) {
 	if x.responseStarted {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	x.server.vars.Add("refused_"+strconv.Itoa(a.Status), 1)
 	x.recordLatency(&x.server.latency.refused)
--- a/io/gateway/stream_test.go
+++ b/io/gateway/stream_test.go
@@ -86,3 +86,43 @@
 	_ = resp.Body.Close()
 	return string(raw), <-results, err
 }
+
+// TestBrokenStream guards against the text or the head of another response in the middle of a stream that has begun and broke
+// off, and against such a stream that looks complete, whatever the decision logic asks for.
+func TestBrokenStream(t *testing.T) {
+	for name, act := range map[string]func(*front, proxy.Ticket, netip.AddrPort){
+		"another server": func(f *front, ticket proxy.Ticket, next netip.AddrPort) { f.forward(ticket, next) },
+		"held response":  func(f *front, ticket proxy.Ticket, _ netip.AddrPort) { _ = f.Execute(proxy.Deliver{Ticket: ticket}) },
+		"refusal": func(f *front, ticket proxy.Ticket, _ netip.AddrPort) {
+			_ = f.Execute(proxy.Refuse{Ticket: ticket, Status: http.StatusServiceUnavailable})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			first := listen(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n1e\r\n"+wholeEvents+"\r\n")
+			})
+			next := listen(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 8\r\n\r\nan error")
+			})
+			f := newFront(t, func(f *front, ev event.Event) {
+				switch ev := ev.(type) {
+				case proxy.Arrive:
+					f.forward(ev.Ticket, first)
+				case proxy.Ended:
+					if ev.Held {
+						_ = f.Execute(proxy.Deliver{Ticket: ev.Ticket})
+						return
+					}
+					act(f, ev.Ticket, next)
+				}
+			})
+			resp, err := http.Get(f.http.URL)
+			g.Expect(err).NotTo(HaveOccurred())
+			raw, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			g.Expect(err).To(HaveOccurred(), "the stream looks complete")
+			g.Expect(string(raw)).To(Equal(wholeEvents))
+		})
+	}
+}
