soak: reports of servers and odd entries

Servers name limits, pauses and that they are leaving, and another writer leaves an odd entry, besides the other faults.

--- a/cmd/soak/plan_test.go
+++ b/cmd/soak/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"bluebellflow/platform/standin"
@@ -31,7 +32,43 @@
 		busyUntil[object] = at + f.span + f.beginLimit + 500*time.Millisecond
 		plan = append(plan, f)
 	}
-	return plan
+	// Drawn last, so that the plans of earlier seeds keep their other faults.
+	for _, s := range h.Servers("") {
+		if rng.IntN(4) == 0 {
+			plan = append(plan, drawReport(rng, s, span))
+		}
+	}
+	return append(plan, drawOddEntry(rng, span))
+}
+
+// drawReport returns a fault in which a server says something of itself. A server that has said that it is leaving exits, and
+// starts again.
+func drawReport(rng *rand.Rand, s *standin.Server, span time.Duration) fault {
+	r := []standin.Report{{Limit: 0.5 + 3*rng.Float64()}, {RetryAfter: time.Second}, {Leaving: true}}[rng.IntN(3)]
+	return fault{
+		at: time.Duration(rng.Int64N(int64(span))), span: time.Second, name: fmt.Sprintf("report of %s %+v", s.ID, r),
+		begin: func(*harness) { s.SetReport(r) },
+		end: func(h *harness) {
+			s.SetReport(standin.Report{})
+			if !r.Leaving {
+				return
+			}
+			s.Crash()
+			if err := s.Start(); err != nil {
+				h.logEvent("%s does not start: %v", s.ID, err)
+			}
+		},
+	}
+}
+
+// drawOddEntry returns a fault in which another writer leaves an entry among those of the servers that cannot be read.
+func drawOddEntry(rng *rand.Rand, span time.Duration) fault {
+	specs := []string{strings.Repeat("[", 5000) + strings.Repeat("]", 5000), `{"slots":1e999}`, `"text"`, `{"address":"127.0.0.1:0"}`}
+	spec := specs[rng.IntN(len(specs))]
+	return fault{
+		at: time.Duration(rng.Int64N(int64(span))), span: time.Second, name: fmt.Sprintf("odd entry %.20s", spec),
+		begin: func(h *harness) { h.Store.PutRaw("servers", "odd", []byte(spec)) }, end: func(*harness) {},
+	}
 }
 
 func drawFault(rng *rand.Rand, h *harness) (string, fault) {
