--- a/core/selfreport/tracker.go
+++ b/core/selfreport/tracker.go
@@ -19,6 +19,8 @@
 	// newcomerSenders is how many nodes tell a newly connected one of a server. Some of them may have started lately themselves
 	// and not know it.
 	newcomerSenders = 3
+	// stateTTL is how long a report is kept after the last response that was heard of. A server that is leaving is gone by then.
+	stateTTL = time.Hour
 	// maxStates bounds the processes whose reports are kept.
 	maxStates = 4096
 )
@@ -95,7 +97,7 @@
 		delete(t.states, Process{Server: ev.Server.ID})
 	case event.PeerLink:
 		if ev.Up {
-			return t.tellNewcomer(ev.Peer)
+			return t.tellNewcomer(now, ev.Peer)
 		}
 	case event.Receive:
 		if m, ok := ev.Body.(Shared); ok {
@@ -165,7 +167,7 @@
 		return nil
 	}
 	if !known {
-		s = t.open(p)
+		s = t.open(now, p)
 	}
 	if !r.Limited && sent.Before(s.limitAt) {
 		r.Limited, r.Rate = s.report.Limited, s.report.Rate
@@ -182,7 +184,7 @@
 		return nil
 	}
 	if !known {
-		s = t.open(m.process())
+		s = t.open(now, m.process())
 	}
 	out := t.record(now, m.process(), s, m.report(), "node "+string(from))
 	s.unshared = false
@@ -208,7 +210,8 @@
 }
 
 // open adds the state of a process. If there are too many, the one that was not heard of for longest is dropped.
-func (t *Tracker) open(p Process) *state {
+func (t *Tracker) open(now time.Time, p Process) *state {
+	t.expire(now)
 	if len(t.states) >= maxStates {
 		var oldest Process
 		for other, s := range t.states {
@@ -216,14 +219,27 @@
 				oldest = other
 			}
 		}
-		delete(t.states, oldest)
-		t.limiter.Forget(oldest.Server)
+		t.drop(oldest)
 	}
-	s := &state{}
+	s := &state{heardAt: now}
 	t.states[p] = s
 	return s
 }
 
+// expire drops the processes that were not heard of for stateTTL.
+func (t *Tracker) expire(now time.Time) {
+	for p, s := range t.states {
+		if now.Sub(s.heardAt) > stateTTL {
+			t.drop(p)
+		}
+	}
+}
+
+func (t *Tracker) drop(p Process) {
+	delete(t.states, p)
+	t.limiter.Forget(p.Server)
+}
+
 // share tells the other nodes what a process has said of itself, if it is new to them. If some of them have no share of its
 // limit, they are told again from time to time that the limit still holds.
 func (t *Tracker) share(now time.Time, p Process, s *state) []event.Action {
@@ -249,7 +265,8 @@
 }
 
 // tellNewcomer tells a node that has started or was unreachable which servers have named a limit or are leaving.
-func (t *Tracker) tellNewcomer(peer id.Node) []event.Action {
+func (t *Tracker) tellNewcomer(now time.Time, peer id.Node) []event.Action {
+	t.expire(now)
 	var out []event.Action
 	for _, p := range slices.SortedFunc(maps.Keys(t.states), Process.compare) {
 		if s := t.states[p]; (s.report.Limited || s.report.Leaving) && t.limiter.Rank(p.Server) < newcomerSenders {
