--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -46,7 +46,9 @@
 }
 
 // hasSent reports whether a request with the same ID was sent on the connection lately.
-func (c *conn) hasSent(id string) bool { return id != "" && slices.Contains(c.ids, xxhash.Sum64String(id)) }
+func (c *conn) hasSent(id string) bool {
+	return id != "" && slices.Contains(c.ids, xxhash.Sum64String(id))
+}
 
 func newConn(raw net.Conn, addr netip.AddrPort) *conn {
 	c := &conn{Conn: raw, addr: addr, idleTimeout: defaultIdleTimeout}
