backend: a rejection that a server repeats on a kept connection is not taken for the next response

Responses name their attempt now (Bluebellflow-Attempt). One that names another, or none although the server has named one before, leaves the outcome open. A server that never names attempts is trusted as before, because back ends in use do not know the header.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -53,6 +53,7 @@
 	vars           *expvar.Map
 	reportError    func(error)
 	controlTimeout time.Duration // for cancellations, orders and polls
+	echoes         echoes
 	poller         *poller
 
 	mu      sync.Mutex
--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -130,6 +130,10 @@
 		return fail
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := c.echoes.check(d.Addr, c.attemptID(d.Attempt), resp.Header, tracker.Reused()); err != nil {
+		fail.Kind, fail.Reason = event.FailBroken, err.Error() // the server may run the attempt all the same
+		return fail
+	}
 	return c.handleResponse(d, resp)
 }
 
--- a/io/sendtrack/sendtrack.go
+++ b/io/sendtrack/sendtrack.go
@@ -69,8 +69,9 @@
 
 // Tracker records the connections that the transport uses for one request.
 type Tracker struct {
-	mu    sync.Mutex
-	conns []trackedConn
+	mu     sync.Mutex
+	conns  []trackedConn
+	reused bool // the last connection was used before
 }
 
 // trackedConn is a connection and the number of bytes written to it before the request.
@@ -89,6 +90,7 @@
 func (t *Tracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reused = info.Reused
 	c, ok := info.Conn.(*conn)
 	if !ok {
 		// The connection does not count bytes, so the request must be assumed to be sent.
@@ -98,6 +100,13 @@
 	t.conns = append(t.conns, trackedConn{conn: c, writtenBefore: c.bytesWritten()})
 }
 
+// Reused reports whether the request was sent on a connection that had carried another one.
+func (t *Tracker) Reused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
 // Seal makes later writes of a failed request fail and reports whether any byte of the request may have left this process.
 // Without the seal, the transport's write goroutine could still send a request that timed out and was reported as unsent.
 func (t *Tracker) Seal() bool {
--- a/lab/backendapi/backend.go
+++ b/lab/backendapi/backend.go
@@ -17,6 +17,7 @@
 // Headers of POST /v1/run.
 const (
 	StartHeader   = "Bluebellflow-Start"   // response: start ID of the server
+	AttemptHeader = "Bluebellflow-Attempt" // response: ID of the attempt to which it belongs
 	TookHeader    = "Bluebellflow-Took"    // response: processing time in milliseconds
 	LeavingHeader = "Bluebellflow-Leaving" // response: "1" if the server is leaving
 	TimeoutHeader = "Request-Timeout"      // request: time limit in seconds
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -155,6 +155,7 @@
 		return
 	}
 	e.setServerHeaders(w)
+	w.Header().Set(backendapi.AttemptHeader, run.Attempt)
 	if admitted.seq == nil {
 		w.Header().Set("Retry-After", retryAfter)
 		http.Error(w, admitted.reason, admitted.status)
--- a/lab/service/server.go
+++ b/lab/service/server.go
@@ -275,6 +275,7 @@
 	}
 	report := s.Load()
 	w.Header().Set(backendapi.StartHeader, string(report.Start))
+	w.Header().Set(backendapi.AttemptHeader, run.Attempt)
 	if report.Leaving {
 		w.Header().Set(backendapi.LeavingHeader, "1")
 	}
