--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -443,8 +443,8 @@
 // TestBrokenOffResponse guards against another attempt, or a refusal, after part of a response has reached the caller.
 func TestBrokenOffResponse(t *testing.T) {
 	for name, r := range map[string]proxy.Result{
-		"broken":          {Fail: event.FailBroken, Status: http.StatusOK, Began: true},
-		"timeout":         {Fail: event.FailTimeout, Status: http.StatusOK, Began: true},
+		"broken":                {Fail: event.FailBroken, Status: http.StatusOK, Began: true},
+		"timeout":               {Fail: event.FailTimeout, Status: http.StatusOK, Began: true},
 		"begin reported before": {Fail: event.FailBroken, Status: http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
