--- a/core/selfreport/tracker.go
+++ b/core/selfreport/tracker.go
@@ -211,7 +211,9 @@
 
 // open adds the state of a process. If there are too many, the one that was not heard of for longest is dropped.
 func (t *Tracker) open(now time.Time, p Process) *state {
-	t.expire(now)
+	if len(t.states) >= maxStates {
+		t.expire(now)
+	}
 	if len(t.states) >= maxStates {
 		var oldest Process
 		for other, s := range t.states {
