batch: the admission knows pools whose servers have all named limits

A limited server now counts with the part of its time in which it may run full calls, one that wants nothing for a moment like one that is backed off, and one that is leaving not at all.

batch.TestAllServersLimited failed before (1 of 40 jobs accepted; two servers of one call a second take 8 in the time).

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -142,19 +142,19 @@
 	return out
 }
 
-// capacityOf returns what the available workers of a pool can do. If all of them get no calls for a moment because calls have
-// failed, they count all the same: a pool that cannot do anything would reject every job.
+// capacityOf returns what the available workers of a pool can do. If all of them get no calls for a moment, because calls have
+// failed or because they want none, they count all the same: a pool that cannot do anything would reject every job.
 func (s *Scheduler) capacityOf(now time.Time, q *poolQueue) capacity.Pool {
 	available, backedOff := capacity.Pool{Hold: q.hold}, capacity.Pool{Hold: q.hold}
 	for _, w := range q.workers {
-		if !s.usable(now, w) {
-			continue
-		}
 		p := &available
-		if w.failures > 0 && !now.After(w.backoffUntil) {
+		switch s.availabilityOf(now, w) {
+		case gone:
+			continue
+		case away:
 			p = &backedOff
 		}
-		p.Workers += float64(max(1, q.pool.Pieces.MaxCalls)) / max(minSlowdown, w.slowdown)
+		p.Workers += s.allowedShare(w) * float64(max(1, q.pool.Pieces.MaxCalls)) / max(minSlowdown, w.slowdown)
 		p.Memory += q.usableMemory()
 		p.Held += w.usedBytes + w.foreign.at(now)
 	}
@@ -164,6 +164,30 @@
 	return available
 }
 
+// availability tells whether a worker counts towards the capacity of its pool.
+type availability uint8
+
+const (
+	present availability = iota
+	away                 // it gets no calls for a moment
+	gone                 // it gets no calls for longer than rejected callers wait
+)
+
+func (s *Scheduler) availabilityOf(now time.Time, w *worker) availability {
+	usable, _ := s.servers.Usable(w.Server)
+	ready := s.readyIn(now, w)
+	if s.allowedShare(w) < 1 {
+		ready = 0 // a limited worker counts by its limit, whenever its next call is due
+	}
+	switch {
+	case !usable || ready > maxRetryAfter:
+		return gone
+	case w.failures > 0 && !now.After(w.backoffUntil) || ready > s.queues[w.Pool].pool.Pieces.CallTime:
+		return away
+	}
+	return present
+}
+
 // busyTime returns how long a demand keeps the pools busy, for the one that is busy longest.
 func (s *Scheduler) busyTime(demand map[id.Pool]capacity.Demand) time.Duration {
 	longest := time.Duration(0)
--- a/core/batch/reports_test.go
+++ b/core/batch/reports_test.go
@@ -8,6 +8,7 @@
 
 	"bluebellflow/core/batch"
 	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/selfreport"
 )
@@ -65,3 +66,26 @@
 	}
 	g.Expect(calls).To(And(BeNumerically(">=", 15), BeNumerically("<=", 22)), "in 10 s at 2/s")
 }
+
+// TestAllServersLimited guards against a pool that rejects every job because all of its servers have named limits, and against
+// one that accepts as many jobs as without limits.
+func TestAllServersLimited(t *testing.T) {
+	g := NewWithT(t)
+	tr := selfreport.New(event.Self{Node: "n"})
+	h := newHarness(t, 2, batch.WithReports(tr))
+	for _, server := range []id.Server{"cut0", "cut1"} {
+		h.say(tr, server, selfreport.Report{Limited: true, Rate: 1})
+		tr.CountRequest(h.now, &fleet.Server{ID: server})
+	}
+	for i := range uint64(40) {
+		h.submitStages(i, jobTimeout, batch.Stage{Pool: cutPool, Pieces: 8, Bytes: 100})
+	}
+	accepted := 40 - len(h.failed)
+	g.Expect(accepted).To(And(BeNumerically(">=", 4), BeNumerically("<=", 12)), "two servers take 8 calls in 4 s")
+	for _, server := range []id.Server{"cut0", "cut1"} {
+		h.say(tr, server, selfreport.Report{Limited: true, Rate: 1, Leaving: true})
+	}
+	h.advance(100 * time.Millisecond)
+	h.submitStages(40, jobTimeout, batch.Stage{Pool: cutPool, Pieces: 8, Bytes: 100})
+	g.Expect(h.failed).To(HaveKey(uint64(40)), "no server is left")
+}
--- a/core/selfreport/tracker.go
+++ b/core/selfreport/tracker.go
@@ -124,6 +124,16 @@
 	return s.pausedUntil, "it wants no requests for a while"
 }
 
+// Limit returns the requests per second that a server has said that it takes from all nodes together, and whether it has. One
+// that is leaving takes none.
+func (t *Tracker) Limit(server *fleet.Server) (rate float64, limited bool) {
+	s, known := t.states[processOf(server)]
+	if !known {
+		return 0, false
+	}
+	return s.report.Rate, s.report.Limited && !s.report.Leaving
+}
+
 // limitedUntil returns when this node may send the next request to a server that has named a limit.
 func (t *Tracker) limitedUntil(server id.Server, s *state, by Senders) time.Time {
 	if by == OneNode {
