--- /dev/null
+++ b/review/standin/runner.go
@@ -0,0 +1,304 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// heartbeat is heartbeatMs of the settings; an entry is removed after three of them without a check-in.
+	heartbeat = 1200 * time.Millisecond
+	// eventInterval is the time between two events of a stream.
+	eventInterval = 30 * time.Millisecond
+	// streamEvents is the number of events of a stream.
+	streamEvents = 36
+)
+
+// entry is what a runner writes about itself under servers/ID.
+type entry struct {
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	Zone       string `json:"zone"`
+	Version    string `json:"version"`
+	Slots      int    `json:"slots"`
+	State      string `json:"state"`
+	ColdLeftMs int    `json:"coldLeftMs"`
+	Seq        int    `json:"seq"`
+	Born       int64  `json:"born"`
+}
+
+// Runner is a stand-in of a runner: a plain service, a model runner or a server of a stage.
+type Runner struct {
+	id, service, zone, addr string
+	version                 string // of its software, v1 if empty
+	slots, queue            int
+	work                    time.Duration // of a request, to the first event for a stream
+	pieces                  *pieces       // set for a server of a stage
+	world                   *world
+	fails                   func() bool                             // whether an answer is a failure
+	killer                  func(r *http.Request, body string) bool // a request that ends the process
+
+	mu       sync.Mutex
+	born     int64
+	listener net.Listener
+	server   *http.Server
+	alive    bool
+	leaving  bool // its entry was removed, and it serves on for a while
+	waiting  int
+	free     chan struct{}
+	results  map[string]string // piece by handle
+	made     int
+}
+
+// start starts the runner's process.
+func (r *Runner) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.addr == "" {
+		r.addr = freeAddr()
+	}
+	r.listener = listen(r.addr)
+	r.born, r.alive, r.waiting = time.Now().UnixMilli(), true, 0
+	r.free = make(chan struct{}, r.slots)
+	r.results = map[string]string{}
+	r.server = &http.Server{Handler: r}
+	go func(s *http.Server, l net.Listener) { _ = s.Serve(l) }(r.server, r.listener)
+	r.checkInLocked()
+}
+
+// crash ends the runner's process; nothing is said in the store. It starts again after a while.
+func (r *Runner) crash(back time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.alive {
+		return
+	}
+	r.alive = false
+	_ = r.server.Close()
+	r.world.rec.log("runner %s crashes", r.id)
+	time.AfterFunc(back, func() {
+		if !r.world.ended() {
+			r.start()
+			r.world.rec.log("runner %s is back", r.id)
+		}
+	})
+}
+
+func (r *Runner) checkInLocked() {
+	if !r.alive || r.leaving {
+		return
+	}
+	r.world.store.put("servers", r.id, entry{
+		Service: r.service, Address: r.addr, Zone: r.zone, Version: "v1", Slots: r.slots, State: "ready", Born: r.born,
+	})
+}
+
+// leave removes the runner's entry without reporting that it drains. It serves on for some time and exits.
+func (r *Runner) leave(linger time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	r.world.store.remove("servers", r.id)
+	time.AfterFunc(linger, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.alive = false
+		_ = r.server.Close()
+	})
+}
+
+// checkIn writes the entry every heartbeat, and plays the store's removal of entries that are not renewed.
+func (r *Runner) checkIn(ctx context.Context) {
+	missed := 0
+	for {
+		r.mu.Lock()
+		alive := r.alive
+		r.checkInLocked()
+		r.mu.Unlock()
+		missed++
+		if alive {
+			missed = 0
+		}
+		if missed == 3 {
+			r.world.store.remove("servers", r.id)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+func (r *Runner) process() (free chan struct{}, born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.free, r.born
+}
+
+func (r *Runner) wait(delta int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting += delta
+	return r.waiting
+}
+
+// ServeHTTP handles what gateways send.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	name := req.Header.Get("Request-Id")
+	if name != "" {
+		w.Header().Set("Request-Id", name)
+	}
+	w.Header().Set("Keep-Alive", "timeout=5")
+	if want := req.Header.Get("Expect-Instance"); want != "" && want != r.id {
+		w.Header().Set("Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	raw, err := io.ReadAll(req.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if req.URL.Path == "/stage-free" {
+		r.freeResults(raw)
+		return
+	}
+	free, born := r.process()
+	if r.wait(1) > r.slots+r.queue {
+		r.wait(-1)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.wait(-1)
+	r.world.rec.arrive(name, r)
+	select {
+	case free <- struct{}{}:
+	case <-req.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { <-free }()
+	w.Header().Set("Instance-Load", fmt.Sprintf("%d,%d,%d", len(free), max(0, r.wait(0)-r.slots), r.slots))
+	if req.URL.Path == "/stage-run" {
+		r.runPieces(w, req, raw)
+		return
+	}
+	if r.pieces == nil && r.service == modelService && len(req.Header.Get("Inputs")) == 0 && req.Header.Get("Pieces") != "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.world.rec.run(name, r, req)
+	if r.killer != nil && r.killer(req, string(raw)) {
+		go r.crash(restartTime)
+		panic(http.ErrAbortHandler)
+	}
+	if sleep(req.Context(), r.work) != nil {
+		r.world.rec.runEnds(name, r, "dropped")
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%d.%s", r.id, born, name))
+	if r.service == modelService {
+		r.stream(w, req, name)
+		return
+	}
+	body := fmt.Sprintf("%s by %s\n", name, r.id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	r.world.rec.runEnds(name, r, "200")
+	_, _ = io.WriteString(w, body)
+}
+
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, name string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for n := 1; n <= streamEvents; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, name, n)
+		_ = control.Flush()
+		if sleep(req.Context(), eventInterval) != nil {
+			r.world.rec.runEnds(name, r, "dropped")
+			panic(http.ErrAbortHandler)
+		}
+	}
+	r.world.rec.runEnds(name, r, "200")
+}
+
+// pieces are the times of a stage's calls.
+type pieces struct{ call, item time.Duration }
+
+type stageItem struct {
+	ID     string   `json:"id"`
+	Stage  int      `json:"stage"`
+	Piece  int      `json:"piece"`
+	Key    string   `json:"key"`
+	Inputs []string `json:"inputs"`
+}
+
+func (r *Runner) runPieces(w http.ResponseWriter, req *http.Request, raw []byte) {
+	var body struct {
+		Items []stageItem `json:"items"`
+	}
+	if json.Unmarshal(raw, &body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if sleep(req.Context(), r.pieces.call+time.Duration(len(body.Items))*r.pieces.item) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	type outcome struct {
+		Handle string `json:"handle,omitempty"`
+		Reason string `json:"reason,omitempty"`
+	}
+	out := []outcome{}
+	r.mu.Lock()
+	for _, it := range body.Items {
+		r.made++
+		handle := fmt.Sprintf("%s/%x", r.addr, r.made)
+		r.results[handle] = it.ID
+		out = append(out, outcome{Handle: handle})
+	}
+	r.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"items": out})
+}
+
+func (r *Runner) freeResults(raw []byte) {
+	var body struct {
+		Handles []string `json:"handles"`
+	}
+	if json.Unmarshal(raw, &body) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range body.Handles {
+		delete(r.results, h)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.New("the caller has gone")
+	case <-timer.C:
+		return nil
+	}
+}
+
+func hasPart(req *http.Request, part string) bool {
+	for _, p := range strings.Split(req.Header.Get("Prompt-Prefix"), ",") {
+		if name, _, _ := strings.Cut(p, ":"); name == part {
+			return true
+		}
+	}
+	return false
+}
