--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -7,8 +7,8 @@
 
 const (
 	// foreignEntries is how many entries another writer writes, one every foreignPause.
-	foreignEntries = 9
-	foreignPause   = 8 * time.Second
+	foreignEntries = 15
+	foreignPause   = 6 * time.Second
 	// maxEnds and minMachines are the bounds of the rule: on a tenth of the machines, two at least, processes end by themselves
 	// three times.
 	maxEnds     = 3
