review: stand-ins of rollouts, versions, a deadly part and stages

Runners have versions, may answer with failures from a share of their requests or above a rate, may crash after some events of an answer, and may drain. Ports come from a block for each process: of four cases that were played side by side, one could not start its gateways.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	}
 	play, known := map[string]func(*world, bool) verdict{
 		"entry": playEntry, "silent": playSilent, "cut": playCut, "herd": playHerd, "leave": playLeave,
+		"failed": playFailed, "orders": playOrders, "load": playLoad, "part": playPart, "stages": playStages,
 	}[os.Args[1]]
 	if !known {
 		fail("no case %q", os.Args[1])
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -29,6 +29,14 @@
 	at     time.Time
 }
 
+// arrival is a request that has reached a runner, which may reject it.
+type arrival struct {
+	name   string
+	runner *Runner
+	at     time.Time
+	bad    time.Time // when the runner answered it with a failure or a rejection, zero if it did not
+}
+
 // recorder keeps what consumers and runners have seen, and writes it to a file.
 type recorder struct {
 	began time.Time
@@ -38,6 +46,7 @@
 	out      *bufio.Writer
 	requests []*sent
 	runs     []ran
+	arrived  []arrival
 }
 
 func newRecorder(file string) *recorder {
@@ -95,6 +104,30 @@
 	r.logLocked("%s runs at %s", name, by.id)
 }
 
+// arrive records a request that has reached a runner, and returns its number.
+func (r *recorder) arrive(name string, by *Runner) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrived = append(r.arrived, arrival{name: name, runner: by, at: time.Now()})
+	return len(r.arrived) - 1
+}
+
+// badAnswer records that a runner answers an arrival with a failure or a rejection.
+func (r *recorder) badAnswer(number int, how string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := &r.arrived[number]
+	a.bad = time.Now()
+	r.logLocked("%s gets %s from %s of version %s", a.name, how, a.runner.id, a.runner.version)
+}
+
+// arrivals returns copies of the arrivals.
+func (r *recorder) arrivals() []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]arrival{}, r.arrived...)
+}
+
 func (r *recorder) runEnds(name string, by *Runner, how string) {
 	r.log("%s ends at %s: %s", name, by.id, how)
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,12 +45,18 @@
 	pieces                  *pieces       // set for a server of a stage
 	world                   *world
 	killer                  func(r *http.Request, body string) bool // a request that ends the process
+	killerEvents            int                                     // events that the answer to such a request has before
+	version                 string                                  // of its software
+	bad                     float64                                 // share of its answers that are failures
+	badStatus               int                                     // of these answers, 500 if it is 0
+	load                    *loadLimit                              // above it, its answers are failures; nil for none
 
 	mu       sync.Mutex
 	born     int64
 	listener net.Listener
 	server   *http.Server
 	alive    bool
+	draining bool // it has reported that it drains
 	leaving  bool // its entry was removed, and it serves on for a while
 	waiting  int
 	free     chan struct{}
@@ -94,11 +102,34 @@
 	if !r.alive || r.leaving {
 		return
 	}
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
 	r.world.store.put("servers", r.id, entry{
-		Service: r.service, Address: r.addr, Zone: r.zone, Version: "v1", Slots: r.slots, State: "ready", Born: r.born,
+		Service: r.service, Address: r.addr, Zone: r.zone, Version: r.version, Slots: r.slots, State: state, Born: r.born,
 	})
 }
 
+// drain reports in the store that the runner drains. It serves on.
+func (r *Runner) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	r.checkInLocked()
+	r.world.rec.log("runner %s reports that it drains", r.id)
+}
+
+// stop ends the runner for good, without draining, and removes its entry.
+func (r *Runner) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving, r.alive = true, false
+	_ = r.server.Close()
+	r.world.store.remove("servers", r.id)
+	r.world.rec.log("runner %s stops", r.id)
+}
+
 // leave removes the runner's entry without reporting that it drains. It serves on for some time and exits.
 func (r *Runner) leave(linger time.Duration) {
 	r.mu.Lock()
@@ -170,8 +201,10 @@
 		return
 	}
 	free, born := r.process()
+	arrival := r.world.rec.arrive(name, r)
 	if r.wait(1) > r.slots+r.queue {
 		r.wait(-1)
+		r.world.rec.badAnswer(arrival, "503, not run")
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -194,7 +227,9 @@
 		return
 	}
 	r.world.rec.run(name, r)
-	if r.killer != nil && r.killer(req, string(raw)) {
+	failed := rand.Float64() < r.bad || r.load != nil && r.load.exceeded()
+	deadly := r.killer != nil && r.killer(req, string(raw))
+	if deadly && r.killerEvents == 0 {
 		go r.crash(restartTime)
 		panic(http.ErrAbortHandler)
 	}
@@ -203,8 +238,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%d.%s", r.id, born, name))
+	if failed {
+		status := cmp.Or(r.badStatus, http.StatusInternalServerError)
+		r.world.rec.badAnswer(arrival, strconv.Itoa(status))
+		w.WriteHeader(status)
+		return
+	}
 	if r.service == modelService {
-		r.stream(w, req, name)
+		r.stream(w, req, name, deadly)
 		return
 	}
 	body := fmt.Sprintf("%s by %s\n", name, r.id)
@@ -213,12 +254,16 @@
 	_, _ = io.WriteString(w, body)
 }
 
-func (r *Runner) stream(w http.ResponseWriter, req *http.Request, name string) {
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, name string, deadly bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := 1; n <= streamEvents; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, name, n)
 		_ = control.Flush()
+		if deadly && n == r.killerEvents {
+			go r.crash(restartTime)
+			panic(http.ErrAbortHandler)
+		}
 		if sleep(req.Context(), eventInterval) != nil {
 			r.world.rec.runEnds(name, r, "dropped")
 			panic(http.ErrAbortHandler)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -85,6 +85,13 @@
 	return o.Spec, ok
 }
 
+func (s *Store) object(kind, name string) (object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.kinds[kind][name]
+	return o, ok
+}
+
 func (s *Store) remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -76,11 +76,17 @@
 
 // addRunners starts count runners of a service, spread over the zones; set fills in the rest of each.
 func (w *world) addRunners(service string, count int, set func(*Runner)) []*Runner {
+	return w.addVersion(service, count, "v1", set)
+}
+
+// addVersion starts count runners of a version of a service.
+func (w *world) addVersion(service string, count int, version string, set func(*Runner)) []*Runner {
+	before := len(w.runnersOf(service))
 	var out []*Runner
 	for i := range count {
-		r := &Runner{service: service, zone: zones[i%len(zones)], world: w}
+		r := &Runner{service: service, version: version, zone: zones[i%len(zones)], world: w}
 		set(r)
-		r.id = fmt.Sprintf("i-%s-%d", service, i)
+		r.id = fmt.Sprintf("i-%s-%d", service, before+i)
 		r.start()
 		go r.checkIn(w.ctx)
 		out = append(out, r)
@@ -89,6 +95,17 @@
 	return out
 }
 
+// runnersOf returns the runners of a service that were started.
+func (w *world) runnersOf(service string) []*Runner {
+	var out []*Runner
+	for _, r := range w.runners {
+		if r.service == service {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // plainRunner and stageRunner set the figures of the site's plain service and of a stage.
 func plainRunner(r *Runner) { r.slots, r.queue, r.work = 6, 24, 15*time.Millisecond }
 
@@ -265,11 +282,12 @@
 	return nil
 }
 
-// The ports of freeAddr are minPort to maxPort-1: below the ephemeral ports, because an outgoing channel could take the port of
-// a process that is not started yet.
+// The ports of freeAddr are below the ephemeral ports, because an outgoing channel could take the port of a process that is not
+// started yet. They are drawn from one of portBlocks blocks, so that cases that are played side by side seldom draw the same ones.
 const (
-	minPort = 12_000
-	maxPort = 30_000
+	minPort    = 12_000
+	blockPorts = 1_000
+	portBlocks = 18
 )
 
 var allocated = map[string]bool{}
@@ -277,7 +295,7 @@
 // freeAddr returns an unused loopback address, each one only once.
 func freeAddr() string {
 	for {
-		addr := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
+		addr := fmt.Sprintf("127.0.0.1:%d", minPort+os.Getpid()%portBlocks*blockPorts+rand.IntN(blockPorts))
 		if allocated[addr] {
 			continue
 		}
