--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -69,7 +69,7 @@
 		time.Sleep(100 * time.Millisecond)
 		return nil
 	}
-	s := &sent{name: fmt.Sprintf("%016x", lastName.Add(1)), route: r.route, key: r.key, gateway: c.to, kept: c.used > 0}
+	s := &sent{name: fmt.Sprintf("%016x", lastName.Add(1)), route: r.route, key: r.key, body: r.body, gateway: c.to, kept: c.used > 0}
 	var b bytes.Buffer
 	_, _ = fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", r.method, r.path, host, s.name, r.limit.Milliseconds())
 	if r.key != "" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 	}
 	play, known := map[string]func(*world, bool) verdict{
 		"entry": playEntry, "silent": playSilent, "cut": playCut, "herd": playHerd, "leave": playLeave,
-		"failed": playFailed, "orders": playOrders, "load": playLoad, "part": playPart, "stages": playStages,
+		"failed": playFailed, "orders": playOrders, "load": playLoad, "part": playPart, "stages": playStages, "grey": playGrey,
 	}[os.Args[1]]
 	if !known {
 		fail("no case %q", os.Args[1])
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -11,6 +11,7 @@
 // sent is what a consumer knows of a request.
 type sent struct {
 	name, route, key string
+	body             string
 	gateway          *gateway
 	at, answered     time.Time
 	kept             bool // the channel had carried a request before
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -180,6 +180,20 @@
 	return r.waiting
 }
 
+// turnGrey changes the share of its answers that are failures, and their status.
+func (r *Runner) turnGrey(share float64, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bad, r.badStatus = share, status
+	r.world.rec.log("runner %s answers %.0f%% of its requests with a failure from now on", r.id, 100*share)
+}
+
+func (r *Runner) failures() (share float64, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bad, r.badStatus
+}
+
 // ServeHTTP handles what gateways send.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	name := req.Header.Get("Request-Id")
@@ -227,7 +241,8 @@
 		return
 	}
 	r.world.rec.run(name, r)
-	failed := rand.Float64() < r.bad || r.load != nil && r.load.exceeded()
+	bad, badStatus := r.failures()
+	failed := rand.Float64() < bad || r.load != nil && r.load.exceeded()
 	deadly := r.killer != nil && r.killer(req, string(raw))
 	if deadly && r.killerEvents == 0 {
 		go r.crash(restartTime)
@@ -239,7 +254,7 @@
 	}
 	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%d.%s", r.id, born, name))
 	if failed {
-		status := cmp.Or(r.badStatus, http.StatusInternalServerError)
+		status := cmp.Or(badStatus, http.StatusInternalServerError)
 		r.world.rec.badAnswer(arrival, strconv.Itoa(status))
 		w.WriteHeader(status)
 		return
