review: each play has a block of ports for itself

Of eight plays side by side two could not start, because two processes had drawn ports from one block. Also: unused code of the stand-ins removed.

--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -87,9 +86,6 @@
 			}
 		}
 		if err != nil {
-			if err == io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -188,6 +188,7 @@
 	r.world.rec.log("runner %s answers %.0f%% of its requests with a failure from now on", r.id, 100*share)
 }
 
+// failures returns the share of its answers that are failures, and their status.
 func (r *Runner) failures() (share float64, status int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -232,7 +233,7 @@
 	defer func() { <-free }()
 	w.Header().Set("Instance-Load", fmt.Sprintf("%d,%d,%d", len(free), max(0, r.wait(0)-r.slots), r.slots))
 	if req.URL.Path == "/stage-run" {
-		r.runPieces(w, req, raw)
+		r.runPieces(w, raw)
 		return
 	}
 	if r.pieces == nil && r.service == modelService && len(req.Header.Get("Inputs")) == 0 && req.Header.Get("Pieces") != "" {
@@ -298,7 +299,7 @@
 	Inputs []string `json:"inputs"`
 }
 
-func (r *Runner) runPieces(w http.ResponseWriter, req *http.Request, raw []byte) {
+func (r *Runner) runPieces(w http.ResponseWriter, raw []byte) {
 	var body struct {
 		Items []stageItem `json:"items"`
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -78,13 +78,7 @@
 	s.store(kind, o)
 }
 
-func (s *Store) spec(kind, name string) (json.RawMessage, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, ok := s.kinds[kind][name]
-	return o.Spec, ok
-}
-
+// object returns an object as it is stored.
 func (s *Store) object(kind, name string) (object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -283,19 +283,36 @@
 }
 
 // The ports of freeAddr are below the ephemeral ports, because an outgoing channel could take the port of a process that is not
-// started yet. They are drawn from one of portBlocks blocks, so that cases that are played side by side seldom draw the same ones.
+// started yet. Each play has a block of them for itself, so that several can be played side by side.
 const (
 	minPort    = 12_000
-	blockPorts = 1_000
-	portBlocks = 18
+	blockPorts = 500
+	portBlocks = 36
 )
 
+// blockListener listens at the first port of the block of this process as long as it runs, so that no other play takes the block.
+var blockListener net.Listener
+
+// portBlock returns the first port of the block of this process.
+var portBlock = sync.OnceValue(func() int {
+	for _, i := range rand.Perm(portBlocks) {
+		first := minPort + i*blockPorts
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			blockListener = l
+			return first
+		}
+	}
+	fail("no block of ports is free")
+	return 0
+})
+
 var allocated = map[string]bool{}
 
 // freeAddr returns an unused loopback address, each one only once.
 func freeAddr() string {
 	for {
-		addr := fmt.Sprintf("127.0.0.1:%d", minPort+os.Getpid()%portBlocks*blockPorts+rand.IntN(blockPorts))
+		addr := fmt.Sprintf("127.0.0.1:%d", portBlock()+1+rand.IntN(blockPorts-1))
 		if allocated[addr] {
 			continue
 		}
