gateway: a status that promises "not run" is kept from callers of requests that may have run

Cause: a server's failure was held back and delivered unchanged, by the decision logic and at the end of a stop, whatever its status. Only the gateway's own 503 was bound to "no server can have run it". Beside it, a sealed 421 counted as not run and the request was sent to the next server. Ruled out: a retry by the gateway; each request of the play ran once.

Change: for a request that must not run twice, a response whose status promises that nothing ran, and which does not say Not-Executed, is a failed attempt with an open outcome. Idempotent requests are answered as before.

--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -55,14 +56,16 @@
 	return x.handleResponse(f, &response{ResponseReader: reader, cancel: cancel})
 }
 
-// reportFailure reports an attempt that got no complete response, unless the caller has disconnected. It returns false,
-// because the exchange continues.
+// reportFailure reports an attempt without a response that can be passed on, unless the caller has disconnected. It returns
+// false, because the exchange continues.
 func (x *exchange) reportFailure(err error, res proxy.Result) bool {
 	res.Detail = err.Error()
-	res.Fail = event.FailBroken
 	var failure *upstream.Error
-	if errors.As(err, &failure) {
+	switch {
+	case errors.As(err, &failure):
 		res.Fail = failure.Kind
+	case res.Fail == 0:
+		res.Fail = event.FailBroken
 	}
 	res.ConnRefused = errors.Is(err, syscall.ECONNREFUSED)
 	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
@@ -89,6 +92,11 @@
 	case success && !info.Sealed:
 		_ = resp.Close()
 		return x.reportFailure(errors.New("successful response without a seal header"), res)
+	case info.PromisesNotRun && f.Once:
+		// The status is kept from the caller, who would send the request again.
+		_ = resp.Close()
+		res.Fail = event.FailError
+		return x.reportFailure(fmt.Errorf("%s from a server that may have run the request", resp.Status), res)
 	case !success && f.Hold:
 		return x.holdResponse(resp, res)
 	case isEventStream(resp.Response):
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -40,6 +40,8 @@
 	Moved      bool // a different server responded at the address
 	InputsGone bool // the server no longer holds an input of the request
 	Sealed     bool // the seal header shows that a server produced the response
+	// PromisesNotRun is set if callers take the status as the promise that their request was not run and never will be.
+	PromisesNotRun bool
 	selfreport.Report
 }
 
