catalog: stages may depend on each other in any order, and one route does not keep a configuration out of force

Cause: stages were taken to be numbered in the order in which they run: by the catalog, by Submit.Check and by the scheduler's estimate of a job's duration. And one route that a node could not use, or one number in another form, made it ignore the whole configuration. Ruled out: the way of the object to the nodes; each logged config choice=ignore with the reason.

Change: any order but a circle is accepted (core/dag). Routes, services and tenants are decoded one by one; a route that cannot be used is answered 503, the rest comes into force, and the log names the part.

--- a/core/batch/admission.go
+++ b/core/batch/admission.go
@@ -208,7 +208,8 @@
 	longest := time.Duration(0)
 	leads := make([]time.Duration, len(j.tasks)) // without any wait
 	ends := make([]time.Duration, len(j.tasks))
-	for i, t := range j.tasks { // predecessors come first
+	for _, i := range j.order {
+		t := j.tasks[i]
 		if len(t.pieces) == 0 {
 			continue
 		}
--- a/core/batch/admission_test.go
+++ b/core/batch/admission_test.go
@@ -143,3 +143,30 @@
 	}
 	g.Expect(h.failed).To(BeEmpty())
 }
+
+// TestStageNumbers guards against jobs whose stages have other numbers than their order, and that are admitted although they
+// cannot end in time, or whose pieces run before their inputs are complete.
+func TestStageNumbers(t *testing.T) {
+	for name, stages := range map[string][]batch.Stage{
+		"in order":   {{Pool: cutPool, Pieces: 1}, {Pool: readPool, Pieces: 1, After: []uint32{0}}},
+		"in reverse": {{Pool: readPool, Pieces: 1, After: []uint32{1}}, {Pool: cutPool, Pieces: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, 2)
+			tooLate := batch.Submit{Ticket: 1, Request: "late", Stages: stages, Left: int64(150 * time.Millisecond)}
+			g.Expect(tooLate.Check()).To(Succeed())
+			h.step(event.Receive{From: "g", Body: tooLate})
+			g.Expect(h.failed).To(HaveKey(uint64(1)), "two calls of 110 ms each do not fit")
+			inTime := tooLate
+			inTime.Ticket, inTime.Left, inTime.Aim = 2, int64(jobTimeout), int64(jobTimeout)
+			h.step(event.Receive{From: "g", Body: inTime})
+			g.Expect(h.running).To(HaveLen(1))
+			h.finishNext()
+			g.Expect(h.finishNext().Items[0].Inputs).To(Equal([]string{"h1"}))
+			g.Expect(h.done[2].Results).To(Equal([]batch.Result{{Handle: "h2", Server: "read0"}}))
+		})
+	}
+	circle := batch.Submit{Ticket: 3, Request: "circle", Stages: []batch.Stage{{Pool: cutPool, After: []uint32{1}}, {Pool: readPool, After: []uint32{0}}}}
+	NewWithT(t).Expect(circle.Check()).NotTo(Succeed())
+}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -19,6 +19,7 @@
 	deadline   time.Time
 	objective  time.Time
 	tasks      []*task
+	order      []int // indexes of the tasks, each one after those that it depends on
 	class      class
 	recomputes int  // number of times that lost results were computed again
 	done       bool // the results were sent to the submitter
@@ -50,6 +51,7 @@
 
 func newJob(now time.Time, key jobKey, s Submit) *job {
 	j := &job{Submit: s, key: key, deadline: now.Add(time.Duration(s.Left)), objective: now.Add(time.Duration(s.Aim))}
+	j.order, _ = s.stageOrder() // Check has ruled out a circle
 	for i, stage := range s.Stages {
 		j.tasks = append(j.tasks, &task{job: j, index: i, pieces: make([]piece, stage.Pieces), missing: int(stage.Pieces), waiting: int(stage.Pieces)})
 	}
--- /dev/null
+++ b/core/dag/doc.go
@@ -0,0 +1,2 @@
+// Package dag orders things that depend on each other.
+package dag
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -214,6 +214,9 @@
 	}
 	g.catalog = next
 	g.scheduler.SetCatalog(next)
+	if err := next.Problem(); err != nil {
+		out.add(event.Log{Kind: "config", Choice: "partial", Reason: fmt.Sprintf("version=%d %v", next.Version(), err)})
+	}
 	out.add(
 		event.Log{Kind: "config", Choice: "apply", Reason: fmt.Sprintf("version=%d revision=%d", next.Version(), o.Revision)},
 		Limit{Limits: next.Limits()})
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -100,6 +100,10 @@
 		g.sendRefusal(r, http.StatusUnauthorized, 0, fmt.Sprintf("unknown key, config=%d", g.catalog.Version()), out)
 		return
 	}
+	if err := r.route.Problem; err != nil {
+		g.sendRefusal(r, http.StatusServiceUnavailable, placeRetryAfter, err.Error(), out)
+		return
+	}
 	if len(r.Pieces) != 0 && len(r.Pieces) != len(r.route.Stages) {
 		g.sendRefusal(r, http.StatusBadRequest, 0, fmt.Sprintf("pieces for %d stages, route has %d", len(r.Pieces), len(r.route.Stages)), out)
 		return
