rollout: every answer that is no success, and unexplained rejections, count against a version

Cause: an answer counted as failed from status 500 on only; anything else was evidence for the version. Rejections counted as nothing. The same in calls to stage servers (pieces without a result, rejected calls), in streams whose error was not held back (counted as sound at the head), and in bluebellflow serve (any status other than 200, 429, 500, 503). Ruled out: the comparison, which finds such rates when the results reach it (rollout.TestBad).

Change: each response that is no success is a failure; what callers do wrong shows at both versions. Rejections have counters and a test of their own, so that load does not hide failures; one is left out if its server says that it is full or leaves, or, where it tells no load, while the version gets more than half of the requests. Messages carry two more counters; eight are still accepted.

--- a/core/batch/versions.go
+++ b/core/batch/versions.go
@@ -18,6 +18,7 @@
 	CountCall(pool id.Pool, v id.Version)
 	RequestEnded(pool id.Pool, v id.Version)
 	Observe(now time.Time, pool id.Pool, v id.Version, s evidence.Sample)
+	SimilarLoad(now time.Time, pool id.Pool) bool
 }
 
 // WithVersions restricts calls to the server versions that the policy allows.
@@ -30,19 +31,27 @@
 func (allVersions) CountCall(id.Pool, id.Version)                           {}
 func (allVersions) RequestEnded(id.Pool, id.Version)                        {}
 func (allVersions) Observe(time.Time, id.Pool, id.Version, evidence.Sample) {}
+func (allVersions) SimilarLoad(time.Time, id.Pool) bool                     { return false }
 
 // observeVersion reports a sample of a call. Its load is the number of pieces, because the duration depends on it and only
-// calls with the same load are compared.
+// calls with the same load are compared. A call counts as rejected if the server ran none of it, or gave no result for a piece
+// of it although the piece did not fail.
 func (s *Scheduler) observeVersion(now time.Time, c *call, ev CallEnded) {
-	if ev.Fail == event.FailUnsent || ev.Fail == event.FailRejected {
+	sample := evidence.Sample{Route: callRoute, Took: now.Sub(c.startedAt), Load: len(c.pieces)}
+	switch {
+	case ev.Fail == event.FailUnsent:
 		return
+	case ev.Fail == event.FailRejected:
+		sample.Rejected = true
+	case ev.Fail != 0 || len(ev.Outcomes) != len(c.pieces):
+		sample.Failed = true
+	case slices.ContainsFunc(ev.Outcomes, func(o Outcome) bool { return o.Reason == ReasonFailed }):
+		sample.Failed = true
+	default:
+		sample.Rejected = !allSucceeded(ev.Outcomes)
 	}
-	failed := ev.Fail != 0 || len(ev.Outcomes) != len(c.pieces) ||
-		slices.ContainsFunc(ev.Outcomes, func(o Outcome) bool { return o.Reason == ReasonFailed })
-	if !failed && !allSucceeded(ev.Outcomes) {
-		return // its duration is no measure of speed
+	if sample.Rejected && (ev.Leaving || !s.versions.SimilarLoad(now, c.queue.pool.Name)) {
+		return // the server may have had no room for it
 	}
-	s.versions.Observe(now, c.queue.pool.Name, c.version, evidence.Sample{
-		Route: callRoute, Took: now.Sub(c.startedAt), Failed: failed, Load: len(c.pieces),
-	})
+	s.versions.Observe(now, c.queue.pool.Name, c.version, sample)
 }
--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -28,6 +28,8 @@
 	// Lower bounds of the old version's rates, because lower rates cannot be measured on little traffic.
 	minFailRate = 0.02
 	minSlowRate = 0.12
+	// minRejectRate is higher than minFailRate, because sound servers reject what comes in a burst.
+	minRejectRate = 0.05
 	// EnoughResults is the number of results of the new version that makes the evidence complete if there is enough
 	// traffic to wait for them.
 	EnoughResults = 100
@@ -42,20 +44,24 @@
 // stopped one and a score of 10 none. Each further point lets a bad version serve about one more result.
 const BadScore = 10.0
 
-// The failure and slowness rates of a bad version that the tests compare with the old version's rates.
+// The rates of failures, slow results and rejections of a bad version that the tests compare with the old version's rates.
 var (
-	badFailRates = [3]float64{0.08, 0.3, 0.9}
-	badSlowRates = [3]float64{0.35, 0.6, 0.9}
+	badFailRates   = [3]float64{0.08, 0.3, 0.9}
+	badSlowRates   = [3]float64{0.35, 0.6, 0.9}
+	badRejectRates = [3]float64{0.2, 0.5, 0.9}
 )
 
 // cell counts the results of both versions on a route in a slot. No field ever decreases.
 type cell struct {
 	newN, newFail, newTimed, newSlow uint64
 	oldN, oldFail, oldTimed, oldSlow uint64
+	newRejected, oldRejected         uint64 // not among the results
 }
 
-func (c *cell) fields() [8]*uint64 {
-	return [8]*uint64{&c.newN, &c.newFail, &c.newTimed, &c.newSlow, &c.oldN, &c.oldFail, &c.oldTimed, &c.oldSlow}
+func (c *cell) fields() [countersPerCell]*uint64 {
+	return [countersPerCell]*uint64{
+		&c.newN, &c.newFail, &c.newTimed, &c.newSlow, &c.oldN, &c.oldFail, &c.oldTimed, &c.oldSlow, &c.newRejected, &c.oldRejected,
+	}
 }
 
 // cellKey identifies a cell by route and slot. The empty route stands for all routes together.
@@ -66,16 +72,19 @@
 
 // scores are CUSUM statistics: cumulative sums of log-likelihood ratios that never fall below zero, so that
 // a version that turns bad late is detected as fast as one that is bad from the start. The first three test
-// for failures, the others for slow results.
-type scores [6]float64
+// for failures, the next for slow results, the last for rejections.
+type scores [9]float64
 
 // Sample is the result of one attempt.
 type Sample struct {
 	Route  id.Pipeline
 	Took   time.Duration
 	Failed bool
-	Load   int  // attempts in flight at the server when this one was sent
-	Cold   bool // whether the server was cold at that time
+	// Rejected is set if the server did not run the attempt although nothing shows that it had to reject it. Such an attempt
+	// is no result.
+	Rejected bool
+	Load     int  // attempts in flight at the server when this one was sent
+	Cold     bool // whether the server was cold at that time
 }
 
 // Cell carries the sender's counters for a route and slot.
@@ -91,12 +100,14 @@
 	MaxCells        = 1024
 	maxText         = 256
 	maxCount        = 1 << 40
-	countersPerCell = 8
+	countersPerCell = 10
+	// minCounters is the number of counters that earlier builds send.
+	minCounters = 8
 )
 
 // Check reports a malformed cell.
 func (c Cell) Check() error {
-	if len(c.Count) != countersPerCell || len(c.Route) > maxText || c.Slot < allTime {
+	if len(c.Count) < minCounters || len(c.Count) > countersPerCell || len(c.Route) > maxText || c.Slot < allTime {
 		return errors.New("evidence: malformed cell")
 	}
 	for _, n := range c.Count {
@@ -181,6 +192,14 @@
 
 // Observe counts a result that the node of the given incarnation has observed.
 func (e *Evidence) Observe(now time.Time, inc id.Incarnation, s Sample, isNew bool) {
+	if s.Rejected {
+		d := cell{oldRejected: 1}
+		if isNew {
+			d = cell{newRejected: 1}
+		}
+		e.count(now, inc, s.Route, d)
+		return
+	}
 	limit, comparable := e.limit(s.Route, s.Load)
 	if s.Cold {
 		limit *= coldFactor
@@ -207,8 +226,13 @@
 			*slow = 1
 		}
 	}
+	e.count(now, inc, s.Route, d)
+}
+
+// count adds counters of a route to those of an incarnation.
+func (e *Evidence) count(now time.Time, inc id.Incarnation, route id.Pipeline, d cell) {
 	slot := slotOf(now)
-	for _, key := range [4]cellKey{{"", slot}, {s.Route, slot}, {"", allTime}, {s.Route, allTime}} {
+	for _, key := range [4]cellKey{{"", slot}, {route, slot}, {"", allTime}, {route, allTime}} {
 		c := e.byIncarnation[inc][key]
 		for i, f := range c.fields() {
 			*f += *d.fields()[i]
@@ -238,8 +262,8 @@
 func (e *Evidence) Merge(now time.Time, inc id.Incarnation, cells []Cell) {
 	for _, c := range cells {
 		var in cell
-		for i, f := range in.fields() {
-			*f = c.Count[i]
+		for i, n := range c.Count {
+			*in.fields()[i] = n
 		}
 		e.merge(now, inc, cellKey{c.Route, c.Slot}, in)
 	}
@@ -340,7 +364,7 @@
 // score returns the scores after a slot, given those before it.
 func (e *Evidence) score(s scores, route id.Pipeline, slot int64) scores {
 	c := e.totals[cellKey{route, slot}]
-	if c.newN == 0 {
+	if c.newN+c.newRejected == 0 {
 		return s
 	}
 	var long, short cell
@@ -356,9 +380,11 @@
 	}
 	fail := max(minFailRate, upperRate(long.oldFail, long.oldN), currentRate(short.oldFail, short.oldN))
 	slow := max(minSlowRate, upperRate(long.oldSlow, long.oldTimed), currentRate(short.oldSlow, short.oldTimed))
+	rejected := max(minRejectRate, upperRate(long.oldRejected, long.oldN+long.oldRejected), currentRate(short.oldRejected, short.oldN+short.oldRejected))
 	for i := range 3 {
 		s[i] = max(0, s[i]+logLikelihoodRatio(c.newFail, c.newN, fail, max(badFailRates[i], min(3*fail, 0.9))))
 		s[i+3] = max(0, s[i+3]+logLikelihoodRatio(c.newSlow, c.newTimed, slow, max(badSlowRates[i], min(2*slow, 0.9))))
+		s[i+6] = max(0, s[i+6]+logLikelihoodRatio(c.newRejected, c.newN+c.newRejected, rejected, max(badRejectRates[i], min(2*rejected, 0.9))))
 	}
 	return s
 }
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -75,18 +75,35 @@
 	return s, reason
 }
 
-// reportOutcome passes the outcome of a request to the rollouts. A stream counts at its first event, and again if it
-// fails later.
+// reportOutcome passes the outcome of a request to the rollouts. Each response that is no success counts as a failure: what
+// callers do wrong fails at both versions. A stream counts at its first event, and again if it fails later.
 func (g *Gateway) reportOutcome(now time.Time, r *request, res Result) {
-	failed := res.Fail != 0 || res.Status >= http.StatusInternalServerError
-	if res.Fail == event.FailUnsent || res.Fail == event.FailRejected || (r.began && !failed && r.route.Kind == catalog.Stream) {
+	s := g.sample(r, now.Sub(r.sent))
+	s.Rejected = res.Fail == event.FailRejected
+	s.Failed = !s.Rejected && (res.Fail != 0 || res.Status >= http.StatusMultipleChoices)
+	switch {
+	case res.Fail == event.FailUnsent:
+		return
+	case s.Rejected && !g.unexplained(now, r, res):
+		return
+	case r.began && !s.Failed && r.route.Kind == catalog.Stream:
 		return
 	}
-	s := g.sample(r, now.Sub(r.sent))
-	s.Failed = failed
 	g.rollouts.Observe(now, r.pool.Name, r.version, s)
 }
 
+// unexplained reports whether nothing shows that a server had to reject a request: it says neither that it leaves nor that it
+// is full, and its version does not get more than the other one.
+func (g *Gateway) unexplained(now time.Time, r *request, res Result) bool {
+	switch {
+	case res.Leaving:
+		return false
+	case res.LoadKnown:
+		return !res.Load.Full()
+	}
+	return g.rollouts.SimilarLoad(now, r.pool.Name)
+}
+
 func (g *Gateway) sample(r *request, took time.Duration) evidence.Sample {
 	return evidence.Sample{Route: id.Pipeline(r.route.Name), Took: took, Load: r.load, Cold: r.cold}
 }
--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -95,6 +95,7 @@
 	counter  proxy.Ticket
 	restarts int // of servers
 	ready    bool
+	writes   []event.PlatformCall // of the status of rollouts, in all steps
 }
 
 // newHarness returns a gateway that has loaded nothing.
@@ -137,8 +138,13 @@
 func (h *harness) step(ev event.Event) {
 	h.actions = h.gateway.Step(h.now, ev)
 	for _, a := range h.actions {
-		if r, ok := a.(event.Readiness); ok {
-			h.ready = r.Ready
+		switch a := a.(type) {
+		case event.Readiness:
+			h.ready = a.Ready
+		case event.PlatformCall:
+			if a.Op == event.OpPutStatus {
+				h.writes = append(h.writes, a)
+			}
 		}
 	}
 }
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -357,7 +357,7 @@
 		out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
 	}
 	g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
-	if r.route.Kind == catalog.Stream {
+	if r.route.Kind == catalog.Stream && ev.Status < http.StatusMultipleChoices {
 		g.rollouts.Observe(now, r.pool.Name, r.version, g.sample(r, now.Sub(r.sent)))
 	}
 	g.release(r, true, out)
--- a/core/proxy/rollout_test.go
+++ b/core/proxy/rollout_test.go
@@ -1,6 +1,10 @@
 package proxy_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +15,7 @@
 	"bluebellflow/core/id"
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/rollout"
+	"bluebellflow/core/selfreport"
 	"bluebellflow/core/watchcache"
 )
 
@@ -106,3 +111,92 @@
 	h.run(2 * time.Second)
 	h.g.Expect(completed()).To(BeTrue())
 }
+
+// sendUnderRollout sends requests for some time and lets the new version answer badShare of them with bad, all others with good.
+// It returns the state of the rollout that was written last.
+func (h *harness) sendUnderRollout(route string, badShare float64, bad, good proxy.Result) rollout.State {
+	const interval = 10 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 2))
+	var state rollout.State
+	for end := h.now.Add(25 * time.Second); h.now.Before(end) && state != rollout.RolledBack; {
+		ticket := h.arrive(route, nil)
+		for sent := actionsOf[proxy.Forward](h); len(sent) > 0; sent = actionsOf[proxy.Forward](h) {
+			result := good
+			if sent[0].Server.ID[len(sent[0].Server.ID)-3:] == "100" && rng.Float64() < badShare {
+				result = bad
+			}
+			h.end(ticket, result)
+		}
+		h.run(interval)
+		for len(h.writes) > 0 {
+			c := h.writes[0]
+			h.writes = h.writes[1:]
+			state = rollout.State(c.Value[0])
+			h.step(event.PlatformResult{Call: c, Code: event.CodeOK})
+		}
+	}
+	return state
+}
+
+// TestFailuresOfNewVersion guards against a version that is completed although a portion of its answers are failures, with any
+// status, or rejections of requests that it had room for.
+func TestFailuresOfNewVersion(t *testing.T) {
+	ok := proxy.Result{Status: http.StatusOK}
+	free, full := selfreport.Load{Running: 1, Slots: 6}, selfreport.Load{Running: 6, Waiting: 2, Slots: 6}
+	held := func(status int) proxy.Result { return proxy.Result{Status: status, Held: true} }
+	rejected := func(status int, l selfreport.Load) proxy.Result {
+		return proxy.Result{Status: status, Fail: event.FailRejected, Report: selfreport.Report{Load: l, LoadKnown: l.Slots > 0}}
+	}
+	cases := map[string]struct {
+		bad, good proxy.Result
+		want      rollout.State
+	}{
+		"rejected with 503":            {rejected(503, selfreport.Load{}), ok, rollout.RolledBack},
+		"rejected with 429":            {rejected(429, selfreport.Load{}), ok, rollout.RolledBack},
+		"rejected with 400":            {rejected(400, selfreport.Load{}), ok, rollout.RolledBack},
+		"rejected with room":           {rejected(503, free), ok, rollout.RolledBack},
+		"rejected by a full server":    {rejected(503, full), ok, rollout.Running},
+		"like the old version":         {held(404), held(404), rollout.Running},
+		"ran and promises the reverse": {proxy.Result{Status: 503, Fail: event.FailError}, ok, rollout.RolledBack},
+		"broken off":                   {proxy.Result{Fail: event.FailBroken}, ok, rollout.RolledBack},
+	}
+	for _, status := range []int{300, 301, 304, 400, 401, 403, 404, 409, 410, 418, 422, 451, 500, 501, 502, 504, 599} {
+		cases[fmt.Sprint("status ", status)] = struct {
+			bad, good proxy.Result
+			want      rollout.State
+		}{held(status), ok, rollout.RolledBack}
+	}
+	for name, c := range cases {
+		for _, route := range []string{"look", "lend"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				h := newRolloutHarness(t)
+				h.g.Expect(h.sendUnderRollout(route, 0.6, c.bad, c.good)).To(Equal(c.want))
+			})
+		}
+	}
+}
+
+// TestFailedStream guards against a failure that counts as a sound stream as well, because it was passed on without being held
+// back.
+func TestFailedStream(t *testing.T) {
+	h := newLoadedHarness(t)
+	h.put(fleet.KindServers, "model-100", "model 100", "")
+	h.put(rollout.Kind, "model", "model", string(rune(rollout.Running)))
+	requests, counted := 0, 0
+	for end := h.now.Add(5 * time.Second); h.now.Before(end); {
+		ticket := h.arrive("draft", nil)
+		h.step(proxy.Began{Ticket: ticket, Status: http.StatusNotFound})
+		h.end(ticket, proxy.Result{Status: http.StatusNotFound, Began: true})
+		requests++
+		h.run(50 * time.Millisecond)
+		for _, l := range actionsOf[event.Log](h) {
+			if _, counts, ok := strings.Cut(l.Reason, "new="); ok {
+				var atNew, atOld int
+				_, _ = fmt.Sscanf(counts, "%d old=%d", &atNew, &atOld)
+				counted = atNew + atOld
+			}
+		}
+		h.g.Expect(counted).To(BeNumerically("<=", requests), "results of %d requests", requests)
+	}
+	h.g.Expect(counted).To(BeNumerically(">", 0))
+}
--- a/core/request/fail.go
+++ b/core/request/fail.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -21,12 +22,24 @@
 	r.recordStart(a.server, ev.Start)
 	r.removeAttempt(o, a)
 	out.add(r.deps.Router.End(now, a.attempt, route.Outcome{Kind: routeOutcome(ev.Kind), Took: now.Sub(a.startedAt), Start: ev.Start})...)
-	if ev.Kind == event.FailError || ev.Kind == event.FailTimeout {
+	if countsForVersion(ev) {
 		r.recordSample(now, o, a, now.Sub(a.startedAt), true)
 	}
 	r.retry(now, o, a, ev.Kind, ev.Reason, out)
 }
 
+// countsForVersion reports whether an attempt failed because of its server's version: with an error, in time, or with a status
+// that says nothing of its effect. A connection that broke counts once it is known whether the server has crashed.
+func countsForVersion(ev event.AttemptFailed) bool {
+	switch ev.Kind {
+	case event.FailError, event.FailTimeout:
+		return true
+	case event.FailBroken:
+		return ev.Status != 0 && ev.Status != http.StatusOK
+	}
+	return false
+}
+
 func routeOutcome(kind event.FailKind) route.OutcomeKind {
 	switch kind {
 	case event.FailUnsent, event.FailBroken:
--- a/core/rollout/message.go
+++ b/core/rollout/message.go
@@ -51,6 +51,8 @@
 	Failed bool        `protobuf:"varint,5,opt,name=failed"`
 	Cold   bool        `protobuf:"varint,6,opt,name=cold"`
 	New    bool        `protobuf:"varint,7,opt,name=new"` // of the ordered version
+	// Rejected is set if the server did not run the request.
+	Rejected bool `protobuf:"varint,8,opt,name=rejected"`
 }
 
 func (r Result) check() error {
--- a/core/rollout/results.go
+++ b/core/rollout/results.go
@@ -44,12 +44,12 @@
 		}
 		out = append(out, Result{
 			Route: k.Route, Took: int64(k.Took), Load: int64(k.Load), Age: min(maxSpan, int64(now.Sub(k.at))),
-			Failed: k.Failed, Cold: k.Cold, New: k.isNew,
+			Failed: k.Failed, Cold: k.Cold, Rejected: k.Rejected, New: k.isNew,
 		})
 	}
 	return out
 }
 
 func (r Result) sample() evidence.Sample {
-	return evidence.Sample{Route: r.Route, Took: time.Duration(r.Took), Load: int(r.Load), Failed: r.Failed, Cold: r.Cold}
+	return evidence.Sample{Route: r.Route, Took: time.Duration(r.Took), Load: int(r.Load), Failed: r.Failed, Rejected: r.Rejected, Cold: r.Cold}
 }
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -233,6 +233,13 @@
 	}
 }
 
+// SimilarLoad reports whether the servers of both versions of a pool get about the same load, or those of the ordered one less,
+// so that rejections by one version and not by the other tell something of the version.
+func (r *Rollouts) SimilarLoad(now time.Time, pool id.Pool) bool {
+	o := r.pools[pool]
+	return o != nil && o.applied(now) <= fullShare/2
+}
+
 // oldInProgress returns the number of this node's requests in progress at servers of other versions than the ordered one.
 func (r *Rollouts) oldInProgress(o *rollout) int {
 	n := 0
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -61,6 +61,10 @@
 // span.
 type faultModel func(fraction float64) (fail, slower float64)
 
+// rejectModel returns the shares of the requests that the servers of the new and of the old version reject after a fraction of
+// the span.
+type rejectModel func(fraction float64) (byNew, byOld float64)
+
 var good faultModel = func(float64) (float64, float64) { return 0, 1 }
 
 // cluster simulates nodes under traffic. The first node is the leader unless a test sets another one.
@@ -76,6 +80,7 @@
 	store  fakeStore
 	rate   float64 // requests per second
 	fault  faultModel
+	reject rejectModel // nil for none
 
 	requests, newRequests, badResults int
 	badAt                             time.Time // time of the fiftieth bad result
@@ -192,16 +197,79 @@
 		extraFail, factor := c.fault(c.now.Sub(epoch).Seconds() / span.Seconds())
 		fail, slower = fail+extraFail, factor
 	}
+	if c.rejects(v) {
+		if r.SimilarLoad(c.now, pool) {
+			r.Observe(c.now, pool, v, evidence.Sample{Route: "r", Load: 1, Rejected: true})
+		}
+		if v == "v2" {
+			c.countBad()
+		}
+		return
+	}
 	s := evidence.Sample{Route: "r", Load: 1, Failed: c.rng.Float64() < fail}
 	s.Took = time.Duration(0.1 * slower * math.Exp(0.3*c.rng.NormFloat64()) * float64(time.Second))
 	if v == "v2" && (s.Failed || slower > 1) {
-		if c.badResults++; c.badResults == 50 {
-			c.badAt = c.now
-		}
+		c.countBad()
 	}
 	r.Observe(c.now, pool, v, s)
 }
 
+func (c *cluster) countBad() {
+	if c.badResults++; c.badResults == 50 {
+		c.badAt = c.now
+	}
+}
+
+// rejects reports whether a server of a version rejects the next request.
+func (c *cluster) rejects(v id.Version) bool {
+	if c.reject == nil {
+		return false
+	}
+	byNew, byOld := c.reject(c.now.Sub(epoch).Seconds() / span.Seconds())
+	if v == "v2" {
+		return c.rng.Float64() < byNew
+	}
+	return c.rng.Float64() < byOld
+}
+
+// TestRejections guards against a bad version that rejects requests as if its servers were full, and against a good one that is
+// rolled back because all servers reject some, or because its own are full while it gets nearly all requests.
+func TestRejections(t *testing.T) {
+	const shifted = 0.75 // of the span; a sound version gets all requests then
+	for name, c := range map[string]struct {
+		reject rejectModel
+		want   rollout.State
+	}{
+		"bad, 60%":                {func(float64) (float64, float64) { return 0.6, 0 }, rollout.RolledBack},
+		"bad, 30%":                {func(float64) (float64, float64) { return 0.3, 0 }, rollout.RolledBack},
+		"bad, all":                {func(float64) (float64, float64) { return 1, 0 }, rollout.RolledBack},
+		"bad, while both are hit": {func(float64) (float64, float64) { return 0.8, 0.2 }, rollout.RolledBack},
+		"both alike":              {func(float64) (float64, float64) { return 0.3, 0.3 }, rollout.Completed},
+		"few":                     {func(float64) (float64, float64) { return 0.03, 0 }, rollout.Completed},
+		"full when all requests go to it": {func(fraction float64) (float64, float64) {
+			return map[bool]float64{true: 0.5}[fraction > shifted], 0
+		}, rollout.Completed},
+	} {
+		for _, rate := range []float64{14, 30, 400} {
+			t.Run(fmt.Sprintf("%s, %v a second", name, rate), func(t *testing.T) {
+				for seed := range uint64(10) {
+					cl := newCluster(t, seed, rate, good)
+					cl.reject = c.reject
+					cl.order()
+					cl.run(span)
+					cl.g.Expect(cl.state()).To(Equal(c.want), "seed %d", seed)
+					if c.want == rollout.RolledBack {
+						cl.g.Expect(float64(cl.newRequests)).To(BeNumerically("<=", 0.1*float64(cl.requests)+50), "seed %d", seed)
+						if !cl.badAt.IsZero() {
+							cl.g.Expect(cl.lastNewRequest.Sub(cl.badAt)).To(BeNumerically("<=", 5*time.Second), "seed %d", seed)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
 func (c *cluster) state() rollout.State {
 	var s rollout.Status
 	_, _ = fmt.Sscan(string(c.store.object.Status), &s.State, &s.Target)
--- a/core/selfreport/report.go
+++ b/core/selfreport/report.go
@@ -10,6 +10,9 @@
 	Running, Waiting, Slots int
 }
 
+// Full reports whether the server could not begin with another request.
+func (l Load) Full() bool { return l.Waiting > 0 || l.Running >= l.Slots }
+
 // Report is what a server says of itself in a response. The zero Report says nothing.
 type Report struct {
 	Load      Load
--- a/core/simulation/backend.go
+++ b/core/simulation/backend.go
@@ -33,6 +33,7 @@
 
 	Leaving        bool
 	ErrorRate      float64 // probability that an attempt fails with an error
+	ErrorStatus    int     // status of that error, which says nothing of the effect; 0 for 500
 	LostAnswerRate float64 // probability that the connection breaks after the work is done
 	SlowFactor     float64 // factor for ServiceTime, 0 means 1
 	Down           bool    // nothing listens at its address
@@ -240,7 +241,7 @@
 				return
 			}
 			if fails {
-				b.finish(from, key, s, event.AttemptFailed{Attempt: a.Attempt, Kind: event.FailError, Start: start, Status: 500, Reason: "internal error"})
+				b.finish(from, key, s, s.failure(a.Attempt, start))
 				return
 			}
 			if a.Key != "" {
@@ -264,13 +265,21 @@
 			return
 		}
 		if fails {
-			b.finish(from, key, s, event.AttemptFailed{Attempt: a.Attempt, Kind: event.FailError, Start: start, Status: 500, Reason: "internal error"})
+			b.finish(from, key, s, s.failure(a.Attempt, start))
 			return
 		}
 		b.complete(from, key, s, event.AttemptDone{Attempt: a.Attempt, Tokens: s.Tokens, Start: start, Took: total})
 	})
 }
 
+// failure returns the error with which an attempt fails.
+func (s *Server) failure(a id.Attempt, start id.Start) event.AttemptFailed {
+	if s.ErrorStatus != 0 {
+		return event.AttemptFailed{Attempt: a, Kind: event.FailBroken, Start: start, Status: s.ErrorStatus, Reason: "unexpected status"}
+	}
+	return event.AttemptFailed{Attempt: a, Kind: event.FailError, Start: start, Status: 500, Reason: "internal error"}
+}
+
 // complete ends a successful attempt, whose result is lost with probability LostAnswerRate.
 func (b *Backends) complete(from id.Node, key attemptKey, s *Server, done event.AttemptDone) {
 	s.Completed++
