membudget: answers in progress share a budget of memory

Reported: a faulty server sent bytes without end, in a head or a body, and the machine that had called it ran out of memory, with the requests of others.

Cause: each answer was bounded, all of a node together were not: an event may have 1 MiB, a header 64 KiB in any number of lines, and the HTTP client of bluebellflow serve took 10 MB for a header. While an event was waited for, all of it was searched at each read.

A plain answer that gets no more is passed on from there; an event, a held failure and a stage's answer break off. A header has 512 lines and 64 KiB at the most. Only new bytes of an event are searched for its end.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -17,6 +17,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/io/bytecount"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/sendtrack"
 	"bluebellflow/io/tasks"
 )
@@ -26,6 +27,10 @@
 	MaxOutputBytes = 8 << 20
 	// maxEventBytes is the maximum size of a server-sent event in a stream, in bytes.
 	maxEventBytes = 1 << 20
+	// maxHeaderBytes is the maximum size of the header of a response, in bytes.
+	maxHeaderBytes = 64 << 10
+	// maxMemory is the size in bytes of what all responses together may take in memory while they are read.
+	maxMemory = 64 << 20
 	// maxControlBytes is the maximum size of a load report or of a batch of cache events, in bytes.
 	maxControlBytes = 1 << 20
 	// readBufferSize is the size of the read buffer of a stream in bytes, and so the maximum size of a batch of tokens.
@@ -55,6 +60,7 @@
 	controlTimeout time.Duration // for cancellations, orders and polls
 	echoes         echoes
 	poller         *poller
+	memory         *membudget.Budget
 
 	mu      sync.Mutex
 	running map[id.Attempt]context.CancelFunc
@@ -93,6 +99,7 @@
 		controlTimeout: time.Second,
 		poller:         newPoller(),
 		running:        map[id.Attempt]context.CancelFunc{},
+		memory:         membudget.New(maxMemory),
 	}
 	c.attemptHTTP = newHTTP(dialer.DialContext)
 	c.controlHTTP = newHTTP(bytecount.WrapDial(dialer.DialContext, func(n int64) { c.vars.Add("control_bytes", n) }))
@@ -110,6 +117,8 @@
 			MaxIdleConnsPerHost: maxIdleConnsPerServer,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -14,6 +14,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/sendtrack"
 	"bluebellflow/io/sse"
 )
@@ -194,11 +195,13 @@
 		fail.Kind = event.FailBroken
 		return fail
 	}
+	memory := c.memory.NewShare()
+	defer memory.Release()
 	var done event.AttemptDone
 	if d.Stream {
-		done, err = c.readStream(d, resp.Body)
+		done, err = c.readStream(d, resp.Body, memory)
 	} else {
-		done.Data, err = readOutput(resp)
+		done.Data, err = readOutput(resp, memory)
 	}
 	if err != nil {
 		fail.Kind, fail.Reason = failKindAfterSend(err), err.Error()
@@ -213,25 +216,22 @@
 
 // readOutput reads a whole response body. A body that is ended only by the close of its connection is rejected, because it
 // cannot be told from a truncated one.
-func readOutput(resp *http.Response) ([]byte, error) {
+func readOutput(resp *http.Response, memory *membudget.Share) ([]byte, error) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errors.New("response without Content-Length")
 	}
 	if resp.ContentLength > MaxOutputBytes {
 		return nil, fmt.Errorf("response of %d bytes, limit %d", resp.ContentLength, MaxOutputBytes)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxOutputBytes+1))
+	raw, err := memory.ReadAll(resp.Body, MaxOutputBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	if len(raw) > MaxOutputBytes {
-		return nil, fmt.Errorf("response larger than %d bytes", MaxOutputBytes)
-	}
 	return raw, nil
 }
 
 // readStream delivers the output of a stream and returns the contents of its end event.
-func (c *Client) readStream(d event.Dispatch, body io.Reader) (event.AttemptDone, error) {
+func (c *Client) readStream(d event.Dispatch, body io.Reader, memory *membudget.Share) (event.AttemptDone, error) {
 	parser := sse.NewParser(maxEventBytes)
 	buf := make([]byte, readBufferSize)
 	for {
@@ -250,6 +250,8 @@
 			return done, nil
 		case parseErr != nil:
 			return event.AttemptDone{}, parseErr
+		case !memory.Keep(parser.Buffered()):
+			return event.AttemptDone{}, membudget.ErrExhausted
 		case errors.Is(err, io.EOF):
 			return event.AttemptDone{}, errors.New("stream without end event")
 		case err != nil:
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -13,6 +13,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/proxy"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/upstream"
 )
 
@@ -112,13 +113,10 @@
 
 // holdResponse holds back an error response while the decision logic looks for another server.
 func (x *exchange) holdResponse(resp *response, res proxy.Result) bool {
-	raw, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
-	if err == nil && len(raw) > maxBufferedBytes {
-		err = errors.New("error response is too large to hold back")
-	}
+	raw, err := resp.ReadAll(maxBufferedBytes)
 	if err != nil {
 		_ = resp.Close()
-		return x.reportFailure(err, res)
+		return x.reportFailure(fmt.Errorf("hold back an error response: %w", err), res)
 	}
 	resp.body = raw
 	x.held = resp
@@ -140,11 +138,13 @@
 	x.recordLatency(&x.server.latency.answered)
 }
 
-// relay sends a response to the caller. A response of up to maxBufferedBytes bytes is read completely first.
+// relay sends a response to the caller. A response of up to maxBufferedBytes bytes is read completely first, if there is memory
+// for it.
 func (x *exchange) relay(resp *response, res proxy.Result) bool {
 	defer func() { _ = resp.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err != nil {
+	raw, err := resp.ReadAll(maxBufferedBytes)
+	more := errors.Is(err, membudget.ErrTooLarge) || errors.Is(err, membudget.ErrExhausted)
+	if err != nil && !more {
 		return x.reportFailure(err, res)
 	}
 	x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode, Report: res.Report})
@@ -152,7 +152,7 @@
 	x.w.WriteHeader(resp.StatusCode)
 	x.responseStarted = true
 	_, err = x.w.Write(raw)
-	if err == nil && len(raw) == maxBufferedBytes {
+	if err == nil && more {
 		err = x.copyBody(resp)
 	}
 	if err != nil {
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/selfreport"
+	"bluebellflow/io/membudget"
 )
 
 // maxEventBytes is the size limit for one event of a stream.
@@ -29,8 +30,9 @@
 	buf := make([]byte, readBufferSize)
 	for {
 		n, err := resp.Read(buf)
+		searched := max(0, len(pending)-maxSeparatorBytes+1)
 		pending = append(pending, buf[:n]...)
-		if end := completeEventsLength(pending); end > 0 {
+		if end := completeEventsLength(pending, searched); end > 0 {
 			if writeErr := x.writeEvents(resp.Response, res.Report, control, pending[:end]); writeErr != nil {
 				return x.reportInterrupted(writeErr, res)
 			}
@@ -43,6 +45,8 @@
 			return x.reportInterrupted(err, res)
 		case len(pending) > maxEventBytes:
 			return x.reportInterrupted(errEventTooLarge, res)
+		case !resp.Keep(cap(pending)):
+			return x.reportInterrupted(membudget.ErrExhausted, res)
 		}
 	}
 }
@@ -95,12 +99,15 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// completeEventsLength returns the length of the complete events at the start of raw.
-func completeEventsLength(raw []byte) int {
+// maxSeparatorBytes is the length of the longest separator of events.
+const maxSeparatorBytes = 4
+
+// completeEventsLength returns the length of the complete events at the start of raw, 0 if none ends after from.
+func completeEventsLength(raw []byte, from int) int {
 	end := 0
 	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")} {
-		if i := bytes.LastIndex(raw, separator); i >= 0 {
-			end = max(end, i+len(separator))
+		if i := bytes.LastIndex(raw[from:], separator); i >= 0 {
+			end = max(end, from+i+len(separator))
 		}
 	}
 	return end
--- a/io/sse/sse.go
+++ b/io/sse/sse.go
@@ -25,6 +25,9 @@
 // NewParser returns a parser that fails on events larger than maxSize bytes.
 func NewParser(maxSize int) *Parser { return &Parser{maxSize: maxSize} }
 
+// Buffered returns the size of the buffers for an event that is not complete yet.
+func (p *Parser) Buffered() int { return cap(p.line) + cap(p.data) }
+
 // Feed parses a chunk of the stream and returns the events that it completes.
 func (p *Parser) Feed(chunk []byte) ([]Event, error) {
 	var out []Event
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -30,6 +30,8 @@
 	MaxValueBytes = 1 << 20
 	// maxResponseBytes bounds every response body except that of a get, which MaxValueBytes bounds.
 	maxResponseBytes = 8 << 20
+	// maxHeaderBytes bounds the header of every response.
+	maxHeaderBytes = 64 << 10
 	// maxPending bounds the number of concurrent operations and watches.
 	maxPending = 1024
 	// maxConns bounds the connections to the platform; each waiting watch holds one.
@@ -102,6 +104,8 @@
 			MaxIdleConnsPerHost: maxConns,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"bluebellflow/io/membudget"
 )
 
 const (
@@ -29,12 +31,15 @@
 	ackTimeout = 2 * time.Second
 	// maxIdleConns bounds the idle connections to one server.
 	maxIdleConns = 8
+	// defaultMemory is the size in bytes of what the responses in progress may keep in memory together.
+	defaultMemory = 16 << 20
 )
 
 // Client sends requests over connections that it keeps open for reuse.
 type Client struct {
 	dialer net.Dialer
 	vars   *expvar.Map
+	memory *membudget.Budget
 
 	mu        sync.Mutex
 	idleConns map[netip.AddrPort][]*conn // by server, the most recently used one last
@@ -47,9 +52,12 @@
 // WithVars counts connections and failures in the given map.
 func WithVars(vars *expvar.Map) Option { return func(c *Client) { c.vars = vars } }
 
+// WithMemory bounds the bytes that the responses in progress may keep in memory together.
+func WithMemory(b *membudget.Budget) Option { return func(c *Client) { c.memory = b } }
+
 // New returns a client that has no open connections.
 func New(opts ...Option) *Client {
-	c := &Client{vars: new(expvar.Map), idleConns: map[netip.AddrPort][]*conn{}}
+	c := &Client{vars: new(expvar.Map), memory: membudget.New(defaultMemory), idleConns: map[netip.AddrPort][]*conn{}}
 	c.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	for _, o := range opts {
 		o(c)
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/io/membudget"
 )
 
 // maxIDs bounds the requests of a connection that are remembered. Copies of responses arrive before that many others.
@@ -19,19 +21,49 @@
 // maxHeaderBytes bounds the status line and headers of a response.
 const maxHeaderBytes = 64 << 10
 
-// errHeaderTooLarge means that a response header does not end within maxHeaderBytes.
+// maxHeaderLines bounds the lines of a response header. A short line takes many times its length in memory.
+const maxHeaderLines = 512
+
+// errHeaderTooLarge means that a response header does not end within maxHeaderBytes and maxHeaderLines.
 var errHeaderTooLarge = errors.New("response header is too large")
 
 // conn is a connection to a server. It carries one request at a time.
 type conn struct {
 	net.Conn
-	addr            netip.AddrPort
-	br              *bufio.Reader
-	headerBytesLeft int           // bytes that may still be read before the response body
-	idleSince       time.Time     // when the previous exchange ended
-	idleTimeout     time.Duration // how long it may stay idle
-	idleTimer       *time.Timer   // closes it after idleTimeout
-	ids             []uint64      // hashes of the IDs of the last requests, oldest first
+	addr        netip.AddrPort
+	br          *bufio.Reader
+	header      *headerLimit  // of the header that is being read, nil while the body is read
+	idleSince   time.Time     // when the previous exchange ended
+	idleTimeout time.Duration // how long it may stay idle
+	idleTimer   *time.Timer   // closes it after idleTimeout
+	ids         []uint64      // hashes of the IDs of the last requests, oldest first
+}
+
+// headerLimit bounds what is read of a response header.
+type headerLimit struct {
+	memory *membudget.Share
+	bytes  int // bytes read so far
+	lines  int // lines that have ended
+	line   int // bytes of the last line
+	ended  bool
+}
+
+// add counts bytes that were read, and reports whether the header is within its limits. It counts no lines of what follows the
+// header.
+func (l *headerLimit) add(p []byte) bool {
+	l.bytes += len(p)
+	for _, b := range p {
+		switch {
+		case l.ended || b == '\r':
+		case b != '\n':
+			l.line++
+		default:
+			l.ended = l.line == 0 && l.lines > 0
+			l.lines++
+			l.line = 0
+		}
+	}
+	return l.bytes <= maxHeaderBytes && l.lines <= maxHeaderLines && l.memory.Keep(l.bytes)
 }
 
 // rememberID records the ID of a request that is sent on the connection.
@@ -56,13 +88,12 @@
 	return c
 }
 
-// Read reads from the connection, or returns errHeaderTooLarge if the response header exceeds its limit.
+// Read reads from the connection, or returns errHeaderTooLarge if the response header exceeds its limits.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headerBytesLeft <= 0 {
+	n, err := c.Conn.Read(p)
+	if c.header != nil && !c.header.add(p[:n]) {
 		return 0, errHeaderTooLarge
 	}
-	n, err := c.Conn.Read(p)
-	c.headerBytesLeft -= n
 	return n, err
 }
 
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,34 @@
 	}
 }
 
+// TestHeaderLines guards against a header of very many short lines, which takes many times its length in memory, and against
+// counting lines of the body.
+func TestHeaderLines(t *testing.T) {
+	const allowed, many = 500, 600
+	for name, c := range map[string]struct {
+		response string
+		want     bool // it is accepted
+	}{
+		"many":                  {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", many) + "Content-Length: 0\r\n\r\n", false},
+		"many, line feeds only": {"HTTP/1.1 200 OK\n" + strings.Repeat("a:\n", many) + "Content-Length: 0\n\n", false},
+		"as many as allowed":    {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", allowed) + "Content-Length: 0\r\n\r\n", true},
+		"lines of the body":     {"HTTP/1.1 200 OK\r\nContent-Length: 600\r\n\r\n" + strings.Repeat("\n", many), true},
+		"after others":          {strings.Repeat("HTTP/1.1 100 Continue\r\na:\r\n\r\n", 5) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := start(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, c.response)
+				_, _ = io.Copy(io.Discard, conn) // until the client closes
+			})
+			client := upstream.New()
+			defer client.Close()
+			_, err := exchange(t, client, s.Addr(), &upstream.Request{})
+			g.Expect(err == nil).To(Equal(c.want), "%v", err)
+		})
+	}
+}
+
 // TestCloseOfStalledBody guards against the end of an exchange that waits for the rest of a body which does not come: a caller
 // that closes a response wants to go on, for example with another server.
 func TestCloseOfStalledBody(t *testing.T) {
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bluebellflow/core/event"
+	"bluebellflow/io/membudget"
 )
 
 const (
@@ -94,8 +95,16 @@
 	reused         bool // the connection has carried another request before
 	singleUse      bool // the connection is not reused
 	bodyComplete   bool // the body was read to its end
+	memory         *membudget.Share
 }
 
+// Keep reports whether the memory for all responses allows to keep n bytes of this one.
+func (r *ResponseReader) Keep(n int) bool { return r.memory.Keep(n) }
+
+// ReadAll reads the rest of the body. It returns what it has read with membudget.ErrTooLarge if there is more than limit bytes,
+// and with membudget.ErrExhausted if the memory for all responses does not allow to keep more.
+func (r *ResponseReader) ReadAll(limit int) ([]byte, error) { return r.memory.ReadAll(r, limit) }
+
 // Do sends a request and reads the response header. The context bounds the whole exchange, including the response body.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*ResponseReader, error) {
 	var cn *conn
@@ -111,7 +120,9 @@
 		cn = dialed
 	}
 	cn.rememberID(req.ID)
-	r := &ResponseReader{client: c, conn: cn, reused: reused, ctx: ctx, singleUse: req.NewConn, requestWritten: make(chan struct{})}
+	r := &ResponseReader{
+		client: c, conn: cn, reused: reused, ctx: ctx, singleUse: req.NewConn, requestWritten: make(chan struct{}), memory: c.memory.NewShare(),
+	}
 	r.stopAfterFunc = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	sent, err := r.writeRequest(req)
 	if err == nil {
@@ -175,7 +186,7 @@
 		_ = r.conn.SetReadDeadline(req.HeaderDeadline)
 	}
 	for skipped, informational := 0, 0; ; {
-		r.conn.headerBytesLeft = maxHeaderBytes
+		r.conn.header = &headerLimit{memory: r.memory}
 		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
 		if err != nil {
 			return fmt.Errorf("read response: %w", err)
@@ -186,7 +197,7 @@
 			}
 			continue
 		}
-		r.conn.headerBytesLeft = int(^uint(0) >> 1)
+		r.conn.header = nil
 		match := MatchOwn
 		if req.Matches != nil {
 			match = req.Matches(resp)
@@ -232,6 +243,7 @@
 
 // Close ends the exchange. The connection is kept for reuse if the response was read to its end.
 func (r *ResponseReader) Close() error {
+	defer r.memory.Release()
 	r.drain()
 	select {
 	case <-r.requestWritten:
@@ -258,6 +270,7 @@
 
 // abort closes the connection.
 func (r *ResponseReader) abort() error {
+	r.memory.Release()
 	r.stopAfterFunc()
 	return r.conn.Close()
 }
