stop: a stopping node takes only what certainly ends

Reported: requests that came late in the grace of a planned stop were taken and passed on, and cut at its end with no answer, among them ones that may not be repeated.

Cause: bluebellflow serve took every request until it exited. A gateway takes none from 2.5 s on, and before chose by the times measured of the route, also an unsafe request, whose caller cannot learn whether it has run.

Change: a request whose own deadline comes after the exit is refused at once, with 0.1 s to return: in serve each one, at a gateway the unsafe ones.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -164,6 +164,7 @@
 		return nil
 	}
 	n.stoppedAt = now
+	n.requests.SetExit(now.Add(n.grace))
 	return append([]event.Action{event.Readiness{Ready: false}}, n.members.Leave(now)...)
 }
 
--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -51,7 +51,9 @@
 	draft := route("draft", catalog.Stream, "model", 1)
 	draft.Timeout, draft.LatencyObjective, draft.CallerTimeout = 10*time.Second, time.Second, 9*time.Second
 	draft.Stages = []catalog.Stage{{Pool: "times", ResultBytes: 1000}}
-	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft}
+	renew := route("renew", catalog.Unsafe, "loans", 1)
+	renew.Timeout = 6 * time.Second
+	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew}
 	if version >= 10 {
 		c.Routes = c.Routes[1:]
 	}
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
 )
 
@@ -89,11 +90,15 @@
 	}
 }
 
-// rejectsArrival reports whether a stopping node refuses a request that arrives now: it would rarely end before the exit,
-// or comes after the listener was closed. No request lasts longer than its patience.
+// rejectsArrival reports whether a stopping node refuses a request that arrives now, because it comes after the listener was
+// closed, or might not end before the exit. No request lasts longer than its patience. An unsafe one is taken only if it
+// certainly ends, because nobody could tell its caller whether it has run; another one if it would rarely last longer.
 func (g *Gateway) rejectsArrival(now time.Time, r *request, patience time.Duration) bool {
-	total := g.durationsOf(r.route.Name).total.bound(maxDeviations)
-	return g.shutdown.closed || g.stopsWithin(now, min(total, patience))
+	longest := patience
+	if r.route.Kind != catalog.Unsafe {
+		longest = min(patience, g.durationsOf(r.route.Name).total.bound(maxDeviations))
+	}
+	return g.shutdown.closed || g.stopsWithin(now, longest)
 }
 
 // stopsBeforeResponse reports whether the node would often exit before the end of a request that no server has run, if it
--- a/core/proxy/stop_test.go
+++ b/core/proxy/stop_test.go
@@ -92,6 +92,36 @@
 	})
 }
 
+// TestStopUnsafeRequests guards against a stopping node that takes an unsafe request because such requests are short as a rule, and
+// exits before this one has ended, so that its caller cannot know whether it has run.
+func TestStopUnsafeRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		after, patience time.Duration
+		taken           bool
+	}{
+		"certainly ends":           {time.Second, time.Minute, true},      // 6.7 s are left, and the route's timeout is 6 s
+		"may last too long":        {2 * time.Second, time.Minute, false}, // 5.7 s are left
+		"its deadline comes first": {2 * time.Second, 5 * time.Second, true},
+		"late in the grace period": {6 * time.Second, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newLoadedHarness(t)
+			for range 30 {
+				h.serve("renew", lookTime)
+			}
+			h.arrive("look", nil) // keeps the node from exiting
+			h.step(event.Stop{})
+			h.run(c.after)
+			h.arrive("renew", func(r *proxy.RequestInfo) { r.Patience = c.patience })
+			if !c.taken {
+				h.expectRefused("it may be cut")
+				return
+			}
+			onlyAction[proxy.Forward](h)
+		})
+	}
+}
+
 // TestStopFewMeasurements guards against a stopping node that refuses requests which it could serve, because it has measured
 // few of a route, one took long, or they end earlier by their own deadline.
 func TestStopFewMeasurements(t *testing.T) {
--- a/core/request/open.go
+++ b/core/request/open.go
@@ -124,12 +124,12 @@
 		return
 	}
 	if r.deps.Settings.Revision() == 0 {
-		out.add(notReady(ev, "this node has no configuration yet"))
+		out.add(notReady(ev, "this node has no configuration yet", notReadyRetryAfter))
 		return
 	}
 	if !r.deps.Versions.Loaded() {
 		// Without the rollouts the request could reach a version that was rolled back.
-		out.add(notReady(ev, "this node has not loaded the rollouts yet"))
+		out.add(notReady(ev, "this node has not loaded the rollouts yet", notReadyRetryAfter))
 		return
 	}
 	plan, err := r.deps.Settings.Tree().Effective(ev.Workspace, ev.Pipeline, r.self.FailureDomain)
@@ -149,6 +149,10 @@
 		out.add(problemReply(ev.Request, event.ProblemDeadline, "the deadline had passed on arrival", 0))
 		return
 	}
+	if !r.exitAt.IsZero() && o.deadline.After(r.exitAt.Add(-exitMargin)) {
+		out.add(notReady(ev, "this node stops", stopRetryAfter))
+		return
+	}
 	o.fingerprint = Fingerprint(ev.Workspace, ev.Pipeline, ev.Body)
 	o.prefixHashes = hashPrefixes(ev.Body)
 	r.open[ev.Request] = o
@@ -163,17 +167,23 @@
 	out.add(r.deps.Guard.Ask(now, ev.Request, o.fingerprint)...)
 }
 
-// notReadyRetryAfter is the retry delay that a node suggests while it is starting.
-const notReadyRetryAfter = time.Second
+const (
+	// notReadyRetryAfter is the retry delay that a node suggests while it is starting.
+	notReadyRetryAfter = time.Second
+	// stopRetryAfter is the retry delay that a stopping node suggests; another node will serve the request.
+	stopRetryAfter = 100 * time.Millisecond
+	// exitMargin is the time before the exit that is left for the last answers.
+	exitMargin = 300 * time.Millisecond
+)
 
-// notReady answers a request that arrived before this node has loaded its configuration and the rollouts. Without a key,
-// the request certainly has not run. With a key, an earlier request may have run, and only other nodes know whether it did.
-func notReady(ev event.RequestArrived, detail string) event.Reply {
+// notReady answers a request that this node does not take, because it is starting or stopping. Without a key, the request
+// certainly has not run. With a key, an earlier request may have run, and only other nodes know whether it did.
+func notReady(ev event.RequestArrived, detail string, retryAfter time.Duration) event.Reply {
 	kind := event.ProblemRefused
 	if ev.Key != "" {
 		kind = event.ProblemUnknown
 	}
-	return problemReply(ev.Request, kind, detail, notReadyRetryAfter)
+	return problemReply(ev.Request, kind, detail, retryAfter)
 }
 
 func (o *openRequest) claimRequest() claim.Request {
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -81,6 +81,7 @@
 	lastAttempt  id.Attempt
 	serverStarts map[id.Server]id.Start // last known start identity of each server
 	counters     Counters
+	exitAt       time.Time // when the process exits whatever is open, zero if it is not stopping
 
 	skipOrderCheck, keepAbandoned bool
 }
@@ -113,6 +114,9 @@
 	return r
 }
 
+// SetExit sets when the process exits whatever is open. Requests that might last longer are refused from now on.
+func (r *Requests) SetExit(at time.Time) { r.exitAt = at }
+
 // OpenCount returns the number of requests without a final answer, and of answered ones whose action is still pending.
 func (r *Requests) OpenCount() int { return len(r.open) }
 
