gateway, callers: a caller that closes its side first gets no 200 that nobody gave

Cause: net/http ends a request's context when the caller ends its sending side. The handler returned without a response, and net/http sent 200 with Content-Length 0, or the last chunk of what had begun; in bluebellflow serve too. Ruled out: a server that stops in its head alone.

Change: such a handler closes the connection in place of returning.

--- a/io/callers/callers.go
+++ b/io/callers/callers.go
@@ -205,10 +205,9 @@
 	if err != nil {
 		s.vars.Add("callers_gone", 1)
 		s.deliver(event.CallerDisconnected{Request: arrived.Request})
-		// The connection is aborted, so that no caller takes a partial response for a complete one.
-		if !errors.Is(err, context.Canceled) {
-			panic(http.ErrAbortHandler)
-		}
+		// The connection is aborted, so that no caller takes a partial response for a complete one. A caller that has closed
+		// only its own side of the connection would get 200 with an empty body from net/http.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/io/callers/callers_test.go
+++ b/io/callers/callers_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -292,3 +293,44 @@
 		NewWithT(t).Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 }
+
+// TestCallerLeaves lets callers end their side of the connection and read on. It guards against a 200 with an empty body, or a
+// stream that looks whole, which net/http sends when a handler returns before it has sent a response.
+func TestCallerLeaves(t *testing.T) {
+	for name, c := range map[string]struct{ headers, awaited string }{
+		"before the response": {"", ""},
+		"before the stream":   {"Accept: text/event-stream\r\n", ""},
+		"in the stream":       {"Accept: text/event-stream\r\n", "part one"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := startServer(t, func(s *callers.Server, ev event.Event) {
+				if arrived, ok := ev.(event.RequestArrived); ok && c.awaited != "" {
+					s.Reply(event.Reply{Request: arrived.Request, Data: []byte(c.awaited)})
+				}
+			})
+			conn, err := net.Dial("tcp", s.http.Listener.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /v1/pipelines/p HTTP/1.1\r\nHost: h\r\nBluebellflow-Workspace: w\r\n"+c.headers+"Content-Length: 2\r\n\r\nin")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(s.events, testTimeout).Should(Receive(BeAssignableToTypeOf(event.RequestArrived{})))
+			_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+			got := ""
+			for buf := make([]byte, 1<<10); !strings.Contains(got, c.awaited); {
+				n, err := conn.Read(buf)
+				g.Expect(err).NotTo(HaveOccurred())
+				got += string(buf[:n])
+			}
+			g.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			rest, _ := io.ReadAll(conn)
+			got += string(rest)
+			g.Eventually(s.events, testTimeout).Should(Receive(BeAssignableToTypeOf(event.CallerDisconnected{})))
+			if c.awaited == "" {
+				g.Expect(got).NotTo(ContainSubstring("200 OK\r\nBluebellflow-Request"), "a response that nobody gave")
+			}
+			g.Expect(got).NotTo(HaveSuffix("\r\n0\r\n\r\n"), "it looks whole")
+			g.Expect(got).NotTo(ContainSubstring("Content-Length: 0"))
+		})
+	}
+}
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -130,7 +130,7 @@
 func (x *exchange) sendHeld() {
 	resp := x.held
 	if resp == nil {
-		panic(http.ErrAbortHandler)
+		closeUnanswered()
 	}
 	x.copyHeaders(resp.Response)
 	x.w.WriteHeader(resp.StatusCode)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -192,9 +192,10 @@
 	defer s.remove(x.ticket)
 	if status, err := x.readRequest(); err != nil {
 		s.vars.Add("requests_rejected", 1)
-		if r.Context().Err() == nil {
-			x.refuse(proxy.Refuse{Status: status, Reason: err.Error()})
+		if r.Context().Err() != nil {
+			closeUnanswered()
 		}
+		x.refuse(proxy.Refuse{Status: status, Reason: err.Error()})
 		return
 	}
 	x.info.Fingerprint = requestFingerprint(r, x.body)
@@ -277,7 +278,7 @@
 			x.server.vars.Add("callers_gone", 1)
 			x.recordLatency(&x.server.latency.disconnected)
 			x.server.deliver(proxy.Disconnected{Ticket: x.ticket})
-			return
+			closeUnanswered()
 		case a := <-x.actions:
 			if x.execute(a) {
 				return
@@ -317,9 +318,13 @@
 // abort closes the connection to the caller, which cannot take the response for complete then.
 func (x *exchange) abort() {
 	x.recordLatency(&x.server.latency.aborted)
-	panic(http.ErrAbortHandler)
+	closeUnanswered()
 }
 
+// closeUnanswered ends a handler and closes its connection. If the handler returned instead, net/http would send 200 with an
+// empty body, or the end of the body, to a caller that has closed only its own side of the connection.
+func closeUnanswered() { panic(http.ErrAbortHandler) }
+
 // discardHeld closes a response that was held back.
 func (x *exchange) discardHeld() {
 	if x.held != nil {
