fleet: a server that moves to another pool is removed first

Cause: the server was taken from its old pool without a ServerRemoved. The scheduler kept its worker with the new pool, which has no queue: a nil pointer. A server that starts again for another service does the same.

Change: it is removed and announced as a new one.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -143,7 +143,8 @@
 	return nil
 }
 
-// update applies a server's entry. A server whose entry cannot be decoded is removed.
+// update applies a server's entry. A server whose entry cannot be decoded is removed. One whose entry names another pool than
+// before is a new server.
 func (f *Fleet) update(now time.Time, o watchcache.Object) []event.Action {
 	name := id.Server(o.Name)
 	entry, err := f.decoder.Server(o.Spec)
@@ -155,11 +156,12 @@
 		return out
 	}
 	s, known := f.servers[name]
-	restarted := known && (s.Start != entry.Start || s.Addr != entry.Addr)
+	var out []event.Action
 	if known && s.Pool != entry.Pool {
-		f.unindex(s)
+		out = f.remove(s, "entry names pool "+string(entry.Pool))
 		known = false
 	}
+	restarted := known && (s.Start != entry.Start || s.Addr != entry.Addr)
 	if !known {
 		s = &Server{ID: name}
 	}
@@ -173,7 +175,7 @@
 	if !known {
 		f.index(s)
 	}
-	out := []event.Action{ServerChanged{Server: s, Restarted: restarted}}
+	out = append(out, ServerChanged{Server: s, Restarted: restarted})
 	if changed {
 		out = append(out, event.Log{Kind: "server", Stage: o.Name, Choice: s.logChoice(restarted), Reason: fmt.Sprintf(
 			"pool=%s addr=%s domain=%s version=%s cold=%s revision=%d", s.Pool, s.Addr, s.Domain, s.Version, entry.Cold, o.Revision)})
