rollout: a version that was rolled back gets nothing under the next order

Cause: an order tells its version's servers from all others, so that those of the version that was rolled back counted as the old version.

Change: a version that was rolled back or stopped gets no request and no call under later orders of its pool, nor counts as the old one, unless it is ordered again.

Evidence: rollout.TestOrders (v1 and v3 after a version that was rolled back) failed before and passes.

--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -138,11 +139,17 @@
 	limited     bool
 	toTarget    bool
 	target      id.Version
-	mayFallBack bool // other versions may serve the request if these have no server for it
+	rejected    []id.Version // get no request in any case
+	mayFallBack bool         // other versions may serve the request if these have no server for it
 }
 
 // Allows reports whether a version may serve the request.
-func (c Choice) Allows(v id.Version) bool { return !c.limited || (v == c.target) == c.toTarget }
+func (c Choice) Allows(v id.Version) bool {
+	if slices.Contains(c.rejected, v) {
+		return false
+	}
+	return !c.limited || (v == c.target) == c.toTarget
+}
 
 // Fallback returns the choice for a request that no server of the chosen versions can take. It returns false if there
 // is no other choice.
@@ -150,5 +157,5 @@
 	if !c.limited || !c.mayFallBack {
 		return c, false
 	}
-	return Choice{limited: true, toTarget: !c.toTarget, target: c.target}, true
+	return Choice{limited: true, toTarget: !c.toTarget, target: c.target, rejected: c.rejected}, true
 }
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -23,6 +23,8 @@
 	// minFallbackShare is the share above which requests for the old version may fall back to the new one. At lower
 	// shares there is too little evidence on the new version.
 	minFallbackShare = 100
+	// maxRejected is how many rolled-back versions of a pool are remembered.
+	maxRejected = 16
 )
 
 // servers returns the servers of a pool.
@@ -44,9 +46,10 @@
 	leader     id.Node
 	nodes      []id.Node
 	orders     map[string]*rollout
-	pools      map[id.Pool]*rollout // latest order of each pool
-	inProgress map[poolVersion]int  // this node's requests in progress
-	writes     map[uint64]*rollout  // status writes in progress
+	pools      map[id.Pool]*rollout     // latest order of each pool
+	rejected   map[id.Pool][]id.Version // versions that earlier orders have rolled back; their servers may still run
+	inProgress map[poolVersion]int      // this node's requests in progress
+	writes     map[uint64]*rollout      // status writes in progress
 	seq        uint64
 	nextTick   time.Time
 }
@@ -54,7 +57,7 @@
 // New returns Rollouts without orders.
 func New(self event.Self, decoder Decoder, servers servers) *Rollouts {
 	return &Rollouts{
-		self: self, decoder: decoder, servers: servers, orders: map[string]*rollout{}, pools: map[id.Pool]*rollout{},
+		self: self, decoder: decoder, servers: servers, orders: map[string]*rollout{}, pools: map[id.Pool]*rollout{}, rejected: map[id.Pool][]id.Version{},
 		inProgress: map[poolVersion]int{}, writes: map[uint64]*rollout{},
 	}
 }
@@ -137,8 +140,10 @@
 	isNew := cur == nil || cur.Target != order.Target || cur.Pool != order.Pool || (cur.state.final() && status.State == Ordered)
 	if isNew {
 		if cur != nil {
+			r.rejectVersion(cur)
 			r.removeOrder(o.Name)
 		}
+		r.rejected[order.Pool] = slices.DeleteFunc(r.rejected[order.Pool], func(v id.Version) bool { return v == order.Target })
 		cur = newRollout(now, o, order)
 		r.orders[o.Name] = cur
 		r.pools[order.Pool] = cur
@@ -152,6 +157,15 @@
 		"target=%s span=%s revision=%d", cur.Target, cur.Span, cur.revision)}}
 }
 
+// rejectVersion keeps the version of an order that was rolled back from getting requests under the next order.
+func (r *Rollouts) rejectVersion(o *rollout) {
+	if o.state != RolledBack && !o.stopped || slices.Contains(r.rejected[o.Pool], o.Target) {
+		return
+	}
+	list := append(slices.Clone(r.rejected[o.Pool]), o.Target)
+	r.rejected[o.Pool] = list[max(0, len(list)-maxRejected):]
+}
+
 // removeOrder drops an order that was removed from the store or cannot be decoded.
 func (r *Rollouts) removeOrder(name string) []event.Action {
 	o, ok := r.orders[name]
@@ -172,21 +186,24 @@
 	if o == nil {
 		return Choice{}
 	}
+	rejected := r.rejected[pool]
 	if r.onlyTargetServers(o) {
-		return Choice{}
+		return Choice{rejected: rejected}
 	}
 	share := o.applied(now)
 	toTarget := fp.Bucket(o.salt, fullShare) < uint64(share)
 	if isRetry && share < fullShare {
 		toTarget = false
 	}
-	return Choice{limited: true, target: o.Target, toTarget: toTarget, mayFallBack: toTarget || share > minFallbackShare}
+	return Choice{limited: true, target: o.Target, toTarget: toTarget, mayFallBack: toTarget || share > minFallbackShare, rejected: rejected}
 }
 
 // onlyTargetServers reports whether the pool has no servers of other versions than the ordered one, and the ordered one
 // was not stopped.
 func (r *Rollouts) onlyTargetServers(o *rollout) bool {
-	hasOld := slices.ContainsFunc(r.servers.Pool(o.Pool), func(s *fleet.Server) bool { return s.Version != o.Target })
+	hasOld := slices.ContainsFunc(r.servers.Pool(o.Pool), func(s *fleet.Server) bool {
+		return s.Version != o.Target && !slices.Contains(r.rejected[o.Pool], s.Version)
+	})
 	return !hasOld && !o.stopped && o.state != RolledBack
 }
 
@@ -194,6 +211,9 @@
 // so it keeps to the share by counting them.
 func (r *Rollouts) AllowsCall(now time.Time, pool id.Pool, v id.Version) bool {
 	o := r.pools[pool]
+	if o != nil && slices.Contains(r.rejected[pool], v) {
+		return false
+	}
 	if o == nil || r.onlyTargetServers(o) {
 		return true
 	}
@@ -228,7 +248,7 @@
 
 // Observe records the result of a request at a server of a version.
 func (r *Rollouts) Observe(now time.Time, pool id.Pool, v id.Version, s evidence.Sample) {
-	if o := r.pools[pool]; o != nil && !o.state.final() {
+	if o := r.pools[pool]; o != nil && !o.state.final() && !slices.Contains(r.rejected[pool], v) {
 		o.results.add(now, s, v == o.Target)
 	}
 }
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -307,10 +307,10 @@
 // requests five seconds after its fiftieth bad result.
 func TestBad(t *testing.T) {
 	for name, bad := range map[string]faultModel{
-		"fails":           func(float64) (float64, float64) { return 0.5, 1 },
-		"slow":            func(float64) (float64, float64) { return 0, 3 },
-		"fails late":      func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.5], 1 },
-		"fails after 60%": func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.6], 1 },
+		"fails":                  func(float64) (float64, float64) { return 0.5, 1 },
+		"slow":                   func(float64) (float64, float64) { return 0, 3 },
+		"fails late":             func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.5], 1 },
+		"fails after 60%":        func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.6], 1 },
 	} {
 		for _, rate := range []float64{14, 40, 400} {
 			t.Run(fmt.Sprintf("%s, %v a second", name, rate), func(t *testing.T) {
@@ -391,6 +391,32 @@
 		c.run(span)
 		c.g.Expect(c.state()).To(Equal(rollout.Completed))
 	})
+	for _, next := range []id.Version{"v1", "v3"} {
+		t.Run(fmt.Sprintf("%s after a version that was rolled back", next), func(t *testing.T) {
+			c := newCluster(t, 1, 40, func(float64) (float64, float64) { return 0.9, 1 })
+			c.order()
+			c.run(span / 2)
+			c.g.Expect(c.state()).To(Equal(rollout.RolledBack))
+			c.write([]byte(next), c.store.object.Status)
+			c.rate = 0
+			for range 20 {
+				c.run(time.Second)
+				for _, name := range c.names {
+					for fp := range id.Fingerprint(50) {
+						choice := c.nodes[name].Choose(c.now, pool, fp*0x9e3779b97f4a7c15, false)
+						c.g.Expect(choice.Allows("v2")).To(BeFalse())
+						other, ok := choice.Fallback()
+						c.g.Expect(ok && other.Allows("v2")).To(BeFalse())
+					}
+					c.g.Expect(c.nodes[name].AllowsCall(c.now, pool, "v2")).To(BeFalse())
+				}
+			}
+			c.write([]byte("v2"), nil)
+			c.run(span)
+			choice := c.nodes["b"].Choose(c.now, pool, 1, false)
+			c.g.Expect(choice.Allows("v2")).To(BeTrue(), "it was ordered again")
+		})
+	}
 	t.Run("unreadable", func(t *testing.T) {
 		c := newCluster(t, 1, 0, good)
 		c.order()
