--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -307,10 +307,10 @@
 // requests five seconds after its fiftieth bad result.
 func TestBad(t *testing.T) {
 	for name, bad := range map[string]faultModel{
-		"fails":                  func(float64) (float64, float64) { return 0.5, 1 },
-		"slow":                   func(float64) (float64, float64) { return 0, 3 },
-		"fails late":             func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.5], 1 },
-		"fails after 60%":        func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.6], 1 },
+		"fails":           func(float64) (float64, float64) { return 0.5, 1 },
+		"slow":            func(float64) (float64, float64) { return 0, 3 },
+		"fails late":      func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.5], 1 },
+		"fails after 60%": func(fraction float64) (float64, float64) { return map[bool]float64{true: 0.5}[fraction > 0.6], 1 },
 	} {
 		for _, rate := range []float64{14, 40, 400} {
 			t.Run(fmt.Sprintf("%s, %v a second", name, rate), func(t *testing.T) {
