--- a/io/gateway/cut_test.go
+++ b/io/gateway/cut_test.go
@@ -12,18 +12,18 @@
 
 // framings are whole responses without the line ends of their heads, in each way to mark the end of a body.
 var framings = map[string]struct{ head, body string }{
-	"length":  {"HTTP/1.1 200 OK|Content-Type: text/plain|Content-Length: 11|Response-Seal: s||", "hello world"},
-	"chunks":  {"HTTP/1.1 200 OK|Content-Type: text/plain|Transfer-Encoding: chunked|Response-Seal: s||", "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"},
-	"neither": {"HTTP/1.1 200 OK|Content-Type: text/plain|Response-Seal: s||", "hello world"},
+	"length":  {"HTTP/1.1 200 OK|Content-Type: text/plain|Content-Length: 11|Seal: s||", "hello world"},
+	"chunks":  {"HTTP/1.1 200 OK|Content-Type: text/plain|Transfer-Encoding: chunked|Seal: s||", "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"},
+	"neither": {"HTTP/1.1 200 OK|Content-Type: text/plain|Seal: s||", "hello world"},
 	"events with a length": {
-		"HTTP/1.1 200 OK|Content-Type: text/event-stream|Content-Length: 30|Response-Seal: s||", wholeEvents,
+		"HTTP/1.1 200 OK|Content-Type: text/event-stream|Content-Length: 30|Seal: s||", wholeEvents,
 	},
 	"events in chunks": {
-		"HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked|Response-Seal: s||",
+		"HTTP/1.1 200 OK|Content-Type: text/event-stream|Transfer-Encoding: chunked|Seal: s||",
 		"f\r\n" + wholeEvents[:15] + "\r\nf\r\n" + wholeEvents[15:] + "\r\n0\r\n\r\n",
 	},
-	"events with neither": {"HTTP/1.1 200 OK|Content-Type: text/event-stream|Response-Seal: s||", wholeEvents},
-	"after another head":  {"HTTP/1.1 103 Early Hints|Link: x||HTTP/1.1 200 OK|Content-Length: 0|Response-Seal: s||", ""},
+	"events with neither": {"HTTP/1.1 200 OK|Content-Type: text/event-stream|Seal: s||", wholeEvents},
+	"after another head":  {"HTTP/1.1 103 Early Hints|Link: x||HTTP/1.1 200 OK|Content-Length: 0|Seal: s||", ""},
 }
 
 // TestCutResponses lets a server stop at each byte of its response and close the connection. It guards against a caller that gets
