proxy: the begin of a response does not prove its request sound

The first part of a response cleared the keys of its request, and what broke off later told nothing, so that each crash cleared what the last one had shown.

A response proves its request sound once it has gone on for a second, or has ended before. A break until then counts if the server's process ends.

The test "a stream that had begun" asserted the fault: responses that broke off at their begin told nothing.

--- a/core/denylist/guard.go
+++ b/core/denylist/guard.go
@@ -126,8 +126,8 @@
 	return append(g.processEnded(now, p), g.broadcast(Ended{p})...)
 }
 
-// RecordResponse records that a server has begun to answer a request with some keys, which clears the keys on all nodes. A
-// server that a key crashes never does, while a key that many requests share is often in progress when a server ends.
+// RecordResponse records that a server has answered a request with some keys without a crash, which clears the keys on all
+// nodes. A server that a key crashes never does, while a key that many requests share is often in progress when a server ends.
 func (g *Guard) RecordResponse(keys []id.Fingerprint) []event.Action {
 	g.responses.add(keys)
 	var out []event.Action
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -12,6 +12,10 @@
 	"bluebellflow/core/id"
 )
 
+// provingTime is how long a response must have gone on to show that its request does not crash servers. One that does may crash
+// a server before the response or as it begins.
+const provingTime = time.Second
+
 // crashKeys returns the keys under which crashes count against a request: its content, which is the same if the caller
 // retries, and each part of its prompt but the last, which belongs to this request alone.
 func crashKeys(r *request) []id.Fingerprint {
@@ -55,16 +59,25 @@
 	out.add(g.crashGuard.StartTrial(now, r.crashKeys)...)
 }
 
-// recordCrashEvidence passes the outcome of a request to the crash guard. A stream that breaks off after its first event
-// tells nothing: a server that a request crashes does not begin to answer it.
+// recordCrashEvidence passes the outcome of a request to the crash guard. A response that breaks off after provingTime tells
+// nothing: a server that a request crashes does not get that far.
 func (g *Gateway) recordCrashEvidence(now time.Time, r *request, res Result, out *actions) {
 	process := denylist.Process{Server: r.server, Start: r.start}
 	switch {
 	case res.ConnRefused:
 		out.add(g.crashGuard.RecordRefusedConn(now, process)...)
-	case res.Fail == event.FailBroken && !res.Began:
+	case res.Fail == event.FailBroken && !r.proven:
 		out.add(g.crashGuard.RecordBroken(now, r.crashKeys, process)...)
 	case res.Fail == 0 && res.Status < http.StatusBadRequest:
 		out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
 	}
 }
+
+// proveSound tells the crash guard that a request does not crash servers, once its response has gone on for provingTime.
+func (g *Gateway) proveSound(now time.Time, r *request, out *actions) {
+	if r.proven || !r.began || r.beganStatus >= http.StatusBadRequest || now.Sub(r.beganAt) < provingTime {
+		return
+	}
+	r.proven = true
+	out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
+}
--- a/core/proxy/crash_test.go
+++ b/core/proxy/crash_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// stream is a request whose response has begun.
+type stream struct {
+	ticket proxy.Ticket
+	server id.Server
+}
+
+// begin sends a request, and lets its response begin.
+func (h *harness) begin(fingerprint id.Fingerprint, part uint64) stream {
+	ticket := h.arrivePrompt(fingerprint, part)
+	s := stream{ticket, onlyAction[proxy.Forward](h).Server.ID}
+	h.step(proxy.Began{Ticket: ticket, Status: http.StatusOK})
+	return s
+}
+
+// breakOff breaks off a response because the process of its server ends.
+func (h *harness) breakOff(s stream) {
+	h.end(s.ticket, proxy.Result{Fail: event.FailBroken, Began: true})
+	h.restart(s.server)
+}
+
 // expectForwarded asserts that a request with the sound part is forwarded, and answers it.
 func (h *harness) expectForwarded(fingerprint id.Fingerprint) {
 	ticket := h.arrivePrompt(fingerprint, sound)
@@ -106,13 +126,39 @@
 		h.arrivePrompt(22, deadly)
 		h.expectCrashRefusal()
 	})
-	t.Run("a stream that had begun", func(t *testing.T) {
+	for name, goesOn := range map[string]time.Duration{"at its begin": 0, "after some events": 400 * time.Millisecond, "later": 900 * time.Millisecond} {
+		t.Run("a response breaks off "+name, func(t *testing.T) {
+			h := newLoadedHarness(t)
+			h.expectForwarded(20)
+			for n := range 3 {
+				other := h.begin(id.Fingerprint(200+n), sound)
+				ticket := h.begin(id.Fingerprint(100+n), deadly)
+				h.run(goesOn)
+				h.breakOff(ticket)
+				h.run(time.Second - goesOn)
+				h.end(other.ticket, proxy.Result{Status: http.StatusOK, Began: true})
+			}
+			h.arrivePrompt(21, deadly)
+			h.expectCrashRefusal()
+			h.expectForwarded(22)
+		})
+	}
+	t.Run("a response that had gone on", func(t *testing.T) {
 		h := newLoadedHarness(t)
 		for n := range 4 {
-			ticket := h.arrivePrompt(id.Fingerprint(100+n), sound)
-			server := onlyAction[proxy.Forward](h).Server.ID
-			h.end(ticket, proxy.Result{Fail: event.FailBroken, Began: true})
-			h.restart(server)
+			stream := h.begin(id.Fingerprint(100+n), sound)
+			h.run(1100 * time.Millisecond)
+			h.breakOff(stream)
+		}
+		h.expectForwarded(20)
+	})
+	t.Run("a response that goes on clears its keys", func(t *testing.T) {
+		h := newLoadedHarness(t)
+		for n := range 8 {
+			long := h.begin(id.Fingerprint(300+n), sound)
+			h.breakOff(h.begin(id.Fingerprint(100+n), sound))
+			h.run(1100 * time.Millisecond)
+			h.breakOff(long)
 		}
 		h.expectForwarded(20)
 	})
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -81,6 +81,9 @@
 	runs         int         // sends that a server may have run
 	avoid        []id.Server // tried before
 	began        bool        // the response has begun
+	beganAt      time.Time   // when it began
+	beganStatus  int         // its status
+	proven       bool        // the response has gone on for provingTime
 	mayHaveRun   bool        // a server may have run it
 }
 
@@ -353,9 +356,8 @@
 	r.began = true
 	g.balancer.ResponseStarted(r.server, r.sent)
 	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, ev.Report)...)
-	if ev.Status < http.StatusBadRequest {
-		out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
-	}
+	r.beganAt, r.beganStatus = now, ev.Status
+	g.timers.Set(now.Add(provingTime), r.ticket)
 	g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
 	if r.route.Kind == catalog.Stream && ev.Status < http.StatusMultipleChoices {
 		g.rollouts.Observe(now, r.pool.Name, r.version, g.sample(r, now.Sub(r.sent)))
@@ -370,6 +372,8 @@
 		return
 	}
 	switch {
+	case r.phase == running:
+		g.proveSound(now, r, out)
 	case r.phase == placing:
 		g.place(now, r, out)
 	case r.phase == staging && !now.Before(r.stagesDeadline()):
