watch cache: only the leader lets watches wait for 1 s

While a leader is missing or new, its followers have no source that brings changes. All of them let watches wait for 1 s, and began all watches anew with each change of that.

Follow says whether this node is the source of the others; only there watches wait for 1 s.

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -55,7 +55,7 @@
 	nextPoll         time.Time
 	sourceDown       bool           // the source has replied that the store does not answer it
 	followsStore     bool           // this node follows the store itself
-	followsAlone     bool           // the Follows in effect say that no other node brings the changes
+	followsAsSource  bool           // the Follows in effect say that this node is the source of the others
 	peerSettledAt    time.Time      // when a peer last reported that its kinds are settled
 	following        id.Set[string] // kinds with a Follow in effect
 }
@@ -176,21 +176,11 @@
 // pollsSource reports whether this node polls another node for changes.
 func (c *Cache) pollsSource() bool { return c.source != "" && c.source != c.self.Node }
 
-// sourceSilent reports whether the source has not confirmed for sourceTimeout that the store answers it.
-func (c *Cache) sourceSilent(now time.Time) bool {
-	return !c.unconfirmedSince.IsZero() && now.Sub(c.unconfirmedSince) >= sourceTimeout
-}
-
-// sourceBringsChanges reports whether another node brings the changes, so that this node may hear of them late from the store.
-func (c *Cache) sourceBringsChanges(now time.Time) bool {
-	return c.pollsSource() && !c.confirmedSince.IsZero() && !c.sourceDown && !c.sourceSilent(now)
-}
-
 // updateFollowing starts or stops following the store. This node follows it if it must, or if the source has not
 // confirmed for a while that the store answers it. Without a confirmation it follows the first kind, and each
 // other kind until it is loaded, because callers arrive before a source is known.
 func (c *Cache) updateFollowing(now time.Time) []event.Action {
-	want := c.mustFollow || c.sourceDown || c.sourceSilent(now)
+	want := c.mustFollow || c.sourceDown || (!c.unconfirmedSince.IsZero() && now.Sub(c.unconfirmedSince) >= sourceTimeout)
 	if c.followsStore && !want {
 		want = c.confirmedSince.IsZero() || now.Sub(c.confirmedSince) < sourceReturnDelay
 	}
@@ -199,15 +189,15 @@
 		out = append(out, event.Log{Kind: "store", Choice: map[bool]string{true: "follow", false: "rely on source"}[want], Reason: "source=" + string(c.source)})
 	}
 	c.followsStore = want
-	alone := !c.sourceBringsChanges(now)
-	changed := alone != c.followsAlone
-	c.followsAlone = alone
+	asSource := c.source == c.self.Node
+	changed := asSource != c.followsAsSource
+	c.followsAsSource = asSource
 	for i, kind := range c.kinds {
 		initial := c.confirmedSince.IsZero() && (i == 0 || !c.kindCaches[kind].loaded)
 		switch following := c.following.Has(kind); {
 		case (want || initial) && (!following || changed):
 			c.following.Add(kind)
-			out = append(out, Follow{Kind: kind, Revision: c.kindCaches[kind].revision, Alone: alone})
+			out = append(out, Follow{Kind: kind, Revision: c.kindCaches[kind].revision, AsSource: asSource})
 		case !want && !initial && following:
 			c.following.Delete(kind)
 			out = append(out, Unfollow{Kind: kind})
--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -51,13 +51,13 @@
 		Up   bool
 	}
 	// Follow asks for Listed and Updated events of a kind from now on. Revision is the one that the cache has reached, 0
-	// for none. Alone says that no other node brings the changes, so that they must not be late if a watch is lost. A new
-	// Follow of a kind replaces the earlier one.
+	// for none. AsSource says that other nodes take the changes from this one, so that they must not be late if a watch is
+	// lost. A new Follow of a kind replaces the earlier one.
 	Follow struct {
 		event.Out
 		Kind     string
 		Revision uint64
-		Alone    bool
+		AsSource bool
 	}
 	// Unfollow ends a Follow.
 	Unfollow struct {
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -40,7 +40,7 @@
 // Store is a client of the platform's store. Its methods must not block; results are delivered as events.
 type Store interface {
 	Do(event.PlatformCall)
-	Follow(kind string, revision uint64, alone bool)
+	Follow(kind string, revision uint64, asSource bool)
 	Unfollow(kind string)
 	Run(ctx context.Context) error
 }
@@ -174,7 +174,7 @@
 	case event.PlatformCall:
 		n.store.Do(a)
 	case watchcache.Follow:
-		n.store.Follow(a.Kind, a.Revision, a.Alone)
+		n.store.Follow(a.Kind, a.Revision, a.AsSource)
 	case watchcache.Unfollow:
 		n.store.Unfollow(a.Kind)
 	case event.Readiness:
