--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -145,6 +145,27 @@
 	return all, own
 }
 
+// First returns the n highest-ranked candidates that are not dead, other than this node, and the first of its failure domain.
+func (t *Tracker) First(now time.Time, n int) []id.Node {
+	var out []id.Node
+	own := id.Node("")
+	for _, p := range t.ranked {
+		if p.dead(now) {
+			continue
+		}
+		if len(out) < n {
+			out = append(out, p.Node)
+		}
+		if own == "" && p.Domain == t.self.FailureDomain {
+			own = p.Node
+		}
+	}
+	if own != "" && !slices.Contains(out, own) {
+		out = append(out, own)
+	}
+	return out
+}
+
 // Next returns the time of the next timer.
 func (t *Tracker) Next() time.Time { return t.pingAt }
 
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -249,7 +249,7 @@
 		g.settle.Set(now, settleTime)
 	}
 	rank, domainRank := g.leader.Rank(now)
-	g.cache.SetSource(now, g.leader.Leader(), g.settled && (rank < storeWatchers || domainRank == 0))
+	g.cache.SetSource(now, g.leader.Leader(), g.leader.First(now, storeWatchers), g.settled && (rank < storeWatchers || domainRank == 0))
 }
 
 // loaded reports whether the node has loaded the objects that it needs to forward requests.
--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -17,12 +17,6 @@
 	// gossipInterval is how often a node compares revisions with a peer; a change that only some nodes know reaches all
 	// within a few intervals.
 	gossipInterval = time.Second
-	// pollInterval is how often a node asks its source for changes.
-	pollInterval = 250 * time.Millisecond
-	// sourceTimeout is how long a node waits for its source to confirm that the store answers it before the node follows
-	// the store itself. sourceReturnDelay is how long the source must have confirmed it again before the node relies on it.
-	sourceTimeout     = time.Second
-	sourceReturnDelay = time.Second
 	// gossipFanout is how many peers are told of a new revision at once.
 	gossipFanout = 2
 	// SettleTime is how long the store must have been reachable before a missing object counts as deleted by its owner:
@@ -48,16 +42,12 @@
 	nextGossip time.Time
 	advanced   bool // some revision has advanced since the last gossip
 
-	source           id.Node   // node from which this node polls changes, empty for none
-	mustFollow       bool      // follow the store even if the source does
-	unconfirmedSince time.Time // since when the source has not confirmed that the store answers it, zero if it has
-	confirmedSince   time.Time // since when the source has confirmed it without interruption
-	nextPoll         time.Time
-	sourceDown       bool           // the source has replied that the store does not answer it
-	followsStore     bool           // this node follows the store itself
-	followsAsSource  bool           // the Follows in effect say that this node is the source of the others
-	peerSettledAt    time.Time      // when a peer last reported that its kinds are settled
-	following        id.Set[string] // kinds with a Follow in effect
+	sources         sources
+	mustFollow      bool           // follow the store even if a source does
+	followsStore    bool           // this node follows the store itself
+	followsAsSource bool           // the Follows in effect say that this node is the source of the others
+	peerSettledAt   time.Time      // when a peer last reported that its kinds are settled
+	following       id.Set[string] // kinds with a Follow in effect
 }
 
 // kindCache is the copy of one kind.
@@ -116,16 +106,11 @@
 	return slices.Sorted(maps.Keys(c.kindCaches[kind].objects))
 }
 
-// SetSource sets the node from which this node polls changes, empty for none. With mustFollow set, this node follows the
-// store itself in any case.
-func (c *Cache) SetSource(now time.Time, source id.Node, mustFollow bool) {
+// SetSource sets the node from which this node polls changes, empty for none, and the alternates that it polls while that one
+// does not confirm that the store answers it. With mustFollow set, this node follows the store itself in any case.
+func (c *Cache) SetSource(now time.Time, source id.Node, alternates []id.Node, mustFollow bool) {
 	c.mustFollow = mustFollow || source == c.self.Node
-	if source == c.source {
-		return
-	}
-	c.source = source
-	c.unconfirmedSince, c.confirmedSince, c.sourceDown = now, time.Time{}, false
-	c.nextPoll = now
+	c.sources.set(now, c.self.Node, source, alternates)
 }
 
 // FollowsStore reports whether this node follows the store itself.
@@ -133,8 +118,8 @@
 
 // Next returns the time of the next timer.
 func (c *Cache) Next() time.Time {
-	if c.pollsSource() && c.nextPoll.Before(c.nextGossip) {
-		return c.nextPoll
+	if at := c.sources.nextPoll; c.pollsSource() && at.Before(c.nextGossip) {
+		return at
 	}
 	return c.nextGossip
 }
@@ -144,7 +129,7 @@
 	var out []event.Action
 	if c.nextGossip.IsZero() {
 		c.nextGossip = now.Add(gossipInterval)
-		c.unconfirmedSince = now
+		c.sources.failingSince = now
 	}
 	switch ev := ev.(type) {
 	case Listed:
@@ -160,12 +145,10 @@
 	}
 	out = append(out, c.updateFollowing(now)...)
 	out = append(out, c.updateReachability(now)...)
-	if c.pollsSource() && !now.Before(c.nextPoll) {
-		c.nextPoll = now.Add(pollInterval)
-		if c.unconfirmedSince.IsZero() {
-			c.unconfirmedSince = now
+	if c.pollsSource() {
+		for _, to := range c.sources.poll(now) {
+			out = append(out, event.Send{To: to, Body: c.knownRevisions(now, true)})
 		}
-		out = append(out, event.Send{To: c.source, Body: c.knownRevisions(now, true)})
 	}
 	if c.advanced || !now.Before(c.nextGossip) {
 		out = append(out, c.gossip(now)...)
@@ -174,26 +157,25 @@
 }
 
 // pollsSource reports whether this node polls another node for changes.
-func (c *Cache) pollsSource() bool { return c.source != "" && c.source != c.self.Node }
+func (c *Cache) pollsSource() bool {
+	return c.sources.primary != "" && c.sources.primary != c.self.Node
+}
 
-// updateFollowing starts or stops following the store. This node follows it if it must, or if the source has not
-// confirmed for a while that the store answers it. Without a confirmation it follows the first kind, and each
-// other kind until it is loaded, because callers arrive before a source is known.
+// updateFollowing starts or stops following the store. This node follows it if it must, or if no source has confirmed for a
+// while that the store answers it. Until the first confirmation it follows the first kind, and each other kind until it is
+// loaded, because callers arrive before a source is known.
 func (c *Cache) updateFollowing(now time.Time) []event.Action {
-	want := c.mustFollow || c.sourceDown || (!c.unconfirmedSince.IsZero() && now.Sub(c.unconfirmedSince) >= sourceTimeout)
-	if c.followsStore && !want {
-		want = c.confirmedSince.IsZero() || now.Sub(c.confirmedSince) < sourceReturnDelay
-	}
+	want := c.mustFollow || c.sources.silent(now) || c.followsStore && !c.sources.reliable(now)
 	var out []event.Action
 	if want != c.followsStore {
-		out = append(out, event.Log{Kind: "store", Choice: map[bool]string{true: "follow", false: "rely on source"}[want], Reason: "source=" + string(c.source)})
+		out = append(out, event.Log{Kind: "store", Choice: map[bool]string{true: "follow", false: "rely on source"}[want], Reason: "source=" + string(c.sources.polled)})
 	}
 	c.followsStore = want
-	asSource := c.source == c.self.Node
+	asSource := c.sources.primary == c.self.Node
 	changed := asSource != c.followsAsSource
 	c.followsAsSource = asSource
 	for i, kind := range c.kinds {
-		initial := c.confirmedSince.IsZero() && (i == 0 || !c.kindCaches[kind].loaded)
+		initial := !c.sources.everConfirmed && (i == 0 || !c.kindCaches[kind].loaded)
 		switch following := c.following.Has(kind); {
 		case (want || initial) && (!following || changed):
 			c.following.Add(kind)
@@ -206,26 +188,13 @@
 	return out
 }
 
-// handlePollReply records whether the store answers the source. The source has sent its changes before the reply.
+// handlePollReply records whether the store answers a source. The source has sent its changes before the reply.
 func (c *Cache) handlePollReply(now time.Time, from id.Node, reply PollReply) []event.Action {
 	var out []event.Action
 	if reply.Settled {
 		out = c.handlePeerSettled(now)
 	}
-	if from != c.source {
-		return out
-	}
-	c.sourceDown = !reply.Up
-	switch {
-	case !reply.Up:
-		c.confirmedSince = time.Time{}
-	case c.confirmedSince.IsZero():
-		c.confirmedSince = now
-		fallthrough
-	default:
-		c.unconfirmedSince = time.Time{}
-	}
-	if c.followsStore {
+	if !c.sources.reply(now, from, reply.Up) || c.followsStore {
 		return out
 	}
 	for _, kind := range c.kinds {
--- a/core/watchcache/cache_test.go
+++ b/core/watchcache/cache_test.go
@@ -162,8 +162,8 @@
 func TestSource(t *testing.T) {
 	start := func() *network {
 		n := newNetwork("a", "b")
-		n.caches["a"].SetSource(n.now, "a", false)
-		n.caches["b"].SetSource(n.now, "a", false)
+		n.caches["a"].SetSource(n.now, "a", nil, false)
+		n.caches["b"].SetSource(n.now, "a", nil, false)
 		n.run(50 * time.Millisecond)
 		n.listBoth("a", object("main", 9))
 		n.run(3 * time.Second)
@@ -182,7 +182,7 @@
 	faults := map[string]func(n *network){
 		"the store does not answer the source": func(n *network) { n.step("a", watchcache.StoreLink{Kind: "config"}) },
 		"the source is isolated":               func(n *network) { n.isolated.Add("a") },
-		"there is no longer a source":          func(n *network) { n.caches["b"].SetSource(n.now, "", false) },
+		"there is no longer a source":          func(n *network) { n.caches["b"].SetSource(n.now, "", nil, false) },
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -197,13 +197,13 @@
 	t.Run("follows beside it", func(t *testing.T) {
 		g := NewWithT(t)
 		n := start()
-		n.caches["b"].SetSource(n.now, "a", true)
+		n.caches["b"].SetSource(n.now, "a", nil, true)
 		n.run(time.Second)
 		g.Expect(n.followed["b"].Sorted()).To(Equal(all))
 		g.Expect(n.asSource["b"]).To(BeEmpty())
 		g.Expect(n.asSource["a"].Sorted()).To(Equal(all))
-		n.caches["a"].SetSource(n.now, "b", true)
-		n.caches["b"].SetSource(n.now, "b", true)
+		n.caches["a"].SetSource(n.now, "b", nil, true)
+		n.caches["b"].SetSource(n.now, "b", nil, true)
 		n.run(time.Second)
 		g.Expect(n.asSource["a"]).To(BeEmpty())
 		g.Expect(n.asSource["b"].Sorted()).To(Equal(all))
@@ -220,7 +220,7 @@
 	t.Run("no two nodes confirm each other", func(t *testing.T) {
 		g := NewWithT(t)
 		n := start()
-		n.caches["a"].SetSource(n.now, "b", false)
+		n.caches["a"].SetSource(n.now, "b", nil, false)
 		n.run(5 * time.Second)
 		g.Expect(len(n.followed["a"])+len(n.followed["b"])).To(BeNumerically(">", 0), "nobody follows the store")
 	})
@@ -295,8 +295,8 @@
 func TestReachability(t *testing.T) {
 	g := NewWithT(t)
 	n := newNetwork("a", "b")
-	n.caches["a"].SetSource(n.now, "a", false)
-	n.caches["b"].SetSource(n.now, "a", false)
+	n.caches["a"].SetSource(n.now, "a", nil, false)
+	n.caches["b"].SetSource(n.now, "a", nil, false)
 	n.run(50 * time.Millisecond)
 	n.listBoth("a", object("x", 3))
 	n.run(3 * time.Second)
