proxy, gateway: continue broken streams of resumable routes on another server

A stream that broke off after part of it had reached its caller was aborted. On resumable routes it is now sent again with the id of the last event that was passed on, and joined at an event boundary after the ids were checked.

--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -107,3 +108,23 @@
 func (g *Gateway) sample(r *request, took time.Duration) evidence.Sample {
 	return evidence.Sample{Route: id.Pipeline(r.route.Name), Took: took, Load: r.load, Cold: r.cold}
 }
+
+// observeReport records what a server said of itself in a response that has ended, unless it was recorded at its begin. A
+// different server at the address says nothing of the one that was meant.
+func (g *Gateway) observeReport(now time.Time, r *request, res Result, out *actions) {
+	if r.began || res.Status == 0 || res.Moved {
+		return
+	}
+	out.add(g.reports.Observe(now, r.process(), r.sent, res.Report)...)
+}
+
+func outcomeName(res Result) string {
+	if res.Fail == 0 {
+		return fmt.Sprint(res.Status)
+	}
+	names := map[event.FailKind]string{
+		event.FailUnsent: "unsent", event.FailBroken: "broken", event.FailTimeout: "timeout",
+		event.FailRejected: "rejected", event.FailError: "error",
+	}
+	return names[res.Fail]
+}
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -65,6 +65,7 @@
 	process := denylist.Process{Server: r.server, Start: r.start}
 	switch {
 	case res.ConnRefused:
+		g.recordRefusedConn(r.process())
 		out.add(g.crashGuard.RecordRefusedConn(now, process)...)
 	case res.Fail == event.FailBroken && !r.proven:
 		out.add(g.crashGuard.RecordBroken(now, r.crashKeys, process)...)
--- a/core/proxy/durations.go
+++ b/core/proxy/durations.go
@@ -55,8 +55,11 @@
 	return d
 }
 
-// recordDurations records how long a request took that got a response.
+// recordDurations records how long a request took that got a response of one server.
 func (g *Gateway) recordDurations(now time.Time, r *request) {
+	if r.resume.broken {
+		return
+	}
 	d := g.durationsOf(r.route.Name)
 	d.response.observe(now.Sub(r.sent))
 	d.total.observe(now.Sub(r.arrived))
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -85,6 +85,7 @@
 	timers       timerqueue.Heap[Ticket]
 	durations    map[string]*routeDurations // by route
 	refusalsSeen int                        // refusals of the crash guard that waiting requests were checked for
+	refusedConns []selfreport.Process       // processes that refused a connection, oldest first
 	shutdown     shutdown
 	ready        bool
 	settle       retry.Timer // set while the list of nodes may be incomplete
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -31,6 +31,7 @@
 	Pieces      []int         // number of pieces of each stage
 	PieceKey    string
 	Fingerprint id.Fingerprint `json:"Print"` // hash of method, host, target and body
+	LastEventID string         // of the event after which the caller resumes a stream, empty for its beginning
 }
 
 type (
@@ -71,6 +72,9 @@
 	ConnRefused bool           // the server refused the connection
 	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
 	Moved       bool           // a different server responded at the address
+	CanResume   bool           // the stream can be continued after the last event that was passed on
+	LastEventID string         // its id; the caller's own if no event was passed on, empty for none
+	SinceEvent  time.Duration  // time since it was passed on, or since the request arrived
 	Detail      string
 	selfreport.Report
 }
@@ -79,15 +83,18 @@
 	// Forward sends a request to a server.
 	Forward struct {
 		event.Out
-		Ticket    Ticket
-		Server    batch.Target
-		Keyed     bool         // callers authenticate with a key, which is not forwarded
-		Workspace id.Workspace // empty for none
-		Until     time.Time    // deadline for the complete response
-		First     time.Time    // deadline for the first part of the response, zero for none
-		Inputs    []string     // handles of the stage results that the request reads
-		Once      bool         // the request must not run more than once
-		Hold      bool         // hold back an error response, because another server may be tried
+		Ticket      Ticket
+		Server      batch.Target
+		Keyed       bool         // callers authenticate with a key, which is not forwarded
+		Workspace   id.Workspace // empty for none
+		Until       time.Time    // deadline for the complete response
+		First       time.Time    // deadline for the first part of the response, zero for none
+		Inputs      []string     // handles of the stage results that the request reads
+		Once        bool         // the request must not run more than once
+		Hold        bool         // hold back an error response, because another server may be tried
+		Resumable   bool         // another server may continue the stream, so that the ids of its events are checked
+		Resume      bool         // continue a stream that broke off after the event LastEventID
+		LastEventID string       // empty for the beginning of the stream
 	}
 	// Deliver sends the response that was held back to the caller.
 	Deliver struct {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -10,6 +10,7 @@
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
+	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/selfreport"
 )
@@ -78,13 +79,15 @@
 	cold         bool             // the server was cold when the request was sent
 	sent         time.Time
 	sends        int
-	runs         int         // sends that a server may have run
-	avoid        []id.Server // tried before
-	began        bool        // the response has begun
-	beganAt      time.Time   // when it began
-	beganStatus  int         // its status
-	proven       bool        // the response has gone on for provingTime
-	mayHaveRun   bool        // a server may have run it
+	runs         int                  // sends that a server may have run
+	avoid        []id.Server          // tried before
+	began        bool                 // the response has begun
+	beganAt      time.Time            // when it began
+	beganStatus  int                  // its status
+	proven       bool                 // the response has gone on for provingTime
+	mayHaveRun   bool                 // a server may have run it
+	ranOn        []selfreport.Process // processes that may have run it
+	resume       resumption
 }
 
 // handleArrive validates a caller's request and starts its stages, or forwards it if it has none.
@@ -166,6 +169,10 @@
 		r.phase = placing
 		r.placingSince = now
 	}
+	if r.resume.broken {
+		g.placeResumed(now, r, out)
+		return
+	}
 	if r.deadline.Sub(now) < minTimeLeft {
 		g.giveUp(now, r, "not enough time left", out)
 		return
@@ -183,10 +190,15 @@
 		g.waitForServer(now, r, reason, out)
 		return
 	}
+	g.send(now, r, s, reason, out)
+}
+
+// send forwards a request to a server.
+func (g *Gateway) send(now time.Time, r *request, s *fleet.Server, reason string, out *actions) {
 	g.startTrial(now, r, out)
 	g.balancer.Start(now, s, g.serverQuery(r))
 	g.rollouts.RequestStarted(r.pool.Name, s.Version)
-	r.phase, r.server, r.sent, r.began = running, s.ID, now, false
+	r.phase, r.server, r.sent, r.began, r.proven = running, s.ID, now, false, false
 	r.version, r.start, r.load, r.cold = s.Version, s.Start, g.balancer.Inflight(s.ID), s.Cold(now)
 	r.sends++
 	out.add(event.Log{Kind: "place", Request: r.Name, Stage: r.route.Name, Choice: string(s.ID), Reason: fmt.Sprintf("send=%d %s", r.sends, reason)})
@@ -197,6 +209,7 @@
 	if !r.route.AtMostOnce() && r.runs+1 < r.route.MaxAttempts {
 		f.First = now.Add(max(minFirstByteLimit, time.Duration(firstByteFactor*float64(r.route.LatencyObjective))))
 	}
+	r.resumeFrom(&f)
 	out.add(f)
 }
 
@@ -233,17 +246,18 @@
 	g.recordCrashEvidence(now, r, ev.Result, out)
 	if ev.Fail == 0 && !ev.Held {
 		g.recordDurations(now, r)
+		g.logResumed(now, r, "end", out)
 		g.finish(r, ev.Status < http.StatusBadRequest, out)
 		return
 	}
 	if !ev.Fail.NotRun() {
 		r.runs++
 		r.mayHaveRun = true
+		r.ranOn = append(r.ranOn, r.process())
 	}
 	switch {
-	case ev.Began || r.began:
-		out.add(Abort{Ticket: r.ticket})
-		g.finish(r, false, out)
+	case ev.Began || r.began || r.resume.broken:
+		g.resumeOrAbort(now, r, ev.Result, out)
 	case ev.InputsGone && g.hasStages(r):
 		g.rerunStages(now, r, "the server no longer held an input", out)
 	case g.mayRetry(now, r, ev.Result):
@@ -257,26 +271,6 @@
 	}
 }
 
-// observeReport records what a server said of itself in a response that has ended, unless it was recorded at its begin. A
-// different server at the address says nothing of the one that was meant.
-func (g *Gateway) observeReport(now time.Time, r *request, res Result, out *actions) {
-	if r.began || res.Status == 0 || res.Moved {
-		return
-	}
-	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, res.Report)...)
-}
-
-func outcomeName(res Result) string {
-	if res.Fail == 0 {
-		return fmt.Sprint(res.Status)
-	}
-	names := map[event.FailKind]string{
-		event.FailUnsent: "unsent", event.FailBroken: "broken", event.FailTimeout: "timeout",
-		event.FailRejected: "rejected", event.FailError: "error",
-	}
-	return names[res.Fail]
-}
-
 // mayRetry reports whether a request may be sent to another server, and takes a retry from the budget if needed.
 func (g *Gateway) mayRetry(now time.Time, r *request, res Result) bool {
 	if r.deadline.Sub(now) < minTimeLeft || r.sends >= maxSends {
@@ -296,6 +290,10 @@
 
 // giveUp refuses a request. The status is 503 only if certainly no server ran it.
 func (g *Gateway) giveUp(now time.Time, r *request, reason string, out *actions) {
+	if r.resume.broken {
+		g.abandonStream(r, reason, out)
+		return
+	}
 	status := http.StatusServiceUnavailable
 	if r.mayHaveRun {
 		status = http.StatusBadGateway
@@ -347,7 +345,8 @@
 	g.finish(r, false, out)
 }
 
-// handleBegan handles the first part of a response. The server has read the inputs by then, so they are released.
+// handleBegan handles the first part of a response. The server has read the inputs by then, so they are released. A stream that is
+// resumed later gets them made again, because results take memory that the pools lack.
 func (g *Gateway) handleBegan(now time.Time, ev Began, out *actions) {
 	r, ok := g.requests[ev.Ticket]
 	if !ok || r.phase != running || r.began {
@@ -355,10 +354,13 @@
 	}
 	r.began = true
 	g.balancer.ResponseStarted(r.server, r.sent)
-	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, ev.Report)...)
+	out.add(g.reports.Observe(now, r.process(), r.sent, ev.Report)...)
 	r.beganAt, r.beganStatus = now, ev.Status
 	g.timers.Set(now.Add(provingTime), r.ticket)
-	g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
+	if !r.resume.broken {
+		g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
+	}
+	g.logResumed(now, r, "joined", out)
 	if r.route.Kind == catalog.Stream && ev.Status < http.StatusMultipleChoices {
 		g.rollouts.Observe(now, r.pool.Name, r.version, g.sample(r, now.Sub(r.sent)))
 	}
--- a/core/proxy/stages.go
+++ b/core/proxy/stages.go
@@ -15,7 +15,7 @@
 const (
 	// leaderPollInterval is the time between two attempts to find a leader.
 	leaderPollInterval = 50 * time.Millisecond
-	// maxLeaderWait is how long after its arrival a request may wait for a leader.
+	// maxLeaderWait is how long after its arrival, or after its stream broke off, a request may wait for a leader.
 	maxLeaderWait = 1500 * time.Millisecond
 	// maxHandovers is how often a job is handed over before this node insists that its own leader runs it.
 	maxHandovers = 8
@@ -32,7 +32,7 @@
 	r.phase = staging
 	leader := g.leader.Leader()
 	if leader == "" {
-		if now.Sub(r.arrived) >= maxLeaderWait {
+		if now.Sub(r.waitingSince()) >= maxLeaderWait {
 			g.giveUp(now, r, "no node schedules the stages", out)
 			return
 		}
@@ -77,9 +77,20 @@
 	}
 }
 
+// waitingSince returns when the caller began to wait for the stages: when the request arrived, or its stream broke off.
+func (r *request) waitingSince() time.Time {
+	if r.resume.broken {
+		return r.resume.brokeAt
+	}
+	return r.arrived
+}
+
 // stagesDeadline returns the time by which the stages must be done: the request's deadline, or the end of the route's
 // CallerTimeout if that is earlier.
 func (r *request) stagesDeadline() time.Time {
+	if r.resume.broken {
+		return r.resume.until
+	}
 	if callerTimeoutAt := r.arrived.Add(r.route.CallerTimeout); r.route.CallerTimeout > 0 && callerTimeoutAt.Before(r.deadline) {
 		return callerTimeoutAt
 	}
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -30,10 +30,15 @@
 	*upstream.ResponseReader
 	body   []byte
 	cancel context.CancelFunc
+	closed bool
 }
 
-// Close ends the attempt and releases its connection, which is reused if possible.
+// Close ends the attempt and releases its connection, which is reused if possible. It may be called again.
 func (resp *response) Close() error {
+	if resp.closed {
+		return nil
+	}
+	resp.closed = true
 	defer resp.cancel()
 	return resp.ResponseReader.Close()
 }
@@ -74,6 +79,7 @@
 		return false // serve handles the disconnect
 	}
 	res.Began = x.responseStarted
+	x.addPosition(&res)
 	x.server.deliver(proxy.Ended{Ticket: x.ticket, Result: res})
 	return false
 }
@@ -93,6 +99,10 @@
 	case success && !info.Sealed:
 		_ = resp.Close()
 		return x.reportFailure(errors.New("successful response without a seal header"), res)
+	case f.Resume && !isEventStream(resp.Response):
+		_ = resp.Close()
+		res.Fail = event.FailError
+		return x.reportFailure(fmt.Errorf("%s without a stream that could be continued", resp.Status), res)
 	case info.PromisesNotRun && f.Once:
 		// The status is kept from the caller, who would send the request again.
 		_ = resp.Close()
@@ -101,7 +111,7 @@
 	case !success && f.Hold:
 		return x.holdResponse(resp, res)
 	case isEventStream(resp.Response):
-		return x.relayStream(resp, res)
+		return x.relayStream(f, resp, res)
 	}
 	return x.relay(resp, res)
 }
@@ -174,6 +184,7 @@
 // reportInterrupted reports a response that failed after part of it was sent. The decision logic then aborts it, so
 // that the caller does not take it for complete.
 func (x *exchange) reportInterrupted(err error, res proxy.Result) bool {
+	x.position.lost = true
 	if !x.callerConnected() {
 		return false
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -173,8 +173,9 @@
 	body            []byte
 	actions         chan event.Action
 	held            *response
-	mayHaveRun      bool // a server may have run it
-	responseStarted bool // the response to the caller has begun
+	mayHaveRun      bool     // a server may have run it
+	responseStarted bool     // the response to the caller has begun
+	position        position // of the stream that the caller gets
 	start           time.Time
 	progress        atomic.Int32 // a progress
 }
@@ -210,6 +211,7 @@
 		server: s, ticket: proxy.Ticket(s.lastTicket.Add(1)), w: w, r: r,
 		actions: make(chan event.Action, actionQueueSize), start: time.Now(),
 	}
+	x.position.at = x.start
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inProgress[x.ticket] = x
@@ -233,6 +235,7 @@
 		return http.StatusBadRequest, err
 	}
 	x.info = info
+	x.position.setCallerID(info.LastEventID)
 	if x.r.ContentLength == 0 {
 		return 0, nil
 	}
@@ -291,9 +294,9 @@
 }
 
 // execute executes one action and reports whether the exchange is complete. Once part of a response has reached the caller,
-// nothing of another one may follow: the connection is closed instead.
+// nothing of another one may follow but the rest of a stream: the connection is closed instead.
 func (x *exchange) execute(a event.Action) bool {
-	if x.responseStarted {
+	if x.responseStarted && !x.mayResume(a) {
 		x.abort()
 	}
 	switch a := a.(type) {
@@ -317,6 +320,7 @@
 
 // abort closes the connection to the caller, which cannot take the response for complete then.
 func (x *exchange) abort() {
+	x.countGivenUp()
 	x.recordLatency(&x.server.latency.aborted)
 	closeUnanswered()
 }
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -22,9 +22,14 @@
 	errStreamBrokenOff = errors.New("stream ends inside an event")
 )
 
-// relayStream sends each event of a stream to the caller as soon as it has arrived completely.
-func (x *exchange) relayStream(resp *response, res proxy.Result) bool {
+// relayStream sends each event of a stream to the caller as soon as it has arrived completely. The connection to the server is
+// closed before a failure is reported, so that the server has stopped when another one continues the stream.
+func (x *exchange) relayStream(f proxy.Forward, resp *response, res proxy.Result) bool {
 	defer func() { _ = resp.Close() }()
+	x.position.begin(f)
+	if f.Resume {
+		x.server.vars.Add("streams_resumed", 1)
+	}
 	control := http.NewResponseController(x.w)
 	var pending []byte
 	buf := make([]byte, readBufferSize)
@@ -33,16 +38,23 @@
 		searched := max(0, len(pending)-maxSeparatorBytes+1)
 		pending = append(pending, buf[:n]...)
 		if end := completeEventsLength(pending, searched); end > 0 {
-			if writeErr := x.writeEvents(resp.Response, res.Report, control, pending[:end]); writeErr != nil {
+			checked, idErr := x.position.advance(pending[:end])
+			if writeErr := x.writeEvents(resp.Response, res.Report, control, pending[:checked]); writeErr != nil {
 				return x.reportInterrupted(writeErr, res)
 			}
+			if idErr != nil {
+				x.server.vars.Add("stream_id_errors", 1)
+				_ = resp.Close()
+				return x.reportInterrupted(idErr, res)
+			}
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return x.finishStream(resp.Response, control, pending, res)
+			return x.finishStream(resp, control, pending, res)
 		case err != nil:
-			return x.reportInterrupted(err, res)
+			_ = resp.Close()
+			return x.reportBrokenOff(err, res)
 		case len(pending) > maxEventBytes:
 			return x.reportInterrupted(errEventTooLarge, res)
 		case !resp.Keep(cap(pending)):
@@ -56,10 +68,17 @@
 
 // writeEvents sends events to the caller, preceded by the status and headers if nothing was sent yet.
 func (x *exchange) writeEvents(resp *http.Response, report selfreport.Report, control *http.ResponseController, events []byte) error {
+	if len(events) == 0 && x.responseStarted {
+		return nil
+	}
 	if !x.responseStarted {
 		x.responseStarted = true
 		x.copyHeaders(resp)
+		x.position.removeLength(x.w.Header())
 		x.w.WriteHeader(resp.StatusCode)
+	}
+	if !x.position.begun {
+		x.position.begun = true
 		x.server.deliver(proxy.Began{Ticket: x.ticket, Status: resp.StatusCode, Report: report})
 	}
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -70,15 +89,15 @@
 }
 
 // finishStream completes a stream at its end, given what follows its last complete event.
-func (x *exchange) finishStream(resp *http.Response, control *http.ResponseController, rest []byte, res proxy.Result) bool {
-	if insideEvent(rest) || !x.responseStarted && endsWithConn(resp) {
-		return x.reportInterrupted(errStreamBrokenOff, res)
+func (x *exchange) finishStream(resp *response, control *http.ResponseController, rest []byte, res proxy.Result) bool {
+	if insideEvent(rest) || x.position.endsEarly() && endsWithConn(resp.Response) {
+		_ = resp.Close()
+		return x.reportBrokenOff(errStreamBrokenOff, res)
 	}
-	if len(rest) > 0 || !x.responseStarted {
-		if err := x.writeEvents(resp, res.Report, control, rest); err != nil {
-			return x.reportInterrupted(err, res)
-		}
+	if err := x.writeEvents(resp.Response, res.Report, control, rest); err != nil {
+		return x.reportInterrupted(err, res)
 	}
+	x.countFinished()
 	x.reportSuccess(res)
 	return true
 }
@@ -86,7 +105,7 @@
 // insideEvent reports whether what follows the last complete event of a stream is the beginning of another one, and not only
 // empty lines and comments.
 func insideEvent(rest []byte) bool {
-	for line := range bytes.FieldsFuncSeq(rest, func(r rune) bool { return r == '\r' || r == '\n' }) {
+	for line := range bytes.FieldsFuncSeq(rest, isLineEnd) {
 		if line[0] != ':' {
 			return true
 		}
