--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -53,7 +53,9 @@
 	draft.Stages = []catalog.Stage{{Pool: "times", ResultBytes: 1000}}
 	renew := route("renew", catalog.Unsafe, "loans", 1)
 	renew.Timeout = 6 * time.Second
-	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew}
+	chat := draft
+	chat.Name, chat.Prefix, chat.CallerTimeout, chat.MaxAttempts, chat.Resumable = "chat", "/chat/", 2*time.Second, 2, true
+	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew, chat}
 	if version >= 10 {
 		c.Routes = c.Routes[1:]
 	}
