--- a/io/gateway/stop_test.go
+++ b/io/gateway/stop_test.go
@@ -23,11 +23,11 @@
 // testTimeout bounds each wait for an expected event; no assertion depends on a shorter time.
 const testTimeout = 10 * time.Second
 
-// dialect reads only the name of a request, and takes each response for one of a server.
+// dialect reads only the name of a request and the event after which it resumes a stream, and takes each response for one of a server.
 type dialect struct{ gateway.Dialect }
 
 func (dialect) RequestInfo(r *http.Request) (proxy.RequestInfo, error) {
-	return proxy.RequestInfo{Name: id.Request(r.URL.Path)}, nil
+	return proxy.RequestInfo{Name: id.Request(r.URL.Path), LastEventID: r.URL.Query().Get("after")}, nil
 }
 
 func (dialect) SetRefusalHeaders(http.Header, id.Request) {}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -38,14 +38,8 @@
 		searched := max(0, len(pending)-maxSeparatorBytes+1)
 		pending = append(pending, buf[:n]...)
 		if end := completeEventsLength(pending, searched); end > 0 {
-			checked, idErr := x.position.advance(pending[:end])
-			if writeErr := x.writeEvents(resp.Response, res.Report, control, pending[:checked]); writeErr != nil {
-				return x.reportInterrupted(writeErr, res)
-			}
-			if idErr != nil {
-				x.server.vars.Add("stream_id_errors", 1)
-				_ = resp.Close()
-				return x.reportInterrupted(idErr, res)
+			if err := x.relayEvents(resp, res.Report, control, pending[:end]); err != nil {
+				return x.reportInterrupted(err, res)
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
@@ -63,6 +57,22 @@
 	}
 }
 
+// relayEvents sends events to the caller, up to one that does not follow the one before it. The connection to its server is
+// closed then.
+func (x *exchange) relayEvents(resp *response, report selfreport.Report, control *http.ResponseController, events []byte) error {
+	checked, idErr := x.position.advance(events)
+	if checked > 0 {
+		if err := x.writeEvents(resp.Response, report, control, events[:checked]); err != nil {
+			return err
+		}
+	}
+	if idErr != nil {
+		x.server.vars.Add("stream_id_errors", 1)
+		_ = resp.Close()
+	}
+	return idErr
+}
+
 // readBufferSize is the size in bytes of the buffer for reading a stream.
 const readBufferSize = 8 << 10
 
