--- a/core/denylist/guard.go
+++ b/core/denylist/guard.go
@@ -120,7 +120,7 @@
 
 // RecordRefusedConn records that a server refused a connection: if attempts have broken off at this process, it has ended.
 func (g *Guard) RecordRefusedConn(now time.Time, p Process) []event.Action {
-	if g.hasEnded(p) || !slices.Contains(g.suspectedProcesses(p.Server), p) {
+	if g.HasEnded(p) || !slices.Contains(g.suspectedProcesses(p.Server), p) {
 		return nil
 	}
 	return append(g.processEnded(now, p), g.broadcast(Ended{p})...)
@@ -175,7 +175,7 @@
 			continue
 		}
 		added = append(added, key)
-		if g.hasEnded(p) {
+		if g.HasEnded(p) {
 			out = append(out, g.countCrash(now, key, p)...)
 		}
 	}
@@ -206,12 +206,12 @@
 	return out
 }
 
-// hasEnded reports whether a process is known to have ended.
-func (g *Guard) hasEnded(p Process) bool { return slices.Contains(g.ended, p) }
+// HasEnded reports whether a process is known to have ended.
+func (g *Guard) HasEnded(p Process) bool { return slices.Contains(g.ended, p) }
 
 // processEnded counts a crash against all keys of the attempts that broke off at a process within crashWindow before.
 func (g *Guard) processEnded(now time.Time, p Process) []event.Action {
-	if !g.hasEnded(p) {
+	if !g.HasEnded(p) {
 		if len(g.ended) == maxEnded {
 			g.ended = g.ended[1:]
 		}
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -59,19 +59,21 @@
 	out.add(g.crashGuard.StartTrial(now, r.crashKeys)...)
 }
 
-// recordCrashEvidence passes the outcome of a request to the crash guard. A response that breaks off after provingTime tells
-// nothing: a server that a request crashes does not get that far.
+// recordCrashEvidence passes the outcome of a request to the crash guard, which counts a crash if the server has refused a
+// connection since. A response that breaks off after provingTime tells nothing: a server that a request crashes does not get
+// that far.
 func (g *Gateway) recordCrashEvidence(now time.Time, r *request, res Result, out *actions) {
 	process := denylist.Process{Server: r.server, Start: r.start}
 	switch {
-	case res.ConnRefused:
-		g.recordRefusedConn(r.process())
-		out.add(g.crashGuard.RecordRefusedConn(now, process)...)
 	case res.Fail == event.FailBroken && !r.proven:
 		out.add(g.crashGuard.RecordBroken(now, r.crashKeys, process)...)
 	case res.Fail == 0 && res.Status < http.StatusBadRequest:
 		out.add(g.crashGuard.RecordResponse(r.crashKeys)...)
 	}
+	if res.ConnRefused {
+		g.recordRefusedConn(r.process())
+		out.add(g.crashGuard.RecordRefusedConn(now, process)...)
+	}
 }
 
 // proveSound tells the crash guard that a request does not crash servers, once its response has gone on for provingTime.
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -69,7 +69,7 @@
 	Status      int            // HTTP status of the server's response
 	Held        bool           // the response is held back until Deliver or another Forward
 	Began       bool           // part of a response has reached the caller
-	ConnRefused bool           // the server refused the connection
+	ConnRefused bool           // the server refused the connection, or another one after its response had broken off
 	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
 	Moved       bool           // a different server responded at the address
 	CanResume   bool           // the stream can be continued after the last event that was passed on
--- a/core/proxy/resume.go
+++ b/core/proxy/resume.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/selfreport"
@@ -15,8 +16,8 @@
 	// maxResumedRuns bounds how many servers may run the rest of a stream. Servers that have ended do not count as attempts, so
 	// that a request that crashes servers late in its stream would otherwise end one after another.
 	maxResumedRuns = 2
-	// maxResumeWait is how long a broken stream waits for a server, or until it is known that an earlier one has ended. Servers
-	// that restart are seen in the store sooner, and a caller that resumes by itself should not be kept from it.
+	// maxResumeWait is how long a broken stream waits for a server, or until it is known that an earlier one has ended. Callers
+	// abandon a stream after 2 s or more, and one that resumes by itself should not be kept from it for long.
 	maxResumeWait = 500 * time.Millisecond
 	// maxRefusedConns bounds the processes that are remembered because they refused a connection.
 	maxRefusedConns = 256
@@ -176,10 +177,10 @@
 }
 
 // processEnded reports whether the process of a server is known to have ended: the server has restarted or left the store, or
-// has refused a connection.
+// has refused a connection of some node.
 func (g *Gateway) processEnded(p selfreport.Process) bool {
 	s := g.fleet.Server(p.Server)
-	return s == nil || s.Start != p.Start || slices.Contains(g.refusedConns, p)
+	return s == nil || s.Start != p.Start || slices.Contains(g.refusedConns, p) || g.crashGuard.HasEnded(denylist.Process(p))
 }
 
 // recordRefusedConn records that a server has refused a connection, which means that its process has ended.
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -73,7 +73,7 @@
 	case res.Fail == 0:
 		res.Fail = event.FailBroken
 	}
-	res.ConnRefused = errors.Is(err, syscall.ECONNREFUSED)
+	res.ConnRefused = res.ConnRefused || errors.Is(err, syscall.ECONNREFUSED)
 	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
 	if !x.callerConnected() {
 		return false // serve handles the disconnect
--- a/io/gateway/resume.go
+++ b/io/gateway/resume.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -17,12 +18,13 @@
 
 // position is how far the caller of a request has got in a stream, over all servers that send parts of it.
 type position struct {
-	resumable bool // the ids of events are checked, because another server may continue the stream
-	resumed   bool // the server continues a stream that broke off
-	begun     bool // part of the response of this server was passed on
-	joined    bool // an event of this server was passed on
-	broken    bool // the stream broke off after it had begun
-	lost      bool // it cannot be continued
+	resumable bool           // the ids of events are checked, because another server may continue the stream
+	resumed   bool           // the server continues a stream that broke off
+	begun     bool           // part of the response of this server was passed on
+	joined    bool           // an event of this server was passed on
+	broken    bool           // the stream broke off after it had begun
+	lost      bool           // it cannot be continued
+	server    netip.AddrPort // that sends it
 
 	lastID    string    // of the last event that was passed on; the caller's own before the first one
 	last      uint64    // its number
@@ -43,6 +45,7 @@
 func (p *position) begin(f proxy.Forward) {
 	p.resumable, p.resumed, p.begun, p.joined = f.Resumable, f.Resume, false, false
 	p.lost = p.lost && f.Resume
+	p.server = f.Server.Addr
 }
 
 // advance moves the position to the end of some complete events. If one of them does not follow the one before it, advance
@@ -143,9 +146,11 @@
 	return n, err == nil
 }
 
-// reportBrokenOff reports a stream that its server broke off, which another server may continue.
+// reportBrokenOff reports a stream that its server broke off, which another server may continue. Whether the server's process
+// has ended decides how many others may run the request.
 func (x *exchange) reportBrokenOff(err error, res proxy.Result) bool {
 	x.position.broken = x.responseStarted
+	res.ConnRefused = x.position.resumable && x.callerConnected() && x.server.client.Refuses(x.r.Context(), x.position.server)
 	return x.reportFailure(err, res)
 }
 
