--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -36,6 +36,7 @@
 //   - a request that must run at most once runs twice, or a refused request runs
 //   - a request gets the answer or the stage results of another request
 //   - an incomplete stream looks complete
+//   - a stream is not continued after the crash of its server, or has a missing or repeated event
 //   - a process exits by itself, or does not stop within its grace period
 //   - a process goes back to an older configuration
 //   - a draining server gets requests
@@ -98,6 +99,7 @@
 	h.checkRollout(seed)
 	stop()
 	callers.Wait()
+	h.checkResumedStreams()
 	h.checkPoisonRequest()
 	h.checkServerDrain()
 	h.checkEvacuation()
--- a/io/gateway/resume_test.go
+++ b/io/gateway/resume_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -39,6 +40,7 @@
 	body  string
 	whole bool
 	ended []proxy.Ended // results of all attempts
+	vars  *expvar.Map
 }
 
 // relayResumed sends a request through a gateway to servers that give raw responses. Each one continues what the one before
@@ -76,7 +78,7 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	raw, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	out := relayed{body: string(raw), whole: err == nil}
+	out := relayed{body: string(raw), whole: err == nil, vars: f.vars}
 	for len(results) > 0 {
 		out.ended = append(out.ended, <-results)
 	}
@@ -123,9 +125,15 @@
 			got := relayResumed(t, "", c.responses...)
 			g.Expect(got.body).To(Equal(c.want))
 			g.Expect(got.whole).To(Equal(c.whole), "%+v", got.ended)
-			if c.whole {
-				g.Expect(got.ended).To(HaveLen(len(c.responses)))
+			finished, givenUp := got.vars.Get("streams_resumed_finished"), got.vars.Get("streams_given_up")
+			if !c.whole {
+				g.Expect(finished).To(BeNil())
+				g.Expect(givenUp).To(HaveField("String()", "1"))
+				return
 			}
+			g.Expect(got.ended).To(HaveLen(len(c.responses)))
+			g.Expect(finished).To(HaveField("String()", "1"))
+			g.Expect(givenUp).To(BeNil())
 		})
 	}
 }
--- a/io/gateway/stop_test.go
+++ b/io/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -45,12 +46,13 @@
 	*gateway.Server
 	http       *httptest.Server
 	unanswered chan gateway.OpenRequest
+	vars       *expvar.Map
 }
 
 func newFront(t *testing.T, decide func(f *front, ev event.Event)) *front {
-	f := &front{unanswered: make(chan gateway.OpenRequest, 1)}
+	f := &front{unanswered: make(chan gateway.OpenRequest, 1), vars: new(expvar.Map)}
 	f.Server = gateway.New(dialect{}, upstream.New(), func(ev event.Event) { decide(f, ev) },
-		gateway.WithUnanswered(func(r gateway.OpenRequest) { f.unanswered <- r }))
+		gateway.WithVars(f.vars), gateway.WithUnanswered(func(r gateway.OpenRequest) { f.unanswered <- r }))
 	f.http = httptest.NewServer(f.Server)
 	t.Cleanup(f.http.Close)
 	return f
