--- a/core/proxy/resume_test.go
+++ b/core/proxy/resume_test.go
@@ -122,6 +122,16 @@
 		h.run(100 * time.Millisecond)
 		h.expectResumed("7", s.server, next)
 	})
+	t.Run("twice, if both servers refuse connections", func(t *testing.T) {
+		h := newStreamHarness(t)
+		s := h.startStream("chat")
+		crashed := brokenAfter("7")
+		crashed.ConnRefused = true
+		h.end(s.ticket, crashed)
+		next := h.expectResumed("7", s.server)
+		h.end(s.ticket, crashed)
+		h.expectResumed("7", s.server, next)
+	})
 	t.Run("no third server", func(t *testing.T) {
 		h := newStreamHarness(t)
 		s := h.startStream("chat")
