--- a/core/proxy/resume_test.go
+++ b/core/proxy/resume_test.go
@@ -15,10 +15,10 @@
 	"bluebellflow/core/proxy"
 )
 
-// newStreamHarness returns a gateway with four model servers.
+// newStreamHarness returns a gateway with six model servers.
 func newStreamHarness(t *testing.T) *harness {
 	h := newLoadedHarness(t)
-	for n := 2; n <= 4; n++ {
+	for n := 2; n <= 6; n++ {
 		h.put(fleet.KindServers, fmt.Sprintf("model-%d", n), fmt.Sprintf("model %d", 20+n), "")
 	}
 	return h
@@ -90,10 +90,10 @@
 		h := newStreamHarness(t)
 		s := h.startStream("chat")
 		h.end(s.ticket, brokenAfter("7"))
-		for range 3 {
+		for range 4 {
+			onlyAction[proxy.Forward](h)
 			h.end(s.ticket, proxy.Result{Fail: event.FailRejected, Status: http.StatusServiceUnavailable})
 		}
-		h.run(time.Second)
 		h.expectAborted()
 	})
 	t.Run("twice, if the first server has ended", func(t *testing.T) {
--- a/io/gateway/resume_test.go
+++ b/io/gateway/resume_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,11 +92,14 @@
 	three := chunkedHead + chunk(numberedEvents(1, 2, 3))
 	rest := chunkedHead + chunk(numberedEvents(4, 5)) + lastChunk
 	all := numberedEvents(1, 2, 3, 4, 5)
+	crlf, cr := strings.ReplaceAll(all, "\n", "\r\n"), strings.ReplaceAll(all, "\n", "\r")
 	cases := map[string]struct {
 		responses []string
 		want      string
 		whole     bool
 	}{
+		"CRLF":                   {[]string{chunkedHead + chunk(crlf) + chunk("id: 6\r\nd"), chunkedHead + chunk(numberedEvents(6)) + lastChunk}, crlf + numberedEvents(6), true},
+		"CR":                     {[]string{chunkedHead + chunk(cr) + chunk("id: 6\rd"), chunkedHead + chunk(numberedEvents(6)) + lastChunk}, cr + numberedEvents(6), true},
 		"after an event":         {[]string{three, rest}, all, true},
 		"inside an event":        {[]string{three + chunk("id: 4\ndata: ev"), rest}, all, true},
 		"inside a chunk":         {[]string{three + "ff\r\nid: 4\ndata: event 4\n", rest}, all, true},
@@ -112,6 +116,8 @@
 		"an event is missing":       {[]string{three, chunkedHead + chunk(numberedEvents(5)) + lastChunk}, numberedEvents(1, 2, 3), false},
 		"a repeated event later":    {[]string{three, chunkedHead + chunk(numberedEvents(4, 4, 5)) + lastChunk}, numberedEvents(1, 2, 3, 4), false},
 		"an event without id":       {[]string{three, chunkedHead + chunk("data: x\n\n") + lastChunk}, numberedEvents(1, 2, 3), false},
+		"no id, known gaps":         {[]string{chunkedHead + chunk(numberedEvents(10, 20)), chunkedHead + chunk("data: x\n\n") + lastChunk}, numberedEvents(10, 20), false},
+		"a comment, no length":      {[]string{three, streamHead + "\r\n: hello\n\n"}, numberedEvents(1, 2, 3) + ": hello\n\n", false},
 		"after one without id":      {[]string{three + chunk("data: x\n\n"), rest}, numberedEvents(1, 2, 3) + "data: x\n\n", false},
 		"a repeated event at first": {[]string{chunkedHead + chunk(numberedEvents(1, 2, 2)), rest}, numberedEvents(1, 2), false},
 		"no event, no length":       {[]string{three, streamHead + "\r\n"}, numberedEvents(1, 2, 3), false},
