--- a/io/gateway/stop_test.go
+++ b/io/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -23,11 +24,11 @@
 // testTimeout bounds each wait for an expected event; no assertion depends on a shorter time.
 const testTimeout = 10 * time.Second
 
-// dialect reads only the name of a request, and takes each response for one of a server.
+// dialect reads only the name of a request and the event after which it resumes a stream, and takes each response for one of a server.
 type dialect struct{ gateway.Dialect }
 
 func (dialect) RequestInfo(r *http.Request) (proxy.RequestInfo, error) {
-	return proxy.RequestInfo{Name: id.Request(r.URL.Path)}, nil
+	return proxy.RequestInfo{Name: id.Request(r.URL.Path), LastEventID: r.URL.Query().Get("after")}, nil
 }
 
 func (dialect) SetRefusalHeaders(http.Header, id.Request) {}
@@ -45,12 +46,13 @@
 	*gateway.Server
 	http       *httptest.Server
 	unanswered chan gateway.OpenRequest
+	vars       *expvar.Map
 }
 
 func newFront(t *testing.T, decide func(f *front, ev event.Event)) *front {
-	f := &front{unanswered: make(chan gateway.OpenRequest, 1)}
+	f := &front{unanswered: make(chan gateway.OpenRequest, 1), vars: new(expvar.Map)}
 	f.Server = gateway.New(dialect{}, upstream.New(), func(ev event.Event) { decide(f, ev) },
-		gateway.WithUnanswered(func(r gateway.OpenRequest) { f.unanswered <- r }))
+		gateway.WithVars(f.vars), gateway.WithUnanswered(func(r gateway.OpenRequest) { f.unanswered <- r }))
 	f.http = httptest.NewServer(f.Server)
 	t.Cleanup(f.http.Close)
 	return f
