core/connlimit, io/upstream: bound the connections of a node to a server

Idle connections counted against a server's limit until they expired, and a reset at accept came after the request was written, so that it counted as possibly run. A request may now carry a limit: excess idle connections are closed before a new one is opened, few are kept at servers that may be near their limit, and an at-most-once request waits there for about a round trip before it writes to a new connection. A body that is written in the background counts as sent only if any of it was written.

Without a limit, the new tests fail: 50 of 50 resets at accept count as broken, and idle connections of 60 clients lead to resets at a server that accepts 30.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -31,6 +33,7 @@
 type conn struct {
 	net.Conn
 	addr        netip.AddrPort
+	opening     time.Duration // how long it took to open
 	br          *bufio.Reader
 	header      *headerLimit  // of the header that is being read, nil while the body is read
 	idleSince   time.Time     // when the previous exchange ended
@@ -97,6 +100,26 @@
 	return n, err
 }
 
+// errClosedUnused means that a server closed a new connection before anything was written to it. A reset is how servers reject
+// connections above their limit.
+var errClosedUnused = errors.New("server closed a new connection before the request was written")
+
+// settle waits for some time whether the server closes a new connection, and returns errClosedUnused if it does.
+func (c *conn) settle(d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := c.br.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("%w: %w", errClosedUnused, cmp.Or(err, errUnexpectedData))
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// errUnexpectedData means that a server has sent something before the request.
+var errUnexpectedData = errors.New("data before the request")
+
 // reusable reports whether the server has neither closed an idle connection nor sent unexpected data on it.
 func (c *conn) reusable() bool {
 	if c.br.Buffered() > 0 {
--- /dev/null
+++ b/io/upstream/connlimit_test.go
@@ -0,0 +1,102 @@
+package upstream_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/connlimit"
+	"bluebellflow/core/event"
+	"bluebellflow/io/rawserver"
+	"bluebellflow/io/upstream"
+)
+
+// serveTime is how long a limitedServer takes for a request.
+const serveTime = 10 * time.Millisecond
+
+// limitedServer accepts a number of connections, and resets those above it without reading from them.
+type limitedServer struct {
+	*rawserver.Server
+	maxConns          int64
+	open, resets, ran atomic.Int64
+}
+
+func startLimited(t *testing.T, maxConns int64) *limitedServer {
+	s := &limitedServer{maxConns: maxConns}
+	s.Server = start(t, s.serve)
+	return s
+}
+
+func (s *limitedServer) serve(conn net.Conn) {
+	defer s.open.Add(-1)
+	if s.open.Add(1) > s.maxConns {
+		s.resets.Add(1)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	br := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.ran.Add(1)
+		time.Sleep(serveTime)
+		_, _ = io.WriteString(conn, ownResponse)
+	}
+}
+
+// TestResetAtAccept guards against an at-most-once request that counts as possibly run although its connection was reset
+// before the server read from it.
+func TestResetAtAccept(t *testing.T) {
+	const attempts = 50
+	for name, body := range map[string]string{"small": "x", "large": strings.Repeat("x", 1<<20)} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := startLimited(t, 0)
+			c := upstream.New()
+			defer c.Close()
+			for range attempts {
+				_, err := exchange(t, c, s.Addr(), &upstream.Request{AtMostOnce: true, Body: []byte(body), Limit: connlimit.Limit{Conns: 1}})
+				g.Expect(failKind(g, err)).To(Equal(event.FailUnsent), "%v", err)
+			}
+			g.Expect(s.ran.Load()).To(BeZero())
+		})
+	}
+}
+
+// TestLimitOfManyClients guards against idle connections of many clients that take all connections of a server, so that it
+// resets new ones.
+func TestLimitOfManyClients(t *testing.T) {
+	const clients, maxConns, rounds, concurrent = 60, 30, 3, 3
+	g := NewWithT(t)
+	s := startLimited(t, maxConns)
+	var all []*upstream.Client
+	for range clients {
+		c := upstream.New()
+		defer c.Close()
+		all = append(all, c)
+	}
+	limiter := make(chan struct{}, concurrent)
+	var wg sync.WaitGroup
+	for i := range clients * rounds {
+		limiter <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limiter }()
+			_, err := exchange(t, all[i%clients], s.Addr(), &upstream.Request{AtMostOnce: true, Limit: connlimit.Limit{Conns: 1}})
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	wg.Wait()
+	g.Expect(s.resets.Load()).To(BeZero())
+	g.Expect(s.ran.Load()).To(BeEquivalentTo(clients * rounds))
+}
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -12,8 +12,11 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
+	"bluebellflow/core/connlimit"
 	"bluebellflow/core/event"
 	"bluebellflow/io/membudget"
 )
@@ -42,8 +45,10 @@
 	Header http.Header
 	Body   []byte
 	// AtMostOnce is set if the request must not run twice. Such a request reuses a connection only if it was idle for less
-	// than maxIdleAtMostOnce, so that no close by the server can be in flight.
+	// than connlimit.MaxIdleAtMostOnce, so that no close by the server can be in flight.
 	AtMostOnce bool
+	// Limit bounds the connections to the server.
+	Limit connlimit.Limit
 	// NewConn is set if the request needs a connection of its own, because its response cannot be told from a late copy of the
 	// response to an earlier request.
 	NewConn bool
@@ -91,11 +96,15 @@
 	conn           *conn
 	stopAfterFunc  func() bool   // returned by the context.AfterFunc that closes conn when ctx ends
 	requestWritten chan struct{} // closed when the request has been written
+	written        int64         // bytes of the request that were written, valid when requestWritten is closed
+	atMostOnce     bool
+	limit          connlimit.Limit
 	ctx            context.Context
 	reused         bool // the connection has carried another request before
 	singleUse      bool // the connection is not reused
 	bodyComplete   bool // the body was read to its end
 	memory         *membudget.Share
+	released       sync.Once // the connection is no longer in use
 }
 
 // Keep reports whether the memory for all responses allows to keep n bytes of this one.
@@ -113,7 +122,7 @@
 	}
 	reused := cn != nil
 	if !reused {
-		dialed, err := c.dial(ctx, addr)
+		dialed, err := c.dial(ctx, addr, req.Limit)
 		if err != nil {
 			return nil, &Error{Kind: event.FailUnsent, Err: err}
 		}
@@ -122,20 +131,45 @@
 	cn.rememberID(req.ID)
 	r := &ResponseReader{
 		client: c, conn: cn, reused: reused, ctx: ctx, singleUse: req.NewConn, requestWritten: make(chan struct{}), memory: c.memory.NewShare(),
+		atMostOnce: req.AtMostOnce, limit: req.Limit,
 	}
 	r.stopAfterFunc = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	sent, err := r.writeRequest(req)
-	if err == nil {
-		err = r.readResponse(req)
-		sent = true
-	}
-	if err != nil {
+	if err := r.send(req); err != nil {
 		_ = r.abort()
-		return nil, r.newError(sent, fmt.Errorf("%s: %w", cn.describe(reused), err))
+		<-r.requestWritten // the connection is closed, so that the write has ended or ends now
+		if r.written == 0 && isReset(err) {
+			c.vars.Add("upstream_reset_unsent", 1)
+		}
+		return nil, r.newError(r.written > 0, fmt.Errorf("%s: %w", cn.describe(reused), err))
 	}
 	return r, nil
 }
 
+// isReset reports whether a server has reset a connection or closed it before a request.
+func isReset(err error) bool {
+	return errors.Is(err, errClosedUnused) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// send writes a request and reads the response header.
+func (r *ResponseReader) send(req *Request) error {
+	if err := r.settle(); err != nil {
+		close(r.requestWritten)
+		return err
+	}
+	if err := r.writeRequest(req); err != nil {
+		return err
+	}
+	return r.readResponse(req)
+}
+
+// settle lets an at-most-once request wait until a reset of a new connection would have arrived.
+func (r *ResponseReader) settle() error {
+	if r.reused || !r.atMostOnce {
+		return nil
+	}
+	return r.conn.settle(r.limit.SettleTime(r.conn.opening))
+}
+
 // newError returns an Error whose kind tells whether the request may have run.
 func (r *ResponseReader) newError(sent bool, err error) *Error {
 	e := &Error{Kind: event.FailUnsent, Err: err}
@@ -148,24 +182,26 @@
 	return e
 }
 
-// writeRequest writes the request and reports whether any of it may have been sent. A body larger than maxInlineBodyBytes is
-// written in the background.
-func (r *ResponseReader) writeRequest(req *Request) (sent bool, err error) {
+// writeRequest writes the request. A body larger than maxInlineBodyBytes is written in the background.
+func (r *ResponseReader) writeRequest(req *Request) error {
 	head := encodeHeader(req)
 	if len(req.Body) <= maxInlineBodyBytes {
 		defer close(r.requestWritten)
 		head.Write(req.Body)
 		n, err := r.conn.Write(head.Bytes())
-		return n > 0, err
+		r.written = int64(n)
+		return err
 	}
 	go func() {
 		defer close(r.requestWritten)
 		buffers := net.Buffers{head.Bytes(), req.Body}
-		if _, err := buffers.WriteTo(r.conn.Conn); err != nil {
+		n, err := buffers.WriteTo(r.conn.Conn)
+		r.written = n
+		if err != nil {
 			r.client.vars.Add("upstream_write_failed", 1)
 		}
 	}()
-	return true, nil
+	return nil
 }
 
 // encodeHeader returns the request line and the headers of a request.
@@ -253,8 +289,8 @@
 	if r.singleUse || !r.bodyComplete || r.Response.Close || !r.stopAfterFunc() || r.conn.br.Buffered() > 0 {
 		return r.abort()
 	}
-	r.conn.idleTimeout = parseKeepAlive(r.Header.Get("Keep-Alive"))
-	r.client.putIdle(r.conn)
+	r.conn.idleTimeout = r.limit.IdleTime(r.atMostOnce, parseKeepAlive(r.Header.Get("Keep-Alive")))
+	r.released.Do(func() { r.client.putIdle(r.conn, r.limit) })
 	return nil
 }
 
@@ -272,7 +308,9 @@
 func (r *ResponseReader) abort() error {
 	r.memory.Release()
 	r.stopAfterFunc()
-	return r.conn.Close()
+	err := r.conn.Close()
+	r.released.Do(func() { r.client.release(r.conn.addr) })
+	return err
 }
 
 // parseKeepAlive returns how long a connection may stay idle according to a response's Keep-Alive header.
