core/proxy: keep connections to servers within maxConns of their pool

maxConns of a pool was decoded and used by nothing. A request now takes another server, waits as placement does, or is refused with 503 if this node has its share of connections to a server in use. The share follows from the known nodes and is reduced while the server reports a long queue. Such requests are logged (msg=connlimit) and counted.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -50,6 +50,13 @@
 	ColdRate   float64       // requests per second that a cold server can take, 0 for no limit
 	StuckAfter time.Duration // time without a response after which a server is avoided, 0 for no limit
 	Versions   Versions      // nil for all
+	Conns      Conns         // nil for no limit
+}
+
+// Conns tells whether an attempt may use another connection to a server at which others are in use. The load is nil if the
+// server has reported none lately.
+type Conns interface {
+	Allows(server id.Server, inUse int, load *selfreport.Load) bool
 }
 
 // Versions selects the server versions that may serve a request.
@@ -176,9 +183,20 @@
 	if now.Before(b.state(s.ID).backoffUntil) {
 		return "backing off after a failed attempt"
 	}
+	if st := b.state(s.ID); q.Conns != nil && !q.Conns.Allows(s.ID, st.inflight, st.recentLoad(now)) {
+		return "this node has its share of connections in use"
+	}
 	return ""
 }
 
+// recentLoad returns the load that the server has reported lately, or nil.
+func (st *serverState) recentLoad(now time.Time) *selfreport.Load {
+	if now.Sub(st.loadAt) >= maxLoadAge {
+		return nil
+	}
+	return &st.load
+}
+
 // ReadyIn returns how long all usable servers for an attempt want no requests from this node, by what they say of themselves. It
 // returns 0 if one of them takes requests, or if there is none.
 func (b *Balancer) ReadyIn(now time.Time, q Query) time.Duration {
@@ -242,8 +260,8 @@
 	st := b.state(s.ID)
 	st.decayFailures(now)
 	busy := float64(st.inflight)
-	if now.Sub(st.loadAt) < maxLoadAge {
-		busy = max(busy, float64(st.load.Running+st.load.Waiting))
+	if load := st.recentLoad(now); load != nil {
+		busy = max(busy, float64(load.Running+load.Waiting))
 	}
 	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * (1 + busy/float64(max(1, s.Slots))))
 	cost += time.Duration(st.failureRate * float64(failurePenalty))
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -61,7 +61,8 @@
 func (g *Gateway) pickServer(now time.Time, r *request) (*fleet.Server, string) {
 	choice := g.rollouts.Choose(now, r.pool.Name, fingerprint(string(r.Name)), r.sends > 0)
 	q := g.serverQuery(r)
-	q.Versions = choice
+	r.connCheck = g.connLimits.Check(r.pool.MaxConns)
+	q.Versions, q.Conns = choice, r.connCheck
 	s, reason := g.balancer.Pick(now, q)
 	if other, ok := choice.Fallback(); s == nil && ok {
 		q.Versions = other
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -10,6 +10,7 @@
 	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/connlimit"
 	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
@@ -76,6 +77,7 @@
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
+	connLimits   *connlimit.Limiter
 	modules      []module
 
 	catalog      *catalog.Catalog
@@ -103,13 +105,14 @@
 		crashGuard:   denylist.New(self),
 		reports:      selfreport.New(self),
 		coldLimiter:  ratelimit.NewColdLimiter(self.Node, unseenNodes),
+		connLimits:   connlimit.New(self.Node, unseenNodes),
 		requests:     map[Ticket]*request{}, jobs: map[uint64]*request{}, durations: map[string]*routeDurations{},
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter, g.reports)
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
-	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, noTimers{g.balancer}, g.scheduler}
+	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, g.connLimits, noTimers{g.balancer}, g.scheduler}
 	return g
 }
 
@@ -232,6 +235,7 @@
 	g.cache.SetPeers(names)
 	g.leader.SetCandidates(candidates)
 	g.coldLimiter.SetNodes(names)
+	g.connLimits.SetNodes(names)
 	g.rollouts.SetNodes(names)
 	g.crashGuard.SetNodes(names)
 	g.reports.SetNodes(names)
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -5,6 +5,7 @@
 
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/connlimit"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/selfreport"
@@ -88,6 +89,13 @@
 		Inputs    []string     // handles of the stage results that the request reads
 		Once      bool         // the request must not run more than once
 		Hold      bool         // hold back an error response, because another server may be tried
+		Conns     connlimit.Limit
+	}
+	// ConnLimited reports that servers were not chosen for a request because this node has its share of connections to them
+	// in use.
+	ConnLimited struct {
+		event.Out
+		Outcome ConnLimitOutcome
 	}
 	// Deliver sends the response that was held back to the caller.
 	Deliver struct {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -9,6 +9,7 @@
 	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/connlimit"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/selfreport"
@@ -69,6 +70,7 @@
 	handover    *handover // progress of the job at the previous leader, nil for none
 
 	placingSince time.Time        // start of the wait for a server
+	connCheck    *connlimit.Check // of the servers for the last attempt to place it
 	server       id.Server        // the server that it was sent to last
 	crashKeys    []id.Fingerprint // identify its content and the shared parts of its prompt
 	trial        bool             // sent although it was refused, to learn whether it still crashes servers
@@ -179,6 +181,7 @@
 		return
 	}
 	s, reason := g.pickServer(now, r)
+	g.reportConnLimit(now, r, s, out)
 	if s == nil {
 		g.waitForServer(now, r, reason, out)
 		return
@@ -193,6 +196,7 @@
 	f := Forward{
 		Ticket: r.ticket, Server: batch.Target{ID: s.ID, Addr: s.Addr}, Keyed: g.catalog.KeyRequired(), Workspace: r.workspace, Until: r.deadline,
 		Inputs: r.inputs, Once: r.route.AtMostOnce(), Hold: r.runs+1 < r.route.MaxAttempts || r.route.AtMostOnce(),
+		Conns: g.connLimits.Limit(s.ID, r.pool.MaxConns),
 	}
 	if !r.route.AtMostOnce() && r.runs+1 < r.route.MaxAttempts {
 		f.First = now.Add(max(minFirstByteLimit, time.Duration(firstByteFactor*float64(r.route.LatencyObjective))))
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -43,7 +43,7 @@
 	ctx, cancel := x.attemptContext(f.Until)
 	req := &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: forwardedHeaders(x.r.Header), Body: x.body,
-		AtMostOnce: f.Once, HeaderDeadline: f.First, ID: string(x.info.Name),
+		AtMostOnce: f.Once, HeaderDeadline: f.First, ID: string(x.info.Name), Limit: f.Conns,
 		Matches: func(resp *http.Response) upstream.Match { return x.server.dialect.Matches(x.info.Name, resp) },
 	}
 	x.server.dialect.SetRequestHeaders(req.Header, f, time.Until(f.Until))
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -133,6 +133,8 @@
 	case proxy.Limit:
 		s.limits.Store(&a.Limits)
 		s.idleConns.setTimeout(a.Limits.IdleTime)
+	case proxy.ConnLimited:
+		s.vars.Add("conn_limit_"+string(a.Outcome), 1)
 	case proxy.Drain:
 		s.draining.Store(true)
 	default:
