--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -26,6 +26,9 @@
 	// minBackoff and maxBackoff bound how long an unreachable server gets no requests.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
+	// rejectedBackoff is how long a server gets no requests that has rejected a connection because it had too many. It is longer
+	// than plain services keep one in use (15 to 60 ms).
+	rejectedBackoff = 100 * time.Millisecond
 	// defaultLatency is the latency of a server that has not responded yet, for the comparison with its peers.
 	defaultLatency = 20 * time.Millisecond
 	// latencyDecayTime is the time in which a measured latency loses two thirds of its weight against the best latency in the
@@ -64,12 +67,13 @@
 
 // Outcome describes how an attempt ended.
 type Outcome struct {
-	Fail        event.FailKind // 0 if the server responded
-	ServerError bool           // the response has a 5xx status
-	Took        time.Duration  // duration of the attempt
-	Load        selfreport.Load
-	LoadKnown   bool // Load is set
-	Moved       bool // a different server responded at the address
+	Fail         event.FailKind // 0 if the server responded
+	ServerError  bool           // the response has a 5xx status
+	Took         time.Duration  // duration of the attempt
+	Load         selfreport.Load
+	LoadKnown    bool // Load is set
+	Moved        bool // a different server responded at the address
+	ConnRejected bool // the server closed a new connection before anything was sent
 }
 
 // serverState is what this node has observed of a server.
@@ -337,6 +341,9 @@
 		st.load, st.loadAt = o.Load, now
 	}
 	switch {
+	case o.Fail == event.FailUnsent && o.ConnRejected:
+		st.backoffUntil = now.Add(rejectedBackoff)
+		return
 	case o.Fail == event.FailUnsent:
 		st.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(st.backoffs, 4)))
 		st.backoffs++
--- a/core/connlimit/limit.go
+++ b/core/connlimit/limit.go
@@ -58,8 +58,8 @@
 	return min(longest, maxTightIdleTime)
 }
 
-// SettleTime returns how long an at-most-once request waits for a reset after its connection was opened, which took the given
-// time. A reset before the first write shows that the request has not run; one after it does not.
+// SettleTime returns how long a request waits for a reset after its connection was opened, which took the given time. A reset
+// before the first write shows that the request has not run; one after it does not.
 func (l Limit) SettleTime(opening time.Duration) time.Duration {
 	if !l.tight() {
 		return 0
--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -38,6 +38,7 @@
 		Pools: []catalog.Pool{
 			{Name: "model"},
 			{Name: "loans"},
+			{Name: "desk", MaxConns: 8},
 			{Name: "times", Pieces: &catalog.Pieces{MaxCalls: 1, MaxQueuedCalls: 2, MaxBatch: 8, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultMemory: 1 << 20, ResultTTL: 4 * time.Second}},
 		},
 		Workspaces: []catalog.Workspace{{Name: "tunis", Keys: []string{"key"}, Priority: catalog.NoPriority}},
@@ -53,7 +54,7 @@
 	draft.Stages = []catalog.Stage{{Pool: "times", ResultBytes: 1000}}
 	renew := route("renew", catalog.Unsafe, "loans", 1)
 	renew.Timeout = 6 * time.Second
-	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew}
+	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew, route("stamp", catalog.Unsafe, "desk", 1)}
 	if version >= 10 {
 		c.Routes = c.Routes[1:]
 	}
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -65,14 +65,15 @@
 
 // Result describes how a forwarded request ended.
 type Result struct {
-	Fail        event.FailKind // 0 if the server responded
-	Status      int            // HTTP status of the server's response
-	Held        bool           // the response is held back until Deliver or another Forward
-	Began       bool           // part of a response has reached the caller
-	ConnRefused bool           // the server refused the connection
-	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
-	Moved       bool           // a different server responded at the address
-	Detail      string
+	Fail         event.FailKind // 0 if the server responded
+	Status       int            // HTTP status of the server's response
+	Held         bool           // the response is held back until Deliver or another Forward
+	Began        bool           // part of a response has reached the caller
+	ConnRefused  bool           // the server refused the connection
+	ConnRejected bool           // the server closed a new connection before anything was sent, as servers do that have too many
+	InputsGone   bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
+	Moved        bool           // a different server responded at the address
+	Detail       string
 	selfreport.Report
 }
 
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -227,7 +227,7 @@
 	took := now.Sub(r.sent)
 	serverError := ev.Status >= http.StatusInternalServerError
 	g.balancer.End(now, r.server, r.sent, balance.Outcome{
-		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved,
+		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved, ConnRejected: ev.ConnRejected,
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -69,6 +69,7 @@
 		res.Fail = event.FailBroken
 	}
 	res.ConnRefused = errors.Is(err, syscall.ECONNREFUSED)
+	res.ConnRejected = errors.Is(err, upstream.ErrClosedUnused)
 	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
 	if !x.callerConnected() {
 		return false // serve handles the disconnect
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -100,11 +100,11 @@
 	return n, err
 }
 
-// errClosedUnused means that a server closed a new connection before anything was written to it. A reset is how servers reject
+// ErrClosedUnused means that a server closed a new connection before anything was written to it. A reset is how servers reject
 // connections above their limit.
-var errClosedUnused = errors.New("server closed a new connection before the request was written")
+var ErrClosedUnused = errors.New("server closed a new connection before the request was written")
 
-// settle waits for some time whether the server closes a new connection, and returns errClosedUnused if it does.
+// settle waits for some time whether the server closes a new connection, and returns ErrClosedUnused if it does.
 func (c *conn) settle(d time.Duration) error {
 	if d <= 0 {
 		return nil
@@ -112,7 +112,7 @@
 	_ = c.SetReadDeadline(time.Now().Add(d))
 	_, err := c.br.Peek(1)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return fmt.Errorf("%w: %w", errClosedUnused, cmp.Or(err, errUnexpectedData))
+		return fmt.Errorf("%w: %w", ErrClosedUnused, cmp.Or(err, errUnexpectedData))
 	}
 	return c.SetReadDeadline(time.Time{})
 }
--- a/io/upstream/connlimit_test.go
+++ b/io/upstream/connlimit_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// TestResetAtAccept guards against an at-most-once request that counts as possibly run although its connection was reset
+// TestResetAtAccept guards against a request that counts as possibly run although its connection was reset
 // before the server read from it.
 func TestResetAtAccept(t *testing.T) {
 	const attempts = 50
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -137,8 +137,8 @@
 	if err := r.send(req); err != nil {
 		_ = r.abort()
 		<-r.requestWritten // the connection is closed, so that the write has ended or ends now
-		if r.written == 0 && isReset(err) {
-			c.vars.Add("upstream_reset_unsent", 1)
+		if r.written == 0 && ctx.Err() == nil && isReset(err) {
+			c.vars.Add("upstream_reset_at_accept", 1)
 		}
 		return nil, r.newError(r.written > 0, fmt.Errorf("%s: %w", cn.describe(reused), err))
 	}
@@ -147,14 +147,16 @@
 
 // isReset reports whether a server has reset a connection or closed it before a request.
 func isReset(err error) bool {
-	return errors.Is(err, errClosedUnused) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, ErrClosedUnused) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // send writes a request and reads the response header.
 func (r *ResponseReader) send(req *Request) error {
-	if err := r.settle(); err != nil {
-		close(r.requestWritten)
-		return err
+	if !r.reused {
+		if err := r.conn.settle(r.limit.SettleTime(r.conn.opening)); err != nil {
+			close(r.requestWritten)
+			return err
+		}
 	}
 	if err := r.writeRequest(req); err != nil {
 		return err
@@ -162,14 +164,6 @@
 	return r.readResponse(req)
 }
 
-// settle lets an at-most-once request wait until a reset of a new connection would have arrived.
-func (r *ResponseReader) settle() error {
-	if r.reused || !r.atMostOnce {
-		return nil
-	}
-	return r.conn.settle(r.limit.SettleTime(r.conn.opening))
-}
-
 // newError returns an Error whose kind tells whether the request may have run.
 func (r *ResponseReader) newError(sent bool, err error) *Error {
 	e := &Error{Kind: event.FailUnsent, Err: err}
