--- a/cmd/soak/harness_test.go
+++ b/cmd/soak/harness_test.go
@@ -60,6 +60,21 @@
 	unexpectedExits []string // processes that exited by themselves with an error
 }
 
+// tightConns is a limit of connections of which each of six nodes has one, because three more may have joined unseen.
+const tightConns = 9
+
+// newConfig returns the first configuration. With even seeds, plain services accept so few connections that every node is near
+// its limit.
+func newConfig(seed uint64) standin.Config {
+	c := standin.Example()
+	for i := range c.Services {
+		if c.Services[i].Name == standin.ServiceLoans && seed%2 == 0 {
+			c.Services[i].MaxConns = tightConns
+		}
+	}
+	return c
+}
+
 // freezeSpan is a time span in which a node's process was frozen.
 type freezeSpan struct {
 	callerAddr string
@@ -78,7 +93,7 @@
 			_ = os.RemoveAll(dir)
 		}
 	})
-	h.Fleet, err = standin.NewFleet(seed, standin.Example(), nil, nil)
+	h.Fleet, err = standin.NewFleet(seed, newConfig(seed), nil, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(h.Close)
 	h.Recorder.SetDelayPredicate(h.mayBeDelayed)
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -110,6 +110,9 @@
 		})
 	}
 	stops.Wait()
+	for _, s := range h.Servers(standin.ServiceLoans) {
+		t.Logf("%s has reset %d connections above its limit", s.ID, s.Resets())
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.g.Expect(h.unexpectedExits).To(BeEmpty(), "processes that exited by themselves")
--- a/io/upstream/connlimit_test.go
+++ b/io/upstream/connlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -100,3 +101,26 @@
 	g.Expect(s.resets.Load()).To(BeZero())
 	g.Expect(s.ran.Load()).To(BeEquivalentTo(clients * rounds))
 }
+
+// TestIdleClosedFirst guards against a new connection beside an idle one that the limit does not allow, and against an idle
+// connection that is kept beside those in use.
+func TestIdleClosedFirst(t *testing.T) {
+	g := NewWithT(t)
+	s := startLimited(t, 10)
+	var vars expvar.Map
+	c := upstream.New(upstream.WithVars(&vars))
+	defer c.Close()
+	limit := connlimit.Limit{Conns: 2}
+	var wg sync.WaitGroup
+	for range 5 { // more than the limit at a time, as the limit of requests is not kept here
+		wg.Go(func() {
+			_, err := exchange(t, c, s.Addr(), &upstream.Request{Limit: limit})
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	wg.Wait()
+	g.Expect(vars.Get("upstream_idle").String()).To(Equal("1"))
+	_, err := exchange(t, c, s.Addr(), &upstream.Request{NewConn: true, Limit: connlimit.Limit{Conns: 1}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(vars.Get("upstream_open").String()).To(Equal("0"))
+}
