--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -159,6 +159,7 @@
 	if err != nil {
 		return x.reportInterrupted(err, res)
 	}
+	_ = resp.Close() // before the report, after which another request may be sent on the connection
 	x.reportSuccess(res)
 	return true
 }
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -12,7 +12,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -104,7 +103,7 @@
 	singleUse      bool // the connection is not reused
 	bodyComplete   bool // the body was read to its end
 	memory         *membudget.Share
-	released       sync.Once // the connection is no longer in use
+	closed         bool
 }
 
 // Keep reports whether the memory for all responses allows to keep n bytes of this one.
@@ -271,8 +270,13 @@
 	return n, nil
 }
 
-// Close ends the exchange. The connection is kept for reuse if the response was read to its end.
+// Close ends the exchange. The connection is kept for reuse if the response was read to its end. Only the first call has an
+// effect.
 func (r *ResponseReader) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
 	defer r.memory.Release()
 	r.drain()
 	select {
@@ -284,7 +288,7 @@
 		return r.abort()
 	}
 	r.conn.idleTimeout = r.limit.IdleTime(r.atMostOnce, parseKeepAlive(r.Header.Get("Keep-Alive")))
-	r.released.Do(func() { r.client.putIdle(r.conn, r.limit) })
+	r.client.putIdle(r.conn, r.limit)
 	return nil
 }
 
@@ -303,7 +307,7 @@
 	r.memory.Release()
 	r.stopAfterFunc()
 	err := r.conn.Close()
-	r.released.Do(func() { r.client.release(r.conn.addr) })
+	r.client.release(r.conn.addr)
 	return err
 }
 
