--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -26,6 +26,9 @@
 	// minBackoff and maxBackoff bound how long an unreachable server gets no requests.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
+	// rejectedBackoff is how long a server gets no requests that has rejected a connection because it had too many. It is longer
+	// than plain services keep one in use (15 to 60 ms).
+	rejectedBackoff = 100 * time.Millisecond
 	// defaultLatency is the latency of a server that has not responded yet, for the comparison with its peers.
 	defaultLatency = 20 * time.Millisecond
 	// latencyDecayTime is the time in which a measured latency loses two thirds of its weight against the best latency in the
@@ -50,6 +53,13 @@
 	ColdRate   float64       // requests per second that a cold server can take, 0 for no limit
 	StuckAfter time.Duration // time without a response after which a server is avoided, 0 for no limit
 	Versions   Versions      // nil for all
+	Conns      Conns         // nil for no limit
+}
+
+// Conns tells whether an attempt may use another connection to a server at which others are in use. The load is nil if the
+// server has reported none lately.
+type Conns interface {
+	Allows(server id.Server, inUse int, load *selfreport.Load) bool
 }
 
 // Versions selects the server versions that may serve a request.
@@ -57,12 +67,13 @@
 
 // Outcome describes how an attempt ended.
 type Outcome struct {
-	Fail        event.FailKind // 0 if the server responded
-	ServerError bool           // the response has a 5xx status
-	Took        time.Duration  // duration of the attempt
-	Load        selfreport.Load
-	LoadKnown   bool // Load is set
-	Moved       bool // a different server responded at the address
+	Fail         event.FailKind // 0 if the server responded
+	ServerError  bool           // the response has a 5xx status
+	Took         time.Duration  // duration of the attempt
+	Load         selfreport.Load
+	LoadKnown    bool // Load is set
+	Moved        bool // a different server responded at the address
+	ConnRejected bool // the server closed a new connection before anything was sent
 }
 
 // serverState is what this node has observed of a server.
@@ -176,9 +187,20 @@
 	if now.Before(b.state(s.ID).backoffUntil) {
 		return "backing off after a failed attempt"
 	}
+	if st := b.state(s.ID); q.Conns != nil && !q.Conns.Allows(s.ID, st.inflight, st.recentLoad(now)) {
+		return "this node has its share of connections in use"
+	}
 	return ""
 }
 
+// recentLoad returns the load that the server has reported lately, or nil.
+func (st *serverState) recentLoad(now time.Time) *selfreport.Load {
+	if now.Sub(st.loadAt) >= maxLoadAge {
+		return nil
+	}
+	return &st.load
+}
+
 // ReadyIn returns how long all usable servers for an attempt want no requests from this node, by what they say of themselves. It
 // returns 0 if one of them takes requests, or if there is none.
 func (b *Balancer) ReadyIn(now time.Time, q Query) time.Duration {
@@ -242,8 +264,8 @@
 	st := b.state(s.ID)
 	st.decayFailures(now)
 	busy := float64(st.inflight)
-	if now.Sub(st.loadAt) < maxLoadAge {
-		busy = max(busy, float64(st.load.Running+st.load.Waiting))
+	if load := st.recentLoad(now); load != nil {
+		busy = max(busy, float64(load.Running+load.Waiting))
 	}
 	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * (1 + busy/float64(max(1, s.Slots))))
 	cost += time.Duration(st.failureRate * float64(failurePenalty))
@@ -319,6 +341,9 @@
 		st.load, st.loadAt = o.Load, now
 	}
 	switch {
+	case o.Fail == event.FailUnsent && o.ConnRejected:
+		st.backoffUntil = now.Add(rejectedBackoff)
+		return
 	case o.Fail == event.FailUnsent:
 		st.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(st.backoffs, 4)))
 		st.backoffs++
--- a/core/proxy/gateway_test.go
+++ b/core/proxy/gateway_test.go
@@ -38,6 +38,7 @@
 		Pools: []catalog.Pool{
 			{Name: "model"},
 			{Name: "loans"},
+			{Name: "desk", MaxConns: 8},
 			{Name: "times", Pieces: &catalog.Pieces{MaxCalls: 1, MaxQueuedCalls: 2, MaxBatch: 8, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultMemory: 1 << 20, ResultTTL: 4 * time.Second}},
 		},
 		Workspaces: []catalog.Workspace{{Name: "tunis", Keys: []string{"key"}, Priority: catalog.NoPriority}},
@@ -55,7 +56,7 @@
 	renew.Timeout = 6 * time.Second
 	chat := draft
 	chat.Name, chat.Prefix, chat.CallerTimeout, chat.MaxAttempts, chat.Resumable = "chat", "/chat/", 2*time.Second, 2, true
-	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew, chat}
+	c.Routes = []catalog.Route{route("lend", catalog.Unsafe, "loans", 1), route("look", catalog.Safe, "loans", 2), draft, renew, chat, route("stamp", catalog.Unsafe, "desk", 1)}
 	if version >= 10 {
 		c.Routes = c.Routes[1:]
 	}
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -5,6 +5,7 @@
 
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/connlimit"
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/selfreport"
@@ -65,17 +66,18 @@
 
 // Result describes how a forwarded request ended.
 type Result struct {
-	Fail        event.FailKind // 0 if the server responded
-	Status      int            // HTTP status of the server's response
-	Held        bool           // the response is held back until Deliver or another Forward
-	Began       bool           // part of a response has reached the caller
-	ConnRefused bool           // the server refused the connection, or another one after its response had broken off
-	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
-	Moved       bool           // a different server responded at the address
-	CanResume   bool           // the stream can be continued after the last event that was passed on
-	LastEventID string         // its id; the caller's own if no event was passed on, empty for none
-	SinceEvent  time.Duration  // time since it was passed on, or since the request arrived
-	Detail      string
+	Fail         event.FailKind // 0 if the server responded
+	Status       int            // HTTP status of the server's response
+	Held         bool           // the response is held back until Deliver or another Forward
+	Began        bool           // part of a response has reached the caller
+	ConnRefused  bool           // the server refused the connection, or another one after its response had broken off
+	ConnRejected bool           // the server closed a new connection before anything was sent, as servers do that have too many
+	InputsGone   bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
+	Moved        bool           // a different server responded at the address
+	CanResume    bool           // the stream can be continued after the last event that was passed on
+	LastEventID  string         // its id; the caller's own if no event was passed on, empty for none
+	SinceEvent   time.Duration  // time since it was passed on, or since the request arrived
+	Detail       string
 	selfreport.Report
 }
 
@@ -95,6 +97,13 @@
 		Resumable   bool         // another server may continue the stream, so that the ids of its events are checked
 		Resume      bool         // continue a stream that broke off after the event LastEventID
 		LastEventID string       // empty for the beginning of the stream
+		Conns       connlimit.Limit
+	}
+	// ConnLimited reports that servers were not chosen for a request because this node has its share of connections to them
+	// in use.
+	ConnLimited struct {
+		event.Out
+		Outcome ConnLimitOutcome
 	}
 	// Deliver sends the response that was held back to the caller.
 	Deliver struct {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -9,6 +9,7 @@
 	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/connlimit"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -70,6 +71,7 @@
 	handover    *handover // progress of the job at the previous leader, nil for none
 
 	placingSince time.Time        // start of the wait for a server
+	connCheck    *connlimit.Check // of the servers for the last attempt to place it
 	server       id.Server        // the server that it was sent to last
 	crashKeys    []id.Fingerprint // identify its content and the shared parts of its prompt
 	trial        bool             // sent although it was refused, to learn whether it still crashes servers
@@ -186,6 +188,7 @@
 		return
 	}
 	s, reason := g.pickServer(now, r)
+	g.reportConnLimit(now, r, s, out)
 	if s == nil {
 		g.waitForServer(now, r, reason, out)
 		return
@@ -205,6 +208,7 @@
 	f := Forward{
 		Ticket: r.ticket, Server: batch.Target{ID: s.ID, Addr: s.Addr}, Keyed: g.catalog.KeyRequired(), Workspace: r.workspace, Until: r.deadline,
 		Inputs: r.inputs, Once: r.route.AtMostOnce(), Hold: r.runs+1 < r.route.MaxAttempts || r.route.AtMostOnce(),
+		Conns: g.connLimits.Limit(s.ID, r.pool.MaxConns),
 	}
 	if !r.route.AtMostOnce() && r.runs+1 < r.route.MaxAttempts {
 		f.First = now.Add(max(minFirstByteLimit, time.Duration(firstByteFactor*float64(r.route.LatencyObjective))))
@@ -236,7 +240,7 @@
 	took := now.Sub(r.sent)
 	serverError := ev.Status >= http.StatusInternalServerError
 	g.balancer.End(now, r.server, r.sent, balance.Outcome{
-		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved,
+		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved, ConnRejected: ev.ConnRejected,
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -48,7 +48,7 @@
 	ctx, cancel := x.attemptContext(f.Until)
 	req := &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: forwardedHeaders(x.r.Header), Body: x.body,
-		AtMostOnce: f.Once, HeaderDeadline: f.First, ID: string(x.info.Name),
+		AtMostOnce: f.Once, HeaderDeadline: f.First, ID: string(x.info.Name), Limit: f.Conns,
 		Matches: func(resp *http.Response) upstream.Match { return x.server.dialect.Matches(x.info.Name, resp) },
 	}
 	x.server.dialect.SetRequestHeaders(req.Header, f, time.Until(f.Until))
@@ -74,6 +74,7 @@
 		res.Fail = event.FailBroken
 	}
 	res.ConnRefused = res.ConnRefused || errors.Is(err, syscall.ECONNREFUSED)
+	res.ConnRejected = errors.Is(err, upstream.ErrClosedUnused)
 	x.mayHaveRun = x.mayHaveRun || !res.Fail.NotRun()
 	if !x.callerConnected() {
 		return false // serve handles the disconnect
@@ -168,6 +169,7 @@
 	if err != nil {
 		return x.reportInterrupted(err, res)
 	}
+	_ = resp.Close() // before the report, after which another request may be sent on the connection
 	x.reportSuccess(res)
 	return true
 }
--- a/io/upstream/probe.go
+++ b/io/upstream/probe.go
@@ -15,7 +15,7 @@
 func (c *Client) Refuses(ctx context.Context, addr netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := c.dial(ctx, addr)
+	conn, err := c.dialer.DialContext(ctx, "tcp", addr.String())
 	if err == nil {
 		_ = conn.Close()
 	}
