balance: read the pace that servers report with their load

A load report with four figures was dropped as malformed, so that nothing was known of such servers' load. The fourth figure is read as the pace and scales the expected latency, with a weight that falls with its age. The load is recorded at the begin of a response, where its server stated it; before, a stream's report counted as new at the stream's end.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -33,6 +33,11 @@
 	latencyDecayTime = 4 * time.Second
 	// latencyGain is the weight of a new measurement in the smoothed latency.
 	latencyGain = 0.1
+	// paceDecayTime is the time in which a reported pace loses two thirds of its weight. Servers change their pace many times a
+	// second, so that an old one says little.
+	paceDecayTime = 200 * time.Millisecond
+	// maxPaceFactor bounds the effect of a reported pace, so that a wrong one does not keep a server unused or overloaded.
+	maxPaceFactor = 8
 	// maxLoadAge is how long a load report is used.
 	maxLoadAge = time.Second
 	// remoteDomainPenalty is added to the cost of a server in another failure domain.
@@ -236,7 +241,17 @@
 	return baseline + time.Duration(st.latencyWeight(now)*float64(st.latency-baseline))
 }
 
-// cost returns the expected latency of a server under its load, plus penalties for failures, stuck attempts and another
+// paceFactor returns how much longer than normal work takes on a server: as it reported last, approaching 1 with the age of the
+// report.
+func (st *serverState) paceFactor(now time.Time) float64 {
+	if st.load.Pace == 0 {
+		return 1
+	}
+	factor := min(maxPaceFactor, max(1.0/maxPaceFactor, float64(st.load.Pace)/selfreport.NormalPace))
+	return 1 + (factor-1)*math.Exp(-float64(now.Sub(st.loadAt))/float64(paceDecayTime))
+}
+
+// cost returns the expected latency of a server at its pace and under its load, plus penalties for failures, stuck attempts and another
 // failure domain.
 func (b *Balancer) cost(now time.Time, s *fleet.Server, q Query, baseline time.Duration) time.Duration {
 	st := b.state(s.ID)
@@ -245,7 +260,7 @@
 	if now.Sub(st.loadAt) < maxLoadAge {
 		busy = max(busy, float64(st.load.Running+st.load.Waiting))
 	}
-	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * (1 + busy/float64(max(1, s.Slots))))
+	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * st.paceFactor(now) * (1 + busy/float64(max(1, s.Slots))))
 	cost += time.Duration(st.failureRate * float64(failurePenalty))
 	if st.stuck(now, q.StuckAfter) {
 		cost += failurePenalty
@@ -299,8 +314,14 @@
 // Inflight returns the number of open attempts of this node at a server.
 func (b *Balancer) Inflight(name id.Server) int { return b.state(name).inflight }
 
-// ResponseStarted records that the response to an attempt has begun.
-func (b *Balancer) ResponseStarted(name id.Server, sent time.Time) { b.state(name).removeWaiting(sent) }
+// ResponseStarted records that the response to an attempt has begun, and the load that it reports.
+func (b *Balancer) ResponseStarted(now time.Time, name id.Server, sent time.Time, r selfreport.Report) {
+	st := b.state(name)
+	st.removeWaiting(sent)
+	if r.LoadKnown {
+		st.load, st.loadAt = r.Load, now
+	}
+}
 
 // removeWaiting removes an attempt from those without a response.
 func (st *serverState) removeWaiting(sent time.Time) {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -196,3 +196,19 @@
 	g.Expect(s).To(BeNil())
 	g.Expect(reason).To(ContainSubstring("none of 2 servers of pool p: closed"))
 }
+
+// TestPace guards against sending requests to a server that reports that it is slow now, and against believing that for long.
+func TestPace(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(3)
+	q := balance.Query{Pool: pool}
+	h.sendMany(20, q, healthy)
+	pace := func(percent int) balance.Outcome {
+		return balance.Outcome{LoadKnown: true, Load: selfreport.Load{Running: 1, Slots: 6, Pace: percent}}
+	}
+	g.Expect(h.send(q, pace(100))).To(Equal(id.Server("s0")))
+	g.Expect(h.send(q, pace(300))).To(Equal(id.Server("s0")))
+	g.Expect(h.send(q, pace(100))).NotTo(Equal(id.Server("s0")))
+	h.now = h.now.Add(time.Second)
+	g.Expect(h.send(q, pace(100))).To(Equal(id.Server("s0")), "an old pace is believed")
+}
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -223,7 +223,8 @@
 	took := now.Sub(r.sent)
 	serverError := ev.Status >= http.StatusInternalServerError
 	g.balancer.End(now, r.server, r.sent, balance.Outcome{
-		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved,
+		Fail: ev.Fail, ServerError: serverError, Took: took, Moved: ev.Moved,
+		Load: ev.Load, LoadKnown: ev.LoadKnown && !r.began, // a response reports the load at its begin
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
@@ -354,7 +355,7 @@
 		return
 	}
 	r.began = true
-	g.balancer.ResponseStarted(r.server, r.sent)
+	g.balancer.ResponseStarted(now, r.server, r.sent, ev.Report)
 	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, ev.Report)...)
 	r.beganAt, r.beganStatus = now, ev.Status
 	g.timers.Set(now.Add(provingTime), r.ticket)
--- a/core/selfreport/report.go
+++ b/core/selfreport/report.go
@@ -8,8 +8,12 @@
 // Load is a server's own report of its load.
 type Load struct {
 	Running, Waiting, Slots int
+	Pace                    int // time that work takes now, in percent of the normal time; 0 if not reported
 }
 
+// NormalPace is the pace of a server whose work takes the normal time.
+const NormalPace = 100
+
 // Full reports whether the server could not begin with another request.
 func (l Load) Full() bool { return l.Waiting > 0 || l.Running >= l.Slots }
 
