--- a/core/selfreport/report.go
+++ b/core/selfreport/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -14,6 +15,24 @@
 // NormalPace is the pace of a server whose work takes the normal time.
 const NormalPace = 100
 
+const (
+	// paceDecayTime is the time in which a reported pace loses two thirds of its weight. Servers change their pace many times a
+	// second, so that an old one says little.
+	paceDecayTime = 200 * time.Millisecond
+	// maxSlowdown bounds the effect of a reported pace, so that a wrong one does not keep a server unused or overloaded.
+	maxSlowdown = 8
+)
+
+// Slowdown returns how much longer than normal work takes on a server that reported its load the given time ago. It approaches 1
+// with the age of the report.
+func (l Load) Slowdown(age time.Duration) float64 {
+	if l.Pace == 0 {
+		return 1
+	}
+	factor := min(maxSlowdown, max(1.0/maxSlowdown, float64(l.Pace)/NormalPace))
+	return 1 + (factor-1)*math.Exp(-float64(age)/float64(paceDecayTime))
+}
+
 // Full reports whether the server could not begin with another request.
 func (l Load) Full() bool { return l.Waiting > 0 || l.Running >= l.Slots }
 
