balance: place sized requests by their expected cost

Sticky requests stayed at the first server of their order whatever its load, because a node of 142 has far fewer than one request at a server, and others were placed by the number of requests.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,14 +1,12 @@
 package balance
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"bluebellflow/core/cost"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -33,30 +31,25 @@
 	latencyDecayTime = 4 * time.Second
 	// latencyGain is the weight of a new measurement in the smoothed latency.
 	latencyGain = 0.1
-	// paceDecayTime is the time in which a reported pace loses two thirds of its weight. Servers change their pace many times a
-	// second, so that an old one says little.
-	paceDecayTime = 200 * time.Millisecond
-	// maxPaceFactor bounds the effect of a reported pace, so that a wrong one does not keep a server unused or overloaded.
-	maxPaceFactor = 8
 	// maxLoadAge is how long a load report is used.
 	maxLoadAge = time.Second
 	// remoteDomainPenalty is added to the cost of a server in another failure domain.
 	remoteDomainPenalty = 2 * time.Millisecond
-	// stickyExcess is how many requests above this node's average per server a server may have before the next server in the
-	// order of a prompt is taken.
-	stickyExcess = 6
 )
 
 // Query describes an attempt that needs a server.
 type Query struct {
 	Pool       id.Pool
 	Exclude    []id.Server   // tried before
-	PrefixID   uint64        // identifies the shared part of the prompt, 0 for none
+	Request    *cost.Request // its size, nil if not known
 	ColdRate   float64       // requests per second that a cold server can take, 0 for no limit
 	StuckAfter time.Duration // time without a response after which a server is avoided, 0 for no limit
 	Versions   Versions      // nil for all
 }
 
+// sized reports whether the size of the request is known.
+func (q Query) sized() bool { return q.Request != nil && q.Request.Known() }
+
 // Versions selects the server versions that may serve a request.
 type Versions interface{ Allows(id.Version) bool }
 
@@ -67,6 +60,7 @@
 	Took        time.Duration  // duration of the attempt
 	Load        selfreport.Load
 	LoadKnown   bool // Load is set
+	Events      int  // of a complete stream, 0 for another response
 	Moved       bool // a different server responded at the address
 }
 
@@ -103,11 +97,14 @@
 	states  map[id.Server]*serverState
 	cold    *ratelimit.ColdLimiter
 	reports serverReports
+	model   *cost.Model
+	rings   map[id.Pool]*ring
+	home    id.Server // chosen by the last Pick as the home of the request's shared part, empty if it was another server
 }
 
 // New returns a balancer without statistics.
 func New(self event.Self, servers serverSource, cold *ratelimit.ColdLimiter, reports serverReports) *Balancer {
-	return &Balancer{self: self, servers: servers, states: map[id.Server]*serverState{}, cold: cold, reports: reports}
+	return &Balancer{self: self, servers: servers, states: map[id.Server]*serverState{}, cold: cold, reports: reports, model: cost.New(), rings: map[id.Pool]*ring{}}
 }
 
 func (b *Balancer) state(name id.Server) *serverState {
@@ -135,6 +132,7 @@
 func (b *Balancer) forget(name id.Server) {
 	delete(b.states, name)
 	b.cold.Forget(name)
+	b.model.Forget(name)
 }
 
 // Pick chooses a server. The returned reason describes the choice, or why there is no server.
@@ -143,22 +141,30 @@
 	if len(all) == 0 {
 		return nil, "no server of pool " + string(q.Pool)
 	}
-	var candidates []*fleet.Server
-	reason := ""
-	for _, s := range all {
+	if q.sized() {
+		return b.leastExpected(now, q)
+	}
+	usable, reason := b.usable(now, q, all)
+	if len(usable) == 0 {
+		return nil, noServer(q, len(all), reason)
+	}
+	return b.leastCost(now, q, usable)
+}
+
+func noServer(q Query, servers int, reason string) string {
+	return fmt.Sprintf("none of %d servers of pool %s: %s", servers, q.Pool, reason)
+}
+
+// usable returns the servers that may be used now, and why another one may not.
+func (b *Balancer) usable(now time.Time, q Query, servers []*fleet.Server) (list []*fleet.Server, reason string) {
+	for _, s := range servers {
 		if excluded := b.exclusion(now, s, q); excluded != "" {
 			reason = excluded
 			continue
 		}
-		candidates = append(candidates, s)
-	}
-	if len(candidates) == 0 {
-		return nil, fmt.Sprintf("none of %d servers of pool %s: %s", len(all), q.Pool, reason)
-	}
-	if q.PrefixID != 0 {
-		return b.sticky(now, q, candidates)
+		list = append(list, s)
 	}
-	return b.leastCost(now, q, candidates)
+	return list, reason
 }
 
 // exclusion returns why a server may not be used now, or "" if it may.
@@ -241,16 +247,6 @@
 	return baseline + time.Duration(st.latencyWeight(now)*float64(st.latency-baseline))
 }
 
-// paceFactor returns how much longer than normal work takes on a server: as it reported last, approaching 1 with the age of the
-// report.
-func (st *serverState) paceFactor(now time.Time) float64 {
-	if st.load.Pace == 0 {
-		return 1
-	}
-	factor := min(maxPaceFactor, max(1.0/maxPaceFactor, float64(st.load.Pace)/selfreport.NormalPace))
-	return 1 + (factor-1)*math.Exp(-float64(now.Sub(st.loadAt))/float64(paceDecayTime))
-}
-
 // cost returns the expected latency of a server at its pace and under its load, plus penalties for failures, stuck attempts and another
 // failure domain.
 func (b *Balancer) cost(now time.Time, s *fleet.Server, q Query, baseline time.Duration) time.Duration {
@@ -260,7 +256,7 @@
 	if now.Sub(st.loadAt) < maxLoadAge {
 		busy = max(busy, float64(st.load.Running+st.load.Waiting))
 	}
-	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * st.paceFactor(now) * (1 + busy/float64(max(1, s.Slots))))
+	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * st.load.Slowdown(now.Sub(st.loadAt)) * (1 + busy/float64(max(1, s.Slots))))
 	cost += time.Duration(st.failureRate * float64(failurePenalty))
 	if st.stuck(now, q.StuckAfter) {
 		cost += failurePenalty
@@ -271,35 +267,6 @@
 	return cost
 }
 
-// sticky returns the first healthy server in the prompt's rendezvous order, so that requests with the same shared part
-// reach the server that has already processed it.
-func (b *Balancer) sticky(now time.Time, q Query, candidates []*fleet.Server) (*fleet.Server, string) {
-	total := 0
-	for _, s := range candidates {
-		total += b.state(s.ID).inflight
-	}
-	limit := total/len(candidates) + stickyExcess
-	slices.SortFunc(candidates, func(x, y *fleet.Server) int {
-		return cmp.Compare(rendezvousHash(q.PrefixID, x.ID), rendezvousHash(q.PrefixID, y.ID))
-	})
-	for i, s := range candidates {
-		st := b.state(s.ID)
-		st.decayFailures(now)
-		if st.failureRate < maxStickyFailureRate && !st.stuck(now, q.StuckAfter) && st.inflight < limit {
-			return s, fmt.Sprintf("prompt=%08x place=%d inflight=%d failing=%.2f of=%d", uint32(q.PrefixID), i, st.inflight, st.failureRate, len(candidates))
-		}
-	}
-	return b.leastCost(now, q, candidates)
-}
-
-// rendezvousHash returns the rank of a server in the order of a prompt; the lowest comes first.
-func rendezvousHash(prefix uint64, name id.Server) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(prefix)
-	_, _ = d.WriteString(string(name))
-	return d.Sum64()
-}
-
 // Start records that an attempt is sent.
 func (b *Balancer) Start(now time.Time, s *fleet.Server, q Query) {
 	st := b.state(s.ID)
@@ -309,6 +276,9 @@
 		b.cold.Take(now, s.ID)
 	}
 	b.reports.CountRequest(now, s)
+	if q.sized() {
+		b.model.Start(now, b.place(s, s.ID == b.home, len(b.servers.Pool(q.Pool))), q.Request)
+	}
 }
 
 // Inflight returns the number of open attempts of this node at a server.
@@ -319,8 +289,15 @@
 	st := b.state(name)
 	st.removeWaiting(sent)
 	if r.LoadKnown {
-		st.load, st.loadAt = r.Load, now
+		b.recordLoad(now, name, r.Load)
 	}
+	b.model.Began(now, name, sent)
+}
+
+func (b *Balancer) recordLoad(now time.Time, name id.Server, load selfreport.Load) {
+	st := b.state(name)
+	st.load, st.loadAt = load, now
+	b.model.Report(now, name, load)
 }
 
 // removeWaiting removes an attempt from those without a response.
@@ -336,8 +313,9 @@
 	st.inflight = max(0, st.inflight-1)
 	st.removeWaiting(sent)
 	st.decayFailures(now)
+	b.model.End(now, name, sent, o.Events)
 	if o.LoadKnown {
-		st.load, st.loadAt = o.Load, now
+		b.recordLoad(now, name, o.Load)
 	}
 	switch {
 	case o.Fail == event.FailUnsent:
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"bluebellflow/core/balance"
+	"bluebellflow/core/cost"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -145,10 +146,17 @@
 	})
 }
 
+// prompt returns a query for a request whose prompt has the given shared part.
+func prompt(part uint64) balance.Query {
+	return balance.Query{Pool: pool, Request: &cost.Request{
+		Prompt: 2200, Shared: []cost.Part{{ID: part, Tokens: 2000}}, Output: 400, Stream: true, Objective: 500 * time.Millisecond, Deadline: 10 * time.Second,
+	}}
+}
+
 // TestSticky guards against sending requests with the same shared part to different servers, against overloading one
 // server with a popular part, and against staying with a server that fails.
 func TestSticky(t *testing.T) {
-	q := balance.Query{Pool: pool, PrefixID: 77}
+	q := prompt(77)
 	t.Run("same server", func(t *testing.T) {
 		g := NewWithT(t)
 		h := newHarness(9)
@@ -159,7 +167,7 @@
 		h := newHarness(9)
 		used := id.NewSet[id.Server]()
 		for i := range uint64(100) {
-			used.Add(h.send(balance.Query{Pool: pool, PrefixID: i + 1}, balance.Outcome{}))
+			used.Add(h.send(prompt(i+1), balance.Outcome{}))
 		}
 		g.Expect(used).To(HaveLen(9))
 	})
--- /dev/null
+++ b/core/balance/place.go
@@ -0,0 +1,209 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellflow/core/cost"
+	"bluebellflow/core/fleet"
+	"bluebellflow/core/id"
+)
+
+const (
+	// homeChoices is the number of servers that are weighed of those that come first in the order of a shared prompt part.
+	homeChoices = 3
+	// randomChoices is the number of servers that are weighed besides them, and freeChoices the number without a shared part.
+	randomChoices = 2
+	freeChoices   = 4
+	// maxTries bounds the servers that are tried for either, because some cannot be used.
+	maxTries = 8
+)
+
+// Weights of the parts of a cost. The time of a request, and the time by which it delays others, count once.
+const (
+	// againWeight is the weight of the time to read shared parts again that another server has cached. With 30, nine servers read
+	// five times as many tokens again, and no caller waited less.
+	againWeight = 100
+	// lateWeight is the weight of the expected cost of being late.
+	lateWeight = 4
+	// lateSteepness is the exponent of the chance to be late: an estimate is rarely off by more than a factor of two.
+	lateSteepness = 3
+)
+
+// ring holds the hashes of the servers of a pool, from which their order for a prompt part follows.
+type ring struct {
+	servers []*fleet.Server
+	hashes  []uint64
+	near    []*fleet.Server // of the node's failure domain
+}
+
+// ring returns the ring of a pool's present servers.
+func (b *Balancer) ring(name id.Pool) *ring {
+	servers := b.servers.Pool(name)
+	r, ok := b.rings[name]
+	if ok && len(r.servers) == len(servers) && (len(servers) == 0 || &r.servers[0] == &servers[0]) {
+		return r
+	}
+	r = b.newRing(servers)
+	b.rings[name] = r
+	return r
+}
+
+func (b *Balancer) newRing(servers []*fleet.Server) *ring {
+	r := &ring{servers: servers}
+	for _, s := range servers {
+		r.hashes = append(r.hashes, xxhash.Sum64String(string(s.ID)))
+		if s.Domain == b.self.FailureDomain {
+			r.near = append(r.near, s)
+		}
+	}
+	return r
+}
+
+// first appends the servers that come first in the order of a prompt part, at most as many as dst has room for.
+func (r *ring) first(dst []*fleet.Server, part uint64) []*fleet.Server {
+	var ranks [maxTries]uint64
+	limit := min(cap(dst), maxTries)
+	for i, h := range r.hashes {
+		rank := cost.Mix(part, h)
+		if len(dst) == limit && rank >= ranks[limit-1] {
+			continue
+		}
+		if len(dst) < limit {
+			dst = append(dst, nil)
+		}
+		at := len(dst) - 1
+		for ; at > 0 && ranks[at-1] > rank; at-- {
+			dst[at], ranks[at] = dst[at-1], ranks[at-1]
+		}
+		dst[at], ranks[at] = r.servers[i], rank
+	}
+	return dst
+}
+
+// candidates returns the servers that are weighed for a request. The first one is the home of its shared part, if it has one. Only if
+// none of the first servers in the order can be used, all servers of the pool are searched.
+func (b *Balancer) candidates(now time.Time, q Query, r *ring) ([]*fleet.Server, string) {
+	list := b.choose(now, q, r)
+	if len(list) > 0 {
+		return list, ""
+	}
+	rest, reason := b.usable(now, q, r.servers)
+	return b.choose(now, q, b.newRing(rest)), reason
+}
+
+// choose returns the candidates among the servers of a ring. It returns none if there is a shared part and none of the first servers in
+// its order can be used.
+func (b *Balancer) choose(now time.Time, q Query, r *ring) []*fleet.Server {
+	var list []*fleet.Server
+	draws := freeChoices
+	if part := q.Request.Home(); part != 0 {
+		draws = randomChoices
+		if list = b.homes(now, q, r, part); len(list) == 0 {
+			return nil
+		}
+	}
+	wanted := len(list) + draws
+	for try := 0; try < maxTries && len(list) < wanted && len(r.servers) > 0; try++ {
+		from := r.servers
+		if try%2 == 0 && len(r.near) > 0 {
+			from = r.near
+		}
+		s := from[b.self.Rand.IntN(len(from))]
+		if !slices.Contains(list, s) && b.exclusion(now, s, q) == "" {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// homes returns the first servers in the order of a prompt part that can be used: those that do not fail, unless all do.
+func (b *Balancer) homes(now time.Time, q Query, r *ring, part uint64) []*fleet.Server {
+	var room [maxTries]*fleet.Server
+	var healthy, failing []*fleet.Server
+	for _, s := range r.first(room[:0], part) {
+		if len(healthy) == homeChoices {
+			break
+		}
+		if b.exclusion(now, s, q) != "" {
+			continue
+		}
+		st := b.state(s.ID)
+		st.decayFailures(now)
+		if st.failureRate < maxStickyFailureRate && !st.stuck(now, q.StuckAfter) {
+			healthy = append(healthy, s)
+		} else {
+			failing = append(failing, s)
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return failing
+}
+
+// leastExpected returns the candidate at which a request is expected to cost least: the request itself, the requests that are there,
+// and those that share parts of its prompt.
+func (b *Balancer) leastExpected(now time.Time, q Query) (*fleet.Server, string) {
+	r := b.ring(q.Pool)
+	list, reason := b.candidates(now, q, r)
+	if len(list) == 0 {
+		return nil, noServer(q, len(r.servers), reason)
+	}
+	best, lowest := 0, math.Inf(1)
+	var estimate cost.Estimate
+	sticky := q.Request.Home() != 0
+	for i, s := range list {
+		e := b.model.Estimate(now, b.place(s, sticky && i == 0, len(r.servers)), q.Request)
+		if c := b.expectedCost(now, s, q, e); c < lowest {
+			best, lowest, estimate = i, c, e
+		}
+	}
+	b.home = ""
+	if sticky && best == 0 {
+		b.home = list[best].ID
+	}
+	st := b.state(list[best].ID)
+	return list[best], fmt.Sprintf("prompt=%08x place=%d cost=%s %s inflight=%d failing=%.2f of=%d/%d", uint32(q.Request.Home()), best,
+		time.Duration(lowest).Round(time.Millisecond), estimate, st.inflight, st.failureRate, len(list), len(r.servers))
+}
+
+// place describes a server for the cost model.
+func (b *Balancer) place(s *fleet.Server, home bool, servers int) cost.Place {
+	return cost.Place{Server: s, Home: home, Servers: servers}
+}
+
+// expectedCost returns the cost of a request at a server in nanoseconds.
+func (b *Balancer) expectedCost(now time.Time, s *fleet.Server, q Query, e cost.Estimate) float64 {
+	sum := float64(e.End+e.Delay) + againWeight*float64(e.Again)
+	sum += lateWeight * (lateCost(e.First, q.Request.Objective) + lateCost(e.End+e.Late, q.Request.Deadline))
+	st := b.state(s.ID)
+	st.decayFailures(now)
+	sum += st.failureRate * float64(failurePenalty)
+	if st.stuck(now, q.StuckAfter) {
+		sum += float64(failurePenalty)
+	}
+	if s.Domain != b.self.FailureDomain {
+		sum += float64(remoteDomainPenalty)
+	}
+	return sum
+}
+
+// lateCost returns the cost of being late: the limit, scaled by the chance that it is exceeded.
+func lateCost(expected, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	ratio := math.Pow(float64(expected)/float64(limit), lateSteepness)
+	return float64(limit) * ratio / (1 + ratio)
+}
+
+// SetNodes sets the number of nodes that send requests.
+func (b *Balancer) SetNodes(count int) { b.model.SetNodes(count) }
+
+// Model returns the cost model.
+func (b *Balancer) Model() *cost.Model { return b.model }
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -6,6 +6,7 @@
 
 	"bluebellflow/core/balance"
 	"bluebellflow/core/catalog"
+	"bluebellflow/core/cost"
 	"bluebellflow/core/event"
 	"bluebellflow/core/evidence"
 	"bluebellflow/core/fleet"
@@ -33,34 +34,41 @@
 	return targets[0].Pool
 }
 
-func (g *Gateway) serverQuery(r *request) balance.Query {
+func (g *Gateway) serverQuery(now time.Time, r *request) balance.Query {
 	q := balance.Query{Pool: r.pool.Name, Exclude: r.avoid, StuckAfter: time.Duration(stuckFactor * float64(r.route.LatencyObjective))}
-	if r.route.Sticky {
-		q.PrefixID = sharedPrefix(r.Prompt)
-	}
+	q.Request = sizeOf(now, r)
 	if r.pool.ColdRate > 0 {
 		q.ColdRate = r.pool.ColdRate*g.bounds.ColdRateFactor + g.bounds.ColdRateSlack
 	}
 	return q
 }
 
-// sharedPrefix returns the ID of the last prompt part that other requests may share: the one before the last, or the only
-// one. It returns 0 for no prompt.
-func sharedPrefix(parts []PromptPart) uint64 {
-	switch len(parts) {
-	case 0:
-		return 0
-	case 1:
-		return parts[0].ID
+// sizeOf describes the work of a request. Only servers of a sticky route have prompt parts cached.
+func sizeOf(now time.Time, r *request) *cost.Request {
+	out := &cost.Request{
+		Route: r.route.Name, Workspace: r.workspace, Prompt: r.In, Output: r.Out, Hint: r.Hint, Stream: r.route.Kind == catalog.Stream,
+		Objective: r.objectiveAt.Sub(now), Deadline: r.deadline.Sub(now),
+	}
+	if r.route.Sticky {
+		out.Shared, out.Single = sharedParts(r.Prompt), len(r.Prompt) == 1
+	}
+	return out
+}
+
+// sharedParts returns the prompt parts that other requests may share: all but the last one, or the only one.
+func sharedParts(parts []PromptPart) []cost.Part {
+	var out []cost.Part
+	for _, p := range parts[:min(len(parts), max(1, len(parts)-1))] {
+		out = append(out, cost.Part(p))
 	}
-	return parts[len(parts)-2].ID
+	return out
 }
 
 // pickServer chooses a server among the versions that the rollout allows for the request. If there is none, it tries the
 // other version, then the servers that were tried before.
 func (g *Gateway) pickServer(now time.Time, r *request) (*fleet.Server, string) {
 	choice := g.rollouts.Choose(now, r.pool.Name, fingerprint(string(r.Name)), r.sends > 0)
-	q := g.serverQuery(r)
+	q := g.serverQuery(now, r)
 	q.Versions = choice
 	s, reason := g.balancer.Pick(now, q)
 	if other, ok := choice.Fallback(); s == nil && ok {
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -235,6 +235,7 @@
 	g.rollouts.SetNodes(names)
 	g.crashGuard.SetNodes(names)
 	g.reports.SetNodes(names)
+	g.balancer.SetNodes(len(names))
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
 }
 
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -28,6 +28,7 @@
 	Patience    time.Duration // timeout sent by the caller, 0 for none
 	Prompt      []PromptPart  // in order; the last part belongs to this request alone
 	In, Out     int           // tokens of the prompt; maximum tokens of the response
+	Hint        int           // tokens of the response that the caller expects, 0 for none
 	Pieces      []int         // number of pieces of each stage
 	PieceKey    string
 	Fingerprint id.Fingerprint `json:"Print"` // hash of method, host, target and body
@@ -71,6 +72,7 @@
 	ConnRefused bool           // the server refused the connection
 	InputsGone  bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
 	Moved       bool           // a different server responded at the address
+	Events      int            // complete events of a stream that has ended
 	Detail      string
 	selfreport.Report
 }
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -184,7 +184,7 @@
 		return
 	}
 	g.startTrial(now, r, out)
-	g.balancer.Start(now, s, g.serverQuery(r))
+	g.balancer.Start(now, s, g.serverQuery(now, r))
 	g.rollouts.RequestStarted(r.pool.Name, s.Version)
 	r.phase, r.server, r.sent, r.began = running, s.ID, now, false
 	r.version, r.start, r.load, r.cold = s.Version, s.Start, g.balancer.Inflight(s.ID), s.Cold(now)
@@ -203,7 +203,7 @@
 // waitForServer lets a request wait until it is placed again, or gives it up: at once if no server will take it in time.
 func (g *Gateway) waitForServer(now time.Time, r *request, reason string, out *actions) {
 	left := r.placingSince.Add(maxPlaceWait).Sub(now)
-	if ready := g.balancer.ReadyIn(now, g.serverQuery(r)); ready > left && !r.mayHaveRun {
+	if ready := g.balancer.ReadyIn(now, g.serverQuery(now, r)); ready > left && !r.mayHaveRun {
 		g.refuse(r, http.StatusServiceUnavailable, min(max(ready, minReadyRetryAfter), placeRetryAfter), reason, out)
 		return
 	}
@@ -225,6 +225,7 @@
 	g.balancer.End(now, r.server, r.sent, balance.Outcome{
 		Fail: ev.Fail, ServerError: serverError, Took: took, Moved: ev.Moved,
 		Load: ev.Load, LoadKnown: ev.LoadKnown && !r.began, // a response reports the load at its begin
+		Events: ev.Events,
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
--- a/core/proxy/stages.go
+++ b/core/proxy/stages.go
@@ -62,7 +62,7 @@
 		}
 		s.Stages = append(s.Stages, batchStage)
 	}
-	if server, _ := g.balancer.Pick(now, g.serverQuery(r)); server != nil {
+	if server, _ := g.balancer.Pick(now, g.serverQuery(now, r)); server != nil {
 		s.Prefer = server.Domain
 	}
 	out.add(
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -175,6 +175,7 @@
 	held            *response
 	mayHaveRun      bool // a server may have run it
 	responseStarted bool // the response to the caller has begun
+	events          int  // complete events of a stream that were sent to the caller
 	start           time.Time
 	progress        atomic.Int32 // a progress
 }
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -66,9 +66,22 @@
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
+	x.events += countEvents(events)
 	return control.Flush()
 }
 
+// eventSeparators end the events of a stream.
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
+
+// countEvents returns the number of complete events.
+func countEvents(events []byte) int {
+	n := 0
+	for _, separator := range eventSeparators {
+		n += bytes.Count(events, separator)
+	}
+	return n
+}
+
 // finishStream completes a stream at its end, given what follows its last complete event.
 func (x *exchange) finishStream(resp *http.Response, control *http.ResponseController, rest []byte, res proxy.Result) bool {
 	if insideEvent(rest) || !x.responseStarted && endsWithConn(resp) {
@@ -79,6 +92,7 @@
 			return x.reportInterrupted(err, res)
 		}
 	}
+	res.Events = x.events
 	x.reportSuccess(res)
 	return true
 }
@@ -105,7 +119,7 @@
 // completeEventsLength returns the length of the complete events at the start of raw, 0 if none ends after from.
 func completeEventsLength(raw []byte, from int) int {
 	end := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")} {
+	for _, separator := range eventSeparators {
 		if i := bytes.LastIndex(raw[from:], separator); i >= 0 {
 			end = max(end, from+i+len(separator))
 		}
