loadshare: nodes know the work that others have at each server

With 142 nodes a node has far fewer than one request at a server, so that its own attempts say little of the load.

--- a/core/cost/model.go
+++ b/core/cost/model.go
@@ -50,6 +50,7 @@
 	outputs *outputs
 	parts   *parts
 	nodes   int
+	sizedAt time.Time // when the last request was sent
 }
 
 // New returns a model that has learned nothing.
@@ -103,7 +104,8 @@
 	e.First = scale(time.Duration(p.read.base)+work.Read, slow) + e.Read
 	if excess := work.Requests + 1 - float64(slots); excess > 0 {
 		e.queued = true
-		e.First += scale(p.duration(), slow*excess/float64(slots))
+		left := scale(work.Write, 1/max(1, work.Requests)) // time until a request that is there ends
+		e.First += scale(left, slow*excess/float64(slots))
 	}
 	event := scale(p.eventTime(work.Requests), slow)
 	e.End = e.First + scale(event, events)
@@ -138,8 +140,12 @@
 	a.events, a.deviation = m.outputs.expect(r)
 	s.attempts = append(s.attempts, a)
 	m.parts.record(now, s.hash, r)
+	m.sizedAt = now
 }
 
+// LastSized returns when the last request of known size was sent, zero for never.
+func (m *Model) LastSized() time.Time { return m.sizedAt }
+
 // find returns the attempt that was sent to a server at the given time, nil if there is none.
 func (m *Model) find(name id.Server, sent time.Time) (*server, *attempt) {
 	s, ok := m.servers[name]
@@ -215,8 +221,11 @@
 	return out
 }
 
-// SetRemote records the work of the other nodes at a server, as it was at the given time.
+// SetRemote records the work of the other nodes at a server, as it was at the given time, if the pool gets requests of known size.
 func (m *Model) SetRemote(at time.Time, server *fleet.Server, w Work) {
+	if _, used := m.pools[server.Pool]; !used {
+		return
+	}
 	s := m.server(server)
 	s.remote, s.remoteAt = w, at
 }
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -15,6 +15,7 @@
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/leader"
+	"bluebellflow/core/loadshare"
 	"bluebellflow/core/ratelimit"
 	"bluebellflow/core/retry"
 	"bluebellflow/core/rollout"
@@ -73,6 +74,7 @@
 	crashGuard   *denylist.Guard
 	reports      *selfreport.Tracker
 	balancer     *balance.Balancer
+	loads        *loadshare.Sharer
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
@@ -107,9 +109,10 @@
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter, g.reports)
+	g.loads = loadshare.New(self, g.balancer.Model())
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
-	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, noTimers{g.balancer}, g.scheduler}
+	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, noTimers{g.balancer}, g.loads, g.scheduler}
 	return g
 }
 
@@ -225,12 +228,15 @@
 func (g *Gateway) nodesChanged() {
 	names := g.roster.Nodes()
 	var candidates []leader.Candidate
+	var sharers []loadshare.Node
 	for _, name := range names {
 		n, _ := g.roster.Node(name)
 		candidates = append(candidates, leader.Candidate{Node: name, Domain: n.Domain, Weight: n.Weight})
+		sharers = append(sharers, loadshare.Node{Name: name, Domain: n.Domain, Weight: n.Weight})
 	}
 	g.cache.SetPeers(names)
 	g.leader.SetCandidates(candidates)
+	g.loads.SetNodes(sharers)
 	g.coldLimiter.SetNodes(names)
 	g.rollouts.SetNodes(names)
 	g.crashGuard.SetNodes(names)
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -11,6 +11,7 @@
 	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
 	"bluebellflow/core/leader"
+	"bluebellflow/core/loadshare"
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/selfreport"
@@ -70,6 +71,7 @@
 		denylist.Trial{},
 		denylist.Refused{},
 		selfreport.Shared{},
+		loadshare.Digest{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -78,25 +80,26 @@
 		registered[env.Kind] = typename.Of(body)
 	}
 	names := map[uint32]string{
-		60: "leader.Ping",
-		61: "leader.Pong",
-		65: "mirror.Have",
-		66: "mirror.Supply",
-		67: "mirror.Current",
-		70: "batch.Submit",
-		71: "batch.Done",
-		72: "batch.Failed",
-		73: "batch.Release",
-		74: "batch.Moved",
-		80: "rollout.Report",
-		81: "rollout.Rulings",
-		82: "contain.Crash",
-		83: "denylist.Broken",
-		84: "denylist.Ended",
-		85: "denylist.Responded",
-		86: "denylist.Trial",
-		87: "denylist.Refused",
-		88: "selfreport.Shared",
+		60:  "leader.Ping",
+		61:  "leader.Pong",
+		65:  "mirror.Have",
+		66:  "mirror.Supply",
+		67:  "mirror.Current",
+		70:  "batch.Submit",
+		71:  "batch.Done",
+		72:  "batch.Failed",
+		73:  "batch.Release",
+		74:  "batch.Moved",
+		80:  "rollout.Report",
+		81:  "rollout.Rulings",
+		82:  "contain.Crash",
+		83:  "denylist.Broken",
+		84:  "denylist.Ended",
+		85:  "denylist.Responded",
+		86:  "denylist.Trial",
+		87:  "denylist.Refused",
+		88:  "selfreport.Shared",
+		100: "loadshare.Digest",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
