loadshare: bound the messages at many servers

A message lists at most 96 changes, the largest first, and complete messages come less often with more servers, so that traffic grows with the nodes only.

--- a/core/loadshare/sharer_test.go
+++ b/core/loadshare/sharer_test.go
@@ -207,6 +207,34 @@
 	c.g.Expect(c.bytes).To(BeEmpty())
 }
 
+// TestManyServers guards against messages that grow with the number of servers, and against changes that are never told.
+func TestManyServers(t *testing.T) {
+	const servers = 1900
+	c := newCluster(t, 12, servers)
+	load := func(requests float64) {
+		for i, n := range c.nodes {
+			for s := i; s < servers; s += len(c.nodes) {
+				n.work[serverName(s)] = cost.Work{Requests: requests}
+			}
+		}
+	}
+	load(2)
+	c.run(2*time.Second, nil)
+	c.bytes = map[bool]int{}
+	load(3)
+	c.run(5*time.Second, nil)
+	c.g.Expect((c.bytes[false]+c.bytes[true])/len(c.nodes)/5).To(BeNumerically("<", 10_000), "bytes per node and second")
+	c.run(40*time.Second, func() {
+		for _, n := range c.nodes {
+			n.sized = c.now
+		}
+	})
+	for s := range servers {
+		owner := s % len(c.nodes)
+		c.g.Expect(c.nodes[(owner+1)%len(c.nodes)].remote[serverName(s)].Requests).To(Equal(3.0), "server %d", s)
+	}
+}
+
 // TestTraffic guards against messages that take more than a small share of what requests take, and prints the bytes.
 func TestTraffic(t *testing.T) {
 	c := newCluster(t, 142, 90)
--- a/core/loadshare/table.go
+++ b/core/loadshare/table.go
@@ -4,11 +4,20 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"bluebellflow/core/cost"
 )
 
 const (
-	// fullInterval is the time between two complete messages. It bounds how long a lost message matters.
+	// fullInterval is the time between two complete messages about fullServers servers or fewer, and longer in proportion to more of
+	// them. It bounds how long a lost message matters.
 	fullInterval = 5 * time.Second
+	fullServers  = 256
+	// readsPerRequest is the number of readUnits that count like a request in the order of changes.
+	readsPerRequest = 8
+	// maxChanges bounds the servers in other messages, so that their bytes do not grow with the servers. The largest changes go
+	// first.
+	maxChanges = 96
 	// keepaliveInterval is the longest time between two messages.
 	keepaliveInterval = time.Second
 )
@@ -54,6 +63,7 @@
 	sent   table // what the receivers know
 	sentAt time.Time
 	fullAt time.Time
+	turn   uint64 // number of the message, which decides between changes of the same size
 }
 
 // restart makes the next message complete, for a new receiver.
@@ -61,27 +71,49 @@
 
 // next returns the message about a table, and whether there is anything to tell.
 func (o *outbox) next(now time.Time, t table) (Digest, bool) {
-	d := Digest{Scope: o.scope, Full: now.Sub(o.fullAt) >= fullInterval}
+	interval := fullInterval * time.Duration(max(1, len(t)/fullServers))
+	d := Digest{Scope: o.scope, Full: now.Sub(o.fullAt) >= interval}
 	if d.Full {
 		o.sent, o.fullAt = table{}, now
 	}
+	d.Servers = o.changes(t)
+	if !d.Full {
+		d.Servers = d.Servers[:min(len(d.Servers), maxChanges)]
+	}
+	if !d.Full && len(d.Servers) == 0 && now.Sub(o.sentAt) < keepaliveInterval {
+		return Digest{}, false
+	}
+	o.sentAt = now
+	o.turn++
+	o.sent.apply(Digest{Servers: d.Servers})
+	return d, true
+}
+
+// changes returns the servers of which the receivers do not know the work, those with the largest changes first.
+func (o *outbox) changes(t table) []Load {
+	var out []Load
 	for server, l := range t {
 		if differs(o.sent[server], l) {
-			d.Servers = append(d.Servers, l)
+			out = append(out, l)
 		}
 	}
 	for server := range o.sent {
 		if _, left := t[server]; !left {
-			d.Servers = append(d.Servers, Load{Server: server})
+			out = append(out, Load{Server: server})
 		}
 	}
-	if !d.Full && len(d.Servers) == 0 && now.Sub(o.sentAt) < keepaliveInterval {
-		return Digest{}, false
-	}
-	slices.SortFunc(d.Servers, func(a, b Load) int { return cmp.Compare(a.Server, b.Server) })
-	o.sentAt = now
-	o.sent.apply(Digest{Servers: d.Servers})
-	return d, true
+	slices.SortFunc(out, func(a, b Load) int {
+		return cmp.Or(
+			cmp.Compare(change(o.sent[b.Server], b), change(o.sent[a.Server], a)),
+			cmp.Compare(cost.Mix(uint64(a.Server), o.turn), cost.Mix(uint64(b.Server), o.turn)))
+	})
+	return out
+}
+
+// change returns the size of a change of the work at a server, in requests.
+func change(old, now Load) int {
+	distance := func(a, b uint32) int { return int(max(a, b) - min(a, b)) }
+	return distance(old.Requests, now.Requests) + distance(old.Read, now.Read)/readsPerRequest
 }
 
 // inbox is what another node has told.
