--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -99,7 +99,7 @@
 	reports serverReports
 	model   *cost.Model
 	rings   map[id.Pool]*ring
-	home    id.Server // chosen by the last Pick as the home of the request's shared part, empty if it was another server
+	placed  Placement // by the last Pick
 }
 
 // New returns a balancer without statistics.
@@ -141,6 +141,7 @@
 	if len(all) == 0 {
 		return nil, "no server of pool " + string(q.Pool)
 	}
+	b.placed = Placement{}
 	if q.sized() {
 		return b.leastExpected(now, q)
 	}
@@ -277,7 +278,7 @@
 	}
 	b.reports.CountRequest(now, s)
 	if q.sized() {
-		b.model.Start(now, b.place(s, s.ID == b.home, len(b.servers.Pool(q.Pool))), q.Request)
+		b.model.Start(now, b.place(s, b.placed.Choice == Home && b.placed.Server == s.ID, len(b.servers.Pool(q.Pool))), q.Request)
 	}
 }
 
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -28,12 +28,36 @@
 	// againWeight is the weight of the time to read shared parts again that another server has cached. With 30, nine servers read
 	// five times as many tokens again, and no caller waited less.
 	againWeight = 100
-	// lateWeight is the weight of the expected cost of being late.
-	lateWeight = 4
+	// lateWeight is the cost of being late, as a multiple of the objective. With 4, requests with a very popular part missed their
+	// objective before one of them was sent elsewhere.
+	lateWeight = 20
 	// lateSteepness is the exponent of the chance to be late: an estimate is rarely off by more than a factor of two.
 	lateSteepness = 3
 )
 
+// Choice is a kind of server that a request was placed at.
+type Choice string
+
+const (
+	// Free means that the request has no shared prompt part.
+	Free Choice = "free"
+	// Home means the first usable server in the order of the request's shared part.
+	Home Choice = "home"
+	// Away means another server.
+	Away Choice = "away"
+)
+
+// Placement describes the choice of a server for a request of known size.
+type Placement struct {
+	Server id.Server
+	Choice Choice // empty if the size of the request is not known
+	Unread int    // prompt tokens that the server is expected to read
+	Reread int    // of which tokens of shared parts that another server has cached
+}
+
+// Placed describes the last choice of Pick.
+func (b *Balancer) Placed() Placement { return b.placed }
+
 // ring holds the hashes of the servers of a pool, from which their order for a prompt part follows.
 type ring struct {
 	servers []*fleet.Server
@@ -163,9 +187,12 @@
 			best, lowest, estimate = i, c, e
 		}
 	}
-	b.home = ""
-	if sticky && best == 0 {
-		b.home = list[best].ID
+	b.placed = Placement{Server: list[best].ID, Choice: Free, Unread: int(estimate.Unread), Reread: int(estimate.Reread)}
+	switch {
+	case sticky && best == 0:
+		b.placed.Choice = Home
+	case sticky:
+		b.placed.Choice = Away
 	}
 	st := b.state(list[best].ID)
 	return list[best], fmt.Sprintf("prompt=%08x place=%d cost=%s %s inflight=%d failing=%.2f of=%d/%d", uint32(q.Request.Home()), best,
@@ -180,7 +207,8 @@
 // expectedCost returns the cost of a request at a server in nanoseconds.
 func (b *Balancer) expectedCost(now time.Time, s *fleet.Server, q Query, e cost.Estimate) float64 {
 	sum := float64(e.End+e.Delay) + againWeight*float64(e.Again)
-	sum += lateWeight * (lateCost(e.First, q.Request.Objective) + lateCost(e.End+e.Late, q.Request.Deadline))
+	late := lateChance(e.First, q.Request.Objective) + lateChance(e.End+e.Late, q.Request.Deadline)
+	sum += lateWeight * late * float64(max(q.Request.Objective, 0))
 	st := b.state(s.ID)
 	st.decayFailures(now)
 	sum += st.failureRate * float64(failurePenalty)
@@ -193,13 +221,13 @@
 	return sum
 }
 
-// lateCost returns the cost of being late: the limit, scaled by the chance that it is exceeded.
-func lateCost(expected, limit time.Duration) float64 {
+// lateChance returns the chance that a limit is exceeded, 0 if it is in any case.
+func lateChance(expected, limit time.Duration) float64 {
 	if limit <= 0 {
 		return 0
 	}
 	ratio := math.Pow(float64(expected)/float64(limit), lateSteepness)
-	return float64(limit) * ratio / (1 + ratio)
+	return ratio / (1 + ratio)
 }
 
 // SetNodes sets the number of nodes that send requests.
--- a/core/cost/model.go
+++ b/core/cost/model.go
@@ -29,10 +29,11 @@
 	End    time.Duration // from the send to the end of the response
 	Late   time.Duration // mean deviation of End
 	Read   time.Duration // time to read what is not cached of the prompt
-	Again  time.Duration // of which time to read shared parts again that another server has cached
+	Again  time.Duration // of which time to read shared parts again
 	Delay  time.Duration // sum of the delays of the requests that are already there
 	Beside float64       // requests that are already there
 	Unread float64       // prompt tokens that are not cached
+	Reread float64       // of which tokens of shared parts that another server has cached
 	ahead  float64       // prompt tokens that are read first
 	queued bool          // all slots are taken
 }
@@ -95,12 +96,14 @@
 	slots := s.slots()
 	work := s.work(now, p)
 	slow := s.slowed(now)
-	shared := r.sharedTokens()
 	cached := m.cachedTokens(now, s, at, r)
 	events, deviation := m.outputs.expect(r)
 	e := Estimate{Beside: work.Requests, Unread: r.tokens() - cached, ahead: p.tokensIn(work.Read)}
+	if m.kept(r) {
+		e.Reread = r.sharedTokens() - cached
+	}
 	e.Read = scale(p.readTime(e.Unread), slow)
-	e.Again = scale(p.readTime(shared-cached), slow)
+	e.Again = scale(p.readTime(e.Reread), slow)
 	e.First = scale(time.Duration(p.read.base)+work.Read, slow) + e.Read
 	if excess := work.Requests + 1 - float64(slots); excess > 0 {
 		e.queued = true
@@ -114,10 +117,13 @@
 	return e
 }
 
+// kept reports whether some server probably has the shared part of a request cached. The only part of a prompt need not be shared.
+func (m *Model) kept(r *Request) bool { return !r.Single || m.parts.seen(r.Home()) }
+
 // cachedTokens returns how many prompt tokens a server probably has cached. A part needs all parts before it.
 func (m *Model) cachedTokens(now time.Time, s *server, at Place, r *Request) float64 {
 	shared := r.shared()
-	home := at.Home && !at.Cold(now) && (!r.Single || m.parts.seen(r.Home()))
+	home := at.Home && !at.Cold(now) && m.kept(r)
 	tokens, chance := 0.0, 1.0
 	for i, part := range shared {
 		if !home {
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/event"
@@ -90,6 +91,7 @@
 		Inputs    []string     // handles of the stage results that the request reads
 		Once      bool         // the request must not run more than once
 		Hold      bool         // hold back an error response, because another server may be tried
+		Placed    balance.Placement
 	}
 	// Deliver sends the response that was held back to the caller.
 	Deliver struct {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -193,6 +193,7 @@
 	f := Forward{
 		Ticket: r.ticket, Server: batch.Target{ID: s.ID, Addr: s.Addr}, Keyed: g.catalog.KeyRequired(), Workspace: r.workspace, Until: r.deadline,
 		Inputs: r.inputs, Once: r.route.AtMostOnce(), Hold: r.runs+1 < r.route.MaxAttempts || r.route.AtMostOnce(),
+		Placed: g.balancer.Placed(),
 	}
 	if !r.route.AtMostOnce() && r.runs+1 < r.route.MaxAttempts {
 		f.First = now.Add(max(minFirstByteLimit, time.Duration(firstByteFactor*float64(r.route.LatencyObjective))))
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"bluebellflow/core/balance"
 	"bluebellflow/core/event"
 	"bluebellflow/core/proxy"
 	"bluebellflow/io/membudget"
@@ -48,6 +49,7 @@
 	}
 	x.server.dialect.SetRequestHeaders(req.Header, f, time.Until(f.Until))
 	x.server.vars.Add("forwarded", 1)
+	x.server.countPlacement(f.Placed)
 	x.progress.Store(int32(forwarded))
 	reader, err := x.server.client.Do(ctx, f.Server.Addr, req)
 	if err != nil {
@@ -57,6 +59,16 @@
 	return x.handleResponse(f, &response{ResponseReader: reader, cancel: cancel})
 }
 
+// countPlacement counts where a request of known size was placed.
+func (s *Server) countPlacement(p balance.Placement) {
+	if p.Choice == "" {
+		return
+	}
+	s.vars.Add("placed_"+string(p.Choice), 1)
+	s.vars.Add("placed_unread_tokens", int64(p.Unread))
+	s.vars.Add("placed_reread_tokens", int64(p.Reread))
+}
+
 // reportFailure reports an attempt without a response that can be passed on, unless the caller has disconnected. It returns
 // false, because the exchange continues.
 func (x *exchange) reportFailure(err error, res proxy.Result) bool {
