cli: explain-route shows where a request would be sent

A gateway node answers at its metrics address where it would send a request of given sizes now, and what it would cost at each server that it weighs. Nothing is sent.

--- a/cmd/cli/cli.go
+++ b/cmd/cli/cli.go
@@ -68,6 +68,7 @@
 	Gateway gatewayCommand `cmd:"" help:"Run a gateway node on a platform. SIGTERM stops it gracefully."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and list all findings with their positions."`
 	Explain explainCommand `cmd:"" help:"Show the effective value of a setting and where it comes from."`
+	Route   routeCommand   `cmd:"" name:"explain-route" help:"Show where a gateway node would send a request now, and why. --node is its metrics address."`
 	Apply   applyCommand   `cmd:"" help:"Commit a settings file as the new configuration."`
 	Status  statusCommand  `cmd:"" help:"Show nodes, revisions, failure domains and moves."`
 	Drain   drainCommand   `cmd:"" help:"Take a failure domain out of service."`
--- a/cmd/cli/cli_test.go
+++ b/cmd/cli/cli_test.go
@@ -88,6 +88,8 @@
 	return f, lines.New(nil, nil), nil
 }
 
+func (fakeSystem) PromptPart(name string) uint64 { return uint64(len(name)) }
+
 func (fakeSystem) Demo(_ context.Context, out io.Writer) error {
 	_, err := io.WriteString(out, "demo\n")
 	return err
@@ -177,6 +179,11 @@
 		"explain": {[]string{"explain", "--workspace=w", "--key=k"}, "GET", "/admin/v1/explain?key=k&workspace=w", "", "", ""},
 		"drain":   {[]string{"drain", "linz", "--by", "eva"}, "POST", "/admin/v1/domains/linz/drain", `{"by":"eva"}`, "", ""},
 		"restore": {[]string{"restore", "linz", "--by", "eva"}, "POST", "/admin/v1/domains/linz/restore", `{"by":"eva"}`, "", ""},
+		"explain-route": {
+			[]string{"explain-route", "--host=h", "--path=/chat/", "--in=900", "--out=80", "--part=a1:800", "--part=b:100"},
+			"POST", "/admin/v1/explain-route",
+			`{"host":"h","path":"/chat/","in":900,"out":80,"prompt":[{"ID":2,"Tokens":800},{"ID":1,"Tokens":100}]}`, "", "",
+		},
 		"move": {
 			[]string{"move", "m", "--pool=p", "--from=a", "--to=b", "--finish-by=2026-06-01T18:00:00Z"},
 			"POST", "/admin/v1/moves",
--- a/cmd/cli/system.go
+++ b/cmd/cli/system.go
@@ -23,6 +23,8 @@
 	// Gateway parses the settings of one gateway process and returns the configuration of its node and its memory limit
 	// in megabytes.
 	Gateway(name string, source []byte) (gateway.Config, int, error)
+	// PromptPart returns the number that stands for a prompt part of the given name.
+	PromptPart(name string) uint64
 	// Stepper returns a node's decision logic without I/O, and the types of its events and messages.
 	Stepper(self event.Self) (runtime.Decider, *lines.Registry, error)
 	// Demo runs nodes and stand-ins in this process and writes what they do to out.
--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -12,6 +12,9 @@
 	"bluebellflow/platform"
 )
 
+// PromptPart returns the number that stands for a prompt part of the given name.
+func (System) PromptPart(name string) uint64 { return platform.PromptPart(name) }
+
 // Gateway parses the settings of one gateway process. It returns the configuration of its node and its memory limit in
 // megabytes.
 func (System) Gateway(name string, source []byte) (gateway.Config, int, error) {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -100,6 +100,7 @@
 	model   *cost.Model
 	rings   map[id.Pool]*ring
 	placed  Placement // by the last Pick
+	weighed []weighed // by the last Pick
 }
 
 // New returns a balancer without statistics.
@@ -141,7 +142,7 @@
 	if len(all) == 0 {
 		return nil, "no server of pool " + string(q.Pool)
 	}
-	b.placed = Placement{}
+	b.placed, b.weighed = Placement{}, b.weighed[:0]
 	if q.sized() {
 		return b.leastExpected(now, q)
 	}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -58,6 +58,31 @@
 // Placed describes the last choice of Pick.
 func (b *Balancer) Placed() Placement { return b.placed }
 
+// weighed is a server with what a request is expected to cost there.
+type weighed struct {
+	*fleet.Server
+	cost.Estimate
+	cost float64 // nanoseconds
+}
+
+// Candidate is a server that was weighed for a request.
+type Candidate struct {
+	Server   id.Server        `json:"server"`
+	Domain   id.FailureDomain `json:"domain"`
+	Cost     string           `json:"cost"`
+	Estimate string           `json:"estimate"`
+	Failing  float64          `json:"failing"` // failure rate
+}
+
+// Candidates returns the servers that the last Pick has weighed, none if the size of the request is not known.
+func (b *Balancer) Candidates() []Candidate {
+	var out []Candidate
+	for _, w := range b.weighed {
+		out = append(out, Candidate{w.ID, w.Domain, time.Duration(w.cost).Round(time.Millisecond).String(), w.String(), b.state(w.ID).failureRate})
+	}
+	return out
+}
+
 // ring holds the hashes of the servers of a pool, from which their order for a prompt part follows.
 type ring struct {
 	servers []*fleet.Server
@@ -178,25 +203,27 @@
 	if len(list) == 0 {
 		return nil, noServer(q, len(r.servers), reason)
 	}
-	best, lowest := 0, math.Inf(1)
-	var estimate cost.Estimate
 	sticky := q.Request.Home() != 0
+	b.weighed = b.weighed[:0]
+	best := 0
 	for i, s := range list {
 		e := b.model.Estimate(now, b.place(s, sticky && i == 0, len(r.servers)), q.Request)
-		if c := b.expectedCost(now, s, q, e); c < lowest {
-			best, lowest, estimate = i, c, e
+		b.weighed = append(b.weighed, weighed{s, e, b.expectedCost(now, s, q, e)})
+		if b.weighed[i].cost < b.weighed[best].cost {
+			best = i
 		}
 	}
-	b.placed = Placement{Server: list[best].ID, Choice: Free, Unread: int(estimate.Unread), Reread: int(estimate.Reread)}
+	chosen := b.weighed[best]
+	b.placed = Placement{Server: chosen.ID, Choice: Free, Unread: int(chosen.Unread), Reread: int(chosen.Reread)}
 	switch {
 	case sticky && best == 0:
 		b.placed.Choice = Home
 	case sticky:
 		b.placed.Choice = Away
 	}
-	st := b.state(list[best].ID)
-	return list[best], fmt.Sprintf("prompt=%08x place=%d cost=%s %s inflight=%d failing=%.2f of=%d/%d", uint32(q.Request.Home()), best,
-		time.Duration(lowest).Round(time.Millisecond), estimate, st.inflight, st.failureRate, len(list), len(r.servers))
+	st := b.state(chosen.ID)
+	return chosen.Server, fmt.Sprintf("prompt=%08x place=%d cost=%s %s inflight=%d failing=%.2f of=%d/%d", uint32(q.Request.Home()), best,
+		time.Duration(chosen.cost).Round(time.Millisecond), chosen.Estimate, st.inflight, st.failureRate, len(list), len(r.servers))
 }
 
 // place describes a server for the cost model.
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -169,6 +169,8 @@
 		g.handleDisconnect(now, ev.Ticket, out)
 	case Closed:
 		g.shutdown.idle = true
+	case ExplainRoute:
+		out.add(event.CommandResult{Number: ev.Number, Value: g.explain(now, ev.RequestInfo)})
 	case Began:
 		g.handleBegan(now, ev, out)
 	case Ended:
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -22,6 +22,7 @@
 	"bluebellflow/core/wire"
 	"bluebellflow/io/httpserver"
 	"bluebellflow/io/mesh"
+	"bluebellflow/io/requestreply"
 	"bluebellflow/io/runtime"
 	"bluebellflow/io/upstream"
 )
@@ -79,6 +80,7 @@
 	workers     Workers
 	logger      *log.Logger
 	httpServers []*httpserver.Server
+	correlator  *requestreply.Correlator // of operators' commands
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
@@ -104,6 +106,7 @@
 	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars), WithUnanswered(n.logUnanswered))
 	n.store = cfg.NewStore(n.loop.Deliver, n.vars, n.loop.Report)
 	n.workers = cfg.NewWorkers(n.client, n.loop.Deliver)
+	n.correlator = requestreply.New(n.loop.Deliver)
 	n.loop.SetExecutor(n)
 	n.vars.Set("requests_open", expvar.Func(func() any { return n.server.InProgress() }))
 	n.vars.Set("process", expvar.Func(func() any { return runtime.ReadProcessStats() }))
@@ -122,12 +125,16 @@
 // ReadyAddr returns the address of the readiness check for the load balancer.
 func (n *Node) ReadyAddr() netip.AddrPort { return n.httpServers[1].Addr() }
 
+// MetricsAddr returns the address of the metrics and of ExplainPath, if Config.Metrics is valid.
+func (n *Node) MetricsAddr() netip.AddrPort { return n.httpServers[2].Addr() }
+
 // listen opens the listeners for callers, the load balancer and metrics.
 func (n *Node) listen(cfg Config) error {
 	routes := mux.NewRouter()
 	routes.HandleFunc("/readyz", n.server.ServeReadiness).Methods(http.MethodGet, http.MethodHead)
 	metrics := mux.NewRouter()
 	metrics.HandleFunc("/debug/vars", n.serveMetrics).Methods(http.MethodGet)
+	metrics.HandleFunc(ExplainPath, n.serveExplain).Methods(http.MethodPost)
 	for _, endpoint := range []struct {
 		name    string
 		addr    netip.AddrPort
@@ -181,6 +188,8 @@
 		n.server.SetReady(a.Ready)
 	case proxy.Close:
 		go n.httpServers[0].Drain(func() { n.loop.Deliver(proxy.Closed{}) })
+	case event.CommandResult:
+		n.correlator.Complete(a)
 	case batch.StartCall:
 		n.workers.Run(a)
 	case batch.FreeResults:
