--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,14 +1,12 @@
 package balance
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"bluebellflow/core/cost"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -40,16 +38,13 @@
 	maxLoadAge = time.Second
 	// remoteDomainPenalty is added to the cost of a server in another failure domain.
 	remoteDomainPenalty = 2 * time.Millisecond
-	// stickyExcess is how many requests above this node's average per server a server may have before the next server in the
-	// order of a prompt is taken.
-	stickyExcess = 6
 )
 
 // Query describes an attempt that needs a server.
 type Query struct {
 	Pool       id.Pool
 	Exclude    []id.Server   // tried before
-	PrefixID   uint64        // identifies the shared part of the prompt, 0 for none
+	Request    *cost.Request // its size, nil if not known
 	ColdRate   float64       // requests per second that a cold server can take, 0 for no limit
 	StuckAfter time.Duration // time without a response after which a server is avoided, 0 for no limit
 	Versions   Versions      // nil for all
@@ -62,6 +57,9 @@
 	Allows(server id.Server, inUse int, load *selfreport.Load) bool
 }
 
+// sized reports whether the size of the request is known.
+func (q Query) sized() bool { return q.Request != nil && q.Request.Known() }
+
 // Versions selects the server versions that may serve a request.
 type Versions interface{ Allows(id.Version) bool }
 
@@ -72,6 +70,7 @@
 	Took         time.Duration  // duration of the attempt
 	Load         selfreport.Load
 	LoadKnown    bool // Load is set
+	Events       int  // of a complete stream, 0 for another response
 	Moved        bool // a different server responded at the address
 	ConnRejected bool // the server closed a new connection before anything was sent
 }
@@ -109,11 +108,15 @@
 	states  map[id.Server]*serverState
 	cold    *ratelimit.ColdLimiter
 	reports serverReports
+	model   *cost.Model
+	rings   map[id.Pool]*ring
+	placed  Placement // by the last Pick
+	weighed []weighed // by the last Pick
 }
 
 // New returns a balancer without statistics.
 func New(self event.Self, servers serverSource, cold *ratelimit.ColdLimiter, reports serverReports) *Balancer {
-	return &Balancer{self: self, servers: servers, states: map[id.Server]*serverState{}, cold: cold, reports: reports}
+	return &Balancer{self: self, servers: servers, states: map[id.Server]*serverState{}, cold: cold, reports: reports, model: cost.New(), rings: map[id.Pool]*ring{}}
 }
 
 func (b *Balancer) state(name id.Server) *serverState {
@@ -141,6 +144,7 @@
 func (b *Balancer) forget(name id.Server) {
 	delete(b.states, name)
 	b.cold.Forget(name)
+	b.model.Forget(name)
 }
 
 // Pick chooses a server. The returned reason describes the choice, or why there is no server.
@@ -149,22 +153,31 @@
 	if len(all) == 0 {
 		return nil, "no server of pool " + string(q.Pool)
 	}
-	var candidates []*fleet.Server
-	reason := ""
-	for _, s := range all {
+	b.placed, b.weighed = Placement{}, b.weighed[:0]
+	if q.sized() {
+		return b.leastExpected(now, q)
+	}
+	usable, reason := b.usable(now, q, all)
+	if len(usable) == 0 {
+		return nil, noServer(q, len(all), reason)
+	}
+	return b.leastCost(now, q, usable)
+}
+
+func noServer(q Query, servers int, reason string) string {
+	return fmt.Sprintf("none of %d servers of pool %s: %s", servers, q.Pool, reason)
+}
+
+// usable returns the servers that may be used now, and why another one may not.
+func (b *Balancer) usable(now time.Time, q Query, servers []*fleet.Server) (list []*fleet.Server, reason string) {
+	for _, s := range servers {
 		if excluded := b.exclusion(now, s, q); excluded != "" {
 			reason = excluded
 			continue
 		}
-		candidates = append(candidates, s)
-	}
-	if len(candidates) == 0 {
-		return nil, fmt.Sprintf("none of %d servers of pool %s: %s", len(all), q.Pool, reason)
-	}
-	if q.PrefixID != 0 {
-		return b.sticky(now, q, candidates)
+		list = append(list, s)
 	}
-	return b.leastCost(now, q, candidates)
+	return list, reason
 }
 
 // exclusion returns why a server may not be used now, or "" if it may.
@@ -258,7 +271,7 @@
 	return baseline + time.Duration(st.latencyWeight(now)*float64(st.latency-baseline))
 }
 
-// cost returns the expected latency of a server under its load, plus penalties for failures, stuck attempts and another
+// cost returns the expected latency of a server at its pace and under its load, plus penalties for failures, stuck attempts and another
 // failure domain.
 func (b *Balancer) cost(now time.Time, s *fleet.Server, q Query, baseline time.Duration) time.Duration {
 	st := b.state(s.ID)
@@ -267,7 +280,7 @@
 	if load := st.recentLoad(now); load != nil {
 		busy = max(busy, float64(load.Running+load.Waiting))
 	}
-	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * (1 + busy/float64(max(1, s.Slots))))
+	cost := time.Duration(float64(st.expectedLatency(now, baseline)) * st.load.Slowdown(now.Sub(st.loadAt)) * (1 + busy/float64(max(1, s.Slots))))
 	cost += time.Duration(st.failureRate * float64(failurePenalty))
 	if st.stuck(now, q.StuckAfter) {
 		cost += failurePenalty
@@ -278,35 +291,6 @@
 	return cost
 }
 
-// sticky returns the first healthy server in the prompt's rendezvous order, so that requests with the same shared part
-// reach the server that has already processed it.
-func (b *Balancer) sticky(now time.Time, q Query, candidates []*fleet.Server) (*fleet.Server, string) {
-	total := 0
-	for _, s := range candidates {
-		total += b.state(s.ID).inflight
-	}
-	limit := total/len(candidates) + stickyExcess
-	slices.SortFunc(candidates, func(x, y *fleet.Server) int {
-		return cmp.Compare(rendezvousHash(q.PrefixID, x.ID), rendezvousHash(q.PrefixID, y.ID))
-	})
-	for i, s := range candidates {
-		st := b.state(s.ID)
-		st.decayFailures(now)
-		if st.failureRate < maxStickyFailureRate && !st.stuck(now, q.StuckAfter) && st.inflight < limit {
-			return s, fmt.Sprintf("prompt=%08x place=%d inflight=%d failing=%.2f of=%d", uint32(q.PrefixID), i, st.inflight, st.failureRate, len(candidates))
-		}
-	}
-	return b.leastCost(now, q, candidates)
-}
-
-// rendezvousHash returns the rank of a server in the order of a prompt; the lowest comes first.
-func rendezvousHash(prefix uint64, name id.Server) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(prefix)
-	_, _ = d.WriteString(string(name))
-	return d.Sum64()
-}
-
 // Start records that an attempt is sent.
 func (b *Balancer) Start(now time.Time, s *fleet.Server, q Query) {
 	st := b.state(s.ID)
@@ -316,13 +300,29 @@
 		b.cold.Take(now, s.ID)
 	}
 	b.reports.CountRequest(now, s)
+	if q.sized() {
+		b.model.Start(now, b.place(s, b.placed.Choice == Home && b.placed.Server == s.ID, len(b.servers.Pool(q.Pool))), q.Request)
+	}
 }
 
 // Inflight returns the number of open attempts of this node at a server.
 func (b *Balancer) Inflight(name id.Server) int { return b.state(name).inflight }
 
-// ResponseStarted records that the response to an attempt has begun.
-func (b *Balancer) ResponseStarted(name id.Server, sent time.Time) { b.state(name).removeWaiting(sent) }
+// ResponseStarted records that the response to an attempt has begun, and the load that it reports.
+func (b *Balancer) ResponseStarted(now time.Time, name id.Server, sent time.Time, r selfreport.Report) {
+	st := b.state(name)
+	st.removeWaiting(sent)
+	if r.LoadKnown {
+		b.recordLoad(now, name, r.Load)
+	}
+	b.model.Began(now, name, sent)
+}
+
+func (b *Balancer) recordLoad(now time.Time, name id.Server, load selfreport.Load) {
+	st := b.state(name)
+	st.load, st.loadAt = load, now
+	b.model.Report(now, name, load)
+}
 
 // removeWaiting removes an attempt from those without a response.
 func (st *serverState) removeWaiting(sent time.Time) {
@@ -337,8 +337,9 @@
 	st.inflight = max(0, st.inflight-1)
 	st.removeWaiting(sent)
 	st.decayFailures(now)
+	b.model.End(now, name, sent, o.Events)
 	if o.LoadKnown {
-		st.load, st.loadAt = o.Load, now
+		b.recordLoad(now, name, o.Load)
 	}
 	switch {
 	case o.Fail == event.FailUnsent && o.ConnRejected:
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -16,6 +16,7 @@
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/leader"
+	"bluebellflow/core/loadshare"
 	"bluebellflow/core/ratelimit"
 	"bluebellflow/core/retry"
 	"bluebellflow/core/rollout"
@@ -74,6 +75,7 @@
 	crashGuard   *denylist.Guard
 	reports      *selfreport.Tracker
 	balancer     *balance.Balancer
+	loads        *loadshare.Sharer
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
@@ -111,9 +113,10 @@
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter, g.reports)
+	g.loads = loadshare.New(self, g.balancer.Model())
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
-	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, g.connLimits, noTimers{g.balancer}, g.scheduler}
+	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, g.connLimits, noTimers{g.balancer}, g.loads, g.scheduler}
 	return g
 }
 
@@ -170,6 +173,8 @@
 		g.handleDisconnect(now, ev.Ticket, out)
 	case Closed:
 		g.shutdown.idle = true
+	case ExplainRoute:
+		out.add(event.CommandResult{Number: ev.Number, Value: g.explain(now, ev.RequestInfo)})
 	case Began:
 		g.handleBegan(now, ev, out)
 	case Ended:
@@ -229,17 +234,21 @@
 func (g *Gateway) nodesChanged() {
 	names := g.roster.Nodes()
 	var candidates []leader.Candidate
+	var sharers []loadshare.Node
 	for _, name := range names {
 		n, _ := g.roster.Node(name)
 		candidates = append(candidates, leader.Candidate{Node: name, Domain: n.Domain, Weight: n.Weight})
+		sharers = append(sharers, loadshare.Node{Name: name, Domain: n.Domain, Weight: n.Weight})
 	}
 	g.cache.SetPeers(names)
 	g.leader.SetCandidates(candidates)
+	g.loads.SetNodes(sharers)
 	g.coldLimiter.SetNodes(names)
 	g.connLimits.SetNodes(names)
 	g.rollouts.SetNodes(names)
 	g.crashGuard.SetNodes(names)
 	g.reports.SetNodes(names)
+	g.balancer.SetNodes(len(names))
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
 }
 
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -199,7 +199,7 @@
 // send forwards a request to a server.
 func (g *Gateway) send(now time.Time, r *request, s *fleet.Server, reason string, out *actions) {
 	g.startTrial(now, r, out)
-	g.balancer.Start(now, s, g.serverQuery(r))
+	g.balancer.Start(now, s, g.serverQuery(now, r))
 	g.rollouts.RequestStarted(r.pool.Name, s.Version)
 	r.phase, r.server, r.sent, r.began, r.proven = running, s.ID, now, false, false
 	r.version, r.start, r.load, r.cold = s.Version, s.Start, g.balancer.Inflight(s.ID), s.Cold(now)
@@ -208,7 +208,8 @@
 	f := Forward{
 		Ticket: r.ticket, Server: batch.Target{ID: s.ID, Addr: s.Addr}, Keyed: g.catalog.KeyRequired(), Workspace: r.workspace, Until: r.deadline,
 		Inputs: r.inputs, Once: r.route.AtMostOnce(), Hold: r.runs+1 < r.route.MaxAttempts || r.route.AtMostOnce(),
-		Conns: g.connLimits.Limit(s.ID, r.pool.MaxConns),
+		Conns:  g.connLimits.Limit(s.ID, r.pool.MaxConns),
+		Placed: g.balancer.Placed(),
 	}
 	if !r.route.AtMostOnce() && r.runs+1 < r.route.MaxAttempts {
 		f.First = now.Add(max(minFirstByteLimit, time.Duration(firstByteFactor*float64(r.route.LatencyObjective))))
@@ -220,7 +221,7 @@
 // waitForServer lets a request wait until it is placed again, or gives it up: at once if no server will take it in time.
 func (g *Gateway) waitForServer(now time.Time, r *request, reason string, out *actions) {
 	left := r.placingSince.Add(maxPlaceWait).Sub(now)
-	if ready := g.balancer.ReadyIn(now, g.serverQuery(r)); ready > left && !r.mayHaveRun {
+	if ready := g.balancer.ReadyIn(now, g.serverQuery(now, r)); ready > left && !r.mayHaveRun {
 		g.refuse(r, http.StatusServiceUnavailable, min(max(ready, minReadyRetryAfter), placeRetryAfter), reason, out)
 		return
 	}
@@ -240,7 +241,9 @@
 	took := now.Sub(r.sent)
 	serverError := ev.Status >= http.StatusInternalServerError
 	g.balancer.End(now, r.server, r.sent, balance.Outcome{
-		Fail: ev.Fail, ServerError: serverError, Took: took, Load: ev.Load, LoadKnown: ev.LoadKnown, Moved: ev.Moved, ConnRejected: ev.ConnRejected,
+		Fail: ev.Fail, ServerError: serverError, Took: took, Moved: ev.Moved, ConnRejected: ev.ConnRejected,
+		Load: ev.Load, LoadKnown: ev.LoadKnown && !r.began, // a response reports the load at its begin
+		Events: ev.Events,
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
@@ -357,7 +360,7 @@
 		return
 	}
 	r.began = true
-	g.balancer.ResponseStarted(r.server, r.sent)
+	g.balancer.ResponseStarted(now, r.server, r.sent, ev.Report)
 	out.add(g.reports.Observe(now, r.process(), r.sent, ev.Report)...)
 	r.beganAt, r.beganStatus = now, ev.Status
 	g.timers.Set(now.Add(provingTime), r.ticket)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -178,6 +178,7 @@
 	mayHaveRun      bool     // a server may have run it
 	responseStarted bool     // the response to the caller has begun
 	position        position // of the stream that the caller gets
+	events          int      // complete events of a stream that were sent to the caller
 	start           time.Time
 	progress        atomic.Int32 // a progress
 }
