duty: leases of calls that one node at a time may make

Autoscaling and usage reports need one holder at a time for each subject. The lease lies in the store and is written only together with a record, so that an idle duty costs no store calls. Not wired yet; tests follow.

--- /dev/null
+++ b/core/duty/lease.go
@@ -0,0 +1,211 @@
+package duty
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/retry"
+)
+
+const (
+	// marginFraction is the part of the lease that the holder leaves unused, for clocks that run at different rates and for the
+	// way of a call to the service.
+	marginFraction = 6
+	// unreleasedWait is how long, in lease times, a recent holder waits if the holder has not released the lease. The holder may
+	// have acted until the end of its lease, and the recent holder must not act until a whole lease after that.
+	unreleasedWait = 2
+)
+
+// lease is this node's view of one subject.
+type lease struct {
+	subject  Subject
+	exists   bool // the object exists
+	revision uint64
+	stored   object    // the last content seen
+	seenAt   time.Time // when it was first seen, or when the object was found to be deleted
+	maxToken uint64    // the highest token seen
+
+	attempts  map[uint64]time.Time // starts of writes that may have taken effect or may still do so, by number
+	inFlight  uint64               // number of the write in progress, 0 for none
+	requested bool                 // record is to be written
+	record    []byte
+	heldFrom  time.Time // start of the last confirmed write if this node holds the lease, zero otherwise
+	newToken  bool      // the service has seen a higher token
+	releasing bool      // a write that releases the lease may have taken effect
+	calls     int       // calls to the service in progress
+	retry     retry.Timer
+}
+
+// owned reports whether the object was last written by this process.
+func (l *Leases) owned(s *lease) bool {
+	return s.exists && s.stored.Holder == l.self.Node && s.stored.Incarnation == l.self.Incarnation
+}
+
+// until returns the end of the right to act, zero if there is none.
+func (l *Leases) until(s *lease) time.Time {
+	if s.heldFrom.IsZero() || s.stored.Released || s.releasing || s.newToken || !l.owned(s) {
+		return time.Time{}
+	}
+	return s.heldFrom.Add(l.opts.Lease - l.opts.Lease/marginFraction)
+}
+
+// writableAt returns the earliest time at which this node may write the object.
+func (l *Leases) writableAt(s *lease) time.Time {
+	switch {
+	case l.owned(s), s.seenAt.IsZero():
+		return time.Time{}
+	case !s.exists:
+		return s.seenAt.Add(l.opts.Lease)
+	case s.stored.Released && s.stored.heldRecently(l.self.Node):
+		return s.seenAt.Add(l.opts.Lease)
+	case s.stored.heldRecently(l.self.Node):
+		return s.seenAt.Add(unreleasedWait * l.opts.Lease)
+	case s.stored.Released:
+		return time.Time{}
+	}
+	return s.seenAt.Add(l.opts.Lease)
+}
+
+// mustRelease reports whether the object should be released: other nodes may still wait for the end of the lease.
+func (l *Leases) mustRelease(now time.Time, s *lease) bool {
+	return !l.active() && l.owned(s) && !s.stored.Released && !s.heldFrom.IsZero() && now.Sub(s.heldFrom) < unreleasedWait*l.opts.Lease
+}
+
+// advance starts the write that is due, if any.
+func (l *Leases) advance(now time.Time, s *lease) []event.Action {
+	if !l.loaded || s.inFlight != 0 || now.Before(s.retry.Next()) {
+		return nil
+	}
+	if l.mustRelease(now, s) {
+		if s.calls > 0 {
+			return nil // a call in progress may still arrive
+		}
+		next := s.stored
+		next.Released = true
+		s.releasing = true
+		return l.write(now, s, next)
+	}
+	if !s.requested || !l.active() || now.Before(l.writableAt(s)) {
+		return nil
+	}
+	return l.write(now, s, l.next(now, s))
+}
+
+// next returns the content by which this node takes or renews the lease.
+func (l *Leases) next(now time.Time, s *lease) object {
+	next := object{Holder: l.self.Node, Incarnation: l.self.Incarnation, Token: s.stored.Token, Record: s.record}
+	elapsed := now.Sub(s.seenAt)
+	switch {
+	case !s.exists:
+		next.Token = s.maxToken + 1
+	case !l.owned(s) && s.stored.Holder != l.self.Node:
+		next.Recent = s.stored.succeeded(elapsed, l.opts.Lease)
+		next.Token = s.maxToken + 1
+	default:
+		next.Recent = s.stored.recentAfter(elapsed, l.opts.Lease)
+		if !l.owned(s) || s.newToken {
+			next.Token = s.maxToken + 1
+		}
+	}
+	return next
+}
+
+// write starts a write of the object.
+func (l *Leases) write(now time.Time, s *lease, next object) []event.Action {
+	l.writes++
+	next.Write = l.writes
+	value, err := json.Marshal(next)
+	if err != nil {
+		s.requested = false
+		return []event.Action{l.log(s, "write", err.Error())}
+	}
+	s.inFlight = next.Write
+	s.attempts[next.Write] = now
+	l.inFlight[next.Write] = s
+	version := uint64(0)
+	if s.exists {
+		version = s.revision
+	}
+	return []event.Action{event.PlatformCall{
+		Owner: owner, Seq: next.Write, Op: event.OpPut, Name: Kind + "/" + s.subject.String(), Version: version, Value: value,
+	}}
+}
+
+// handleResult handles the result of a write.
+func (l *Leases) handleResult(now time.Time, ev event.PlatformResult) []event.Action {
+	s := l.inFlight[ev.Call.Seq]
+	delete(l.inFlight, ev.Call.Seq)
+	if s == nil {
+		return nil
+	}
+	s.inFlight = 0
+	switch {
+	case ev.Code == event.CodeOK && len(ev.Objects) > 0:
+		s.retry.Clear()
+		return l.observe(now, s, ev.Objects[0].Version, ev.Call.Value)
+	case ev.Code == event.CodeConflict && len(ev.Objects) > 0 && len(ev.Objects[0].Value) > 0:
+		delete(s.attempts, ev.Call.Seq)
+		s.retry.Set(now, 0)
+		return l.observe(now, s, ev.Objects[0].Version, ev.Objects[0].Value)
+	case ev.Code == event.CodeConflict, ev.Code == event.CodeNotFound, ev.Code == event.CodeUnavailable:
+		delete(s.attempts, ev.Call.Seq) // it has not taken effect and never will
+	}
+	s.retry.Fail(now, l.self.Rand)
+	return []event.Action{l.log(s, "write", fmt.Sprintf("failed, code=%d failures=%d", ev.Code, s.retry.Failures()))}
+}
+
+// observe takes in a revision of the object. If this process has written it, the lease counts from the start of that write.
+func (l *Leases) observe(now time.Time, s *lease, revision uint64, raw []byte) []event.Action {
+	if revision <= s.revision {
+		return nil
+	}
+	o, err := decodeObject(raw)
+	if err != nil {
+		// An object that cannot be read is taken over like one whose holder is unknown.
+		o = object{Holder: unknownHolder, Token: s.maxToken, Record: nil}
+	}
+	before := s.stored
+	s.exists, s.revision, s.stored, s.seenAt = true, revision, o, now
+	s.maxToken = max(s.maxToken, o.Token)
+	start, confirmed := s.attempts[o.Write]
+	clear(s.attempts) // all were conditional on an earlier revision
+	if !confirmed || !l.owned(s) {
+		return l.lose(s, "holder="+string(o.Holder)+fmt.Sprintf(" token=%d released=%t before=%s", o.Token, o.Released, before.Holder))
+	}
+	s.heldFrom, s.releasing = start, false
+	if o.Released {
+		return []event.Action{l.log(s, "release", fmt.Sprintf("token=%d", o.Token)), Held{Subject: s.subject, Token: o.Token}}
+	}
+	s.newToken = s.newToken && o.Token == before.Token
+	s.requested, s.record = false, nil
+	var out []event.Action
+	if o.Token != before.Token {
+		out = append(out, l.log(s, "take", fmt.Sprintf("token=%d before=%s released=%t waited=%s recent=%v",
+			o.Token, before.Holder, before.Released, now.Sub(start), o.Recent)))
+	}
+	return append(out, Held{Subject: s.subject, Token: o.Token, Held: true}, Recorded{Subject: s.subject, Token: o.Token, Record: o.Record})
+}
+
+// lose handles an object that this process has not written last: the lease and all requests based on the earlier record end.
+func (l *Leases) lose(s *lease, reason string) []event.Action {
+	out := []event.Action{l.log(s, "holder", reason)}
+	if !s.heldFrom.IsZero() {
+		out = append(out, Held{Subject: s.subject})
+	}
+	s.heldFrom, s.releasing, s.requested, s.record = time.Time{}, false, false, nil
+	return append(out, Changed{Subject: s.subject, Holder: s.stored.Holder, Record: s.stored.Record})
+}
+
+// deleted handles the deletion of the object. Tokens go on increasing.
+func (l *Leases) deleted(now time.Time, s *lease) []event.Action {
+	s.exists, s.seenAt = false, now
+	s.stored = object{}
+	clear(s.attempts)
+	return l.lose(s, "deleted")
+}
+
+func (l *Leases) log(s *lease, choice, reason string) event.Log {
+	return event.Log{Kind: "duty", Stage: s.subject.String(), Choice: choice, Reason: reason}
+}
