--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -122,5 +122,5 @@
 	return [...]string{"none", "accepted", "throttled", "outdated", "rejected", "failed"}[min(o, Failed)]
 }
 
-// errNoHolder means that an object does not name its holder.
-var errNoHolder = errors.New("lease without a holder or token")
+// errNoHolder means that an object does not name its holder and a valid token.
+var errNoHolder = errors.New("lease without a holder or with an invalid token")
--- a/core/duty/object.go
+++ b/core/duty/object.go
@@ -15,6 +15,8 @@
 	retention = 4
 	// maxRecent bounds the previous holders that are remembered.
 	maxRecent = 16
+	// maxToken bounds the token of a valid object, so that it can be increased.
+	maxToken = 1 << 62
 )
 
 // object is the content of a lease object.
@@ -40,7 +42,7 @@
 	if err := json.Unmarshal(raw, &o); err != nil {
 		return o, fmt.Errorf("lease: %w", err)
 	}
-	if o.Holder == "" || o.Token == 0 {
+	if o.Holder == "" || o.Token == 0 || o.Token > maxToken {
 		return o, errNoHolder
 	}
 	return o, o.Incarnation.Check()
