duty: requests to write name the revision that they are based on

An internal event may wait behind a change of the object in the same step, so that a report computed from an earlier record could replace a recorded one. NewRecord makes the requests.

--- a/core/duty/leases.go
+++ b/core/duty/leases.go
@@ -90,6 +90,15 @@
 	return s.stored.Record, true
 }
 
+// NewRecord returns the request to write a record that was computed from the present one.
+func (l *Leases) NewRecord(subject Subject, record []byte) WriteRecord {
+	w := WriteRecord{Subject: subject, Record: record}
+	if s := l.subjects[subject]; s != nil {
+		w.base = s.revision
+	}
+	return w
+}
+
 // Call returns a call that may be made now for a subject. If the rate limit does not allow one yet, it returns the time of the
 // next attempt. If the lease is not held, or ends too soon, that time is zero: WriteRecord takes or renews the lease.
 func (l *Leases) Call(now time.Time, subject Subject, body []byte) (c Call, retryAt time.Time, ok bool) {
@@ -154,10 +163,7 @@
 			out = l.handleResult(now, ev)
 		}
 	case WriteRecord:
-		if ev.Subject.Check() == nil && l.active() {
-			s := l.subject(ev.Subject)
-			s.requested, s.record = true, ev.Record
-		}
+		out = l.handleRequest(ev)
 	case CallResult:
 		out = l.handleCallResult(now, ev)
 	case event.Stop:
@@ -166,6 +172,19 @@
 	return append(out, l.advanceAll(now)...)
 }
 
+// handleRequest accepts a request to write a record, unless the object has changed since the request was made.
+func (l *Leases) handleRequest(ev WriteRecord) []event.Action {
+	if ev.Subject.Check() != nil || !l.active() {
+		return nil
+	}
+	s := l.subject(ev.Subject)
+	if ev.base != s.revision {
+		return []event.Action{Changed{Subject: s.subject, Holder: s.stored.Holder, Record: s.stored.Record}}
+	}
+	s.requested, s.record = true, ev.Record
+	return nil
+}
+
 // handleCallResult handles the end of a call to the service.
 func (l *Leases) handleCallResult(now time.Time, ev CallResult) []event.Action {
 	s := l.calls[ev.Number]
--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -51,11 +51,13 @@
 	// WriteRecord requests to write a record under the lease of a subject, which is taken or renewed by the write. Recorded
 	// follows once the write is confirmed, or Changed if another node has written instead. A later request for the same
 	// subject replaces one that has not been started. Requests of a node that may not hold the lease yet wait; those of a
-	// node that does not lead are dropped.
+	// node that does not lead are dropped. Leases.NewRecord returns requests; Changed follows as well if the object has changed
+	// since then, because the new record was computed from the earlier one.
 	WriteRecord struct {
 		event.Internal
 		Subject Subject
 		Record  []byte
+		base    uint64 // revision of the object when the request was made
 	}
 	// Recorded reports that the store holds a record of this node. The node may have lost the lease again if the confirmation
 	// came late; Holds tells.
--- /dev/null
+++ b/core/usage/counts.go
@@ -0,0 +1,225 @@
+package usage
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+)
+
+const (
+	// sendInterval is the time between two messages with counts.
+	sendInterval = time.Second
+	// settleTime is how long after the end of a window the counts of that window are sent: it covers the difference of the
+	// nodes' times, and the steps that are still queued.
+	settleTime = 250 * time.Millisecond
+	// maxUnplaced bounds the requests that wait until the time is known.
+	maxUnplaced = 10_000
+)
+
+// tally holds the requests of each workspace in a window.
+type tally struct {
+	requests map[id.Workspace]uint64
+	changed  uint64 // number of the first message that may hold the last change
+}
+
+// unplaced is a request that began before the time was known.
+type unplaced struct {
+	workspace id.Workspace
+	began     time.Time
+}
+
+// recipient is what is known of a node to which counts are sent.
+type recipient struct {
+	incarnation id.Incarnation
+	confirmed   uint64 // number of the last message that it has confirmed
+	next        int64  // earlier windows are no longer needed there
+}
+
+// process identifies one start of a node.
+type process struct {
+	node        id.Node
+	incarnation id.Incarnation
+}
+
+// nodeCounts is what a process has reported.
+type nodeCounts struct {
+	complete int64
+	windows  map[int64]map[id.Workspace]uint64
+	at       time.Time // when it last reported
+}
+
+// window returns the number of the window at a true time.
+func (u *Usage) window(at time.Duration) int64 { return int64(at / u.opts.Window) }
+
+// end returns the true time at which a window ends.
+func (u *Usage) end(window int64) time.Duration { return time.Duration(window+1) * u.opts.Window }
+
+// Count counts a request of a workspace that a server began to run at the given time, which is not in the future.
+func (u *Usage) Count(workspace id.Workspace, began time.Time) {
+	if workspace == "" {
+		return
+	}
+	if !u.clock.synced && len(u.unplaced) < maxUnplaced {
+		u.unplaced = append(u.unplaced, unplaced{workspace, began})
+		return
+	}
+	u.place(workspace, began)
+}
+
+func (u *Usage) place(workspace id.Workspace, began time.Time) {
+	w := u.window(u.clock.at(began))
+	t := u.own[w]
+	if t == nil {
+		t = &tally{requests: map[id.Workspace]uint64{}}
+		u.own[w] = t
+	}
+	t.requests[workspace]++
+	t.changed = u.seq + 1
+}
+
+// placeWaiting counts the requests that began before the time was known.
+func (u *Usage) placeWaiting() {
+	if !u.clock.synced {
+		return
+	}
+	for _, r := range u.unplaced {
+		u.place(r.workspace, r.began)
+	}
+	u.unplaced = nil
+}
+
+// complete returns the last window of which this node will count nothing more, 0 if the time is unknown.
+func (u *Usage) complete(now time.Time) int64 {
+	if !u.clock.synced {
+		return 0
+	}
+	until := u.clock.at(now.Add(-settleTime))
+	if oldest := u.oldestOpen(); !oldest.IsZero() {
+		until = min(until, u.clock.at(oldest))
+	}
+	return max(0, u.window(until)-1)
+}
+
+// send sends the counts to the leader and to the next node in rank.
+func (u *Usage) send(now time.Time) []event.Action {
+	u.sendAt = now.Add(sendInterval)
+	if u.clock.synced {
+		current := u.clock.at(now)
+		if left := u.end(u.window(current-settleTime)) + settleTime - current; left < sendInterval {
+			u.sendAt = now.Add(max(left, time.Millisecond))
+		}
+	}
+	u.seq++
+	var out []event.Action
+	var to []id.Node
+	for _, name := range u.recipients(now) {
+		if name == u.self.Node {
+			continue
+		}
+		to = append(to, name)
+		out = append(out, event.Send{To: name, Body: u.message(now, name)})
+	}
+	return append(out, CountsSent{To: to})
+}
+
+// recipients returns the leader and the next node in rank. Both may be unknown.
+func (u *Usage) recipients(now time.Time) []id.Node {
+	leader, next := u.ranking.Leader(), u.ranking.Successor(now)
+	return slices.DeleteFunc(slices.Compact([]id.Node{leader, next}), func(n id.Node) bool { return n == "" })
+}
+
+func (u *Usage) message(now time.Time, to id.Node) Counts {
+	c := Counts{
+		Seq: u.seq, Sent: int64(u.clock.elapsed(now)), Clock: u.opts.wallClock(now).UnixNano(), Complete: u.complete(now),
+	}
+	r := u.sentTo[to]
+	for _, w := range slices.Sorted(maps.Keys(u.own)) {
+		if t := u.own[w]; t.changed > r.confirmed && w >= r.next {
+			c.Windows = append(c.Windows, t.encode(w))
+		}
+	}
+	return c
+}
+
+func (t *tally) encode(window int64) WindowCounts {
+	w := WindowCounts{Window: window}
+	for _, name := range slices.Sorted(maps.Keys(t.requests)) {
+		w.Counts = append(w.Counts, Count{Workspace: name, Requests: t.requests[name]})
+	}
+	return w
+}
+
+// handleCounts merges the counts of another node. Counts never decrease, so that the order of messages does not matter.
+func (u *Usage) handleCounts(now time.Time, ev event.Receive, c Counts) []event.Action {
+	u.clock.read(now, ev.From, time.Duration(c.Clock))
+	p := process{ev.From, ev.Incarnation}
+	n := u.received[p]
+	if n == nil {
+		n = &nodeCounts{windows: map[int64]map[id.Workspace]uint64{}}
+		u.received[p] = n
+	}
+	n.at, n.complete = now, max(n.complete, c.Complete)
+	ack := Ack{Seq: c.Seq, Sent: c.Sent, Next: u.nextWindow()}
+	if u.clock.synced {
+		ack.Time = int64(u.clock.at(now))
+	}
+	late := 0
+	for _, w := range c.Windows {
+		if w.Window < ack.Next {
+			late++
+			continue
+		}
+		n.merge(w)
+	}
+	out := []event.Action{event.Send{To: ev.From, Body: ack}}
+	if late > 0 && u.leases.Active() {
+		out = append(out, event.Log{Kind: "usage", Choice: "late counts", Reason: "from=" + string(ev.From)})
+	}
+	return out
+}
+
+func (n *nodeCounts) merge(w WindowCounts) {
+	requests := n.windows[w.Window]
+	if requests == nil {
+		requests = map[id.Workspace]uint64{}
+		n.windows[w.Window] = requests
+	}
+	for _, c := range w.Counts {
+		requests[c.Workspace] = max(requests[c.Workspace], c.Requests)
+	}
+}
+
+// handleAck records what a recipient has, and takes the time from the leader.
+func (u *Usage) handleAck(now time.Time, ev event.Receive, a Ack) {
+	r := u.sentTo[ev.From]
+	if restarted := r.incarnation != "" && r.incarnation != ev.Incarnation; restarted {
+		// The confirmed message left out what the earlier process had confirmed.
+		r = recipient{incarnation: ev.Incarnation}
+	} else {
+		r = recipient{incarnation: ev.Incarnation, confirmed: max(r.confirmed, min(a.Seq, u.seq)), next: max(r.next, a.Next)}
+	}
+	u.sentTo[ev.From] = r
+	if ev.From == u.ranking.Leader() && a.Time > 0 && !u.leases.Active() {
+		u.clock.setFrom(now, time.Duration(a.Sent), time.Duration(a.Time))
+		u.placeWaiting()
+	}
+}
+
+// prune forgets windows whose report can no longer be sent, and processes that have not reported since.
+func (u *Usage) prune(now time.Time) {
+	if !u.clock.synced {
+		return
+	}
+	first := u.window(u.clock.at(now)-u.opts.Late) - 1
+	stale := func(w int64) bool { return w < first }
+	maps.DeleteFunc(u.own, func(w int64, _ *tally) bool { return stale(w) })
+	for p, n := range u.received {
+		maps.DeleteFunc(n.windows, func(w int64, _ map[id.Workspace]uint64) bool { return stale(w) })
+		if len(n.windows) == 0 && now.Sub(n.at) > u.opts.Late {
+			delete(u.received, p)
+		}
+	}
+}
