proxy, gateway, platform, settings: wire duties and usage reports

The settings key duties turns them on; deploy/gateway.json renders it only where the platform supplies cloud. Without it no module, kind or metric is added.

--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -3,10 +3,13 @@
 import (
 	"expvar"
 
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
+	"bluebellflow/core/id"
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/ratelimit"
 	"bluebellflow/core/settings"
+	"bluebellflow/core/usage"
 	"bluebellflow/io/gateway"
 	"bluebellflow/io/upstream"
 	"bluebellflow/platform"
@@ -19,7 +22,7 @@
 	if err != nil {
 		return gateway.Config{}, 0, err
 	}
-	return gateway.Config{
+	cfg := gateway.Config{
 		Self:      event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
 		Advertise: s.Advertise,
 		Decoder:   platform.Decoder{},
@@ -36,5 +39,22 @@
 			return platform.NewWorkers(client, deliver)
 		},
 		Callers: s.Caller, Ready: s.Ready, Metrics: s.Metrics,
-	}, s.Memory, nil
+	}
+	if s.Duties != nil {
+		addDuties(&cfg, s.Name, *s.Duties)
+	}
+	return cfg, s.Memory, nil
+}
+
+// addDuties adds the calls to the control service that one node at a time makes.
+func addDuties(cfg *gateway.Config, name id.Node, d settings.Duties) {
+	cfg.Bounds.Duties = &proxy.Duties{
+		Lease: duty.Options{Lease: d.Lease, CallsPerSecond: d.Rate}, Encoder: platform.Decoder{},
+	}
+	if platform.HasDuty(d.Names, duty.Usage) {
+		cfg.Bounds.Duties.Usage = &usage.Options{Window: d.Window, Late: d.Late}
+	}
+	cfg.NewControl = func(deliver func(event.Event), vars *expvar.Map) gateway.Control {
+		return platform.NewControl(d.Control, name, deliver, vars)
+	}
 }
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -99,6 +99,23 @@
 // Leader returns the node that this node follows, or an empty name.
 func (t *Tracker) Leader() id.Node { return t.leader }
 
+// Successor returns the highest-ranked node after the leader that answers and may lead, empty if none is known.
+func (t *Tracker) Successor(now time.Time) id.Node {
+	ownRankPassed := !t.ready || t.leader == t.self.Node
+	for _, p := range t.ranked {
+		if !ownRankPassed && p.compare(t.selfCandidate) > 0 {
+			return t.self.Node
+		}
+		if p.Node != t.leader && p.alive(now) && p.ready {
+			return p.Node
+		}
+	}
+	if !ownRankPassed {
+		return t.self.Node
+	}
+	return ""
+}
+
 // Alive reports whether a node answers pings. It is always true for this node.
 func (t *Tracker) Alive(now time.Time, name id.Node) bool {
 	if name == t.self.Node {
--- a/core/proxy/codec.go
+++ b/core/proxy/codec.go
@@ -7,6 +7,7 @@
 	"bluebellflow/core/leader"
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/selfreport"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 )
@@ -21,5 +22,6 @@
 		80: rollout.Report{}, 81: rollout.Decisions{}, 82: denylist.Crash{},
 		83: denylist.Broken{}, 84: denylist.Ended{}, 85: denylist.Responded{},
 		86: denylist.Trial{}, 87: denylist.Refused{}, 88: selfreport.Shared{},
+		90: usage.Counts{}, 91: usage.Ack{},
 	})
 }
--- a/core/proxy/durations.go
+++ b/core/proxy/durations.go
@@ -40,9 +40,10 @@
 
 // routeDurations holds how long the requests of a route took that got a response.
 type routeDurations struct {
-	firstByte duration // from the send to the first part of the response
-	response  duration // from the send to the end of the response
-	total     duration // from the arrival to the end of the response
+	firstByte duration      // from the send to the first part of the response
+	response  duration      // from the send to the end of the response
+	shortest  time.Duration // as response, of the shortest ones; about the time that a server takes for a request
+	total     duration      // from the arrival to the end of the response
 }
 
 // durationsOf returns the durations of a route, which are zero if nothing was measured yet.
@@ -58,7 +59,12 @@
 // recordDurations records how long a request took that got a response.
 func (g *Gateway) recordDurations(now time.Time, r *request) {
 	d := g.durationsOf(r.route.Name)
-	d.response.observe(now.Sub(r.sent))
+	took := now.Sub(r.sent)
+	d.response.observe(took)
+	d.shortest += (took - d.shortest) / serviceTimeDecay
+	if took < d.shortest || d.response.measurements == 1 {
+		d.shortest = took
+	}
 	d.total.observe(now.Sub(r.arrived))
 }
 
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -11,6 +11,7 @@
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/denylist"
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -21,6 +22,7 @@
 	"bluebellflow/core/roster"
 	"bluebellflow/core/selfreport"
 	"bluebellflow/core/timerqueue"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 )
 
@@ -52,6 +54,7 @@
 	Retries        ratelimit.Budget
 	Grace          time.Duration // from the stop signal to the end of the process
 	Weight         float64       // relative size of this node's VM
+	Duties         *Duties       // nil if there are none
 }
 
 // module is a decision package that handles events and has timers.
@@ -76,6 +79,8 @@
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
+	leases       *duty.Leases // nil without duties
+	usage        *usage.Usage // nil if usage is not reported
 	modules      []module
 
 	catalog      *catalog.Catalog
@@ -93,9 +98,13 @@
 
 // New returns a gateway that knows only its own node.
 func New(self event.Self, decoder Decoder, bounds Bounds) *Gateway {
+	kinds := []string{roster.Kind, ConfigKind, fleet.KindServers, fleet.KindEvacuations, rollout.Kind}
+	if bounds.Duties != nil {
+		kinds = append(kinds, duty.Kind)
+	}
 	g := &Gateway{
 		self: self, decoder: decoder, bounds: bounds,
-		cache:        watchcache.New(self, roster.Kind, ConfigKind, fleet.KindServers, fleet.KindEvacuations, rollout.Kind),
+		cache:        watchcache.New(self, kinds...),
 		roster:       roster.New(self, bounds.Weight),
 		leader:       leader.New(self),
 		fleet:        fleet.New(decoder),
@@ -110,6 +119,7 @@
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
 	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, noTimers{g.balancer}, g.scheduler}
+	g.startDuties(bounds.Duties)
 	return g
 }
 
@@ -191,6 +201,7 @@
 		g.rollouts.SetLeader(now, ev.Leader)
 		g.chooseSource(now)
 		g.leaderChanged(now, out)
+		g.dutyLeaderChanged(now, ev.Leader, out)
 	case event.PeerLink:
 		choice := "lost"
 		if ev.Up {
@@ -236,6 +247,9 @@
 	g.crashGuard.SetNodes(names)
 	g.reports.SetNodes(names)
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
+	if g.usage != nil {
+		g.usage.SetNodes(names)
+	}
 }
 
 // chooseSource selects where the cache gets the store's changes from: from the leader on most nodes. The highest-ranked
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -15,6 +15,7 @@
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/selfreport"
 	"bluebellflow/core/typename"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 )
@@ -70,6 +71,8 @@
 		denylist.Trial{},
 		denylist.Refused{},
 		selfreport.Shared{},
+		usage.Counts{},
+		usage.Ack{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -97,6 +100,8 @@
 		86: "denylist.Trial",
 		87: "denylist.Refused",
 		88: "selfreport.Shared",
+		90: "usage.Counts",
+		91: "usage.Ack",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -227,6 +227,7 @@
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
+	g.countRun(now, r, ev.Fail)
 	out.add(event.Log{Kind: "end", Request: r.Name, Stage: r.route.Name, Choice: outcomeName(ev.Result), Reason: fmt.Sprintf(
 		"server=%s took=%s since=%s %s", r.server, took.Round(time.Millisecond), now.Sub(r.arrived).Round(time.Millisecond), ev.Detail)})
 	g.observeReport(now, r, ev.Result, out)
@@ -342,6 +343,7 @@
 		"phase=%d since=%s", r.phase, now.Sub(r.arrived).Round(time.Millisecond))})
 	if r.phase == running {
 		g.balancer.End(now, r.server, r.sent, balance.Outcome{Fail: event.FailRejected})
+		g.countRun(now, r, event.FailBroken)
 		g.rollouts.RequestEnded(r.pool.Name, r.version)
 	}
 	g.finish(r, false, out)
@@ -357,6 +359,7 @@
 	g.balancer.ResponseStarted(r.server, r.sent)
 	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, ev.Report)...)
 	r.beganAt, r.beganStatus = now, ev.Status
+	g.countBegun(now, r, ev.Status)
 	g.timers.Set(now.Add(provingTime), r.ticket)
 	g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
 	if r.route.Kind == catalog.Stream && ev.Status < http.StatusMultipleChoices {
--- a/core/settings/gateway.go
+++ b/core/settings/gateway.go
@@ -16,6 +16,10 @@
 	maxMemoryMB    = 1 << 20
 	maxCores       = 10_000
 	maxRetryWindow = 10 * time.Minute
+	maxDutyRate    = 100_000
+	minLease       = 500 * time.Millisecond
+	maxLease       = 10 * time.Minute
+	maxReportTime  = time.Hour
 )
 
 // Gateway holds the settings of one gateway process.
@@ -32,6 +36,17 @@
 	Memory        int            // memory limit of the process in megabytes, 0 for no limit
 	Cores         float64        // CPU cores of the VM, 0 if unknown
 	Bounds        Bounds
+	Duties        *Duties // nil if there are none
+}
+
+// Duties holds the calls to the operator's control service that one node at a time makes.
+type Duties struct {
+	Control netip.AddrPort // address of the service
+	Rate    float64        // calls per second that it accepts from all nodes together
+	Names   []string       // of the duties
+	Lease   time.Duration  // after which another node may take over
+	Window  time.Duration  // for which usage is reported
+	Late    time.Duration  // time after the end of a window in which its report is due
 }
 
 // Bounds holds limits that apply to all nodes together.
@@ -106,6 +121,9 @@
 		g.Cores = r.number(path, m.value, maxCores)
 	case "bounds":
 		r.bounds(&g.Bounds, m)
+	case "duties":
+		g.Duties = &Duties{}
+		r.duties(g.Duties, path, m)
 	default:
 		r.reportUnknownKey("gateway", m)
 	}
@@ -159,6 +177,35 @@
 	}
 }
 
+func (r *reader) duties(d *Duties, path string, m member) {
+	for _, f := range r.object(path, m.value) {
+		path := path + "." + f.key
+		switch f.key {
+		case "control":
+			d.Control = r.addr(path, f.value)
+		case "rate":
+			d.Rate = r.number(path, f.value, maxDutyRate)
+		case "list":
+			for _, v := range r.array(path, f.value) {
+				d.Names = append(d.Names, r.stringValue(path, v))
+			}
+		case "lease":
+			d.Lease, _ = r.duration(path, f.value, minLease, maxLease)
+		case "window":
+			d.Window, _ = r.duration(path, f.value, time.Second, maxReportTime)
+		case "late":
+			d.Late, _ = r.duration(path, f.value, time.Second, maxReportTime)
+		default:
+			r.reportUnknownKey("gateway.duties", f)
+		}
+	}
+	for _, key := range []string{"control", "rate", "list", "lease", "window", "late"} {
+		if !hasKey(m.value, key) {
+			r.report(m.offset, "%s: %s is required", path, key)
+		}
+	}
+}
+
 // number reads a number from 0 to high.
 func (r *reader) number(path string, v hujson.Value, high float64) float64 {
 	lit, ok := v.Value.(hujson.Literal)
--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -11,11 +11,16 @@
 	// maxRoundTrip is the longest round trip whose answer sets the time, unless there was no shorter one for clockTimeout.
 	maxRoundTrip = 50 * time.Millisecond
 	clockTimeout = 5 * time.Second
+	// maxReadings is the number of readings that are kept of a clock. More would delay the notice of a clock that is set back.
+	maxReadings = 4
 	// readingTTL is how long the reading of a node's clock counts.
 	readingTTL = 10 * time.Second
-	// unsyncedTimeout is how long a node waits for the time of the leader, and the leader for the clocks of most nodes, before
-	// it uses what it has.
-	unsyncedTimeout = 3 * time.Second
+	// minReadingTime is the least time after which the first median is taken: the list of nodes grows while they start.
+	minReadingTime = 1500 * time.Millisecond
+	// readingTimeout is how long a leader that does not know the time waits for the clocks of all nodes, and leaderTimeout how
+	// long another node waits for the time of the leader, before they use what they have.
+	readingTimeout = 3 * time.Second
+	leaderTimeout  = 8 * time.Second
 )
 
 // clock tells the true time. It advances with the monotonic clock.
@@ -24,15 +29,18 @@
 	readings map[id.Node]reading
 	offset   time.Duration // true time at start, since the start of 1970
 	synced   bool
-	syncedAt time.Time // when a short round trip has set the offset
+	setAfter time.Duration // time from the start until a round trip last set the offset
 }
 
-// reading is the clock of a node at the start of this process.
+// reading holds what a node's last messages say of its clock at the start of this process.
 type reading struct {
-	offset time.Duration
-	at     time.Time // when it was read
+	offsets []time.Duration // oldest first
+	at      time.Time       // when it was last read
 }
 
+// offset returns that of the message that was fastest: a delay makes a clock look slow.
+func (r reading) offset() time.Duration { return slices.Max(r.offsets) }
+
 // elapsed returns the time since the start of this process.
 func (c *clock) elapsed(now time.Time) time.Duration { return now.Sub(c.start) }
 
@@ -41,11 +49,13 @@
 
 // read records the clock of a node.
 func (c *clock) read(now time.Time, name id.Node, shows time.Duration) {
-	c.readings[name] = reading{offset: shows - c.elapsed(now), at: now}
+	old := c.readings[name].offsets
+	old = old[max(0, len(old)-maxReadings+1):]
+	c.readings[name] = reading{offsets: append(slices.Clone(old), shows-c.elapsed(now)), at: now}
 }
 
 // setMedian sets the time to the median of the clocks that were read lately. nodes is the number of all nodes, of which most
-// must be known.
+// must be known; the first time all of them, because a few clocks may be far off.
 func (c *clock) setMedian(now time.Time, nodes int) {
 	var offsets []time.Duration
 	for name, r := range c.readings {
@@ -53,10 +63,14 @@
 			delete(c.readings, name)
 			continue
 		}
-		offsets = append(offsets, r.offset)
+		offsets = append(offsets, r.offset())
 	}
 	n := len(offsets)
-	if n == 0 || 2*n <= nodes && (c.synced || c.elapsed(now) < unsyncedTimeout) {
+	enough := 2*n > nodes
+	if !c.synced {
+		enough = n >= nodes && c.elapsed(now) >= minReadingTime || c.elapsed(now) >= readingTimeout
+	}
+	if n == 0 || !enough {
 		return
 	}
 	slices.Sort(offsets)
@@ -66,8 +80,8 @@
 // setFrom sets the time to that of the leader at the receipt of a message that was sent some time after the start.
 func (c *clock) setFrom(now time.Time, sent, trueTime time.Duration) {
 	roundTrip := c.elapsed(now) - sent
-	if roundTrip < 0 || roundTrip > maxRoundTrip && c.synced && now.Sub(c.syncedAt) < clockTimeout {
+	if roundTrip < 0 || roundTrip > maxRoundTrip && c.elapsed(now)-c.setAfter < clockTimeout {
 		return
 	}
-	c.offset, c.synced, c.syncedAt = trueTime-sent-roundTrip/2, true, now
+	c.offset, c.synced, c.setAfter = trueTime-sent-roundTrip/2, true, c.elapsed(now)
 }
--- a/core/usage/counts.go
+++ b/core/usage/counts.go
@@ -33,9 +33,8 @@
 
 // recipient is what is known of a node to which counts are sent.
 type recipient struct {
-	incarnation id.Incarnation
-	confirmed   uint64 // number of the last message that it has confirmed
-	next        int64  // earlier windows are no longer needed there
+	confirmed uint64 // number of the last message whose counts it knows all
+	next      int64  // earlier windows are no longer needed there
 }
 
 // process identifies one start of a node.
@@ -46,6 +45,7 @@
 
 // nodeCounts is what a process has reported.
 type nodeCounts struct {
+	known    uint64 // the last message whose counts are all known, 0 for none
 	complete int64
 	windows  map[int64]map[id.Workspace]uint64
 	at       time.Time // when it last reported
@@ -136,6 +136,7 @@
 		Seq: u.seq, Sent: int64(u.clock.elapsed(now)), Clock: u.opts.wallClock(now).UnixNano(), Complete: u.complete(now),
 	}
 	r := u.sentTo[to]
+	c.Since = r.confirmed
 	for _, w := range slices.Sorted(maps.Keys(u.own)) {
 		if t := u.own[w]; t.changed > r.confirmed && w >= r.next {
 			c.Windows = append(c.Windows, t.encode(w))
@@ -161,8 +162,11 @@
 		n = &nodeCounts{windows: map[int64]map[id.Workspace]uint64{}}
 		u.received[p] = n
 	}
-	n.at, n.complete = now, max(n.complete, c.Complete)
-	ack := Ack{Seq: c.Seq, Sent: c.Sent, Next: u.nextWindow()}
+	n.at = now
+	if c.Since <= n.known {
+		n.known, n.complete = max(n.known, c.Seq), max(n.complete, c.Complete)
+	}
+	ack := Ack{Seq: n.known, Sent: c.Sent, Next: u.nextWindow()}
 	if u.clock.synced {
 		ack.Time = int64(u.clock.at(now))
 	}
@@ -192,16 +196,14 @@
 	}
 }
 
-// handleAck records what a recipient has, and takes the time from the leader.
+// handleAck records what a recipient knows, and takes the time from the leader. A recipient that has restarted knows less than
+// before; an older answer that arrives late only causes counts to be sent again.
 func (u *Usage) handleAck(now time.Time, ev event.Receive, a Ack) {
 	r := u.sentTo[ev.From]
-	if restarted := r.incarnation != "" && r.incarnation != ev.Incarnation; restarted {
-		// The confirmed message left out what the earlier process had confirmed.
-		r = recipient{incarnation: ev.Incarnation}
-	} else {
-		r = recipient{incarnation: ev.Incarnation, confirmed: max(r.confirmed, min(a.Seq, u.seq)), next: max(r.next, a.Next)}
+	if a.Seq < r.confirmed {
+		u.sendAt = now
 	}
-	u.sentTo[ev.From] = r
+	u.sentTo[ev.From] = recipient{confirmed: min(a.Seq, u.seq), next: max(r.next, a.Next)}
 	if ev.From == u.ranking.Leader() && a.Time > 0 && !u.leases.Active() {
 		u.clock.setFrom(now, time.Duration(a.Sent), time.Duration(a.Time))
 		u.placeWaiting()
--- a/core/usage/message.go
+++ b/core/usage/message.go
@@ -29,14 +29,15 @@
 	Counts []Count `protobuf:"bytes,2,rep,name=counts"`
 }
 
-// Counts tells the leader and the next node in rank what the sender has counted. Windows that have not changed since the
-// last confirmed message are left out.
+// Counts tells the leader and the next node in rank what the sender has counted. Windows that have not changed after message
+// Since are left out, so that a receiver needs that message or an earlier one before it knows all counts.
 type Counts struct {
 	Seq      uint64         `protobuf:"varint,1,opt,name=seq"`
 	Sent     int64          `protobuf:"varint,2,opt,name=sent"`     // nanoseconds since the start of the sender's process
 	Clock    int64          `protobuf:"varint,3,opt,name=clock"`    // the sender's clock, in nanoseconds since the start of 1970
 	Complete int64          `protobuf:"varint,4,opt,name=complete"` // the sender will count nothing more up to this window; 0 for none
 	Windows  []WindowCounts `protobuf:"bytes,5,rep,name=windows"`
+	Since    uint64         `protobuf:"varint,6,opt,name=since"`
 }
 
 // Check reports whether the message is well formed.
@@ -57,10 +58,10 @@
 	return nil
 }
 
-// Ack confirms a Counts message.
+// Ack answers a Counts message.
 type Ack struct {
-	Seq  uint64 `protobuf:"varint,1,opt,name=seq"`
-	Sent int64  `protobuf:"varint,2,opt,name=sent"` // that of the confirmed message
+	Seq  uint64 `protobuf:"varint,1,opt,name=seq"`  // the last message whose counts are all known, 0 for none
+	Sent int64  `protobuf:"varint,2,opt,name=sent"` // that of the answered message
 	Time int64  `protobuf:"varint,3,opt,name=time"` // true time of its receipt in nanoseconds since the start of 1970; 0 if unknown
 	Next int64  `protobuf:"varint,4,opt,name=next"` // counts of earlier windows are no longer needed
 }
@@ -68,7 +69,7 @@
 // Check reports whether the message is well formed.
 func (a Ack) Check() error {
 	if a.Sent < 0 || a.Time < 0 || a.Next < 0 || a.Next > maxWindow {
-		return errors.New("confirmation of counts: value out of range")
+		return errors.New("answer to counts: value out of range")
 	}
 	return nil
 }
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -15,8 +15,8 @@
 	// closeFraction is the part of Options.Late after which a window is closed although some nodes have not reported it. The
 	// rest is left for the next holder if this one is lost, and for retries.
 	closeFraction = 0.5
-	// fewFraction is that part if most nodes have not reported: this node may be cut off, and the others may have a leader
-	// that knows more.
+	// fewFraction is that part if most nodes have not reported, or have not had time for that since this node leads: it may be
+	// cut off, and the others may have a leader that knows more.
 	fewFraction = 0.85
 	// minCloseTime is the least time after the end of a window at which it is closed. Nodes that have just started may not be
 	// listed before.
@@ -121,7 +121,7 @@
 	since := u.clock.at(now) - u.end(window)
 	done := u.nodesComplete(now, window)
 	fraction := closeFraction
-	if 2*done <= len(u.nodes) {
+	if 2*done <= len(u.nodes) || now.Sub(u.leaderSince) < 2*sendInterval {
 		fraction = fewFraction
 	}
 	incomplete := done < len(u.nodes) || since < minCloseTime
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -74,6 +74,8 @@
 	sending   map[int64]*sending
 	calls     map[uint64]int64 // windows of the calls in progress
 	decideAt  time.Time
+
+	leaderSince time.Time // when the leader last changed
 }
 
 // New returns a Usage that has counted nothing. oldestOpen returns when the oldest open request was sent to a server that may
@@ -92,7 +94,7 @@
 // LeaderChanged sends the counts to the new leader soon.
 func (u *Usage) LeaderChanged(now time.Time) {
 	u.requested = false
-	u.sendAt = now
+	u.leaderSince, u.sendAt = now, now
 }
 
 // Now returns the true time since the start of 1970, or false if it is not known yet.
@@ -146,7 +148,7 @@
 // updateTime sets the time of the leader to the median of all clocks, and that of a node without a leader to its own.
 func (u *Usage) updateTime(now time.Time) {
 	u.clock.read(now, u.self.Node, time.Duration(u.opts.wallClock(now).UnixNano()))
-	if u.leases.Active() || !u.clock.synced && u.clock.elapsed(now) >= unsyncedTimeout {
+	if u.leases.Active() || !u.clock.synced && u.clock.elapsed(now) >= leaderTimeout {
 		u.clock.setMedian(now, len(u.nodes))
 	}
 	u.placeWaiting()
--- /dev/null
+++ b/io/gateway/duties.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"expvar"
+
+	"bluebellflow/core/duty"
+	"bluebellflow/core/event"
+	"bluebellflow/core/usage"
+)
+
+// executeDuty makes a call to the control service, or updates the metrics of the duties.
+func (n *Node) executeDuty(a event.Action) {
+	switch a := a.(type) {
+	case duty.Call:
+		n.control.Call(a)
+	case duty.Held:
+		n.setHeld(a)
+	case usage.Reported:
+		n.vars.Add(reportedVar(a), 1)
+	}
+}
+
+// setHeld sets the fencing token of a lease that this node holds. The metric of a lease that it does not hold is 0.
+func (n *Node) setHeld(h duty.Held) {
+	token := new(expvar.Int)
+	if h.Held {
+		token.Set(int64(h.Token))
+	}
+	n.vars.Set("duty_token_"+h.Subject.String(), token)
+}
+
+// reportedVar returns the name of the counter for the outcome of a report.
+func reportedVar(r usage.Reported) string {
+	switch {
+	case r.Late:
+		return "usage_reports_late"
+	case r.Repeated:
+		return "usage_reports_repeated"
+	}
+	return "usage_reports_sent"
+}
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -16,8 +16,10 @@
 	"github.com/oklog/run"
 
 	"bluebellflow/core/batch"
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
 	"bluebellflow/core/proxy"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 	"bluebellflow/io/httpserver"
@@ -51,6 +53,12 @@
 	Free(batch.FreeResults)
 }
 
+// Control is a client of the operator's control service. Call must not block; the result is delivered as an event.
+type Control interface {
+	Call(duty.Call)
+	Run(ctx context.Context) error
+}
+
 // Config describes one gateway node. Port 0 in an address is replaced by a free one.
 type Config struct {
 	Self event.Self // Self.Addr is the address to listen on for peers
@@ -63,6 +71,8 @@
 	// NewStore and NewWorkers return the clients of the platform's store and of the backend servers.
 	NewStore   func(deliver func(event.Event), vars *expvar.Map, report func(error)) Store
 	NewWorkers func(client *upstream.Client, deliver func(event.Event)) Workers
+	// NewControl returns the client of the control service; nil if there are no duties.
+	NewControl func(deliver func(event.Event), vars *expvar.Map) Control
 	// Callers, Ready and Metrics are the addresses to listen on; an invalid Metrics address turns metrics off.
 	Callers, Ready, Metrics netip.AddrPort
 	Logger                  *log.Logger
@@ -77,6 +87,7 @@
 	server      *Server
 	client      *upstream.Client
 	workers     Workers
+	control     Control // nil without duties
 	logger      *log.Logger
 	httpServers []*httpserver.Server
 }
@@ -104,6 +115,9 @@
 	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars), WithUnanswered(n.logUnanswered))
 	n.store = cfg.NewStore(n.loop.Deliver, n.vars, n.loop.Report)
 	n.workers = cfg.NewWorkers(n.client, n.loop.Deliver)
+	if cfg.NewControl != nil {
+		n.control = cfg.NewControl(n.loop.Deliver, n.vars)
+	}
 	n.loop.SetExecutor(n)
 	n.vars.Set("requests_open", expvar.Func(func() any { return n.server.InProgress() }))
 	n.vars.Set("process", expvar.Func(func() any { return runtime.ReadProcessStats() }))
@@ -185,6 +199,8 @@
 		n.workers.Run(a)
 	case batch.FreeResults:
 		n.workers.Free(a)
+	case duty.Call, duty.Held, usage.Reported:
+		n.executeDuty(a)
 	default:
 		return n.server.Execute(a)
 	}
@@ -197,7 +213,11 @@
 // Run serves until the decision logic exits or a component fails; all components stop together.
 func (n *Node) Run() error {
 	var group run.Group
-	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run} {
+	components := []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run}
+	if n.control != nil {
+		components = append(components, n.control.Run)
+	}
+	for _, do := range components {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return do(ctx) }, func(error) { cancel() })
 	}
