--- a/core/duty/lease.go
+++ b/core/duty/lease.go
@@ -172,7 +172,11 @@
 	start, confirmed := s.attempts[o.Write]
 	clear(s.attempts) // all were conditional on an earlier revision
 	if !confirmed || !l.owned(s) {
-		return l.lose(s, "holder="+string(o.Holder)+fmt.Sprintf(" token=%d released=%t before=%s", o.Token, o.Released, before.Holder))
+		var out []event.Action
+		if o.Token != before.Token || o.Released != before.Released {
+			out = append(out, l.log(s, "holder", fmt.Sprintf("holder=%s token=%d released=%t before=%s", o.Holder, o.Token, o.Released, before.Holder)))
+		}
+		return append(out, l.lose(s)...)
 	}
 	s.heldFrom, s.releasing = start, false
 	if o.Released {
@@ -189,8 +193,8 @@
 }
 
 // lose handles an object that this process has not written last: the lease and all requests based on the earlier record end.
-func (l *Leases) lose(s *lease, reason string) []event.Action {
-	out := []event.Action{l.log(s, "holder", reason)}
+func (l *Leases) lose(s *lease) []event.Action {
+	var out []event.Action
 	if !s.heldFrom.IsZero() {
 		out = append(out, Held{Subject: s.subject})
 	}
@@ -203,7 +207,7 @@
 	s.exists, s.seenAt = false, now
 	s.stored = object{}
 	clear(s.attempts)
-	return l.lose(s, "deleted")
+	return append([]event.Action{l.log(s, "deleted", "")}, l.lose(s)...)
 }
 
 func (l *Leases) log(s *lease, choice, reason string) event.Log {
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -12,12 +12,14 @@
 )
 
 const (
-	// closeFraction is the part of Options.Late after which a window is closed although some nodes have not reported it. The
-	// rest is left for the next holder if this one is lost, and for retries.
-	closeFraction = 0.5
-	// fewFraction is that part if most nodes have not reported, or have not had time for that since this node leads: it may be
-	// cut off, and the others may have a leader that knows more.
+	// closeFraction is the part of Options.Late after which a window is closed although some nodes have not reported it. Nodes
+	// that are cut off or paused for less report in time; the rest is left for retries, and for the next holder if this one is lost.
+	closeFraction = 0.65
+	// fewFraction is that part if most nodes have not reported, or have had little time for that since this node leads or hears
+	// from most nodes again: it may be cut off, and the others may have a leader that knows more.
 	fewFraction = 0.85
+	// silentTime is how long a node is silent before it counts as not heard.
+	silentTime = 2500 * time.Millisecond
 	// minCloseTime is the least time after the end of a window at which it is closed. Nodes that have just started may not be
 	// listed before.
 	minCloseTime = time.Second
@@ -68,6 +70,7 @@
 
 // report closes the windows that are due, and sends the recorded reports.
 func (u *Usage) report(now time.Time) []event.Action {
+	u.noteSilence(now)
 	if !u.leases.Active() || !u.leases.Loaded() || !u.clock.synced || u.requested {
 		return nil
 	}
@@ -121,7 +124,7 @@
 	since := u.clock.at(now) - u.end(window)
 	done := u.nodesComplete(now, window)
 	fraction := closeFraction
-	if 2*done <= len(u.nodes) || now.Sub(u.leaderSince) < 2*sendInterval {
+	if 2*done <= len(u.nodes) || now.Sub(u.fewAt) < 2*sendInterval {
 		fraction = fewFraction
 	}
 	incomplete := done < len(u.nodes) || since < minCloseTime
@@ -157,6 +160,23 @@
 	return count
 }
 
+// noteSilence records whether most nodes are silent.
+func (u *Usage) noteSilence(now time.Time) {
+	heard := map[id.Node]bool{u.self.Node: true}
+	for p, n := range u.received {
+		heard[p.node] = heard[p.node] || now.Sub(n.at) < silentTime
+	}
+	count := 0
+	for _, name := range u.nodes {
+		if heard[name] {
+			count++
+		}
+	}
+	if 2*count <= len(u.nodes) {
+		u.fewAt = now
+	}
+}
+
 // sum returns the counts of all nodes in a window.
 func (u *Usage) sum(window int64) map[id.Workspace]uint64 {
 	out := map[id.Workspace]uint64{}
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -75,7 +75,7 @@
 	calls     map[uint64]int64 // windows of the calls in progress
 	decideAt  time.Time
 
-	leaderSince time.Time // when the leader last changed
+	fewAt time.Time // when the leader last changed or most nodes were last silent
 }
 
 // New returns a Usage that has counted nothing. oldestOpen returns when the oldest open request was sent to a server that may
@@ -94,7 +94,7 @@
 // LeaderChanged sends the counts to the new leader soon.
 func (u *Usage) LeaderChanged(now time.Time) {
 	u.requested = false
-	u.leaderSince, u.sendAt = now, now
+	u.fewAt, u.sendAt = now, now
 }
 
 // Now returns the true time since the start of 1970, or false if it is not known yet.
