--- a/core/settings/reference_test.go
+++ b/core/settings/reference_test.go
@@ -135,6 +135,8 @@
 		`"over": 1.5`:                {`"over": -1`, "gateway.bounds.cold.over: -1 is outside 0 to 1000"},
 		`, "span": "10s"`:            {"", "gateway.bounds.retry: span is required"},
 		`"memory": 284`:              {`"memory": "284"`, "gateway.memory: want an integer"},
+		`, "window": "5s"`:           {"", "gateway.duties: window is required"},
+		`"lease": "3000ms"`:          {`"lease": "3ms"`, "gateway.duties.lease: 3ms is outside 500ms to 10m0s"},
 		`"metrics": `:                {`"metric": `, `gateway: unknown key "metric"`},
 	} {
 		g := NewWithT(t)
