--- a/cmd/soak/harness_test.go
+++ b/cmd/soak/harness_test.go
@@ -52,12 +52,14 @@
 	nodes         []*node
 	serverProxies map[string]*proxy // to each server
 	caller        *standin.Caller
+	control       *standin.Control
 	began         time.Time
 
 	mu              sync.Mutex
 	events          bytes.Buffer // lines written by logEvent
 	freezes         []freezeSpan
-	unexpectedExits []string // processes that exited by themselves with an error
+	unexpectedExits []string  // processes that exited by themselves with an error
+	mayReturnUntil  time.Time // until when a holder may return within the lease
 }
 
 // freezeSpan is a time span in which a node's process was frozen.
@@ -88,6 +90,7 @@
 			h.addServer(seed, service.Name, zone, oldVersion)
 		}
 	}
+	h.startControl()
 	for i := range 2 * len(zones) {
 		h.addNode(fmt.Sprintf("n%d", i), zones[i%len(zones)])
 	}
@@ -154,6 +157,7 @@
 	n := &node{peerProxy: peerProxy, name: name, zone: zone, callerAddr: h.freeAddr(), readyAddr: h.freeAddr(), storeProxy: storeProxy, settingsFile: filepath.Join(h.dir, name+".json")}
 	raw, err := json.Marshal(map[string]any{
 		"name": name, "domain": zone, "peer": peerAddr, "advertise": peerProxy.addr(), "caller": n.callerAddr, "ready": n.readyAddr, "store": storeProxy.addr(), "memory": 200, "cores": 1,
+		"duties": h.dutySettings(),
 		"bounds": map[string]any{
 			"grace": "6s", "cold": map[string]any{"over": 1.5, "slack": 5}, "retry": map[string]any{"ratio": 0.2, "slack": 58, "span": "10s"},
 		},
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -41,6 +41,7 @@
 //   - a draining server gets requests
 //   - a rollout is late or ends in the wrong state
 //   - the deployment does not recover
+//   - two nodes make contradictory or outdated calls to the control service, or reports are missing
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "bluebellflow")
 	out, err := exec.Command("go", "build", "-o", program, "bluebellflow/cmd/bluebellflow").CombinedOutput()
@@ -92,10 +93,13 @@
 		callers.Go(func() { h.generateLoad(ctx, rand.New(rand.NewPCG(seed, uint64(i+2)))) })
 	}
 	callers.Go(func() { h.probeVersions(ctx, rand.New(rand.NewPCG(seed, 99))) })
+	h.allowReturns(time.Hour)
 	h.injectFaults(drawPlan(h.rng, h, *soakSpan))
 	h.checkRecovery()
+	h.allowReturns(0)
 	h.checkConfigPropagation()
 	h.checkRollout(seed)
+	h.checkDuties()
 	stop()
 	callers.Wait()
 	h.checkPoisonRequest()
@@ -114,6 +118,7 @@
 	defer h.mu.Unlock()
 	h.g.Expect(h.unexpectedExits).To(BeEmpty(), "processes that exited by themselves")
 	h.g.Expect(h.Recorder.Violations()).To(BeEmpty())
+	h.g.Expect(h.control.Violations()).To(BeEmpty())
 }
 
 // injectFaults injects the faults of a plan and returns when all have ended.
--- a/core/duty/lease.go
+++ b/core/duty/lease.go
@@ -68,9 +68,10 @@
 	return s.seenAt.Add(l.opts.Lease)
 }
 
-// mustRelease reports whether the object should be released: other nodes may still wait for the end of the lease.
-func (l *Leases) mustRelease(now time.Time, s *lease) bool {
-	return !l.active() && l.owned(s) && !s.stored.Released && !s.heldFrom.IsZero() && now.Sub(s.heldFrom) < unreleasedWait*l.opts.Lease
+// mustRelease reports whether the object should be released. A node that has just seen it may wait for the end of a lease that
+// has ended long ago.
+func (l *Leases) mustRelease(s *lease) bool {
+	return !l.active() && l.owned(s) && !s.stored.Released && !s.heldFrom.IsZero()
 }
 
 // advance starts the write that is due, if any.
@@ -78,7 +79,7 @@
 	if !l.loaded || s.inFlight != 0 || now.Before(s.retry.Next()) {
 		return nil
 	}
-	if l.mustRelease(now, s) {
+	if l.mustRelease(s) {
 		if s.calls > 0 {
 			return nil // a call in progress may still arrive
 		}
--- a/core/duty/leases.go
+++ b/core/duty/leases.go
@@ -123,9 +123,9 @@
 }
 
 // Releasing reports whether a lease is still to be released, which a stopping node waits for.
-func (l *Leases) Releasing(now time.Time) bool {
+func (l *Leases) Releasing() bool {
 	for _, s := range l.subjects {
-		if l.mustRelease(now, s) {
+		if l.mustRelease(s) {
 			return true
 		}
 	}
--- a/core/proxy/duties.go
+++ b/core/proxy/duties.go
@@ -80,4 +80,4 @@
 }
 
 // releasing reports whether a stopping node still has to release a lease.
-func (g *Gateway) releasing(now time.Time) bool { return g.leases != nil && g.leases.Releasing(now) }
+func (g *Gateway) releasing() bool { return g.leases != nil && g.leases.Releasing() }
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -120,5 +120,5 @@
 	if since >= g.bounds.Grace-exitMargin {
 		return true
 	}
-	return g.shutdown.idle && len(g.requests) == 0 && g.scheduler.ActiveCalls() == 0 && g.scheduler.OpenJobs() == 0 && !g.releasing(now)
+	return g.shutdown.idle && len(g.requests) == 0 && g.scheduler.ActiveCalls() == 0 && g.scheduler.OpenJobs() == 0 && !g.releasing()
 }
--- a/core/usage/counts.go
+++ b/core/usage/counts.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -170,30 +171,28 @@
 	if u.clock.synced {
 		ack.Time = int64(u.clock.at(now))
 	}
-	late := 0
+	out := []event.Action{event.Send{To: ev.From, Body: ack}}
 	for _, w := range c.Windows {
-		if w.Window < ack.Next {
-			late++
-			continue
+		if n.merge(w) && w.Window < ack.Next && c.Since > 0 && u.leases.Active() {
+			out = append(out, event.Log{Kind: "usage", Choice: "late counts", Reason: fmt.Sprintf("window=%d from=%s", w.Window, ev.From)})
 		}
-		n.merge(w)
-	}
-	out := []event.Action{event.Send{To: ev.From, Body: ack}}
-	if late > 0 && u.leases.Active() {
-		out = append(out, event.Log{Kind: "usage", Choice: "late counts", Reason: "from=" + string(ev.From)})
 	}
 	return out
 }
 
-func (n *nodeCounts) merge(w WindowCounts) {
+// merge takes in the counts of a window and reports whether any was not known.
+func (n *nodeCounts) merge(w WindowCounts) bool {
 	requests := n.windows[w.Window]
 	if requests == nil {
 		requests = map[id.Workspace]uint64{}
 		n.windows[w.Window] = requests
 	}
+	added := false
 	for _, c := range w.Counts {
+		added = added || c.Requests > requests[c.Workspace]
 		requests[c.Workspace] = max(requests[c.Workspace], c.Requests)
 	}
+	return added
 }
 
 // handleAck records what a recipient knows, and takes the time from the leader. A recipient that has restarted knows less than
