--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -55,9 +55,7 @@
 	now      time.Duration
 	nodes    []*holder
 	later    []delayed
-	revision uint64
 	object   watchcache.Object
-	exists   bool
 	arrivals []arrival
 	faults   []string
 }
@@ -68,7 +66,7 @@
 }
 
 func newWorld(seed uint64, names ...id.Node) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), revision: 5}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1))}
 	for i, name := range names {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		self := event.Self{Node: name, Incarnation: id.NewIncarnation(rng), Rand: rng}
@@ -148,45 +146,38 @@
 
 // write carries out a write to the store. Its answer may be lost, and it may take effect after it has timed out.
 func (w *world) write(h *holder, c event.PlatformCall) {
-	result := event.PlatformResult{Call: c, Code: event.CodeUnknown}
-	if h.cut {
-		result.Code = event.CodeUnavailable
-		w.after(50*time.Millisecond, func() { w.deliver(h, result) })
-		return
-	}
-	lost := w.rng.IntN(4) == 0
-	delay := w.upTo(60 * time.Millisecond)
+	const timeout = 1500 * time.Millisecond
+	delay, lost := w.upTo(60*time.Millisecond), w.rng.IntN(4) == 0
 	if w.rng.IntN(5) == 0 {
 		delay = w.upTo(4 * time.Second)
 	}
+	lost = lost || delay >= timeout || h.cut
+	if lost {
+		w.after(timeout, func() { w.deliver(h, event.PlatformResult{Call: c, Code: event.CodeUnknown}) })
+	}
+	if h.cut {
+		return
+	}
 	w.after(delay, func() {
-		answer := w.commit(c)
-		if !lost && delay < 1500*time.Millisecond {
+		if answer := w.commit(c); !lost {
 			w.deliver(h, answer)
 		}
 	})
-	if lost || delay >= 1500*time.Millisecond {
-		w.after(1500*time.Millisecond, func() { w.deliver(h, result) })
-	}
 }
 
 func (w *world) commit(c event.PlatformCall) event.PlatformResult {
 	result := event.PlatformResult{Call: c, Code: event.CodeConflict}
-	if w.exists {
-		result.Objects = []event.Object{{Name: c.Name, Version: w.object.Revision, Value: w.object.Spec}}
-	}
-	if w.exists != (c.Version != 0) || w.exists && c.Version != w.object.Revision {
-		return result
-	}
-	w.revision++
-	w.exists, w.object = true, watchcache.Object{Name: subject.String(), Revision: w.revision, Spec: c.Value}
-	result.Code, result.Objects = event.CodeOK, []event.Object{{Name: c.Name, Version: w.revision}}
-	for _, h := range w.nodes {
-		if !h.cut {
-			seen := watchcache.ObjectChanged{Kind: duty.Kind, Object: w.object}
-			w.after(w.upTo(time.Duration(w.rng.IntN(2))*1500*time.Millisecond), func() { w.deliver(h, seen) })
+	if c.Version == w.object.Revision {
+		result.Code = event.CodeOK
+		w.object = watchcache.Object{Name: subject.String(), Revision: c.Version + 1, Spec: c.Value}
+		for _, h := range w.nodes {
+			if !h.cut {
+				seen := watchcache.ObjectChanged{Kind: duty.Kind, Object: w.object}
+				w.after(w.upTo(time.Duration(w.rng.IntN(2))*1500*time.Millisecond), func() { w.deliver(h, seen) })
+			}
 		}
 	}
+	result.Objects = []event.Object{{Name: c.Name, Version: w.object.Revision, Value: w.object.Spec}}
 	return result
 }
 
@@ -209,15 +200,15 @@
 // arrive checks the invariants at each call.
 func (w *world) arrive(a arrival) {
 	for i, b := range w.arrivals {
-		switch {
-		case a.Window == b.Window && a.Count != b.Count:
-			w.faults = append(w.faults, fmt.Sprintf("window %d with counts %d and %d", a.Window, b.Count, a.Count))
-		case a.token == b.token && a.node != b.node:
-			w.faults = append(w.faults, fmt.Sprintf("token %d from %s and %s", a.token, b.node, a.node))
-		case a.token < b.token:
-			w.faults = append(w.faults, fmt.Sprintf("token %d after %d", a.token, b.token))
-		case a.node == b.node && w.returnsEarly(a, w.arrivals[i:]):
-			w.faults = append(w.faults, fmt.Sprintf("%s again within %s, after another holder", a.node, a.at-b.at))
+		for fault, found := range map[string]bool{
+			"a window with two counts":         a.Window == b.Window && a.Count != b.Count,
+			"a token from two nodes":           a.token == b.token && a.node != b.node,
+			"a lower token":                    a.token < b.token,
+			"a holder again after another one": a.node == b.node && returnsEarly(a, w.arrivals[i:]),
+		} {
+			if found {
+				w.faults = append(w.faults, fmt.Sprintf("%s: %+v after %+v", fault, a, b))
+			}
 		}
 	}
 	w.arrivals = append(w.arrivals, a)
@@ -225,7 +216,7 @@
 
 // returnsEarly reports whether a node acts although another one has acted less than a lease ago, since an earlier call of the
 // first one that is not long past.
-func (w *world) returnsEarly(a arrival, since []arrival) bool {
+func returnsEarly(a arrival, since []arrival) bool {
 	return a.at-since[0].at < 3*leaseTime && slices.ContainsFunc(since, func(m arrival) bool {
 		return m.node != a.node && a.at-m.at < leaseTime
 	})
@@ -269,9 +260,9 @@
 			}
 		}
 	case 2:
-		w.setPaused(h, !h.paused)
+		w.setFaults(h, !h.paused, h.cut)
 	case 3:
-		w.setCut(h, !h.cut)
+		w.setFaults(h, h.paused, !h.cut)
 	default:
 		if !h.paused {
 			w.lead(h, !h.Active())
@@ -279,10 +270,13 @@
 	}
 }
 
-func (w *world) setPaused(h *holder, paused bool) {
-	h.paused = paused
-	if !paused {
-		inbox := h.inbox
+// setFaults sets the faults of a node. It handles what it has missed after a pause or a partition.
+func (w *world) setFaults(h *holder, paused, cut bool) {
+	h.paused, h.cut = paused, cut
+	if !cut && w.object.Revision > 0 {
+		w.deliver(h, watchcache.ObjectChanged{Kind: duty.Kind, Object: w.object})
+	}
+	if inbox := h.inbox; !paused {
 		h.inbox = nil
 		for _, ev := range inbox {
 			w.deliver(h, ev)
@@ -290,13 +284,6 @@
 	}
 }
 
-func (w *world) setCut(h *holder, cut bool) {
-	h.cut = cut
-	if !cut && w.exists {
-		w.deliver(h, watchcache.ObjectChanged{Kind: duty.Kind, Object: w.object})
-	}
-}
-
 // TestInvariants guards against two holders at a time in any interleaving of writes, lost answers, pauses, partitions and
 // changes of the lead, and against leases that nobody can take any more.
 func TestInvariants(t *testing.T) {
@@ -316,8 +303,7 @@
 		}
 		g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
 		for i, h := range w.nodes {
-			w.setPaused(h, false)
-			w.setCut(h, false)
+			w.setFaults(h, false, false)
 			w.lead(h, i == 0)
 		}
 		before := len(w.arrivals)
