--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -131,6 +131,24 @@
 	}
 }
 
+// TestSuccessor guards against nodes that name another successor of the leader than the one that follows it.
+func TestSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	cl := newCluster(candidates(9)...)
+	cl.run(2 * time.Second)
+	first, successors := cl.expectOneLeader(g), id.NewSet[id.Node]()
+	for _, name := range cl.names {
+		successors.Add(cl.trackers[name].Successor(cl.now))
+	}
+	g.Expect(successors).To(HaveLen(1))
+	cl.frozen.Add(first)
+	cl.run(time.Second)
+	g.Expect(successors.Has(cl.expectOneLeader(g))).To(BeTrue())
+	alone := newCluster(candidates(1)...)
+	alone.run(2 * time.Second)
+	g.Expect(alone.trackers["n00"].Successor(alone.now)).To(BeEmpty())
+}
+
 // TestFailover guards against nodes that keep following a leader that is frozen, unreachable or no longer ready, and against
 // a recovered leader that is not followed again.
 func TestFailover(t *testing.T) {
