usage: a leader takes no clocks from messages that waited during its pause

They show times that are past; four of them from each node would have set its time back by the pause until the next message. TestMessagesAfterPause fails without it, by 4 s.

--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -23,6 +23,13 @@
 	leaderTimeout  = 8 * time.Second
 )
 
+// minPause is the gap between two steps above which this process must have been paused, and pauseTime how long after it no
+// readings are taken: the messages that have waited show times that are past.
+const (
+	minPause  = 500 * time.Millisecond
+	pauseTime = 500 * time.Millisecond
+)
+
 // clock tells the true time. It advances with the monotonic clock.
 type clock struct {
 	start    time.Time // of this process
@@ -30,6 +37,8 @@
 	offset   time.Duration // true time at start, since the start of 1970
 	synced   bool
 	setAfter time.Duration // time from the start until a round trip last set the offset
+	lastStep time.Time
+	readFrom time.Time // when readings are taken again after a pause
 }
 
 // reading holds what a node's last messages say of its clock at the start of this process.
@@ -47,8 +56,19 @@
 // at returns the true time since the start of 1970.
 func (c *clock) at(now time.Time) time.Duration { return c.offset + c.elapsed(now) }
 
+// notePause notices a pause of this process.
+func (c *clock) notePause(now time.Time) {
+	if now.Sub(c.lastStep) > minPause {
+		c.readFrom = now.Add(pauseTime)
+	}
+	c.lastStep = now
+}
+
 // read records the clock of a node.
 func (c *clock) read(now time.Time, name id.Node, shows time.Duration) {
+	if now.Before(c.readFrom) {
+		return
+	}
 	old := c.readings[name].offsets
 	old = old[max(0, len(old)-maxReadings+1):]
 	c.readings[name] = reading{offsets: append(slices.Clone(old), shows-c.elapsed(now)), at: now}
--- a/core/usage/message_test.go
+++ b/core/usage/message_test.go
@@ -50,3 +50,24 @@
 		w.run(200 * time.Millisecond)
 	})
 }
+
+// TestMessagesAfterPause guards against a leader that takes the clocks in messages which have waited during its pause for
+// present ones.
+func TestMessagesAfterPause(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 3)
+	w.run(6 * time.Second)
+	shown := epoch.Add(w.now)
+	w.now += 4 * time.Second
+	n := w.nodes[0]
+	for seq := range uint64(4) {
+		for _, from := range w.names[1:] {
+			n.usage.Step(w.clock(n), event.Receive{From: from, Body: usage.Counts{Seq: 100 + seq, Clock: shown.UnixNano()}})
+		}
+	}
+	w.now += time.Second
+	n.usage.Step(w.clock(n), event.Tick{})
+	at, ok := n.usage.Now(w.clock(n))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(at).To(BeNumerically("~", time.Duration(epoch.UnixNano())+w.now, 50*time.Millisecond))
+}
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -111,8 +111,9 @@
 // Step handles one event.
 func (u *Usage) Step(now time.Time, ev event.Event) []event.Action {
 	if u.clock.start.IsZero() {
-		u.clock.start, u.sendAt, u.decideAt = now, now.Add(sendInterval), now
+		u.clock.start, u.clock.lastStep, u.sendAt, u.decideAt = now, now, now.Add(sendInterval), now
 	}
+	u.clock.notePause(now)
 	var out []event.Action
 	switch ev := ev.(type) {
 	case event.Receive:
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -38,6 +38,8 @@
 	skew    time.Duration // of its clock
 	cut     bool          // no other node reaches it
 	down    bool
+	paused  bool // it handles no events
+	inbox   []event.Event
 	leader  id.Node
 	world   *world
 	counted []counted
@@ -127,7 +129,7 @@
 
 func (n *node) mayLead() bool { return n.world.now >= n.leadsAt }
 
-func (n *node) reaches(o *node) bool { return n == o || !o.down && !o.cut && !n.cut }
+func (n *node) reaches(o *node) bool { return n == o || !o.down && !o.paused && !o.cut && !n.cut }
 
 // clock returns the node's monotonic time, which has no relation to that of other nodes.
 func (w *world) clock(n *node) time.Time {
@@ -135,7 +137,10 @@
 }
 
 func (w *world) deliver(n *node, ev event.Event) {
-	if n.down {
+	if n.paused {
+		n.inbox = append(n.inbox, ev)
+	}
+	if n.down || n.paused {
 		return
 	}
 	now := w.clock(n)
@@ -188,7 +193,7 @@
 			ev, err := w.codec.Decode(raw)
 			if err != nil {
 				w.faults = append(w.faults, err.Error())
-			} else if n.reaches(w.nodes[i]) {
+			} else if n.reaches(w.nodes[i]) || w.nodes[i].paused {
 				w.deliver(w.nodes[i], ev)
 			}
 		})
@@ -242,7 +247,7 @@
 			break
 		}
 	}
-	if !n.down && leader != n.leader {
+	if !n.down && !n.paused && leader != n.leader {
 		n.leader = leader
 		w.execute(n, n.leases.SetLeading(w.clock(n), leader == n.self.Node))
 		n.usage.LeaderChanged(w.clock(n))
@@ -277,7 +282,7 @@
 // begin lets a server begin to run a request of a random node.
 func (w *world) begin(workspace id.Workspace) {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	if n.down {
+	if n.down || n.paused {
 		return
 	}
 	k := (epoch.UnixNano() + int64(w.now)) / int64(window)
@@ -363,6 +368,15 @@
 			first(w).cut = false
 			w.lose(first(w), 13100*time.Millisecond)
 		},
+		"the leader is frozen": func(w *world) {
+			first(w).paused = true
+			w.run(4 * time.Second)
+			first(w).paused = false
+			for _, ev := range first(w).inbox {
+				w.deliver(first(w), ev)
+			}
+			w.lose(first(w), 5100*time.Millisecond)
+		},
 		"the leader stops": func(w *world) {
 			w.deliver(first(w), event.Stop{})
 			w.run(500 * time.Millisecond)
