--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -120,15 +120,13 @@
 
 func (n *node) Successor(time.Time) id.Node {
 	for _, o := range n.world.nodes {
-		if n.reaches(o) && o.mayLead() && o.self.Node != n.leader {
+		if n.reaches(o) && n.world.now >= o.leadsAt && o.self.Node != n.leader {
 			return o.self.Node
 		}
 	}
 	return ""
 }
 
-func (n *node) mayLead() bool { return n.world.now >= n.leadsAt }
-
 func (n *node) reaches(o *node) bool { return n == o || !o.down && !o.paused && !o.cut && !n.cut }
 
 // clock returns the node's monotonic time, which has no relation to that of other nodes.
@@ -242,7 +240,7 @@
 func (w *world) tell(n *node) {
 	leader := id.Node("")
 	for _, o := range w.nodes {
-		if n.reaches(o) && o.mayLead() {
+		if n.reaches(o) && w.now >= o.leadsAt {
 			leader = o.self.Node
 			break
 		}
