watchcache: the leader's watch of duties waits as long as others

Its watches end each second, so that nodes which take the changes from it learn them soon. A late change of a lease only delays a takeover, because writes are conditional and a conflict shows the object.

--- a/core/proxy/duties.go
+++ b/core/proxy/duties.go
@@ -27,6 +27,8 @@
 	if d == nil {
 		return
 	}
+	// Writes are conditional, and a conflict shows the object. A late change delays a takeover, and nothing else.
+	g.cache.AllowLate(duty.Kind)
 	g.leases = duty.New(g.self, d.Lease)
 	g.modules = append(g.modules, g.leases)
 	if d.Usage != nil {
--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -67,6 +67,7 @@
 	tombstones       []Tombstone // oldest first
 	tombstoneFloor   uint64      // deletions up to this revision are no longer remembered
 	loaded           bool
+	lateAllowed      bool      // changes may be late if a watch is lost
 	storeUp          bool      // the store answers this node or its source
 	storeUpChangedAt time.Time // when storeUp last changed
 	storeLostAt      time.Time // when storeUp last became false
@@ -84,6 +85,10 @@
 	return c
 }
 
+// AllowLate lets the watch of a kind wait as long at the source as at other nodes, which saves calls. A change is then late if
+// the watch is lost.
+func (c *Cache) AllowLate(kind string) { c.kindCaches[kind].lateAllowed = true }
+
 // SetPeers sets the nodes of the cluster. A node compares revisions with only maxPeers of them, chosen by hash, because
 // each peer costs a connection.
 func (c *Cache) SetPeers(nodes []id.Node) {
@@ -194,10 +199,11 @@
 	c.followsAsSource = asSource
 	for i, kind := range c.kinds {
 		initial := c.confirmedSince.IsZero() && (i == 0 || !c.kindCaches[kind].loaded)
+		k := c.kindCaches[kind]
 		switch following := c.following.Has(kind); {
-		case (want || initial) && (!following || changed):
+		case (want || initial) && (!following || changed && !k.lateAllowed):
 			c.following.Add(kind)
-			out = append(out, Follow{Kind: kind, Revision: c.kindCaches[kind].revision, AsSource: asSource})
+			out = append(out, Follow{Kind: kind, Revision: k.revision, AsSource: asSource && !k.lateAllowed})
 		case !want && !initial && following:
 			c.following.Delete(kind)
 			out = append(out, Unfollow{Kind: kind})
--- a/core/watchcache/cache_test.go
+++ b/core/watchcache/cache_test.go
@@ -208,6 +208,15 @@
 		g.Expect(n.asSource["a"]).To(BeEmpty())
 		g.Expect(n.asSource["b"].Sorted()).To(Equal(all))
 	})
+	t.Run("changes of a kind may be late", func(t *testing.T) {
+		g := NewWithT(t)
+		n := newNetwork("a")
+		n.caches["a"].AllowLate("config")
+		n.caches["a"].SetSource(n.now, "a", false)
+		n.run(time.Second)
+		g.Expect(n.followed["a"].Sorted()).To(Equal(all))
+		g.Expect(n.asSource["a"].Sorted()).To(Equal([]string{"nodes"}))
+	})
 	t.Run("relies on it again", func(t *testing.T) {
 		g := NewWithT(t)
 		n := start()
