--- a/core/proxy/duties.go
+++ b/core/proxy/duties.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"time"
 
 	"bluebellflow/core/catalog"
@@ -49,14 +50,11 @@
 
 // countBegun counts a request whose stream has begun.
 func (g *Gateway) countBegun(now time.Time, r *request, status int) {
-	if g.usage != nil && r.route.Kind == catalog.Stream && status < firstRedirect {
+	if g.usage != nil && r.route.Kind == catalog.Stream && status < http.StatusMultipleChoices {
 		g.usage.Count(r.workspace, now)
 	}
 }
 
-// firstRedirect is the lowest HTTP status that is no success.
-const firstRedirect = 300
-
 // countRun counts a request that is no stream after its response, or after its server has failed. Its run began about the
 // service time of its route earlier.
 func (g *Gateway) countRun(now time.Time, r *request, fail event.FailKind) {
--- a/io/gateway/duties.go
+++ b/io/gateway/duties.go
@@ -20,13 +20,18 @@
 	}
 }
 
-// setHeld sets the fencing token of a lease that this node holds. The metric of a lease that it does not hold is 0.
+// setHeld sets the number of leases that this node holds, and the fencing token of one of them. The token of a lease that it
+// does not hold is 0.
 func (n *Node) setHeld(h duty.Held) {
-	token := new(expvar.Int)
+	token, count := new(expvar.Int), new(expvar.Int)
+	delete(n.held, h.Subject)
 	if h.Held {
 		token.Set(int64(h.Token))
+		n.held[h.Subject] = true
 	}
+	count.Set(int64(len(n.held)))
 	n.vars.Set("duty_token_"+h.Subject.String(), token)
+	n.vars.Set("duty_leases_held", count)
 }
 
 // reportedVar returns the name of the counter for the outcome of a report.
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -87,14 +87,15 @@
 	server      *Server
 	client      *upstream.Client
 	workers     Workers
-	control     Control // nil without duties
+	control     Control               // nil without duties
+	held        map[duty.Subject]bool // leases that this node holds
 	logger      *log.Logger
 	httpServers []*httpserver.Server
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
 func NewNode(cfg Config) (*Node, error) {
-	n := &Node{vars: new(expvar.Map), logger: cfg.Logger}
+	n := &Node{vars: new(expvar.Map), logger: cfg.Logger, held: map[duty.Subject]bool{}}
 	if n.logger == nil {
 		n.logger = log.New(io.Discard)
 	}
