--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -12,6 +12,7 @@
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/connlimit"
 	"bluebellflow/core/denylist"
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
@@ -23,6 +24,7 @@
 	"bluebellflow/core/roster"
 	"bluebellflow/core/selfreport"
 	"bluebellflow/core/timerqueue"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 )
 
@@ -54,6 +56,7 @@
 	Retries        ratelimit.Budget
 	Grace          time.Duration // from the stop signal to the end of the process
 	Weight         float64       // relative size of this node's VM
+	Duties         *Duties       // nil if there are none
 }
 
 // module is a decision package that handles events and has timers.
@@ -80,6 +83,8 @@
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
 	connLimits   *connlimit.Limiter
+	leases       *duty.Leases // nil without duties
+	usage        *usage.Usage // nil if usage is not reported
 	modules      []module
 
 	catalog      *catalog.Catalog
@@ -98,9 +103,13 @@
 
 // New returns a gateway that knows only its own node.
 func New(self event.Self, decoder Decoder, bounds Bounds) *Gateway {
+	kinds := []string{roster.Kind, ConfigKind, fleet.KindServers, fleet.KindEvacuations, rollout.Kind}
+	if bounds.Duties != nil {
+		kinds = append(kinds, duty.Kind)
+	}
 	g := &Gateway{
 		self: self, decoder: decoder, bounds: bounds,
-		cache:        watchcache.New(self, roster.Kind, ConfigKind, fleet.KindServers, fleet.KindEvacuations, rollout.Kind),
+		cache:        watchcache.New(self, kinds...),
 		roster:       roster.New(self, bounds.Weight),
 		leader:       leader.New(self),
 		fleet:        fleet.New(decoder),
@@ -117,6 +126,7 @@
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
 	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, g.connLimits, noTimers{g.balancer}, g.loads, g.scheduler}
+	g.startDuties(bounds.Duties)
 	return g
 }
 
@@ -200,6 +210,7 @@
 		g.rollouts.SetLeader(now, ev.Leader)
 		g.chooseSource(now)
 		g.leaderChanged(now, out)
+		g.dutyLeaderChanged(now, ev.Leader, out)
 	case event.PeerLink:
 		choice := "lost"
 		if ev.Up {
@@ -250,6 +261,9 @@
 	g.reports.SetNodes(names)
 	g.balancer.SetNodes(len(names))
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
+	if g.usage != nil {
+		g.usage.SetNodes(names)
+	}
 }
 
 // chooseSource selects where the cache gets the store's changes from: from the leader on most nodes. The highest-ranked
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -16,6 +16,7 @@
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/selfreport"
 	"bluebellflow/core/typename"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 )
@@ -72,6 +73,8 @@
 		denylist.Refused{},
 		selfreport.Shared{},
 		loadshare.Digest{},
+		usage.Counts{},
+		usage.Ack{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -100,6 +103,8 @@
 		87:  "denylist.Refused",
 		88:  "selfreport.Shared",
 		100: "loadshare.Digest",
+		90:  "usage.Counts",
+		91:  "usage.Ack",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -247,6 +247,7 @@
 	})
 	g.rollouts.RequestEnded(r.pool.Name, r.version)
 	g.reportOutcome(now, r, ev.Result)
+	g.countRun(now, r, ev.Fail)
 	out.add(event.Log{Kind: "end", Request: r.Name, Stage: r.route.Name, Choice: outcomeName(ev.Result), Reason: fmt.Sprintf(
 		"server=%s took=%s since=%s %s", r.server, took.Round(time.Millisecond), now.Sub(r.arrived).Round(time.Millisecond), ev.Detail)})
 	g.observeReport(now, r, ev.Result, out)
@@ -347,6 +348,7 @@
 		"phase=%d since=%s", r.phase, now.Sub(r.arrived).Round(time.Millisecond))})
 	if r.phase == running {
 		g.balancer.End(now, r.server, r.sent, balance.Outcome{Fail: event.FailRejected})
+		g.countRun(now, r, event.FailBroken)
 		g.rollouts.RequestEnded(r.pool.Name, r.version)
 	}
 	g.finish(r, false, out)
@@ -363,6 +365,7 @@
 	g.balancer.ResponseStarted(now, r.server, r.sent, ev.Report)
 	out.add(g.reports.Observe(now, r.process(), r.sent, ev.Report)...)
 	r.beganAt, r.beganStatus = now, ev.Status
+	g.countBegun(now, r, ev.Status)
 	g.timers.Set(now.Add(provingTime), r.ticket)
 	if !r.resume.broken {
 		g.durationsOf(r.route.Name).firstByte.observe(now.Sub(r.sent))
