--- /dev/null
+++ b/io/httpserver/conn.go
@@ -0,0 +1,121 @@
+package httpserver
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"bluebellflow/core/callerlimit"
+)
+
+const (
+	// freeHeaderBytes and freeHeaderLines are part of membudget.ConnBytes.
+	freeHeaderBytes, freeHeaderLines = 4 << 10, 64
+	// headerLineBytes is what a header line takes in memory besides its text: an entry of a map, a slice and two strings, twice
+	// because the headers are copied for the server.
+	headerLineBytes = 256
+	// writePieceBytes is the size of the piece of a response that has to be written within the write timeout.
+	writePieceBytes = 16 << 10
+)
+
+// guardedConn is a caller's connection.
+type guardedConn struct {
+	net.Conn
+	guard *Guard
+	id    callerlimit.Conn
+	taken int64 // of the budget; guard.mu protects it
+
+	inHeader    atomic.Bool // a header is read, or awaited
+	headerBytes int
+	headerLines int
+}
+
+// headerCost returns what the header takes in memory beyond that of an ordinary request.
+func (c *guardedConn) headerCost() int64 {
+	if c.headerBytes <= freeHeaderBytes && c.headerLines <= freeHeaderLines {
+		return 0
+	}
+	return int64(2*c.headerBytes + headerLineBytes*c.headerLines)
+}
+
+// Read reads from the connection. It counts what is read of a header, and fails if there is no memory for it.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || !c.inHeader.Load() {
+		return n, err
+	}
+	c.headerBytes += n
+	c.headerLines += bytes.Count(p[:n], []byte{'\n'})
+	if c.headerLines > c.guard.limits.Lines {
+		return 0, errHeaderLines
+	}
+	if cost := c.headerCost(); cost > 0 && !c.guard.hold(c, cost) {
+		return 0, errMemory
+	}
+	return n, err
+}
+
+// Write writes to the connection. Each piece has to be written within the write timeout, so that a caller that does not read
+// holds nothing for longer.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePieceBytes)]
+		if err := c.SetWriteDeadline(time.Now().Add(c.guard.limits.Write)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// CloseWrite closes the side of the connection that sends.
+func (c *guardedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and returns what it has taken.
+func (c *guardedConn) Close() error {
+	c.guard.mu.Lock()
+	c.guard.remove(c)
+	c.guard.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// beginRequest records that the headers of a request have arrived. The body, if there is one, has to arrive without long stops
+// also if the handler does not read it.
+func (c *guardedConn) beginRequest(r *http.Request) {
+	if c == nil {
+		return
+	}
+	c.inHeader.Store(false)
+	phase := callerlimit.Running
+	if r.ContentLength != 0 {
+		phase = callerlimit.Reading
+		_ = c.SetReadDeadline(time.Now().Add(c.guard.limits.Stall))
+	}
+	c.guard.setPhase(c, phase)
+}
+
+// endRequest returns the memory of the request. Its body may not have been read.
+func (c *guardedConn) endRequest() {
+	if c == nil {
+		return
+	}
+	c.guard.hold(c, 0)
+	c.headerBytes, c.headerLines = 0, 0
+	c.guard.setPhase(c, callerlimit.Reading)
+}
+
+func (c *guardedConn) becomeIdle() {
+	c.inHeader.Store(true)
+	c.guard.setPhase(c, callerlimit.Idle)
+}
--- /dev/null
+++ b/io/httpserver/guard.go
@@ -0,0 +1,238 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bluebellflow/core/callerlimit"
+	"bluebellflow/io/membudget"
+)
+
+// reportInterval is the least time between two reports of refused and closed connections.
+const reportInterval = time.Second
+
+// Limits bound what one connection may do, also without pressure, and the number of connections.
+type Limits struct {
+	Conns int
+	Stall time.Duration // how long no byte of a body may arrive
+	Write time.Duration // for each 16 KiB of a response
+	Lines int           // header lines of a request
+}
+
+// Guard keeps the connections of callers within a budget. Package callerlimit decides which ones are refused or closed.
+type Guard struct {
+	limits Limits
+	budget *membudget.Budget
+	vars   *expvar.Map
+	report func(error)
+
+	mu         sync.Mutex
+	table      *callerlimit.Table
+	conns      map[callerlimit.Conn]*guardedConn
+	lastConn   callerlimit.Conn
+	refused    int // connections and requests since the last report
+	closed     int
+	reportedAt time.Time
+}
+
+// GuardOption configures a Guard.
+type GuardOption func(*Guard)
+
+// WithVars counts what is refused and closed in the given map, under names that begin with "callers_".
+func WithVars(vars *expvar.Map) GuardOption { return func(g *Guard) { g.vars = vars } }
+
+// WithReport sets a function that is told at most once a second that callers were refused.
+func WithReport(report func(error)) GuardOption { return func(g *Guard) { g.report = report } }
+
+// NewGuard returns a guard whose connections share the budget with those of other guards.
+func NewGuard(budget *membudget.Budget, limits Limits, opts ...GuardOption) *Guard {
+	g := &Guard{
+		limits: limits, budget: budget, vars: new(expvar.Map), report: func(error) {},
+		table: callerlimit.NewTable(limits.Conns), conns: map[callerlimit.Conn]*guardedConn{},
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// Conns returns the number of open connections.
+func (g *Guard) Conns() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Len()
+}
+
+// install makes a server use the guard.
+func (g *Guard) install(server *http.Server) {
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r)
+		c.beginRequest(r)
+		defer c.endRequest()
+		next.ServeHTTP(w, r)
+	})
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	state := server.ConnState
+	server.ConnState = func(conn net.Conn, s http.ConnState) {
+		if c, ok := conn.(*guardedConn); ok && s == http.StateIdle {
+			c.becomeIdle()
+		}
+		if state != nil {
+			state(conn, s)
+		}
+	}
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// connOf returns the connection of a request, nil if no guard watches it.
+func connOf(r *http.Request) *guardedConn {
+	c, _ := r.Context().Value(connKey{}).(*guardedConn)
+	return c
+}
+
+// listener accepts connections that the guard admits.
+type listener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept returns the next connection that is admitted. It closes those that are refused.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.guard.admit(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// admit returns the guarded connection, or nil if it is refused.
+func (g *Guard) admit(conn net.Conn) *guardedConn {
+	now := time.Now()
+	from, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastConn++
+	c := &guardedConn{Conn: conn, guard: g, id: g.lastConn}
+	c.inHeader.Store(true)
+	evicted, ok := g.table.Open(now, c.id, from.Addr())
+	g.evict(now, evicted)
+	if !ok {
+		g.countRefused(now, "callers_refused_connections")
+		return nil
+	}
+	g.conns[c.id] = c
+	return c
+}
+
+// take takes more bytes of the budget for a connection that will hold bytes for its request. If there are none left, it closes
+// the connections that go before it. The caller must hold g.mu.
+func (g *Guard) take(now time.Time, c *guardedConn, more, bytes int64) bool {
+	for !g.budget.Take(more) {
+		victim := g.table.MemoryVictim(now, c.id, bytes)
+		if victim == 0 {
+			return false
+		}
+		g.evict(now, victim)
+	}
+	return true
+}
+
+// hold reports whether a connection may hold a number of bytes for its request.
+func (g *Guard) hold(c *guardedConn, bytes int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns[c.id] == nil {
+		return false // it was closed for another one
+	}
+	now := time.Now()
+	more := bytes - c.taken
+	switch {
+	case more <= 0:
+		g.budget.Return(-more)
+	case !g.take(now, c, more, bytes):
+		g.countRefused(now, "callers_refused_memory")
+		return false
+	}
+	c.taken += more
+	g.table.Hold(c.id, bytes)
+	return true
+}
+
+// setPhase records the phase of a connection.
+func (g *Guard) setPhase(c *guardedConn, p callerlimit.Phase) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetPhase(time.Now(), c.id, p)
+}
+
+// progress records how many bytes of a body have arrived.
+func (g *Guard) progress(c *guardedConn, received int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Progress(time.Now(), c.id, int64(received))
+}
+
+// remove forgets a connection and returns what it has taken. The caller must hold g.mu.
+func (g *Guard) remove(c *guardedConn) {
+	if g.conns[c.id] == nil {
+		return
+	}
+	delete(g.conns, c.id)
+	g.table.Close(c.id)
+	g.budget.Return(c.taken)
+	c.taken = 0
+}
+
+// evict closes a connection for another one; 0 is none. The caller must hold g.mu.
+func (g *Guard) evict(now time.Time, victim callerlimit.Conn) {
+	c := g.conns[victim]
+	if c == nil {
+		return
+	}
+	g.remove(c)
+	g.vars.Add("callers_closed", 1)
+	g.closed++
+	g.reportRefused(now)
+	_ = c.Conn.Close()
+}
+
+// countRefused counts a refused connection or request. The caller must hold g.mu.
+func (g *Guard) countRefused(now time.Time, name string) {
+	g.vars.Add(name, 1)
+	g.refused++
+	g.reportRefused(now)
+}
+
+// reportRefused reports what was refused and closed since the last report, at most once in reportInterval.
+func (g *Guard) reportRefused(now time.Time) {
+	if now.Sub(g.reportedAt) < reportInterval {
+		return
+	}
+	g.reportedAt = now
+	g.report(fmt.Errorf("callers outside the limits: %d connections closed and %d connections or requests refused, %d connections open, %d bytes left",
+		g.closed, g.refused, g.table.Len(), g.budget.Left()))
+	g.closed, g.refused = 0, 0
+}
+
+// errHeaderLines means that a request has more header lines than any request inside the limits.
+var errHeaderLines = errors.New("too many header lines")
+
+// errMemory means that there is no memory for the headers of a request.
+var errMemory = errors.New("no memory for the headers of a request")
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -13,6 +13,7 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
+	guard    *Guard        // nil for none
 	served   chan struct{} // closed when no connection is accepted any more
 	stopped  chan struct{} // closed at the end of Stop
 
@@ -22,8 +23,14 @@
 	beforeClose func() // called before connections in use are closed, nil for none
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithGuard keeps the connections within the limits of a guard, which no other server uses.
+func WithGuard(g *Guard) Option { return func(s *Server) { s.guard = g } }
+
 // New listens on an address for an HTTP server, which is not used otherwise.
-func New(addr netip.AddrPort, server *http.Server) (*Server, error) {
+func New(addr netip.AddrPort, server *http.Server, opts ...Option) (*Server, error) {
 	if !addr.IsValid() {
 		return nil, errors.New("no address")
 	}
@@ -32,6 +39,12 @@
 		return nil, err
 	}
 	s := &Server{http: server, listener: listener, served: make(chan struct{}), stopped: make(chan struct{})}
+	for _, o := range opts {
+		o(s)
+	}
+	if s.guard != nil {
+		s.guard.install(server)
+	}
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		s.trackState(state)
@@ -50,7 +63,11 @@
 
 // Serve accepts connections until the server fails, or until Stop has returned.
 func (s *Server) Serve() error {
-	err := s.http.Serve(s.listener)
+	accept := s.listener
+	if s.guard != nil {
+		accept = &listener{s.listener, s.guard}
+	}
+	err := s.http.Serve(accept)
 	close(s.served)
 	if !errors.Is(err, net.ErrClosed) {
 		return err
--- a/io/membudget/membudget.go
+++ b/io/membudget/membudget.go
@@ -20,16 +20,46 @@
 	ErrExhausted = errors.New("responses in progress take too much memory")
 )
 
-// Budget is the number of bytes that all responses together may keep in memory, FreeBytes of each not counted.
-type Budget struct{ left atomic.Int64 }
+// Budget is a number of bytes that may be kept in memory together. Of each response, FreeBytes are not counted.
+type Budget struct {
+	total    int64
+	left     atomic.Int64
+	used     atomic.Bool // more than half has been taken since onUnused was called
+	onUnused func()
+}
 
 // New returns a budget.
 func New(bytes int64) *Budget {
-	b := &Budget{}
+	b := &Budget{total: bytes, onUnused: func() {}}
 	b.left.Store(bytes)
 	return b
 }
 
+// OnUnused sets a function that is called when most of the budget has been returned after more than half was taken. It must
+// not block.
+func (b *Budget) OnUnused(f func()) { b.onUnused = f }
+
+// Take takes bytes and reports whether there were as many left.
+func (b *Budget) Take(bytes int64) bool {
+	left := b.left.Add(-bytes)
+	if left < 0 {
+		b.left.Add(bytes)
+		return false
+	}
+	if left < b.total/2 && !b.used.Load() {
+		b.used.Store(true)
+	}
+	return true
+}
+
+// Return gives back bytes that were taken.
+func (b *Budget) Return(bytes int64) {
+	left := b.left.Add(bytes)
+	if left > b.total-b.total/8 && b.used.Load() && b.used.CompareAndSwap(true, false) {
+		b.onUnused()
+	}
+}
+
 // Left returns the number of bytes that may still be kept.
 func (b *Budget) Left() int64 { return b.left.Load() }
 
@@ -48,8 +78,7 @@
 	if more <= 0 {
 		return true
 	}
-	if s.budget.left.Add(-more) < 0 {
-		s.budget.left.Add(more)
+	if !s.budget.Take(more) {
 		return false
 	}
 	s.taken += more
@@ -58,7 +87,7 @@
 
 // Release returns what the response has taken.
 func (s *Share) Release() {
-	s.budget.left.Add(s.taken)
+	s.budget.Return(s.taken)
 	s.taken = 0
 }
 
