gateway, serve: limit what callers take

Both programs use the guard, with settings for memory, descriptors and each limit. A gateway refuses a request whose route or key it does not know before it reads the body. Replies that wait for slow callers share the budget of responses.

--- a/cmd/cli/gateway.go
+++ b/cmd/cli/gateway.go
@@ -47,9 +47,7 @@
 		return err
 	}
 	debug.SetGCPercent(gatewayGCPercent)
-	if memoryLimitMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryLimitMB) * megabyte))
-	}
+	setMemoryLimit(memoryLimitMB)
 	signals := e.streams.Signals()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
@@ -74,6 +72,13 @@
 	return err
 }
 
+// setMemoryLimit sets the soft limit of the garbage collector from the memory of the VM, if it is known.
+func setMemoryLimit(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB) * megabyte))
+	}
+}
+
 // logReloadRequests logs each SIGHUP. Nothing is reloaded: the settings of a process take effect at its next start, and
 // configuration that changes while a gateway runs is read from the store.
 func logReloadRequests(logger *log.Logger, signals <-chan os.Signal) {
--- a/cmd/cli/local.go
+++ b/cmd/cli/local.go
@@ -111,6 +111,7 @@
 	if err := initSelf(&cfg.Self); err != nil {
 		return err
 	}
+	setMemoryLimit(cfg.MemoryMB)
 	signals := e.streams.Signals()
 	node, err := runtime.New(cfg)
 	if err != nil {
--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"cmp"
 	"expvar"
 
 	"bluebellflow/core/event"
@@ -8,10 +9,19 @@
 	"bluebellflow/core/ratelimit"
 	"bluebellflow/core/settings"
 	"bluebellflow/io/gateway"
+	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/upstream"
 	"bluebellflow/platform"
 )
 
+const (
+	// defaultMemoryMB is the memory in megabytes that is divided if the settings name none: that of the largest VM.
+	defaultMemoryMB = 536
+	// minVMDescriptors is the number of descriptors of the smallest VM, because a process does not see the limit of its VM.
+	minVMDescriptors = 2870
+)
+
 // Gateway parses the settings of one gateway process. It returns the configuration of its node and its memory limit in
 // megabytes.
 func (System) Gateway(name string, source []byte) (gateway.Config, int, error) {
@@ -19,7 +29,11 @@
 	if err != nil {
 		return gateway.Config{}, 0, err
 	}
+	memoryMB, descriptors := cmp.Or(s.Memory, defaultMemoryMB), cmp.Or(s.Descriptors, membudget.Descriptors(minVMDescriptors))
+	plan := membudget.Divide(memoryMB, descriptors)
 	return gateway.Config{
+		Plan:      &plan,
+		Limits:    httpserver.Limits{Conns: s.Callers.Connections, Stall: s.Callers.Stall, Write: s.Callers.Write, Lines: s.Callers.Fields},
 		Self:      event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
 		Advertise: s.Advertise,
 		Decoder:   platform.Decoder{},
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -218,6 +218,12 @@
 // KeyRequired reports whether callers need an API key, except on anonymous routes.
 func (c *Catalog) KeyRequired() bool { return c.keyRequired }
 
+// Admits reports whether the route and the key of a request are known, so that its body is worth reading.
+func (c *Catalog) Admits(host, path, key string) bool {
+	r := c.Route(host, path)
+	return r != nil && (!c.keyRequired || r.Anonymous || c.Workspace(key) != nil)
+}
+
 // AtMostOnce reports whether a request of the route must not run more than once.
 func (r *Route) AtMostOnce() bool {
 	return r.Kind == Unsafe || (r.Kind == Stream && !r.Resumable)
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -219,7 +219,7 @@
 	}
 	out.add(
 		event.Log{Kind: "config", Choice: "apply", Reason: fmt.Sprintf("version=%d revision=%d", next.Version(), o.Revision)},
-		Limit{Limits: next.Limits()})
+		Limit{Limits: next.Limits(), Catalog: next})
 }
 
 func (g *Gateway) nodesChanged() {
--- a/core/settings/gateway.go
+++ b/core/settings/gateway.go
@@ -30,7 +30,9 @@
 	Metrics       netip.AddrPort // listen address for metrics; invalid if disabled
 	Store         netip.AddrPort // address of the platform's store
 	Memory        int            // memory limit of the process in megabytes, 0 for no limit
+	Descriptors   int            // descriptors that the process may open, 0 for its limit, at most those of the smallest VM
 	Cores         float64        // CPU cores of the VM, 0 if unknown
+	Callers       Callers
 	Bounds        Bounds
 }
 
@@ -56,7 +58,7 @@
 
 // ParseGateway parses the settings of one gateway process. The error is a Findings with all errors found.
 func ParseGateway(name string, src []byte) (*Gateway, error) {
-	g := &Gateway{}
+	g := &Gateway{Callers: defaultCallers()}
 	r, root, ok := newReader(name, src)
 	if !ok {
 		return nil, r.findings.err()
@@ -102,6 +104,10 @@
 		g.Store = r.addr(path, m.value)
 	case "memory":
 		g.Memory, _ = r.positiveInt(path, m.value, maxMemoryMB)
+	case "descriptors":
+		g.Descriptors, _ = r.positiveInt(path, m.value, maxDescriptors)
+	case "callers":
+		r.callers(&g.Callers, path, m)
 	case "cores":
 		g.Cores = r.number(path, m.value, maxCores)
 	case "bounds":
--- a/core/settings/node.go
+++ b/core/settings/node.go
@@ -28,6 +28,7 @@
 	Admin         netip.AddrPort // listen address for operators
 	Platform      netip.AddrPort // address of the platform's object API
 	Limits        Limits
+	Callers       Callers
 	TLS           *TLS // nil for plain TCP between nodes
 }
 
@@ -43,11 +44,15 @@
 	Body  int           // maximum size of a request body, in bytes
 	Open  int           // maximum number of open requests
 	Grace time.Duration // longest wait for open requests on shutdown
+	// Memory is the memory of the VM in megabytes, 0 if it is not named.
+	Memory int
+	// Descriptors is the number of descriptors that the process may open, 0 for its limit.
+	Descriptors int
 }
 
 // ParseNode parses the settings of one node process. The error is a Findings with all errors found.
 func ParseNode(name string, src []byte) (*Node, error) {
-	n := &Node{Limits: Limits{Body: defaultBodyBytes, Open: defaultOpenRequests, Grace: defaultGrace}}
+	n := &Node{Limits: Limits{Body: defaultBodyBytes, Open: defaultOpenRequests, Grace: defaultGrace}, Callers: defaultCallers()}
 	r, root, ok := newReader(name, src)
 	if !ok {
 		return nil, r.findings.err()
@@ -101,6 +106,8 @@
 		addr(&n.Platform)
 	case "limits":
 		r.limits(&n.Limits, m)
+	case "callers":
+		r.callers(&n.Callers, path, m)
 	case "tls":
 		n.TLS = r.tls(m)
 	default:
@@ -116,6 +123,10 @@
 			l.Body, _ = r.positiveInt(path, f.value, maxBodyBytes)
 		case "open":
 			l.Open, _ = r.positiveInt(path, f.value, maxOpenRequests)
+		case "memory":
+			l.Memory, _ = r.positiveInt(path, f.value, maxMemoryMB)
+		case "descriptors":
+			l.Descriptors, _ = r.positiveInt(path, f.value, maxDescriptors)
 		case "grace":
 			l.Grace, _ = r.duration(path, f.value, 0, maxGrace)
 		default:
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -81,6 +81,9 @@
 // WithVars counts attempts and failures in the given map.
 func WithVars(vars *expvar.Map) Option { return func(c *Client) { c.vars = vars } }
 
+// WithMemory bounds the bytes that the responses in progress may keep in memory together.
+func WithMemory(b *membudget.Budget) Option { return func(c *Client) { c.memory = b } }
+
 // WithErrorHandler sets the function that receives errors that end no attempt, such as a malformed load report.
 func WithErrorHandler(handle func(error)) Option { return func(c *Client) { c.reportError = handle } }
 
--- a/io/callers/callers.go
+++ b/io/callers/callers.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -17,6 +18,8 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/problem"
 )
 
@@ -29,10 +32,10 @@
 	defaultTimeout = 8 * time.Second
 	// maxBufferedBytes is the maximum size of the output that is buffered for one caller, in bytes.
 	maxBufferedBytes = 8 << 20
+	// defaultMemory is the size of the replies that may wait for all callers together, in bytes.
+	defaultMemory = 64 << 20
 	// maxKeys is the maximum number of one-time keys issued by one call.
 	maxKeys = 1000
-	// readTimeout is the time in which a caller has to send its body.
-	readTimeout = 10 * time.Second
 	// busyRetryAfter is the Retry-After of a request that is refused because the node is busy.
 	busyRetryAfter = time.Second
 )
@@ -57,6 +60,7 @@
 	maxRequests    int
 	timeout        time.Duration
 	busy           func() bool
+	memory         *membudget.Budget // for replies that wait for their callers
 
 	ready       atomic.Bool
 	lastRequest atomic.Uint64
@@ -89,6 +93,9 @@
 // WithBusy refuses requests while busy returns true, for example while the event queue is too long.
 func WithBusy(busy func() bool) Option { return func(s *Server) { s.busy = busy } }
 
+// WithMemory bounds the bytes of the replies that wait for their callers together.
+func WithMemory(b *membudget.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // New returns a Server that passes requests to deliver, which must not block.
 func New(self event.Self, deliver func(event.Event), opts ...Option) *Server {
 	s := &Server{
@@ -101,6 +108,7 @@
 		timeout:     defaultTimeout,
 		busy:        func() bool { return false },
 		inProgress:  map[id.Request]*replyQueue{},
+		memory:      membudget.New(defaultMemory),
 	}
 	for _, o := range opts {
 		o(s)
@@ -176,20 +184,19 @@
 // runPipeline handles POST /v1/pipelines/{pipeline}.
 func (s *Server) runPipeline(w http.ResponseWriter, req *http.Request) {
 	arrived, status, err := s.parseRequest(w, req)
+	if errors.Is(err, httpserver.ErrBusy) {
+		s.refuseBusy(w, arrived)
+		return
+	}
 	if err != nil {
 		s.vars.Add("problems_"+string(event.ProblemInvalid), 1)
 		problem.Invalid(w, status, err.Error())
 		return
 	}
-	queue := newReplyQueue()
+	queue := newReplyQueue(s.memory.NewShare(), !arrived.Stream)
+	defer queue.release()
 	if s.busy() || !s.register(arrived.Request, queue) {
-		p := event.Problem{Kind: event.ProblemRefused, Detail: "this node has stopped, or has too many requests in progress", RetryAfter: busyRetryAfter}
-		if arrived.Key != "" {
-			// An earlier request with the key may have run; this node is too busy to look it up.
-			p.Kind = event.ProblemUnknown
-		}
-		s.vars.Add("problems_"+string(p.Kind), 1)
-		problem.New(p, Status(p.Kind), "").Write(w)
+		s.refuseBusy(w, arrived)
 		return
 	}
 	defer s.unregister(arrived.Request)
@@ -211,6 +218,17 @@
 	}
 }
 
+// refuseBusy refuses a request for which this node has no room.
+func (s *Server) refuseBusy(w http.ResponseWriter, arrived event.RequestArrived) {
+	p := event.Problem{Kind: event.ProblemRefused, Detail: "this node has stopped, or has too many requests in progress", RetryAfter: busyRetryAfter}
+	if arrived.Key != "" {
+		// An earlier request with the key may have run; this node is too busy to look it up.
+		p.Kind = event.ProblemUnknown
+	}
+	s.vars.Add("problems_"+string(p.Kind), 1)
+	problem.New(p, Status(p.Kind), "").Write(w)
+}
+
 func (s *Server) register(request id.Request, queue *replyQueue) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -243,10 +261,10 @@
 		return none, http.StatusBadRequest, err
 	}
 	now := s.now()
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(readTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, s.maxBody))
-	_ = control.SetReadDeadline(time.Time{})
+	body, err := httpserver.ReadBody(w, req, s.maxBody)
+	if errors.Is(err, httpserver.ErrBusy) {
+		return event.RequestArrived{Key: h.key}, http.StatusServiceUnavailable, err
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -275,7 +293,7 @@
 		problem.Invalid(w, http.StatusNotImplemented, "this node issues no keys")
 		return
 	}
-	count, err := parseKeysBody(http.MaxBytesReader(w, req.Body, maxKeyBytes))
+	count, err := readKeysBody(w, req)
 	if err != nil {
 		problem.Invalid(w, http.StatusBadRequest, err.Error())
 		return
@@ -295,6 +313,14 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"keys": result.Value})
 }
 
+func readKeysBody(w http.ResponseWriter, req *http.Request) (int, error) {
+	raw, err := httpserver.ReadBody(w, req, maxKeyBytes)
+	if err != nil {
+		return 0, fmt.Errorf("read body: %w", err)
+	}
+	return parseKeysBody(bytes.NewReader(raw))
+}
+
 // parseKeysBody parses {"count":N}; an empty body requests one key.
 func parseKeysBody(body io.Reader) (int, error) {
 	raw, err := io.ReadAll(body)
--- a/io/callers/response.go
+++ b/io/callers/response.go
@@ -13,6 +13,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/problem"
 	"bluebellflow/io/sse"
 )
@@ -53,11 +54,23 @@
 	mu         sync.Mutex
 	replies    []event.Reply
 	size       int
+	memory     *membudget.Share
+	whole      bool // the replies are kept until the last one has come
 	ended      bool
 	overflowed bool
 }
 
-func newReplyQueue() *replyQueue { return &replyQueue{wake: make(chan struct{}, 1)} }
+func newReplyQueue(memory *membudget.Share, whole bool) *replyQueue {
+	return &replyQueue{wake: make(chan struct{}, 1), memory: memory, whole: whole}
+}
+
+// release drops the replies and returns their memory.
+func (q *replyQueue) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ended, q.replies = true, nil
+	q.memory.Release()
+}
 
 // push adds a reply without blocking. Replies after the end are dropped.
 func (q *replyQueue) push(r event.Reply) {
@@ -68,7 +81,7 @@
 	}
 	q.size += len(r.Data)
 	q.ended = r.End || r.Problem != nil
-	if q.size > maxBufferedBytes {
+	if q.size > maxBufferedBytes || !q.memory.Keep(q.size) {
 		q.overflowed = true
 		q.replies = nil
 	} else {
@@ -85,7 +98,10 @@
 	for {
 		q.mu.Lock()
 		out, overflowed := q.replies, q.overflowed
-		q.replies, q.size = nil, 0
+		q.replies = nil
+		if !q.whole {
+			q.size = 0
+		}
 		q.mu.Unlock()
 		if overflowed {
 			return nil, errSlowCaller
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -20,12 +20,13 @@
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/selfreport"
 	"bluebellflow/core/typename"
+	"bluebellflow/io/httpserver"
 	"bluebellflow/io/upstream"
 )
 
 const (
-	// bodyTimeout is the time limit for reading a caller's request body.
-	bodyTimeout = 10 * time.Second
+	// busyRetryAfter is the Retry-After of a request that is refused because there is no memory for its body.
+	busyRetryAfter = time.Second
 	// defaultMaxBodyBytes limits the size of a request body in bytes until the configuration is loaded.
 	defaultMaxBodyBytes = 1 << 20
 	// writeTimeout is the time limit for one write to a caller.
@@ -68,6 +69,7 @@
 	vars    *expvar.Map
 
 	limits     atomic.Pointer[catalog.Limits]
+	catalog    atomic.Pointer[catalog.Catalog]
 	ready      atomic.Bool
 	draining   atomic.Bool
 	lastTicket atomic.Uint64
@@ -132,6 +134,7 @@
 		s.sendAction(a.Ticket, a)
 	case proxy.Limit:
 		s.limits.Store(&a.Limits)
+		s.catalog.Store(a.Catalog)
 		s.idleConns.setTimeout(a.Limits.IdleTime)
 	case proxy.Drain:
 		s.draining.Store(true)
@@ -171,6 +174,7 @@
 	w               http.ResponseWriter
 	r               *http.Request
 	body            []byte
+	bodyUnread      bool // the decision logic will refuse the request
 	actions         chan event.Action
 	held            *response
 	mayHaveRun      bool // a server may have run it
@@ -195,7 +199,11 @@
 		if r.Context().Err() != nil {
 			closeUnanswered()
 		}
-		x.refuse(proxy.Refuse{Status: status, Reason: err.Error()})
+		refusal := proxy.Refuse{Status: status, Reason: err.Error()}
+		if status == http.StatusServiceUnavailable {
+			refusal.After = busyRetryAfter
+		}
+		x.refuse(refusal)
 		return
 	}
 	x.info.Fingerprint = requestFingerprint(r, x.body)
@@ -236,18 +244,28 @@
 	if x.r.ContentLength == 0 {
 		return 0, nil
 	}
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limits.BodyBytes))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return http.StatusRequestEntityTooLarge, fmt.Errorf("body larger than %d bytes", limits.BodyBytes)
-		}
-		return http.StatusRequestTimeout, fmt.Errorf("read body: %w", err)
+	if c := x.server.catalog.Load(); c != nil && !c.Admits(info.Host, info.Path, info.Key) {
+		x.bodyUnread = true
+		x.w.Header().Set("Connection", "close")
+		return 0, nil
 	}
-	_ = control.SetReadDeadline(time.Time{})
-	return 0, nil
+	x.body, err = httpserver.ReadBody(x.w, x.r, limits.BodyBytes)
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return 0, nil
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge, fmt.Errorf("body larger than %d bytes", limits.BodyBytes)
+	case errors.Is(err, httpserver.ErrBusy):
+		return http.StatusServiceUnavailable, err
+	}
+	return http.StatusRequestTimeout, fmt.Errorf("read body: %w", err)
+}
+
+// refuseUnread refuses a request whose body was not read, although a configuration that was loaded meanwhile admits it.
+func (x *exchange) refuseUnread() {
+	x.server.deliver(proxy.Disconnected{Ticket: x.ticket})
+	x.refuse(proxy.Refuse{Status: http.StatusServiceUnavailable, After: busyRetryAfter})
 }
 
 // requestFingerprint hashes method, host, target and body. It does not depend on the request name chosen by the caller.
@@ -301,6 +319,10 @@
 		if x.server.stopped.Err() != nil {
 			return false // serve ends the exchange
 		}
+		if x.bodyUnread {
+			x.refuseUnread()
+			return true
+		}
 		x.discardHeld()
 		return x.forward(a)
 	case proxy.Deliver:
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
@@ -14,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
 	"bluebellflow/core/batch"
 	"bluebellflow/core/event"
@@ -21,6 +23,7 @@
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/runtime"
 	"bluebellflow/io/upstream"
@@ -33,6 +36,8 @@
 	maxHeaderBytes = 64 << 10
 	// shutdownTimeout is how long a stopping node waits for responses in progress.
 	shutdownTimeout = 200 * time.Millisecond
+	// guardReportInterval is the least time between two log lines about callers outside the limits, at all addresses together.
+	guardReportInterval = time.Second
 	// flushTimeout is how long a stopping node waits for queued messages to peers to be written.
 	flushTimeout = 100 * time.Millisecond
 )
@@ -65,7 +70,11 @@
 	NewWorkers func(client *upstream.Client, deliver func(event.Event)) Workers
 	// Callers, Ready and Metrics are the addresses to listen on; an invalid Metrics address turns metrics off.
 	Callers, Ready, Metrics netip.AddrPort
-	Logger                  *log.Logger
+	// Limits bound callers' connections; Conns is 0 for as many as the plan allows.
+	Limits httpserver.Limits
+	// Plan says what callers and servers' responses may take of the VM; without one, callers' connections are not limited.
+	Plan   *membudget.Plan
+	Logger *log.Logger
 }
 
 // Node is one running gateway.
@@ -100,7 +109,11 @@
 	n.mesh = mesh.New(cfg.Self, cfg.Codec, decider.Resolve, n.loop.Deliver,
 		mesh.WithVars(n.vars), mesh.WithErrorHandler(n.loop.Report), mesh.WithTiming(mesh.LowLatencyTiming()))
 	n.mesh.SetListener(listener)
-	n.client = upstream.New(upstream.WithVars(n.vars))
+	options := []upstream.Option{upstream.WithVars(n.vars)}
+	if cfg.Plan != nil {
+		options = append(options, upstream.WithMemory(membudget.New(cfg.Plan.Responses)))
+	}
+	n.client = upstream.New(options...)
 	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars), WithUnanswered(n.logUnanswered))
 	n.store = cfg.NewStore(n.loop.Deliver, n.vars, n.loop.Report)
 	n.workers = cfg.NewWorkers(n.client, n.loop.Deliver)
@@ -124,6 +137,7 @@
 
 // listen opens the listeners for callers, the load balancer and metrics.
 func (n *Node) listen(cfg Config) error {
+	guard := n.newGuards(cfg)
 	routes := mux.NewRouter()
 	routes.HandleFunc("/readyz", n.server.ServeReadiness).Methods(http.MethodGet, http.MethodHead)
 	metrics := mux.NewRouter()
@@ -131,17 +145,18 @@
 	for _, endpoint := range []struct {
 		name    string
 		addr    netip.AddrPort
+		callers bool
 		handler http.Handler
 		state   func(net.Conn, http.ConnState)
 	}{
-		{"callers", cfg.Callers, n.server, n.server.idleConns.trackState},
-		{"the load balancer", cfg.Ready, routes, nil},
-		{"metrics", cfg.Metrics, metrics, nil},
+		{"callers", cfg.Callers, true, n.server, n.server.idleConns.trackState},
+		{"the load balancer", cfg.Ready, false, routes, nil},
+		{"metrics", cfg.Metrics, false, metrics, nil},
 	} {
 		if !endpoint.addr.IsValid() {
 			continue
 		}
-		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop)
+		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop, guard(endpoint.callers)...)
 		if err != nil {
 			for _, open := range n.httpServers {
 				_ = open.Close()
@@ -154,6 +169,25 @@
 	return nil
 }
 
+// newGuards returns a function that returns the options of the server for callers, or of another one. All guards share one
+// budget.
+func (n *Node) newGuards(cfg Config) func(callers bool) []httpserver.Option {
+	if cfg.Plan == nil {
+		return func(bool) []httpserver.Option { return nil }
+	}
+	budget := runtime.NewCallerBudget(n.vars, *cfg.Plan)
+	sometimes := rate.Sometimes{Interval: guardReportInterval}
+	report := func(err error) { sometimes.Do(func() { n.loop.Report(err) }) }
+	return func(callers bool) []httpserver.Option {
+		limits := cfg.Limits
+		if limits.Conns = cfg.Plan.OtherConns; callers {
+			limits.Conns = cmp.Or(cfg.Limits.Conns, cfg.Plan.CallerConns)
+		}
+		guard := httpserver.NewGuard(budget, limits, httpserver.WithVars(n.vars), httpserver.WithReport(report))
+		return []httpserver.Option{httpserver.WithGuard(guard)}
+	}
+}
+
 // logUnanswered logs a request that the node leaves without a complete response when it exits.
 func (n *Node) logUnanswered(r OpenRequest) {
 	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
@@ -221,9 +255,9 @@
 	return nil
 }
 
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop) (*httpserver.Server, error) {
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
 	return httpserver.New(addr, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: state,
 		ErrorLog: stdlog.New(runtime.ReportWriter(loop), "", 0),
-	})
+	}, opts...)
 }
--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -1,6 +1,7 @@
 package runtime
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -21,6 +22,7 @@
 	"bluebellflow/io/backend"
 	"bluebellflow/io/callers"
 	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/requestreply"
 	"bluebellflow/io/store"
@@ -62,6 +64,12 @@
 	// Commands and Keys create the events for operators' commands and for requests for one-time keys.
 	Commands admin.Commands
 	Keys     callers.KeysCommand
+	// Limits bound callers' connections; Conns is 0 for as many as the plan allows.
+	Limits httpserver.Limits
+	// Plan says what callers and servers' responses may take of the VM; without one, callers are not limited.
+	Plan *membudget.Plan
+	// MemoryMB is the memory of the VM in megabytes, 0 if it is not known.
+	MemoryMB int
 	// Clock defaults to SystemClock; without a Logger nothing is logged.
 	Clock  Clock
 	Logger *log.Logger
@@ -122,13 +130,19 @@
 	n.mesh.SetListener(listener)
 	n.addrs[0] = addr
 	n.store = store.New(cfg.Platform, deliver, append([]store.Option{store.WithVars(n.vars), store.WithErrorHandler(report)}, cfg.Store...)...)
+	backendOptions, callerOptions := cfg.Backend, cfg.Caller
+	if cfg.Plan != nil {
+		responses := membudget.New(cfg.Plan.Responses)
+		backendOptions = append([]backend.Option{backend.WithMemory(responses)}, backendOptions...)
+		callerOptions = append([]callers.Option{callers.WithMemory(responses)}, callerOptions...)
+	}
 	n.backend = backend.New(cfg.Self, deliver, append([]backend.Option{
 		backend.WithVars(n.vars), backend.WithErrorHandler(report), backend.WithNow(clock.Now),
-	}, cfg.Backend...)...)
+	}, backendOptions...)...)
 	n.correlator = requestreply.New(deliver)
 	n.callers = callers.New(cfg.Self, deliver, append([]callers.Option{
 		callers.WithVars(n.vars), callers.WithNow(clock.Now), callers.WithBusy(n.loop.Busy), callers.WithKeys(n.correlator, cfg.Keys),
-	}, cfg.Caller...)...)
+	}, callerOptions...)...)
 	if err := n.listenHTTP(cfg, admin.New(n.correlator, cfg.Commands, admin.WithNow(clock.Now))); err != nil {
 		_ = listener.Close()
 		return nil, err
@@ -153,7 +167,14 @@
 }
 
 func (n *Node) listenHTTP(cfg Config, api *admin.API) error {
-	callers, err := newHTTPServer(cfg.Callers, n.callers.Handler(), n.loop)
+	var opts []httpserver.Option
+	if cfg.Plan != nil {
+		limits := cfg.Limits
+		limits.Conns = cmp.Or(limits.Conns, cfg.Plan.CallerConns)
+		opts = append(opts, httpserver.WithGuard(httpserver.NewGuard(NewCallerBudget(n.vars, *cfg.Plan), limits,
+			httpserver.WithVars(n.vars), httpserver.WithReport(n.loop.Report))))
+	}
+	callers, err := newHTTPServer(cfg.Callers, n.callers.Handler(), n.loop, opts...)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -229,14 +250,14 @@
 	group.Add(func() error { return do(ctx) }, func(error) { cancel() })
 }
 
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, loop *Loop) (*httpserver.Server, error) {
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, loop *Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
 	return httpserver.New(addr, &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(ReportWriter(loop), "", 0),
-	})
+	}, opts...)
 }
 
 // stopTimeout returns how long a node waits for responses in progress: not at all after a failure.
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"time"
 
 	"bluebellflow/core/canary"
@@ -12,13 +13,21 @@
 	"bluebellflow/core/settings"
 	"bluebellflow/io/admin"
 	"bluebellflow/io/callers"
+	"bluebellflow/io/httpserver"
 	"bluebellflow/io/lines"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/runtime"
 )
 
-// defaultRequestTimeout applies to requests that specify no deadline; the settings may set a shorter one.
-const defaultRequestTimeout = 8 * time.Second
+const (
+	// defaultRequestTimeout applies to requests that specify no deadline; the settings may set a shorter one.
+	defaultRequestTimeout = 8 * time.Second
+	// defaultMemoryMB is the memory of the VM in megabytes if the settings name none.
+	defaultMemoryMB = 256
+	// maxDescriptors is the number of descriptors of the largest VM.
+	maxDescriptors = 8192
+)
 
 // Config returns the runtime configuration of a node from its settings.
 func Config(n settings.Node, opts ...node.Option) runtime.Config {
@@ -41,6 +50,9 @@
 		},
 		Caller: []callers.Option{callers.WithLimits(int64(n.Limits.Body), n.Limits.Open, defaultRequestTimeout)},
 	}
+	plan := membudget.Divide(cmp.Or(n.Limits.Memory, defaultMemoryMB), cmp.Or(n.Limits.Descriptors, membudget.Descriptors(maxDescriptors)))
+	cfg.Plan, cfg.MemoryMB = &plan, n.Limits.Memory
+	cfg.Limits = httpserver.Limits{Conns: n.Callers.Connections, Stall: n.Callers.Stall, Write: n.Callers.Write, Lines: n.Callers.Fields}
 	if n.TLS != nil {
 		cfg.TLS = &mesh.TLSFiles{Certificate: n.TLS.Certificate, Key: n.TLS.Key, CA: n.TLS.CA}
 	}
