--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -31,7 +31,10 @@
 	for {
 		n, err := resp.Read(buf)
 		searched := max(0, len(pending)-maxSeparatorBytes+1)
-		pending = append(pending, buf[:n]...)
+		var ok bool
+		if pending, ok = appendKept(resp, pending, buf[:n]); !ok {
+			return x.reportInterrupted(membudget.ErrExhausted, res)
+		}
 		if end := completeEventsLength(pending, searched); end > 0 {
 			if writeErr := x.writeEvents(resp.Response, res.Report, control, pending[:end]); writeErr != nil {
 				return x.reportInterrupted(writeErr, res)
@@ -45,12 +48,24 @@
 			return x.reportInterrupted(err, res)
 		case len(pending) > maxEventBytes:
 			return x.reportInterrupted(errEventTooLarge, res)
-		case !resp.Keep(cap(pending)):
-			return x.reportInterrupted(membudget.ErrExhausted, res)
 		}
 	}
 }
 
+// appendKept appends what was read of a stream, or reports false if there is no memory for it. Both buffers are counted before
+// the larger one is made, because they exist together while one is copied: counted afterwards, the buffers of many streams
+// exceeded the budget.
+func appendKept(resp *response, pending, more []byte) ([]byte, bool) {
+	if need := len(pending) + len(more); need > cap(pending) {
+		larger := max(2*cap(pending), need)
+		if !resp.Keep(cap(pending) + larger) {
+			return nil, false
+		}
+		pending = append(make([]byte, 0, larger), pending...)
+	}
+	return append(pending, more...), true
+}
+
 // readBufferSize is the size in bytes of the buffer for reading a stream.
 const readBufferSize = 8 << 10
 
