--- a/cmd/soak/plan_test.go
+++ b/cmd/soak/plan_test.go
@@ -38,7 +38,7 @@
 			plan = append(plan, drawReport(rng, s, span))
 		}
 	}
-	return append(plan, drawOddEntry(rng, span))
+	return append(plan, drawOddEntry(rng, span), drawCrowd(rng, h, span))
 }
 
 // drawReport returns a fault in which a server says something of itself. A server that has said that it is leaving exits, and
