--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"cmp"
 	"expvar"
 
 	"bluebellflow/core/duty"
@@ -11,10 +12,19 @@
 	"bluebellflow/core/settings"
 	"bluebellflow/core/usage"
 	"bluebellflow/io/gateway"
+	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/upstream"
 	"bluebellflow/platform"
 )
 
+const (
+	// defaultMemoryMB is the memory in megabytes that is divided if the settings name none: that of the largest VM.
+	defaultMemoryMB = 536
+	// minVMDescriptors is the number of descriptors of the smallest VM, because a process does not see the limit of its VM.
+	minVMDescriptors = 2870
+)
+
 // PromptPart returns the number that stands for a prompt part of the given name.
 func (System) PromptPart(name string) uint64 { return platform.PromptPart(name) }
 
@@ -25,7 +35,11 @@
 	if err != nil {
 		return gateway.Config{}, 0, err
 	}
+	memoryMB, descriptors := cmp.Or(s.Memory, defaultMemoryMB), cmp.Or(s.Descriptors, membudget.Descriptors(minVMDescriptors))
+	plan := membudget.Divide(memoryMB, descriptors)
 	cfg := gateway.Config{
+		Plan:      &plan,
+		Limits:    httpserver.Limits{Conns: s.Callers.Connections, Stall: s.Callers.Stall, Write: s.Callers.Write, Lines: s.Callers.Fields},
 		Self:      event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
 		Advertise: s.Advertise,
 		Decoder:   platform.Decoder{},
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -131,5 +131,7 @@
 	Limit struct {
 		event.Out
 		Limits catalog.Limits
+		// Catalog says which requests are refused without reading their bodies.
+		Catalog *catalog.Catalog `json:"-"`
 	}
 )
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -36,7 +36,10 @@
 	for {
 		n, err := resp.Read(buf)
 		searched := max(0, len(pending)-maxSeparatorBytes+1)
-		pending = append(pending, buf[:n]...)
+		var ok bool
+		if pending, ok = appendKept(resp, pending, buf[:n]); !ok {
+			return x.reportInterrupted(membudget.ErrExhausted, res)
+		}
 		if end := completeEventsLength(pending, searched); end > 0 {
 			if err := x.relayEvents(resp, res.Report, control, pending[:end]); err != nil {
 				return x.reportInterrupted(err, res)
@@ -51,8 +54,6 @@
 			return x.reportBrokenOff(err, res)
 		case len(pending) > maxEventBytes:
 			return x.reportInterrupted(errEventTooLarge, res)
-		case !resp.Keep(cap(pending)):
-			return x.reportInterrupted(membudget.ErrExhausted, res)
 		}
 	}
 }
@@ -73,6 +74,20 @@
 	return idErr
 }
 
+// appendKept appends what was read of a stream, or reports false if there is no memory for it. Both buffers are counted before
+// the larger one is made, because they exist together while one is copied: counted afterwards, the buffers of many streams
+// exceeded the budget.
+func appendKept(resp *response, pending, more []byte) ([]byte, bool) {
+	if need := len(pending) + len(more); need > cap(pending) {
+		larger := max(2*cap(pending), need)
+		if !resp.Keep(cap(pending) + larger) {
+			return nil, false
+		}
+		pending = append(make([]byte, 0, larger), pending...)
+	}
+	return append(pending, more...), true
+}
+
 // readBufferSize is the size in bytes of the buffer for reading a stream.
 const readBufferSize = 8 << 10
 
