autoscale: order servers by measured demand, under the lease of pool and failure domain

Nodes report their demand once a second to the leader and its successor. The decision is without I/O; orders are recorded before they are sent. Not tested yet.

--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -54,6 +54,9 @@
 	if platform.HasDuty(d.Names, duty.Usage) {
 		cfg.Bounds.Duties.Usage = &usage.Options{Window: d.Window, Late: d.Late}
 	}
+	if platform.HasDuty(d.Names, duty.Scale) {
+		cfg.Bounds.Duties.Scale = platform.Decoder{}
+	}
 	cfg.NewControl = func(deliver func(event.Event), vars *expvar.Map) gateway.Control {
 		return platform.NewControl(d.Control, name, deliver, vars)
 	}
--- /dev/null
+++ b/core/autoscale/policy.go
@@ -0,0 +1,344 @@
+package autoscale
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellflow/core/catalog"
+	"bluebellflow/core/id"
+)
+
+const (
+	// decideInterval is the time between two measurements and decisions.
+	decideInterval = time.Second
+	// maxBurst is longer than the bursts that end before new servers could help: those seen last 3 to 6 s.
+	maxBurst = 6500 * time.Millisecond
+	// burstFactor is the demand in a burst as a multiple of that before it.
+	burstFactor = 1.7
+	// raiseFactor is the room of an order above what is needed, so that demand that goes on growing does not cause an order a
+	// second.
+	raiseFactor = 1.15
+	// peakTime is the time whose highest demand must fit into fewer servers before one is given up. It covers four waves of 11 s.
+	peakTime = 45 * time.Second
+	// lowerInterval is the time between two servers of a pool that are given up. The shared prompt parts of one, which others
+	// must read again, have no use for 10 s by then or are cached elsewhere.
+	lowerInterval = 12 * time.Second
+	// bootMargin is the time after Scale.Boot until a server that has not started counts as missing.
+	bootMargin = 4 * time.Second
+	// lossTime is how long servers must be missing. The entry of a server may be lost for a moment.
+	lossTime = 3 * time.Second
+	// unusedFraction is the part of the mean number of requests for each server below which a failure domain counts as cut off,
+	// if there are at least minUsed requests for each server.
+	unusedFraction = 0.1
+	minUsed        = 0.5
+)
+
+// sample is a measurement of a pool.
+type sample struct {
+	at       time.Time
+	demand   float64
+	complete bool
+}
+
+// domain holds a pool's servers in a failure domain.
+type domain struct {
+	name      id.FailureDomain
+	ordered   int  // servers that it should have: the last order, or what was seen before the first one
+	known     bool // ordered was decided by this process or recorded by an earlier leader
+	ready     int
+	cold      int // of those that are ready
+	draining  int
+	evacuated bool
+
+	history  []seen    // of the last peakTime
+	expected int       // servers that were ordered and may still be starting
+	until    time.Time // when they should have started
+}
+
+// seen is what was seen of a failure domain.
+type seen struct {
+	at      time.Time
+	ready   int
+	running float64
+}
+
+// pool holds what the decision about a pool depends on.
+type pool struct {
+	scale    catalog.Scale
+	slots    float64 // of a server, on average
+	samples  []sample
+	held     float64 // the last complete demand
+	domains  map[id.FailureDomain]*domain
+	raisedAt time.Time
+	loweredAt,
+	changedAt time.Time // when a domain was last evacuated, short of servers or waiting for some
+}
+
+// order is a number of servers that is to be ordered, with the inputs of the decision.
+type order struct {
+	domain  id.FailureDomain
+	desired int
+	before  int
+	reason  string
+}
+
+func newPool() *pool { return &pool{domains: map[id.FailureDomain]*domain{}} }
+
+// domain returns a failure domain, which is added if it is new.
+func (p *pool) domain(name id.FailureDomain) *domain {
+	d := p.domains[name]
+	if d == nil {
+		d = &domain{name: name}
+		p.domains[name] = d
+	}
+	return d
+}
+
+// sorted returns the failure domains by name.
+func (p *pool) sorted() []*domain {
+	return slices.SortedFunc(maps.Values(p.domains), func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
+}
+
+// add adds a measurement, and forgets those older than peakTime.
+func (p *pool) add(now time.Time, m measured) {
+	total := m.total(func(name id.FailureDomain) int {
+		if d := p.domains[name]; d != nil {
+			return d.ready
+		}
+		return 0
+	})
+	demand := m.estimate(total, p.held)
+	if m.complete() {
+		p.held = demand
+	}
+	old := now.Add(-peakTime)
+	if m.most() {
+		p.samples = append(p.samples, sample{now, demand, m.complete()})
+	}
+	p.samples = slices.DeleteFunc(p.samples, func(s sample) bool { return !s.at.After(old) })
+	for _, d := range p.domains {
+		d.history = append(d.history, seen{now, d.ready, m.running[d.name]})
+		d.history = slices.DeleteFunc(d.history, func(s seen) bool { return !s.at.After(old) })
+		if !d.known {
+			d.ordered = 0
+			for _, s := range d.history {
+				d.ordered = max(d.ordered, s.ready)
+			}
+		}
+		if d.evacuated || d.missing(now) > 0 || d.starting(now) > 0 {
+			p.changedAt = now
+		}
+	}
+}
+
+// starting returns the number of servers that were ordered and may still be starting.
+func (d *domain) starting(now time.Time) int {
+	if now.After(d.until) {
+		return 0
+	}
+	return min(d.expected, max(0, d.ordered-d.recent(now)))
+}
+
+// recent returns the highest number of ready servers within lossTime.
+func (d *domain) recent(now time.Time) int {
+	n := d.ready
+	for _, s := range d.history {
+		if now.Sub(s.at) < lossTime {
+			n = max(n, s.ready)
+		}
+	}
+	return n
+}
+
+// missing returns the number of servers that should be there and are not.
+func (d *domain) missing(now time.Time) int {
+	return max(0, d.ordered-d.recent(now)-d.starting(now))
+}
+
+// capacity returns the servers that a failure domain has or will have soon.
+func (d *domain) capacity(now time.Time) int {
+	if d.evacuated {
+		return 0
+	}
+	return min(d.ordered, d.recent(now)) + d.starting(now)
+}
+
+// running returns the median of the attempts in progress over a time.
+func (d *domain) running(now time.Time, over time.Duration) float64 {
+	var values []float64
+	for _, s := range d.history {
+		if now.Sub(s.at) < over {
+			values = append(values, s.running)
+		}
+	}
+	return median(values)
+}
+
+// sustainTime returns the time whose median is the sustained demand: what has been exceeded for half of it.
+func (p *pool) sustainTime() time.Duration { return 2 * max(p.scale.Boot, maxBurst) }
+
+// sustained returns the sustained demand, or false if it has been measured for too short a time.
+func (p *pool) sustained(now time.Time) (float64, bool) {
+	var values []float64
+	for _, s := range p.samples {
+		if now.Sub(s.at) < p.sustainTime() {
+			values = append(values, s.demand)
+		}
+	}
+	return median(values), time.Duration(len(values))*decideInterval >= p.sustainTime()/2
+}
+
+// peak returns the highest demand within peakTime, or false if reports were missing in that time.
+func (p *pool) peak() (float64, bool) {
+	highest, complete := 0.0, true
+	for _, s := range p.samples {
+		highest = max(highest, s.demand)
+		complete = complete && s.complete
+	}
+	return highest, complete && time.Duration(len(p.samples))*decideInterval >= peakTime-2*decideInterval
+}
+
+// cutOff returns the failure domains that get hardly any requests while the others do: the nodes do not reach them.
+func (p *pool) cutOff(now time.Time) id.Set[id.FailureDomain] {
+	out := id.NewSet[id.FailureDomain]()
+	running, servers := 0.0, 0
+	for _, d := range p.domains {
+		running += d.running(now, maxBurst)
+		servers += d.ready
+	}
+	mean := running / float64(max(1, servers))
+	for _, d := range p.domains {
+		if d.ready > 0 && mean >= minUsed && d.running(now, maxBurst) < unusedFraction*mean*float64(d.ready) {
+			out.Add(d.name)
+		}
+	}
+	return out
+}
+
+// decide returns the orders that are to be made now, and takes them as made.
+func (p *pool) decide(now time.Time) []order {
+	sustained, ok := p.sustained(now)
+	if !ok || p.slots == 0 {
+		return nil
+	}
+	if orders := p.raise(now, sustained); len(orders) > 0 {
+		return orders
+	}
+	return p.lower(now, sustained)
+}
+
+// raise returns the orders that sustained demand needs.
+func (p *pool) raise(now time.Time, sustained float64) []order {
+	cutOff := p.cutOff(now)
+	available := 0
+	before := map[*domain]int{}
+	for _, d := range p.sorted() {
+		before[d] = d.ordered
+		for d.ordered < p.scale.Min && (d.known || p.seenLong(now, d)) {
+			p.grow(now, d)
+		}
+		if !cutOff.Has(d.name) {
+			available += d.capacity(now)
+		}
+	}
+	was := available
+	goal := 0
+	if serversFor(sustained*burstFactor, p.slots) > available {
+		goal = serversFor(sustained*burstFactor*raiseFactor, p.slots)
+	}
+	for available < goal {
+		d := p.roomiest(now, cutOff)
+		if d == nil {
+			break
+		}
+		p.grow(now, d)
+		available++
+	}
+	var out []order
+	for _, d := range p.sorted() {
+		if d.ordered != before[d] {
+			p.raisedAt = now
+			out = append(out, order{d.name, d.ordered, before[d], fmt.Sprintf("raise sustained=%.1f available=%d goal=%d cutoff=%t %s", sustained, was, goal, cutOff.Has(d.name), p.describe(now, d))})
+		}
+	}
+	return out
+}
+
+// seenLong reports whether a failure domain has been seen for peakTime. Before, its servers may not be listed completely, and an
+// order of the minimum could give up servers.
+func (p *pool) seenLong(now time.Time, d *domain) bool {
+	return len(d.history) > 0 && now.Sub(d.history[0].at) >= peakTime-2*decideInterval
+}
+
+// grow orders another server.
+func (p *pool) grow(now time.Time, d *domain) {
+	starting := d.starting(now)
+	d.ordered++
+	d.expected, d.until, d.known = starting+1, now.Add(p.scale.Boot+bootMargin), true
+}
+
+// roomiest returns the failure domain that should get the next server: the one with the fewest servers, among those that lack
+// none if possible. It is nil if no failure domain may get any. Servers ordered where most are missing would not start either.
+func (p *pool) roomiest(now time.Time, cutOff id.Set[id.FailureDomain]) *domain {
+	var best *domain
+	rank := func(d *domain) int { return min(1, d.missing(now)) }
+	for _, d := range p.sorted() {
+		switch {
+		case d.evacuated, cutOff.Has(d.name), d.ordered >= p.scale.Max, 2*d.missing(now) > d.ordered:
+		case best == nil || cmp.Or(cmp.Compare(rank(d), rank(best)), cmp.Compare(d.capacity(now), best.capacity(now))) < 0:
+			best = d
+		}
+	}
+	return best
+}
+
+// lower returns the order that gives up a server if the highest demand fits into the others. The numbers must not have changed
+// lately, and no servers may be missing.
+func (p *pool) lower(now time.Time, sustained float64) []order {
+	if now.Sub(p.loweredAt) < lowerInterval {
+		return nil
+	}
+	var most *domain
+	total, largest := 0, 0
+	for _, d := range p.sorted() {
+		total += d.capacity(now)
+		if d.ordered > p.scale.Min && (most == nil || d.ordered > most.ordered) {
+			most = d
+		}
+	}
+	if most == nil {
+		return nil
+	}
+	for _, d := range p.domains {
+		left := d.capacity(now)
+		if d == most {
+			left--
+		}
+		largest = max(largest, left)
+	}
+	if len(p.domains) == 1 {
+		largest = 0 // there is no other that could take over
+	}
+	peak, complete := p.peak()
+	quiet := complete && now.Sub(p.raisedAt) >= peakTime && now.Sub(p.changedAt) >= peakTime
+	left := total - 1 - largest
+	if most.ordered <= p.scale.Max && (!quiet || float64(left)*p.slots < peak*burstFactor) {
+		return nil
+	}
+	most.ordered--
+	most.known, p.loweredAt = true, now
+	return []order{{most.name, most.ordered, most.ordered + 1, fmt.Sprintf("lower peak=%.1f sustained=%.1f left=%d %s", peak, sustained, left, p.describe(now, most))}}
+}
+
+// describe formats the inputs of a decision about a failure domain.
+func (p *pool) describe(now time.Time, d *domain) string {
+	demand, complete := 0.0, false
+	if n := len(p.samples); n > 0 {
+		demand, complete = p.samples[n-1].demand, p.samples[n-1].complete
+	}
+	return fmt.Sprintf("demand=%.1f complete=%t slots=%.3g ready=%d cold=%d draining=%d starting=%d missing=%d evacuated=%t",
+		demand, complete, p.slots, d.ready, d.cold, d.draining, d.starting(now), d.missing(now), d.evacuated)
+}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -68,6 +69,13 @@
 	MaxConns   int     // maximum number of connections to a server, over all nodes
 	ColdRate   float64 // requests per second that a cold server can handle, 0 for no limit
 	Pieces     *Pieces // nil for a pool that runs no stages
+	Scale      *Scale  // nil for a pool whose number of servers is fixed
+}
+
+// Scale bounds the number of servers of a pool in each failure domain.
+type Scale struct {
+	Min, Max int
+	Boot     time.Duration // from an order until the servers start to serve
 }
 
 // Pieces configures the batched calls of a pool that runs stages. A stage of a request consists of pieces, each of which
@@ -212,6 +220,11 @@
 // Pool returns the pool of the given name, or nil if there is none.
 func (c *Catalog) Pool(name id.Pool) *Pool { return c.pools[name] }
 
+// Pools returns all pools, sorted by name.
+func (c *Catalog) Pools() []*Pool {
+	return slices.SortedFunc(maps.Values(c.pools), func(a, b *Pool) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Workspace returns the workspace that an API key belongs to, or nil if there is none.
 func (c *Catalog) Workspace(key string) *Workspace { return c.keys[key] }
 
--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -22,6 +22,9 @@
 // name. Further duties are added here and in the client that carries out Call.
 const Usage Duty = "usage"
 
+// Scale is the duty to order servers. Each pair of pool and failure domain is a subject.
+const Scale Duty = "scale"
+
 // Subject is what one node at a time is responsible for. Name tells the subjects of a duty apart.
 type Subject struct {
 	Duty Duty
--- a/core/proxy/codec.go
+++ b/core/proxy/codec.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
@@ -23,5 +24,6 @@
 		83: denylist.Broken{}, 84: denylist.Ended{}, 85: denylist.Responded{},
 		86: denylist.Trial{}, 87: denylist.Refused{}, 88: selfreport.Shared{},
 		90: usage.Counts{}, 91: usage.Ack{},
+		95: autoscale.Demand{},
 	})
 }
--- a/core/proxy/duties.go
+++ b/core/proxy/duties.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
@@ -20,6 +21,7 @@
 	Usage *usage.Options // nil if usage is not reported
 	// Encoder encodes the reports of usage.
 	Encoder usage.Encoder
+	Scale   autoscale.Encoder // encodes orders of servers; nil if none are made
 }
 
 // startDuties adds the modules of the duties that the settings name.
@@ -33,6 +35,10 @@
 		g.usage = usage.New(g.self, *d.Usage, g.leader, g.leases, d.Encoder, g.oldestUncounted)
 		g.modules = append(g.modules, g.usage)
 	}
+	if d.Scale != nil {
+		g.autoscaler = autoscale.New(g.self, g.leader, g.leases, g.fleet, d.Scale, g.demand)
+		g.modules = append(g.modules, g.autoscaler)
+	}
 }
 
 // dutyLeaderChanged lets the leader take leases and other nodes release theirs.
@@ -43,6 +49,9 @@
 	if g.usage != nil {
 		g.usage.LeaderChanged(now)
 	}
+	if g.autoscaler != nil {
+		g.autoscaler.LeaderChanged(now)
+	}
 }
 
 // countBegun counts a request whose stream has begun.
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
@@ -79,8 +80,9 @@
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
-	leases       *duty.Leases // nil without duties
-	usage        *usage.Usage // nil if usage is not reported
+	leases       *duty.Leases          // nil without duties
+	usage        *usage.Usage          // nil if usage is not reported
+	autoscaler   *autoscale.Autoscaler // nil if no servers are ordered
 	modules      []module
 
 	catalog      *catalog.Catalog
@@ -225,6 +227,9 @@
 	}
 	g.catalog = next
 	g.scheduler.SetCatalog(next)
+	if g.autoscaler != nil {
+		g.autoscaler.SetCatalog(next)
+	}
 	if err := next.Problem(); err != nil {
 		out.add(event.Log{Kind: "config", Choice: "partial", Reason: fmt.Sprintf("version=%d %v", next.Version(), err)})
 	}
@@ -250,6 +255,9 @@
 	if g.usage != nil {
 		g.usage.SetNodes(names)
 	}
+	if g.autoscaler != nil {
+		g.autoscaler.SetNodes(names, domainsOf(candidates))
+	}
 }
 
 // chooseSource selects where the cache gets the store's changes from: from the leader on most nodes. The highest-ranked
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -204,10 +204,12 @@
 func (g *Gateway) waitForServer(now time.Time, r *request, reason string, out *actions) {
 	left := r.placingSince.Add(maxPlaceWait).Sub(now)
 	if ready := g.balancer.ReadyIn(now, g.serverQuery(r)); ready > left && !r.mayHaveRun {
+		g.countUnplaced(r)
 		g.refuse(r, http.StatusServiceUnavailable, min(max(ready, minReadyRetryAfter), placeRetryAfter), reason, out)
 		return
 	}
 	if left <= 0 || r.mayHaveRun {
+		g.countUnplaced(r)
 		g.giveUp(now, r, reason, out)
 		return
 	}
@@ -264,6 +266,7 @@
 	if r.began || res.Status == 0 || res.Moved {
 		return
 	}
+	g.observeLoad(r, res.Report)
 	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, res.Report)...)
 }
 
@@ -358,6 +361,7 @@
 	r.began = true
 	g.balancer.ResponseStarted(r.server, r.sent)
 	out.add(g.reports.Observe(now, selfreport.Process{Server: r.server, Start: r.start}, r.sent, ev.Report)...)
+	g.observeLoad(r, ev.Report)
 	r.beganAt, r.beganStatus = now, ev.Status
 	g.countBegun(now, r, ev.Status)
 	g.timers.Set(now.Add(provingTime), r.ticket)
--- a/io/gateway/duties.go
+++ b/io/gateway/duties.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
 	"bluebellflow/core/usage"
@@ -17,9 +18,27 @@
 		n.setHeld(a)
 	case usage.Reported:
 		n.vars.Add(reportedVar(a), 1)
+	case autoscale.Ordered:
+		n.countOrder(a)
+	case autoscale.Measured:
+		demand := new(expvar.Float)
+		demand.Set(a.Demand)
+		n.vars.Set("autoscale_demand_"+string(a.Pool), demand)
 	}
 }
 
+// countOrder counts an order of servers, and sets the number that is ordered for its pool and failure domain.
+func (n *Node) countOrder(o autoscale.Ordered) {
+	if o.Accepted {
+		n.vars.Add("autoscale_orders_accepted", 1)
+		return
+	}
+	n.vars.Add("autoscale_orders", 1)
+	desired := new(expvar.Int)
+	desired.Set(int64(o.Desired))
+	n.vars.Set("autoscale_desired_"+string(o.Pool)+"."+string(o.Domain), desired)
+}
+
 // setHeld sets the fencing token of a lease that this node holds. The metric of a lease that it does not hold is 0.
 func (n *Node) setHeld(h duty.Held) {
 	token := new(expvar.Int)
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/run"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
@@ -199,7 +200,7 @@
 		n.workers.Run(a)
 	case batch.FreeResults:
 		n.workers.Free(a)
-	case duty.Call, duty.Held, usage.Reported:
+	case duty.Call, duty.Held, usage.Reported, autoscale.Ordered, autoscale.Measured:
 		n.executeDuty(a)
 	default:
 		return n.server.Execute(a)
