--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -84,6 +84,7 @@
 		}
 		return
 	case !ok:
+		d.known = false // the order was not recorded, so that it was not sent
 		return
 	case !d.known || d.ordered != recorded:
 		d.ordered, d.known = recorded, true
--- a/core/autoscale/policy.go
+++ b/core/autoscale/policy.go
@@ -23,13 +23,16 @@
 	raiseFactor = 1.15
 	// peakTime is the time whose highest demand must fit into fewer servers before one is given up. It covers four waves of 11 s.
 	peakTime = 45 * time.Second
-	// lowerInterval is the time between two servers of a pool that are given up. The shared prompt parts of one, which others
-	// must read again, have no use for 10 s by then or are cached elsewhere.
-	lowerInterval = 12 * time.Second
+	// lowerInterval is the time between two servers of a pool that are given up: other servers must read the shared prompt parts
+	// of each again.
+	lowerInterval = 6 * time.Second
 	// bootMargin is the time after Scale.Boot until a server that has not started counts as missing.
 	bootMargin = 4 * time.Second
 	// lossTime is how long servers must be missing. The entry of a server may be lost for a moment.
 	lossTime = 3 * time.Second
+	// forgetTime is how long the highest number of servers that was seen is taken for the number that should be there, if none
+	// was ordered. A rollout may have added some for a while.
+	forgetTime = 5 * time.Minute
 	// unusedFraction is the part of the mean number of requests for each server below which a failure domain counts as cut off,
 	// if there are at least minUsed requests for each server.
 	unusedFraction = 0.1
@@ -53,6 +56,7 @@
 	draining  int
 	evacuated bool
 
+	fullAt   time.Time // when there were last as many ready servers as ordered
 	history  []seen    // of the last peakTime
 	expected int       // servers that were ordered and may still be starting
 	until    time.Time // when they should have started
@@ -73,8 +77,9 @@
 	held     float64 // the last complete demand
 	domains  map[id.FailureDomain]*domain
 	raisedAt time.Time
-	loweredAt,
+	loweredAt time.Time
 	changedAt time.Time // when a domain was last evacuated, short of servers or waiting for some
+	replaced  int       // servers that were ordered in place of missing ones and are still there
 }
 
 // order is a number of servers that is to be ordered, with the inputs of the decision.
@@ -122,18 +127,27 @@
 	for _, d := range p.domains {
 		d.history = append(d.history, seen{now, d.ready, m.running[d.name]})
 		d.history = slices.DeleteFunc(d.history, func(s seen) bool { return !s.at.After(old) })
-		if !d.known {
-			d.ordered = 0
-			for _, s := range d.history {
-				d.ordered = max(d.ordered, s.ready)
-			}
-		}
+		d.estimateOrdered(now)
 		if d.evacuated || d.missing(now) > 0 || d.starting(now) > 0 {
 			p.changedAt = now
 		}
 	}
 }
 
+// estimateOrdered sets the number of servers that should be there, before the first order, to the highest that was seen.
+func (d *domain) estimateOrdered(now time.Time) {
+	if d.ready >= d.ordered {
+		d.fullAt = now
+	}
+	switch {
+	case d.known:
+	case now.Sub(d.fullAt) > forgetTime:
+		d.ordered = d.recent(now)
+	default:
+		d.ordered = max(d.ordered, d.ready)
+	}
+}
+
 // starting returns the number of servers that were ordered and may still be starting.
 func (d *domain) starting(now time.Time) int {
 	if now.After(d.until) {
@@ -233,13 +247,14 @@
 // raise returns the orders that sustained demand needs.
 func (p *pool) raise(now time.Time, sustained float64) []order {
 	cutOff := p.cutOff(now)
-	available := 0
+	available, whole := 0, 0
 	before := map[*domain]int{}
 	for _, d := range p.sorted() {
 		before[d] = d.ordered
 		for d.ordered < p.scale.Min && (d.known || p.seenLong(now, d)) {
 			p.grow(now, d)
 		}
+		whole += d.ordered
 		if !cutOff.Has(d.name) {
 			available += d.capacity(now)
 		}
@@ -256,6 +271,9 @@
 		}
 		p.grow(now, d)
 		available++
+		if available <= whole {
+			p.replaced++
+		}
 	}
 	var out []order
 	for _, d := range p.sorted() {
@@ -322,6 +340,9 @@
 	if len(p.domains) == 1 {
 		largest = 0 // there is no other that could take over
 	}
+	if p.replaced > 0 {
+		largest = 0 // the missing servers are back, so that there is as much room without these
+	}
 	peak, complete := p.peak()
 	quiet := complete && now.Sub(p.raisedAt) >= peakTime && now.Sub(p.changedAt) >= peakTime
 	left := total - 1 - largest
@@ -329,8 +350,9 @@
 		return nil
 	}
 	most.ordered--
-	most.known, p.loweredAt = true, now
-	return []order{{most.name, most.ordered, most.ordered + 1, fmt.Sprintf("lower peak=%.1f sustained=%.1f left=%d %s", peak, sustained, left, p.describe(now, most))}}
+	most.known, p.loweredAt, p.replaced = true, now, max(0, p.replaced-1)
+	return []order{{most.name, most.ordered, most.ordered + 1, fmt.Sprintf("lower peak=%.1f sustained=%.1f left=%d replaced=%d %s",
+		peak, sustained, left, p.replaced, p.describe(now, most))}}
 }
 
 // describe formats the inputs of a decision about a failure domain.
--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -28,6 +28,7 @@
 	Thin       thinCommand       `cmd:"" help:"Measure the latency that a node adds to a single request."`
 	Config     configCommand     `cmd:"" help:"Measure how long configuration changes take to be in force on all nodes, and count stale reads."`
 	Plot       plotCommand       `cmd:"" help:"Draw the plots of a record as SVG and print its table."`
+	Autoscale  autoscaleCommand  `cmd:"" help:"Run the ordering of servers under named load patterns, in virtual time and without a network."`
 	Slopes     slopesCommand     `cmd:"" help:"Measure how the cost of nodes grows with the fleet, in virtual time and without a network."`
 }
 
