--- a/core/autoscale/policy.go
+++ b/core/autoscale/policy.go
@@ -71,12 +71,12 @@
 
 // pool holds what the decision about a pool depends on.
 type pool struct {
-	scale    catalog.Scale
-	slots    float64 // of a server, on average
-	samples  []sample
-	held     float64 // the last complete demand
-	domains  map[id.FailureDomain]*domain
-	raisedAt time.Time
+	scale     catalog.Scale
+	slots     float64 // of a server, on average
+	samples   []sample
+	held      float64 // the last complete demand
+	domains   map[id.FailureDomain]*domain
+	raisedAt  time.Time
 	loweredAt time.Time
 	changedAt time.Time // when a domain was last evacuated, short of servers or waiting for some
 	replaced  int       // servers that were ordered in place of missing ones and are still there
