--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/segmentio/encoding/proto"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
@@ -73,6 +74,7 @@
 		selfreport.Shared{},
 		usage.Counts{},
 		usage.Ack{},
+		autoscale.Demand{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -102,6 +104,7 @@
 		88: "selfreport.Shared",
 		90: "usage.Counts",
 		91: "usage.Ack",
+		95: "autoscale.Demand",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/lab/scalesim/servers.go
+++ b/lab/scalesim/servers.go
@@ -122,9 +122,13 @@
 // arrive sends the requests of a tick to servers.
 func (w *World) arrive(tick time.Duration) {
 	mean := w.pattern.Rate * w.pattern.Shape(w.now) * tick.Seconds()
+	usable := slices.DeleteFunc(slices.Clone(w.servers), func(s *server) bool {
+		ok, _ := w.Usable(s.Server)
+		return !ok
+	})
 	for range poisson(w.rng, mean) {
 		w.result.Requests++
-		w.place(&job{arrived: w.now, node: w.nodes[w.rng.IntN(len(w.nodes))]})
+		w.place(&job{arrived: w.now, node: w.nodes[w.rng.IntN(len(w.nodes))]}, usable)
 	}
 }
 
@@ -140,14 +144,8 @@
 // choices is the number of servers whose load is compared for a request.
 const choices = 2
 
-// place sends a request to the less loaded one of a few servers.
-func (w *World) place(j *job) {
-	var usable []*server
-	for _, s := range w.servers {
-		if ok, _ := w.Usable(s.Server); ok {
-			usable = append(usable, s)
-		}
-	}
+// place sends a request to the less loaded one of a few of the usable servers.
+func (w *World) place(j *job, usable []*server) {
 	var best *server
 	for range min(choices, len(usable)) {
 		s := usable[w.rng.IntN(len(usable))]
