--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -78,6 +78,10 @@
 	m := a.measure(now, models)
 	g.Expect(m.nodes).To(Equal(1)) // this node, which reports itself
 	g.Expect(m.running).To(HaveKeyWithValue(id.FailureDomain("a"), 7.0))
+	a.Refused(models, 2*sendInterval)
+	now = now.Add(sendInterval)
+	a.Step(now, event.Tick{})
+	g.Expect(a.measure(now, models).refused).To(Equal(2.0))
 	a.SetNodes([]id.Node{"p"}, nil)
 	g.Expect(a.reports).To(HaveLen(1))
 }
--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -110,6 +110,7 @@
 func (a *Autoscaler) place(name id.Pool, next order) []event.Action {
 	o := a.placed(name, next.domain)
 	o.desired, o.open, o.checked, o.attempts, o.retryAt = next.desired, true, true, 0, time.Time{}
+	o.requested = false // the record of this order replaces one that waits to be written
 	return []event.Action{
 		event.Log{Kind: "autoscale", Stage: o.subject.Name, Choice: fmt.Sprintf("order %d", next.desired), Reason: fmt.Sprintf("before=%d %s", next.before, next.reason)},
 		Ordered{Pool: name, Domain: next.domain, Desired: next.desired},
--- a/lab/scalesim/node.go
+++ b/lab/scalesim/node.go
@@ -21,6 +21,7 @@
 	self       event.Self
 	leases     *duty.Leases
 	autoscaler *autoscale.Autoscaler
+	dead       bool
 }
 
 func (w *World) addNode(name id.Node, domain id.FailureDomain) {
@@ -66,6 +67,7 @@
 
 // KillLeader removes the node that leads. The requests of its callers go on.
 func (w *World) KillLeader() {
+	w.nodes[0].dead = true
 	w.nodes = slices.Delete(w.nodes, 0, 1)
 	w.nodesChanged()
 }
@@ -79,6 +81,9 @@
 
 // step passes an event on to the duties.
 func (n *node) step(ev event.Event) {
+	if n.dead {
+		return
+	}
 	now := epoch.Add(n.world.now)
 	n.propagate(event.Propagate(ev, event.IsInternal, func(ev event.Event) []event.Action {
 		return append(n.leases.Step(now, ev), n.autoscaler.Step(now, ev)...)
