autoscale: a new holder repeats an order before it counts servers as missing

TestTakeover, whose lost holder went on stepping before, showed that an order that was recorded and not sent made the new holder order 94 instead of 76 servers.

--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -17,6 +17,8 @@
 	maxRetryDelay = 4 * time.Second
 	// rejectedDelay is the delay after the service has refused an order as wrong.
 	rejectedDelay = time.Minute
+	// minHistory is how often a failure domain must have been seen before the order of an earlier leader is compared with it.
+	minHistory = 3
 	// maxServers bounds the number of servers in a valid record.
 	maxServers = 1 << 20
 )
@@ -95,15 +97,18 @@
 	}
 }
 
-// repeatUnfulfilled sends the order of an earlier leader once more if there are not as many servers as it ordered when they
-// should have started: that leader may not have sent it.
+// repeatUnfulfilled sends the order of an earlier leader once more if there are not as many servers as it ordered: that leader
+// may not have sent it. Servers that are still starting are the usual reason, and the same number again is harmless.
 func (a *Autoscaler) repeatUnfulfilled(now time.Time, name id.Pool, p *pool, d *domain) {
 	o := a.placed(name, d.name)
-	if o.desired == 0 || o.checked || now.Before(d.until) || len(d.history) == 0 || now.Sub(d.history[0].at) < p.scale.Boot+bootMargin {
+	if o.desired == 0 || o.checked || len(d.history) < minHistory {
 		return
 	}
 	o.checked = true
-	o.open = d.ready != d.ordered
+	if d.ready != d.ordered {
+		o.open = true
+		d.expected, d.until = max(0, d.ordered-d.ready), now.Add(p.scale.Boot+bootMargin)
+	}
 }
 
 // place takes a decision as the number of servers to order.
