--- a/cmd/soak/duties_test.go
+++ b/cmd/soak/duties_test.go
@@ -19,17 +19,17 @@
 	faultLength = 4 * time.Second
 )
 
-// dutySettings returns the settings by which nodes report usage to the control service.
+// dutySettings returns the settings by which nodes report usage to the control service and order servers.
 func (h *harness) dutySettings() map[string]any {
 	return map[string]any{
-		"control": h.control.Addr().String(), "rate": 50, "list": []string{"usage_report"},
+		"control": h.control.Addr().String(), "rate": 50, "list": []string{"usage_report", "autoscale"},
 		"lease": dutyLease.String(), "window": usageWindow.String(), "late": usageLate.String(),
 	}
 }
 
 // startControl starts the control service. Holders may return early while random faults disturb the store.
 func (h *harness) startControl() {
-	control, err := standin.NewControl(standin.ControlOptions{Lease: dutyLease, Rate: 50, MayReturn: func(string) bool {
+	control, err := standin.NewControl(standin.ControlOptions{Lease: dutyLease, Rate: 50, Scale: h.ScaleTo, MayReturn: func(string) bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		return time.Now().Before(h.mayReturnUntil)
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -41,6 +41,7 @@
 //   - a draining server gets requests
 //   - a rollout is late or ends in the wrong state
 //   - the deployment does not recover
+//   - sustained load orders no servers
 //   - two nodes make contradictory or outdated calls to the control service, or reports are missing
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "bluebellflow")
@@ -105,6 +106,7 @@
 	h.checkPoisonRequest()
 	h.checkServerDrain()
 	h.checkEvacuation()
+	h.checkScaling()
 	var stops sync.WaitGroup
 	for _, n := range h.nodes {
 		stops.Go(func() {
