--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -125,6 +125,7 @@
 		return
 	}
 	out.add(g.reports.Observe(now, r.process(), r.sent, res.Report)...)
+	g.observeLoad(r, res.Report)
 }
 
 func outcomeName(res Result) string {
--- a/core/proxy/outernames_test.go
+++ b/core/proxy/outernames_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/segmentio/encoding/proto"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
@@ -75,6 +76,7 @@
 		loadshare.Digest{},
 		usage.Counts{},
 		usage.Ack{},
+		autoscale.Demand{},
 	} {
 		raw, err := codec.Encode(wire.Envelope{}, body)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -105,6 +107,7 @@
 		100: "loadshare.Digest",
 		90:  "usage.Counts",
 		91:  "usage.Ack",
+		95:  "autoscale.Demand",
 	}
 	g.Expect(registered).To(Equal(names))
 	// The codec knows no further kind.
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -222,10 +222,12 @@
 func (g *Gateway) waitForServer(now time.Time, r *request, reason string, out *actions) {
 	left := r.placingSince.Add(maxPlaceWait).Sub(now)
 	if ready := g.balancer.ReadyIn(now, g.serverQuery(now, r)); ready > left && !r.mayHaveRun {
+		g.countUnplaced(r)
 		g.refuse(r, http.StatusServiceUnavailable, min(max(ready, minReadyRetryAfter), placeRetryAfter), reason, out)
 		return
 	}
 	if left <= 0 || r.mayHaveRun {
+		g.countUnplaced(r)
 		g.giveUp(now, r, reason, out)
 		return
 	}
@@ -364,6 +366,7 @@
 	r.began = true
 	g.balancer.ResponseStarted(now, r.server, r.sent, ev.Report)
 	out.add(g.reports.Observe(now, r.process(), r.sent, ev.Report)...)
+	g.observeLoad(r, ev.Report)
 	r.beganAt, r.beganStatus = now, ev.Status
 	g.countBegun(now, r, ev.Status)
 	g.timers.Set(now.Add(provingTime), r.ticket)
