--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -26,7 +26,7 @@
 // Weights of the parts of a cost. The time of a request, and the time by which it delays others, count once.
 const (
 	// againWeight is the weight of the time to read shared parts again that another server has cached. With 30, nine simulated
-	// servers read four times as many tokens again, and callers waited as long.
+	// servers read four times as many tokens again, while callers waited as long.
 	againWeight = 100
 	// lateWeight is the cost of being late, as a multiple of the objective. With 4, requests with a very popular part missed their
 	// objective before one of them was sent elsewhere.
