--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -86,7 +86,9 @@
 		}
 		return
 	case !ok:
-		d.known = false // the order was not recorded, so that it was not sent
+		if d.known { // the order was not recorded, so that it was not sent
+			d.known, d.ordered = false, d.recent(now)
+		}
 		return
 	case !d.known || d.ordered != recorded:
 		d.ordered, d.known = recorded, true
