--- a/core/autoscale/policy.go
+++ b/core/autoscale/policy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -205,6 +206,20 @@
 	return median(values), time.Duration(len(values))*decideInterval >= p.sustainTime()/2
 }
 
+// lasting returns the lowest demand within maxBurst. The median lags behind it while demand rises.
+func (p *pool) lasting(now time.Time) float64 {
+	lowest := math.Inf(1)
+	for _, s := range p.samples {
+		if now.Sub(s.at) < maxBurst {
+			lowest = min(lowest, s.demand)
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		return 0
+	}
+	return lowest
+}
+
 // peak returns the highest demand within peakTime, or false if reports were missing in that time.
 func (p *pool) peak() (float64, bool) {
 	highest, complete := 0.0, true
@@ -262,7 +277,7 @@
 	was := available
 	goal := 0
 	if serversFor(sustained*burstFactor, p.slots) > available {
-		goal = serversFor(sustained*burstFactor*raiseFactor, p.slots)
+		goal = serversFor(max(sustained, p.lasting(now))*burstFactor*raiseFactor, p.slots)
 	}
 	for available < goal {
 		d := p.roomiest(now, cutOff)
