--- a/cmd/system/template_test.go
+++ b/cmd/system/template_test.go
@@ -16,7 +16,7 @@
 	fields = map[string]string{
 		"nodeName|json": `"n1"`, "zone|json": `"a"`, "region|json": `"r"`, "ip": "10.0.0.1", "internalPorts.0": "7740", "internalPorts.1": "7755",
 		"listen.front|json": `"10.0.0.1:8625"`, "listen.ready|json": `"10.0.0.1:8621"`, "platform.address|json": `"10.0.0.9:8624"`,
-		"limits.memoryMb": "284", "limits.cpuShare": "0.4", "bounds.graceS": "8", "bounds.coldOver": "1.5", "bounds.coldSlack": "5",
+		"limits.memoryMb": "284", "limits.maxFds": "4100", "limits.cpuShare": "0.4", "bounds.graceS": "8", "bounds.coldOver": "1.5", "bounds.coldSlack": "5",
 		"bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "58", "bounds.budgetWindowS": "10",
 	}
 	cloudFields = map[string]string{
