core/duty: clearer names and comments

The fields and methods until, newToken, next, succeeded and deleted are named after what they return or handle. Comments on releases, tokens and Call are rewritten. No change of behaviour.

--- a/core/duty/doc.go
+++ b/core/duty/doc.go
@@ -6,6 +6,7 @@
 // counted from the start of the write by the writer's monotonic clock. Another node takes over after it has seen the object
 // unchanged for the whole lease, or at once if the holder has released it. A paused or partitioned holder thus stops by itself.
 //
-// Other packages emit the WriteRecord of Leases.NewRecord before they act, wait for Recorded, and pass the Call that Leases.Call returns on to the I/O
-// packages. The lease is taken and renewed only by these writes, because calls to the store incur a charge.
+// Before other packages act, they emit the WriteRecord that Leases.NewRecord returns, and wait for Recorded. Then they emit the
+// Call that Leases.Call returns, which the I/O packages carry out. The lease is taken and renewed only by these writes, because
+// calls to the store incur a charge.
 package duty
--- a/core/duty/lease.go
+++ b/core/duty/lease.go
@@ -11,7 +11,7 @@
 
 const (
 	// marginFraction is the part of the lease that the holder leaves unused, for clocks that run at different rates and for the
-	// way of a call to the service.
+	// time that a call takes to reach the service.
 	marginFraction = 6
 	// unreleasedWait is how long, in lease times, a recent holder waits if the holder has not released the lease. The holder may
 	// have acted until the end of its lease, and the recent holder must not act until a whole lease after that.
@@ -32,7 +32,7 @@
 	requested bool                 // record is to be written
 	record    []byte
 	heldFrom  time.Time // start of the last confirmed write if this node holds the lease, zero otherwise
-	newToken  bool      // the service has seen a higher token
+	outdated  bool      // the service has seen a higher token, so that the next write takes a new one
 	releasing bool      // a write that releases the lease may have taken effect
 	calls     int       // calls to the service in progress
 	retry     retry.Timer
@@ -43,9 +43,9 @@
 	return s.exists && s.stored.Holder == l.self.Node && s.stored.Incarnation == l.self.Incarnation
 }
 
-// until returns the end of the right to act, zero if there is none.
-func (l *Leases) until(s *lease) time.Time {
-	if s.heldFrom.IsZero() || s.stored.Released || s.releasing || s.newToken || !l.owned(s) {
+// heldUntil returns when this node must stop acting for a subject, zero if it does not hold the lease.
+func (l *Leases) heldUntil(s *lease) time.Time {
+	if s.heldFrom.IsZero() || s.stored.Released || s.releasing || s.outdated || !l.owned(s) {
 		return time.Time{}
 	}
 	return s.heldFrom.Add(l.opts.Lease - l.opts.Lease/marginFraction)
@@ -68,8 +68,8 @@
 	return s.seenAt.Add(l.opts.Lease)
 }
 
-// mustRelease reports whether the object should be released. A node that has just seen it may wait for the end of a lease that
-// has ended long ago.
+// mustRelease reports whether the object should be released. It is also released after the lease has ended, because a node that
+// has just seen the object for the first time waits for a whole lease.
 func (l *Leases) mustRelease(s *lease) bool {
 	return !l.active() && l.owned(s) && !s.stored.Released && !s.heldFrom.IsZero()
 }
@@ -91,22 +91,22 @@
 	if !s.requested || !l.active() || now.Before(l.writableAt(s)) {
 		return nil
 	}
-	return l.write(now, s, l.next(now, s))
+	return l.write(now, s, l.nextObject(now, s))
 }
 
-// next returns the content by which this node takes or renews the lease.
-func (l *Leases) next(now time.Time, s *lease) object {
+// nextObject returns the content by which this node takes or renews the lease.
+func (l *Leases) nextObject(now time.Time, s *lease) object {
 	next := object{Holder: l.self.Node, Incarnation: l.self.Incarnation, Token: s.stored.Token, Record: s.record}
 	elapsed := now.Sub(s.seenAt)
 	switch {
 	case !s.exists:
 		next.Token = s.maxToken + 1
 	case !l.owned(s) && s.stored.Holder != l.self.Node:
-		next.Recent = s.stored.succeeded(elapsed, l.opts.Lease)
+		next.Recent = s.stored.recentWithHolder(elapsed, l.opts.Lease)
 		next.Token = s.maxToken + 1
 	default:
 		next.Recent = s.stored.recentAfter(elapsed, l.opts.Lease)
-		if !l.owned(s) || s.newToken {
+		if !l.owned(s) || s.outdated {
 			next.Token = s.maxToken + 1
 		}
 	}
@@ -157,14 +157,14 @@
 	return []event.Action{l.log(s, "write", fmt.Sprintf("failed, code=%d failures=%d", ev.Code, s.retry.Failures()))}
 }
 
-// observe takes in a revision of the object. If this process has written it, the lease counts from the start of that write.
+// observe records a revision of the object. If this process has written it, the lease counts from the start of that write.
 func (l *Leases) observe(now time.Time, s *lease, revision uint64, raw []byte) []event.Action {
 	if revision <= s.revision {
 		return nil
 	}
 	o, err := decodeObject(raw)
 	if err != nil {
-		// An object that cannot be read is taken over like one whose holder is unknown.
+		// An object that cannot be decoded is taken over like that of another node.
 		o = object{Holder: unknownHolder, Token: s.maxToken, Record: nil}
 	}
 	before := s.stored
@@ -183,7 +183,7 @@
 	if o.Released {
 		return []event.Action{l.log(s, "release", fmt.Sprintf("token=%d", o.Token)), Held{Subject: s.subject, Token: o.Token}}
 	}
-	s.newToken = s.newToken && o.Token == before.Token
+	s.outdated = s.outdated && o.Token == before.Token
 	s.requested, s.record = false, nil
 	var out []event.Action
 	if o.Token != before.Token {
@@ -193,7 +193,8 @@
 	return append(out, Held{Subject: s.subject, Token: o.Token, Held: true}, Recorded{Subject: s.subject, Token: o.Token, Record: o.Record})
 }
 
-// lose handles an object that this process has not written last: the lease and all requests based on the earlier record end.
+// lose ends the lease, and drops the requests that are based on an earlier record, after the object was written by another
+// process or deleted.
 func (l *Leases) lose(s *lease) []event.Action {
 	var out []event.Action
 	if !s.heldFrom.IsZero() {
@@ -203,8 +204,8 @@
 	return append(out, Changed{Subject: s.subject, Holder: s.stored.Holder, Record: s.stored.Record})
 }
 
-// deleted handles the deletion of the object. Tokens go on increasing.
-func (l *Leases) deleted(now time.Time, s *lease) []event.Action {
+// handleDeleted handles the deletion of the object. maxToken is kept, so that tokens never decrease.
+func (l *Leases) handleDeleted(now time.Time, s *lease) []event.Action {
 	s.exists, s.seenAt = false, now
 	s.stored = object{}
 	clear(s.attempts)
--- a/core/duty/leases.go
+++ b/core/duty/leases.go
@@ -16,7 +16,7 @@
 
 const (
 	owner = "duty"
-	// unknownHolder stands for the holder of an object that cannot be decoded.
+	// unknownHolder is used as the holder of an object that cannot be decoded.
 	unknownHolder id.Node = "?"
 	// minCallTime is the least time that must be left of the lease for a call to be made.
 	minCallTime = 200 * time.Millisecond
@@ -59,23 +59,23 @@
 // active reports whether this node should hold leases.
 func (l *Leases) active() bool { return l.leading && !l.stopping }
 
-// SetLeading sets whether this node ranks first among the nodes. Only such a node takes leases; the store decides if several
-// nodes believe that they rank first. A node that no longer ranks first releases its leases.
+// SetLeading sets whether this node ranks first among the nodes. Only such a node takes leases. If several nodes rank themselves
+// first, conditional writes to the store decide which one holds a lease. A node that no longer ranks first releases its leases.
 func (l *Leases) SetLeading(now time.Time, leading bool) []event.Action {
 	l.leading = leading
 	return l.advanceAll(now)
 }
 
-// Active reports whether this node ranks first and does not stop, so that its requests to write are not dropped.
+// Active reports whether this node ranks first and is not stopping. Otherwise its requests to write are dropped.
 func (l *Leases) Active() bool { return l.active() }
 
 // Loaded reports whether the objects of all subjects have been loaded.
 func (l *Leases) Loaded() bool { return l.loaded }
 
-// Holds returns the fencing token of a subject if this node may act now.
+// Holds returns the fencing token of a subject if this node holds its lease now.
 func (l *Leases) Holds(now time.Time, subject Subject) (token uint64, ok bool) {
 	s := l.subjects[subject]
-	if s == nil || !l.active() || !now.Before(l.until(s)) {
+	if s == nil || !l.active() || !now.Before(l.heldUntil(s)) {
 		return 0, false
 	}
 	return s.stored.Token, true
@@ -99,15 +99,16 @@
 	return w
 }
 
-// Call returns a call that may be made now for a subject. If the rate limit does not allow one yet, it returns the time of the
-// next attempt. If the lease is not held, or ends too soon, that time is zero: WriteRecord takes or renews the lease.
+// Call returns a call that may be made now for a subject. If the rate limit does not allow one yet, ok is false and retryAt is the
+// time of the next attempt. If the lease is not held or ends too soon, ok is false and retryAt is zero; the caller then takes or
+// renews the lease by a WriteRecord.
 func (l *Leases) Call(now time.Time, subject Subject, body []byte) (c Call, retryAt time.Time, ok bool) {
 	token, ok := l.Holds(now, subject)
 	if !ok {
 		return Call{}, time.Time{}, false
 	}
 	s := l.subjects[subject]
-	until := l.until(s)
+	until := l.heldUntil(s)
 	if until.Sub(now) < minCallTime {
 		return Call{}, time.Time{}, false
 	}
@@ -156,7 +157,7 @@
 		}
 	case watchcache.ObjectDeleted:
 		if ev.Kind == Kind {
-			out = l.deleted(now, l.subject(parseSubject(ev.Name)))
+			out = l.handleDeleted(now, l.subject(parseSubject(ev.Name)))
 		}
 	case event.PlatformResult:
 		if ev.Call.Owner == owner {
@@ -197,7 +198,7 @@
 	case Throttled:
 		l.limiter.ReserveN(now, l.limiter.Burst()) // nodes before this one may have used up the rate
 	case Outdated:
-		s.newToken = true
+		s.outdated = true
 		return []event.Action{l.log(s, "outdated", ev.Detail)}
 	}
 	return nil
--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -19,10 +19,11 @@
 type Duty string
 
 // Usage is the duty to report how many requests of each workspace servers have begun to run. It has one subject, without a
-// name. Further duties are added here and in the client that carries out Call.
+// name.
 const Usage Duty = "usage"
 
-// Scale is the duty to order servers. Each pair of pool and failure domain is a subject.
+// Scale is the duty to order servers. Each pair of pool and failure domain is a subject. The client that carries out Call knows
+// the path of each duty.
 const Scale Duty = "scale"
 
 // Subject is what one node at a time is responsible for. Name tells the subjects of a duty apart.
@@ -63,7 +64,7 @@
 		base    uint64 // revision of the object when the request was made
 	}
 	// Recorded reports that the store holds a record of this node. The node may have lost the lease again if the confirmation
-	// came late; Holds tells.
+	// came late, which Leases.Holds shows.
 	Recorded struct {
 		event.Internal
 		Subject Subject
--- a/core/duty/object.go
+++ b/core/duty/object.go
@@ -65,8 +65,8 @@
 	return out
 }
 
-// succeeded returns the recent holders when the object's holder is replaced.
-func (o *object) succeeded(elapsed, lease time.Duration) []recentHolder {
+// recentWithHolder returns the recent holders after the object's holder has been replaced, including that holder.
+func (o *object) recentWithHolder(elapsed, lease time.Duration) []recentHolder {
 	out := slices.DeleteFunc(o.recentAfter(elapsed, lease), func(r recentHolder) bool { return r.Node == o.Holder })
 	out = append(out, recentHolder{Node: o.Holder})
 	return out[max(0, len(out)-maxRecent):]
