core/autoscale: clearer names and comments

Unexported names such as seen, held, until, most, roomiest, place and adopt now say what they hold or do. Comments state reasons without "seen" and "as made". No change of behaviour.

--- a/core/autoscale/autoscale.go
+++ b/core/autoscale/autoscale.go
@@ -42,7 +42,7 @@
 	ScaleOrder(pool id.Pool, domain id.FailureDomain, desired int) ([]byte, error)
 }
 
-// Requests returns what this node's requests ask of a pool now: attempts in progress by failure domain, and the number of
+// Requests returns the demand of this node's open requests on a pool: attempts in progress by failure domain, and the number of
 // requests that wait for a server.
 type Requests func(id.Pool) (running map[id.FailureDomain]int, waiting int)
 
@@ -65,14 +65,14 @@
 	sendAt   time.Time
 	decideAt time.Time
 
-	orders map[duty.Subject]*placed
-	calls  map[uint64]*placed // calls in progress, by number
+	orders map[duty.Subject]*orderState
+	calls  map[uint64]*orderState // calls in progress, by number
 }
 
 // observed is what this node has observed of a pool since its last report.
 type observed struct {
 	reports, load map[id.FailureDomain]uint64
-	refused       time.Duration // since the start
+	refused       time.Duration // work refused since the start of the process
 }
 
 // New returns an autoscaler without pools.
@@ -80,7 +80,7 @@
 	return &Autoscaler{
 		self: self, ranking: ranking, leases: leases, fleet: servers, encoder: encoder, requests: requests,
 		pools: map[id.Pool]*pool{}, own: map[id.Pool]*observed{}, reports: map[id.Node]report{},
-		orders: map[duty.Subject]*placed{}, calls: map[uint64]*placed{},
+		orders: map[duty.Subject]*orderState{}, calls: map[uint64]*orderState{},
 	}
 }
 
@@ -107,15 +107,16 @@
 	a.pools = pools
 }
 
-// LeaderChanged reports demand to the new leader soon. Orders that are under way are continued from their records.
+// LeaderChanged reports demand to the new leader at the next step. The state of orders is reset; they continue from their records.
 func (a *Autoscaler) LeaderChanged(now time.Time) {
 	a.sendAt = now
 	for _, o := range a.orders {
-		*o = placed{subject: o.subject, pool: o.pool, domain: o.domain}
+		*o = orderState{subject: o.subject, pool: o.pool, domain: o.domain}
 	}
 }
 
-// ObserveLoad records the load that a server has reported in its response to a request, which is counted elsewhere.
+// ObserveLoad records the load that a server has reported in its response to a request. That request is not part of the recorded
+// load, because the node counts it among its own attempts.
 func (a *Autoscaler) ObserveLoad(pool id.Pool, domain id.FailureDomain, load selfreport.Load) {
 	if o := a.observed(pool); o != nil {
 		o.reports[domain]++
@@ -123,7 +124,7 @@
 	}
 }
 
-// Refused records that a request was refused for want of a server, with the time that a server would have worked on it.
+// Refused records a request that was refused because no server was available. work is the time that it would have taken.
 func (a *Autoscaler) Refused(pool id.Pool, work time.Duration) {
 	if o := a.observed(pool); o != nil {
 		o.refused += max(0, work)
@@ -168,7 +169,7 @@
 			a.handleDemand(now, ev, d)
 		}
 	case usage.CountsSent:
-		a.sendAt = now // the messages to these nodes go out together
+		a.sendAt = now // the same nodes get both messages, which are then sent together
 	case duty.Recorded:
 		out = a.handleRecord(now, ev.Subject, true)
 	case duty.Changed:
@@ -234,7 +235,7 @@
 }
 
 // decide measures the demand of each pool, and orders servers if this node leads. The next node in rank measures as well, so
-// that it knows the past when it takes the lead.
+// that it has a history when it becomes the leader.
 func (a *Autoscaler) decide(now time.Time) []event.Action {
 	var out []event.Action
 	leading := a.leases.Active() && a.leases.Loaded()
@@ -252,13 +253,13 @@
 			a.repeatUnfulfilled(now, name, p, d)
 		}
 		for _, o := range p.decide(now) {
-			out = append(out, a.place(name, o)...)
+			out = append(out, a.applyOrder(name, o)...)
 		}
 	}
 	return out
 }
 
-// update takes in the servers of a pool, and the numbers that were ordered.
+// update refreshes the counts of a pool's servers, and the numbers that were ordered.
 func (a *Autoscaler) update(now time.Time, name id.Pool, p *pool) {
 	for _, d := range p.domains {
 		d.ready, d.cold, d.draining, d.evacuated = 0, 0, 0, false
@@ -288,6 +289,6 @@
 		}
 	}
 	for _, d := range p.domains {
-		a.adopt(now, name, p, d)
+		a.applyRecord(now, name, p, d)
 	}
 }
--- a/core/autoscale/demand.go
+++ b/core/autoscale/demand.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// sendInterval is the time between two reports of a node if no counts are sent with which they could go.
+	// sendInterval is the time between two reports of a node if they are not sent together with usage counts. It is longer than the
+	// interval of usage counts, which take precedence.
 	sendInterval = 1250 * time.Millisecond
 	// maxReportAge is the age up to which the report of a node counts: two of them may be lost.
 	maxReportAge = 3 * time.Second
-	// completeFraction is the part of the nodes whose reports make demand complete. Some nodes always start or stop.
+	// completeFraction is the part of the nodes whose reports make a measurement complete. In a large deployment some nodes are
+	// always starting or stopping.
 	completeFraction = 0.9
 )
 
@@ -26,7 +28,7 @@
 	refused     map[id.Pool]float64 // work refused since the report before, in requests in progress
 }
 
-// handleDemand takes in the report of another node, unless a later one has arrived.
+// handleDemand records the report of a node, unless a later one has arrived.
 func (a *Autoscaler) handleDemand(now time.Time, ev event.Receive, d Demand) {
 	old, known := a.reports[ev.From]
 	if known && old.incarnation == ev.Incarnation && d.Sent <= old.Sent {
@@ -60,8 +62,8 @@
 	load     map[id.FailureDomain]float64
 	waiting  float64
 	refused  float64
-	nodes    int // whose reports count
-	expected int // nodes that there are
+	nodes    int // number of nodes whose reports are recent
+	expected int // number of all nodes
 }
 
 // measure adds up the reports on a pool.
@@ -98,14 +100,15 @@
 	return m.nodes > 0 && float64(m.nodes) >= completeFraction*float64(m.expected)
 }
 
-// most reports whether most nodes have reported. Fewer say too little of the others.
-func (m *measured) most() bool { return 2*m.nodes > m.expected }
+// majority reports whether more than half of the nodes have reported. Fewer are no basis for an estimate.
+func (m *measured) majority() bool { return 2*m.nodes > m.expected }
 
-// minReports is the number of load reports whose mean stands for all servers of a failure domain: fewer scatter too much.
+// minReports is the number of load reports from which their mean is used for all servers of a failure domain. The mean of fewer
+// varies too much.
 const minReports = 30
 
-// total returns the demand, in requests in progress, from the reports that count. The load that servers report covers work
-// that no node reports; servers is the number of servers by failure domain.
+// total returns the demand, in requests in progress, from the recent reports. The load that servers report includes
+// work that no node reports, such as requests whose callers have left. servers returns the number of servers in a failure domain.
 func (m *measured) total(servers func(id.FailureDomain) int) float64 {
 	total := m.waiting + m.refused
 	for domain, running := range m.running {
@@ -118,17 +121,17 @@
 }
 
 // estimate returns the demand of all nodes. Nodes that do not report are assumed to have as many requests as the others. If
-// many are silent, the requests of their callers may have moved to the others and be counted there, so that the estimate does
-// not exceed held, the last demand that was complete, unless the others report more. held is 0 if none was complete.
-func (m *measured) estimate(total, held float64) float64 {
+// many are silent, their callers may have moved to the other nodes, which then count these requests. The estimate therefore does
+// not exceed lastComplete, the last complete demand, unless the other nodes report more. lastComplete is 0 if there is none.
+func (m *measured) estimate(total, lastComplete float64) float64 {
 	if m.nodes == 0 {
-		return held
+		return lastComplete
 	}
 	all := total * float64(max(m.expected, m.nodes)) / float64(m.nodes)
-	if m.complete() || held == 0 {
+	if m.complete() || lastComplete == 0 {
 		return all
 	}
-	return max(total, min(all, held))
+	return max(total, min(all, lastComplete))
 }
 
 // median returns the lower median of the values, or 0 if there are none.
--- a/core/autoscale/message.go
+++ b/core/autoscale/message.go
@@ -27,15 +27,15 @@
 	Load    uint64           `protobuf:"varint,4,opt,name=load"`    // sum of these loads: other requests that run or wait at the server
 }
 
-// PoolDemand holds what the requests of a node ask of a pool.
+// PoolDemand holds the demand of a node's requests on a pool.
 type PoolDemand struct {
 	Pool    id.Pool        `protobuf:"bytes,1,opt,name=pool"`
 	Waiting uint64         `protobuf:"varint,2,opt,name=waiting"` // requests that wait for a server
-	Refused uint64         `protobuf:"varint,3,opt,name=refused"` // expected milliseconds of work refused for want of a server, since the start
+	Refused uint64         `protobuf:"varint,3,opt,name=refused"` // expected milliseconds of work refused because no server was available, since the start
 	Domains []DomainDemand `protobuf:"bytes,4,rep,name=domains"`
 }
 
-// Demand tells the leader and the next node in rank what the requests of the sender ask of the pools that may be scaled.
+// Demand tells the leader and the next node in rank the demand of the sender's requests on the pools that may be scaled.
 type Demand struct {
 	Sent  int64        `protobuf:"varint,1,opt,name=sent"` // nanoseconds since the start of the sender's process
 	Pools []PoolDemand `protobuf:"bytes,2,rep,name=pools"`
--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -49,15 +49,15 @@
 	return r.Desired, true
 }
 
-// placed is the order in force for a pool in a failure domain, and the progress of sending it.
-type placed struct {
+// orderState is the order in force for a pool in a failure domain, and the progress of sending it.
+type orderState struct {
 	subject duty.Subject
 	pool    id.Pool
 	domain  id.FailureDomain
 	desired int // 0 if neither this process nor an earlier leader has ordered any
 
 	open      bool   // the service may not have accepted desired
-	checked   bool   // it was sent by this process, or what there is has been compared with it
+	checked   bool   // this process has made the order, or has compared it with the servers that are present
 	requested bool   // a write of the record has been requested
 	call      uint64 // number of the call in progress, 0 for none
 	sending   int    // the number of servers in that call
@@ -65,24 +65,25 @@
 	retryAt   time.Time
 }
 
-func (a *Autoscaler) placed(pool id.Pool, domain id.FailureDomain) *placed {
+// placed returns the state of the order for a pool in a failure domain, which is added if it is new.
+func (a *Autoscaler) placed(pool id.Pool, domain id.FailureDomain) *orderState {
 	subject := subjectOf(pool, domain)
 	o := a.orders[subject]
 	if o == nil {
-		o = &placed{subject: subject, pool: pool, domain: domain}
+		o = &orderState{subject: subject, pool: pool, domain: domain}
 		a.orders[subject] = o
 	}
 	return o
 }
 
-// adopt takes the number of servers that an earlier leader has ordered, unless this process has ordered another one since.
-func (a *Autoscaler) adopt(now time.Time, name id.Pool, p *pool, d *domain) {
+// applyRecord sets the number of ordered servers to that in the record of an earlier leader, unless this process has made an order.
+func (a *Autoscaler) applyRecord(now time.Time, name id.Pool, p *pool, d *domain) {
 	o := a.placed(name, d.name)
 	recorded, ok := a.recorded(o.subject)
 	switch {
 	case o.desired != 0 && a.leases.Active():
 		if o.open {
-			d.until = now.Add(p.scale.Boot + bootMargin) // servers start after the order has arrived
+			d.startBy = now.Add(p.scale.Boot + bootMargin) // servers start after the order has arrived
 		}
 		return
 	case !ok:
@@ -90,15 +91,15 @@
 		return
 	case !d.known || d.ordered != recorded:
 		d.ordered, d.known = recorded, true
-		d.expected, d.until = max(0, recorded-d.ready), now.Add(p.scale.Boot+bootMargin)
+		d.expected, d.startBy = max(0, recorded-d.ready), now.Add(p.scale.Boot+bootMargin)
 	}
 	if a.leases.Active() {
 		o.desired = recorded
 	}
 }
 
-// repeatUnfulfilled sends the order of an earlier leader once more if there are not as many servers as it ordered: that leader
-// may not have sent it. Servers that are still starting are the usual reason, and the same number again is harmless.
+// repeatUnfulfilled marks the order of an earlier leader to be sent again if the number of servers differs from it, because that
+// leader may not have sent it. Usually the servers are only still starting; sending the same number again is harmless.
 func (a *Autoscaler) repeatUnfulfilled(now time.Time, name id.Pool, p *pool, d *domain) {
 	o := a.placed(name, d.name)
 	if o.desired == 0 || o.checked || len(d.history) < minHistory {
@@ -107,12 +108,12 @@
 	o.checked = true
 	if d.ready != d.ordered {
 		o.open = true
-		d.expected, d.until = max(0, d.ordered-d.ready), now.Add(p.scale.Boot+bootMargin)
+		d.expected, d.startBy = max(0, d.ordered-d.ready), now.Add(p.scale.Boot+bootMargin)
 	}
 }
 
-// place takes a decision as the number of servers to order.
-func (a *Autoscaler) place(name id.Pool, next order) []event.Action {
+// applyOrder makes a decision the order in force, which is then recorded and sent.
+func (a *Autoscaler) applyOrder(name id.Pool, next order) []event.Action {
 	o := a.placed(name, next.domain)
 	o.desired, o.open, o.checked, o.attempts, o.retryAt = next.desired, true, true, 0, time.Time{}
 	o.requested = false // the record of this order replaces one that waits to be written
@@ -122,7 +123,7 @@
 	}
 }
 
-// retry sends the orders that wait for it.
+// retry records or sends the orders whose next attempt is due.
 func (a *Autoscaler) retry(now time.Time) []event.Action {
 	if !a.leases.Active() || !a.leases.Loaded() {
 		return nil
@@ -137,7 +138,7 @@
 }
 
 // advance records an order, or sends it if it is recorded.
-func (a *Autoscaler) advance(now time.Time, o *placed) []event.Action {
+func (a *Autoscaler) advance(now time.Time, o *orderState) []event.Action {
 	if !o.open || o.requested || o.call != 0 || now.Before(o.retryAt) {
 		return nil
 	}
@@ -165,7 +166,7 @@
 }
 
 // write requests to record an order, or to take or renew the lease for it.
-func (a *Autoscaler) write(o *placed) []event.Action {
+func (a *Autoscaler) write(o *orderState) []event.Action {
 	raw, err := json.Marshal(record{Desired: o.desired})
 	if err != nil {
 		o.open = false
--- a/core/autoscale/policy.go
+++ b/core/autoscale/policy.go
@@ -14,27 +14,27 @@
 const (
 	// decideInterval is the time between two measurements and decisions.
 	decideInterval = time.Second
-	// maxBurst is longer than the bursts that end before new servers could help: those seen last 3 to 6 s.
+	// maxBurst is longer than a burst of 3 to 6 s, which ends before new servers could serve.
 	maxBurst = 6500 * time.Millisecond
 	// burstFactor is the demand in a burst as a multiple of that before it.
 	burstFactor = 1.7
-	// raiseFactor is the room of an order above what is needed, so that demand that goes on growing does not cause an order a
-	// second.
+	// raiseFactor is the ratio of the ordered capacity to the needed one, so that demand that keeps growing does not cause an order
+	// every second.
 	raiseFactor = 1.15
 	// peakTime is the time whose highest demand must fit into fewer servers before one is given up. It covers four waves of 11 s.
 	peakTime = 45 * time.Second
-	// lowerInterval is the time between two servers of a pool that are given up: other servers must read the shared prompt parts
-	// of each again.
+	// lowerInterval is the least time between two orders that give up a server of a pool: the other servers have to read the shared
+	// prompt parts again that it had cached.
 	lowerInterval = 6 * time.Second
 	// bootMargin is the time after Scale.Boot until a server that has not started counts as missing.
 	bootMargin = 4 * time.Second
 	// lossTime is how long servers must be missing. The entry of a server may be lost for a moment.
 	lossTime = 3 * time.Second
-	// forgetTime is how long the highest number of servers that was seen is taken for the number that should be there, if none
-	// was ordered. A rollout may have added some for a while.
+	// forgetTime is how long the highest number of servers counts as the ordered one if there was no order. A rollout may have
+	// added servers temporarily.
 	forgetTime = 5 * time.Minute
-	// unusedFraction is the part of the mean number of requests for each server below which a failure domain counts as cut off,
-	// if there are at least minUsed requests for each server.
+	// A failure domain counts as cut off if it has less than unusedFraction of the mean number of requests per server, provided
+	// that this mean is at least minUsed.
 	unusedFraction = 0.1
 	minUsed        = 0.5
 )
@@ -49,21 +49,21 @@
 // domain holds a pool's servers in a failure domain.
 type domain struct {
 	name      id.FailureDomain
-	ordered   int  // servers that it should have: the last order, or what was seen before the first one
+	ordered   int  // servers that it should have: the last order, or an estimate before the first one
 	known     bool // ordered was decided by this process or recorded by an earlier leader
 	ready     int
 	cold      int // of those that are ready
 	draining  int
 	evacuated bool
 
-	fullAt   time.Time // when there were last as many ready servers as ordered
-	history  []seen    // of the last peakTime
-	expected int       // servers that were ordered and may still be starting
-	until    time.Time // when they should have started
+	fullAt   time.Time     // when there were last as many ready servers as ordered
+	history  []observation // of the last peakTime
+	expected int           // servers that were ordered and may still be starting
+	startBy  time.Time     // when they should have started
 }
 
-// seen is what was seen of a failure domain.
-type seen struct {
+// observation is the state of a failure domain at a time.
+type observation struct {
 	at      time.Time
 	ready   int
 	running float64
@@ -71,18 +71,18 @@
 
 // pool holds what the decision about a pool depends on.
 type pool struct {
-	scale     catalog.Scale
-	slots     float64 // of a server, on average
-	samples   []sample
-	held      float64 // the last complete demand
-	domains   map[id.FailureDomain]*domain
-	raisedAt  time.Time
-	loweredAt time.Time
-	changedAt time.Time // when a domain was last evacuated, short of servers or waiting for some
-	replaced  int       // servers that were ordered in place of missing ones and are still there
+	scale        catalog.Scale
+	slots        float64 // of a server, on average
+	samples      []sample
+	lastComplete float64 // the last complete demand
+	domains      map[id.FailureDomain]*domain
+	raisedAt     time.Time
+	loweredAt    time.Time
+	changedAt    time.Time // when a domain was last evacuated, short of servers or waiting for some
+	replaced     int       // servers that were ordered in place of missing ones and are still there
 }
 
-// order is a number of servers that is to be ordered, with the inputs of the decision.
+// order is a number of servers that is to be ordered. reason has the inputs of the decision.
 type order struct {
 	domain  id.FailureDomain
 	desired int
@@ -115,18 +115,18 @@
 		}
 		return 0
 	})
-	demand := m.estimate(total, p.held)
+	demand := m.estimate(total, p.lastComplete)
 	if m.complete() {
-		p.held = demand
+		p.lastComplete = demand
 	}
 	old := now.Add(-peakTime)
-	if m.most() {
+	if m.majority() {
 		p.samples = append(p.samples, sample{now, demand, m.complete()})
 	}
 	p.samples = slices.DeleteFunc(p.samples, func(s sample) bool { return !s.at.After(old) })
 	for _, d := range p.domains {
-		d.history = append(d.history, seen{now, d.ready, m.running[d.name]})
-		d.history = slices.DeleteFunc(d.history, func(s seen) bool { return !s.at.After(old) })
+		d.history = append(d.history, observation{now, d.ready, m.running[d.name]})
+		d.history = slices.DeleteFunc(d.history, func(s observation) bool { return !s.at.After(old) })
 		d.estimateOrdered(now)
 		if d.evacuated || d.missing(now) > 0 || d.starting(now) > 0 {
 			p.changedAt = now
@@ -134,7 +134,7 @@
 	}
 }
 
-// estimateOrdered sets the number of servers that should be there, before the first order, to the highest that was seen.
+// estimateOrdered sets the number of servers that should be present, before the first order, to the highest recent one.
 func (d *domain) estimateOrdered(now time.Time) {
 	if d.ready >= d.ordered {
 		d.fullAt = now
@@ -150,7 +150,7 @@
 
 // starting returns the number of servers that were ordered and may still be starting.
 func (d *domain) starting(now time.Time) int {
-	if now.After(d.until) {
+	if now.After(d.startBy) {
 		return 0
 	}
 	return min(d.expected, max(0, d.ordered-d.recent(now)))
@@ -167,7 +167,7 @@
 	return n
 }
 
-// missing returns the number of servers that should be there and are not.
+// missing returns the number of servers that are ordered, but neither present nor starting.
 func (d *domain) missing(now time.Time) int {
 	return max(0, d.ordered-d.recent(now)-d.starting(now))
 }
@@ -191,7 +191,7 @@
 	return median(values)
 }
 
-// sustainTime returns the time whose median is the sustained demand: what has been exceeded for half of it.
+// sustainTime returns the span over which the sustained demand is the median: the value that was exceeded for half of that span.
 func (p *pool) sustainTime() time.Duration { return 2 * max(p.scale.Boot, maxBurst) }
 
 // sustained returns the sustained demand, or false if it has been measured for too short a time.
@@ -205,7 +205,7 @@
 	return median(values), time.Duration(len(values))*decideInterval >= p.sustainTime()/2
 }
 
-// peak returns the highest demand within peakTime, or false if reports were missing in that time.
+// peak returns the highest demand within peakTime, and whether the measurements cover that time and were all complete.
 func (p *pool) peak() (float64, bool) {
 	highest, complete := 0.0, true
 	for _, s := range p.samples {
@@ -215,7 +215,7 @@
 	return highest, complete && time.Duration(len(p.samples))*decideInterval >= peakTime-2*decideInterval
 }
 
-// cutOff returns the failure domains that get hardly any requests while the others do: the nodes do not reach them.
+// cutOff returns the failure domains that get hardly any requests while others do, probably because the nodes cannot reach them.
 func (p *pool) cutOff(now time.Time) id.Set[id.FailureDomain] {
 	out := id.NewSet[id.FailureDomain]()
 	running, servers := 0.0, 0
@@ -232,7 +232,7 @@
 	return out
 }
 
-// decide returns the orders that are to be made now, and takes them as made.
+// decide returns the orders that are to be made now, and records them as made.
 func (p *pool) decide(now time.Time) []order {
 	sustained, ok := p.sustained(now)
 	if !ok || p.slots == 0 {
@@ -244,34 +244,34 @@
 	return p.lower(now, sustained)
 }
 
-// raise returns the orders that sustained demand needs.
+// raise returns the orders that the sustained demand or the minimum requires.
 func (p *pool) raise(now time.Time, sustained float64) []order {
 	cutOff := p.cutOff(now)
-	available, whole := 0, 0
+	available, orderedTotal := 0, 0
 	before := map[*domain]int{}
 	for _, d := range p.sorted() {
 		before[d] = d.ordered
 		for d.ordered < p.scale.Min && (d.known || p.seenLong(now, d)) {
 			p.grow(now, d)
 		}
-		whole += d.ordered
+		orderedTotal += d.ordered
 		if !cutOff.Has(d.name) {
 			available += d.capacity(now)
 		}
 	}
-	was := available
+	availableBefore := available
 	goal := 0
 	if serversFor(sustained*burstFactor, p.slots) > available {
 		goal = serversFor(sustained*burstFactor*raiseFactor, p.slots)
 	}
 	for available < goal {
-		d := p.roomiest(now, cutOff)
+		d := p.growthTarget(now, cutOff)
 		if d == nil {
 			break
 		}
 		p.grow(now, d)
 		available++
-		if available <= whole {
+		if available <= orderedTotal {
 			p.replaced++
 		}
 	}
@@ -279,14 +279,14 @@
 	for _, d := range p.sorted() {
 		if d.ordered != before[d] {
 			p.raisedAt = now
-			out = append(out, order{d.name, d.ordered, before[d], fmt.Sprintf("raise sustained=%.1f available=%d goal=%d cutoff=%t %s", sustained, was, goal, cutOff.Has(d.name), p.describe(now, d))})
+			out = append(out, order{d.name, d.ordered, before[d], fmt.Sprintf("raise sustained=%.1f available=%d goal=%d cutoff=%t %s", sustained, availableBefore, goal, cutOff.Has(d.name), p.describe(now, d))})
 		}
 	}
 	return out
 }
 
-// seenLong reports whether a failure domain has been seen for peakTime. Before, its servers may not be listed completely, and an
-// order of the minimum could give up servers.
+// seenLong reports whether a failure domain has been observed for peakTime. Before that its list of servers may be incomplete, and
+// an order of the minimum could remove servers.
 func (p *pool) seenLong(now time.Time, d *domain) bool {
 	return len(d.history) > 0 && now.Sub(d.history[0].at) >= peakTime-2*decideInterval
 }
@@ -295,12 +295,13 @@
 func (p *pool) grow(now time.Time, d *domain) {
 	starting := d.starting(now)
 	d.ordered++
-	d.expected, d.until, d.known = starting+1, now.Add(p.scale.Boot+bootMargin), true
+	d.expected, d.startBy, d.known = starting+1, now.Add(p.scale.Boot+bootMargin), true
 }
 
-// roomiest returns the failure domain that should get the next server: the one with the fewest servers, among those that lack
-// none if possible. It is nil if no failure domain may get any. Servers ordered where most are missing would not start either.
-func (p *pool) roomiest(now time.Time, cutOff id.Set[id.FailureDomain]) *domain {
+// growthTarget returns the failure domain that should get the next server: the one with the fewest servers, if possible among
+// those without missing servers. It returns nil if no failure domain may get any. A failure domain where most servers are missing
+// gets none, because new ones would probably not start either.
+func (p *pool) growthTarget(now time.Time, cutOff id.Set[id.FailureDomain]) *domain {
 	var best *domain
 	rank := func(d *domain) int { return min(1, d.missing(now)) }
 	for _, d := range p.sorted() {
@@ -313,8 +314,8 @@
 	return best
 }
 
-// lower returns the order that gives up a server if the highest demand fits into the others. The numbers must not have changed
-// lately, and no servers may be missing.
+// lower returns the order that gives up a server if the highest demand fits into the others. In the last peakTime no server may
+// have been ordered or missing. Above the maximum a server is given up in any case.
 func (p *pool) lower(now time.Time, sustained float64) []order {
 	if now.Sub(p.loweredAt) < lowerInterval {
 		return nil
@@ -338,15 +339,15 @@
 		largest = max(largest, left)
 	}
 	if len(p.domains) == 1 {
-		largest = 0 // there is no other that could take over
+		largest = 0 // no other failure domain could take over
 	}
 	if p.replaced > 0 {
-		largest = 0 // the missing servers are back, so that there is as much room without these
+		largest = 0 // replacements are given up without the reserve, because the number before the loss had none either
 	}
 	peak, complete := p.peak()
-	quiet := complete && now.Sub(p.raisedAt) >= peakTime && now.Sub(p.changedAt) >= peakTime
+	stable := complete && now.Sub(p.raisedAt) >= peakTime && now.Sub(p.changedAt) >= peakTime
 	left := total - 1 - largest
-	if most.ordered <= p.scale.Max && (!quiet || float64(left)*p.slots < peak*burstFactor) {
+	if most.ordered <= p.scale.Max && (!stable || float64(left)*p.slots < peak*burstFactor) {
 		return nil
 	}
 	most.ordered--
