core/usage: clearer names and comments

unplaced, place, fewAt, noteSilence, sending and adopt are named after what they hold or do. The comment on Counts.Since said that a receiver needs that message or an earlier one; it needs all counts up to that message. No change of behaviour.

--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -8,14 +8,16 @@
 )
 
 const (
-	// maxRoundTrip is the longest round trip whose answer sets the time, unless there was no shorter one for clockTimeout.
+	// maxRoundTrip is the longest round trip whose answer sets the time. Longer ones are used if the time was not set for
+	// clockTimeout.
 	maxRoundTrip = 50 * time.Millisecond
 	clockTimeout = 5 * time.Second
-	// maxReadings is the number of readings that are kept of a clock. More would delay the notice of a clock that is set back.
+	// maxReadings is the number of readings that are kept of a clock. With more, a clock that is set back is detected later.
 	maxReadings = 4
 	// readingTTL is how long the reading of a node's clock counts.
 	readingTTL = 10 * time.Second
-	// minReadingTime is the least time after which the first median is taken: the list of nodes grows while they start.
+	// minReadingTime is the least time after the start at which the first median is taken, because the list of nodes is still growing
+	// before.
 	minReadingTime = 1500 * time.Millisecond
 	// readingTimeout is how long a leader that does not know the time waits for the clocks of all nodes, and leaderTimeout how
 	// long another node waits for the time of the leader, before they use what they have.
@@ -23,14 +25,14 @@
 	leaderTimeout  = 8 * time.Second
 )
 
-// minPause is the gap between two steps above which this process must have been paused, and pauseTime how long after it no
-// readings are taken: the messages that have waited show times that are past.
+// minPause is the gap between two steps above which this process must have been paused. For pauseTime after a pause no readings
+// are taken, because messages that were delivered late contain old times.
 const (
 	minPause  = 500 * time.Millisecond
 	pauseTime = 500 * time.Millisecond
 )
 
-// clock tells the true time. It advances with the monotonic clock.
+// clock holds the true time, which advances with the monotonic clock.
 type clock struct {
 	start    time.Time // of this process
 	readings map[id.Node]reading
@@ -41,13 +43,13 @@
 	readFrom time.Time // when readings are taken again after a pause
 }
 
-// reading holds what a node's last messages say of its clock at the start of this process.
+// reading holds the last readings of a node's wall clock, each converted to the start of this process.
 type reading struct {
 	offsets []time.Duration // oldest first
 	at      time.Time       // when it was last read
 }
 
-// offset returns that of the message that was fastest: a delay makes a clock look slow.
+// offset returns the largest offset, which is that of the fastest message: a delay makes a clock seem slow.
 func (r reading) offset() time.Duration { return slices.Max(r.offsets) }
 
 // elapsed returns the time since the start of this process.
@@ -56,8 +58,8 @@
 // at returns the true time since the start of 1970.
 func (c *clock) at(now time.Time) time.Duration { return c.offset + c.elapsed(now) }
 
-// notePause notices a pause of this process.
-func (c *clock) notePause(now time.Time) {
+// detectPause detects a pause of this process by the time since the previous step.
+func (c *clock) detectPause(now time.Time) {
 	if now.Sub(c.lastStep) > minPause {
 		c.readFrom = now.Add(pauseTime)
 	}
@@ -97,7 +99,8 @@
 	c.offset, c.synced = (offsets[(n-1)/2]+offsets[n/2])/2, true
 }
 
-// setFrom sets the time to that of the leader at the receipt of a message that was sent some time after the start.
+// setFrom sets the true time from the leader's answer to a message. sent is the time from the start of this process until the
+// message was sent, and trueTime the true time at which the leader received it.
 func (c *clock) setFrom(now time.Time, sent, trueTime time.Duration) {
 	roundTrip := c.elapsed(now) - sent
 	if roundTrip < 0 || roundTrip > maxRoundTrip && c.elapsed(now)-c.setAfter < clockTimeout {
--- a/core/usage/counts.go
+++ b/core/usage/counts.go
@@ -16,25 +16,25 @@
 	// settleTime is how long after the end of a window the counts of that window are sent: it covers the difference of the
 	// nodes' times, and the steps that are still queued.
 	settleTime = 250 * time.Millisecond
-	// maxUnplaced bounds the requests that wait until the time is known.
-	maxUnplaced = 10_000
+	// maxPending bounds the requests that are kept until the true time is known.
+	maxPending = 10_000
 )
 
 // tally holds the requests of each workspace in a window.
 type tally struct {
 	requests map[id.Workspace]uint64
-	changed  uint64 // number of the first message that may hold the last change
+	changed  uint64 // number of the first message that can contain the latest change
 }
 
-// unplaced is a request that began before the time was known.
-type unplaced struct {
+// pendingRequest is a request that began before the true time was known, so that its window is not known yet.
+type pendingRequest struct {
 	workspace id.Workspace
 	began     time.Time
 }
 
 // recipient is what is known of a node to which counts are sent.
 type recipient struct {
-	confirmed uint64 // number of the last message whose counts it knows all
+	confirmed uint64 // number of the last message up to which it has all counts
 	next      int64  // earlier windows are no longer needed there
 }
 
@@ -46,8 +46,8 @@
 
 // nodeCounts is what a process has reported.
 type nodeCounts struct {
-	known    uint64 // the last message whose counts are all known, 0 for none
-	complete int64
+	known    uint64 // number of the last message up to which all counts are known, 0 for none
+	complete int64  // last window in which the process will count nothing more
 	windows  map[int64]map[id.Workspace]uint64
 	at       time.Time // when it last reported
 }
@@ -63,14 +63,15 @@
 	if workspace == "" {
 		return
 	}
-	if !u.clock.synced && len(u.unplaced) < maxUnplaced {
-		u.unplaced = append(u.unplaced, unplaced{workspace, began})
+	if !u.clock.synced && len(u.pending) < maxPending {
+		u.pending = append(u.pending, pendingRequest{workspace, began})
 		return
 	}
-	u.place(workspace, began)
+	u.countIn(workspace, began)
 }
 
-func (u *Usage) place(workspace id.Workspace, began time.Time) {
+// countIn counts a request in the window in which it began.
+func (u *Usage) countIn(workspace id.Workspace, began time.Time) {
 	w := u.window(u.clock.at(began))
 	t := u.own[w]
 	if t == nil {
@@ -81,15 +82,15 @@
 	t.changed = u.seq + 1
 }
 
-// placeWaiting counts the requests that began before the time was known.
-func (u *Usage) placeWaiting() {
+// countPending counts the requests that began before the true time was known, if it is known now.
+func (u *Usage) countPending() {
 	if !u.clock.synced {
 		return
 	}
-	for _, r := range u.unplaced {
-		u.place(r.workspace, r.began)
+	for _, r := range u.pending {
+		u.countIn(r.workspace, r.began)
 	}
-	u.unplaced = nil
+	u.pending = nil
 }
 
 // complete returns the last window of which this node will count nothing more, 0 if the time is unknown.
@@ -180,7 +181,7 @@
 	return out
 }
 
-// merge takes in the counts of a window and reports whether any was not known.
+// merge merges the counts of a window and reports whether any of them is higher than before.
 func (n *nodeCounts) merge(w WindowCounts) bool {
 	requests := n.windows[w.Window]
 	if requests == nil {
@@ -195,8 +196,8 @@
 	return added
 }
 
-// handleAck records what a recipient knows, and takes the time from the leader. A recipient that has restarted knows less than
-// before; an older answer that arrives late only causes counts to be sent again.
+// handleAck records which counts a recipient has, and sets the true time from an answer of the leader. A recipient that has
+// restarted has fewer counts than before. An older answer that arrives late only causes counts to be sent again.
 func (u *Usage) handleAck(now time.Time, ev event.Receive, a Ack) {
 	r := u.sentTo[ev.From]
 	if a.Seq < r.confirmed {
@@ -205,7 +206,7 @@
 	u.sentTo[ev.From] = recipient{confirmed: min(a.Seq, u.seq), next: max(r.next, a.Next)}
 	if ev.From == u.ranking.Leader() && a.Time > 0 && !u.leases.Active() {
 		u.clock.setFrom(now, time.Duration(a.Sent), time.Duration(a.Time))
-		u.placeWaiting()
+		u.countPending()
 	}
 }
 
--- a/core/usage/message.go
+++ b/core/usage/message.go
@@ -30,7 +30,7 @@
 }
 
 // Counts tells the leader and the next node in rank what the sender has counted. Windows that have not changed after message
-// Since are left out, so that a receiver needs that message or an earlier one before it knows all counts.
+// Since are left out, so that it completes the counts of a receiver that has all counts up to message Since.
 type Counts struct {
 	Seq      uint64         `protobuf:"varint,1,opt,name=seq"`
 	Sent     int64          `protobuf:"varint,2,opt,name=sent"`     // nanoseconds since the start of the sender's process
@@ -60,7 +60,7 @@
 
 // Ack answers a Counts message.
 type Ack struct {
-	Seq  uint64 `protobuf:"varint,1,opt,name=seq"`  // the last message whose counts are all known, 0 for none
+	Seq  uint64 `protobuf:"varint,1,opt,name=seq"`  // the last message up to which all counts are known, 0 for none
 	Sent int64  `protobuf:"varint,2,opt,name=sent"` // that of the answered message
 	Time int64  `protobuf:"varint,3,opt,name=time"` // true time of its receipt in nanoseconds since the start of 1970; 0 if unknown
 	Next int64  `protobuf:"varint,4,opt,name=next"` // counts of earlier windows are no longer needed
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -13,21 +13,22 @@
 
 const (
 	// closeFraction is the part of Options.Late after which a window is closed although some nodes have not reported it. Nodes
-	// that are cut off or paused for less report in time; the rest is left for retries, and for the next holder if this one is lost.
+	// that are cut off or paused for a shorter time are still included. The remaining time is for retries, and for the next holder
+	// if this one fails.
 	closeFraction = 0.65
-	// fewFraction is that part if most nodes have not reported, or have had little time for that since this node leads or hears
-	// from most nodes again: it may be cut off, and the others may have a leader that knows more.
-	fewFraction = 0.85
-	// silentTime is how long a node is silent before it counts as not heard.
+	// minorityCloseFraction is that part if at most half of the nodes have reported the window, or if this node has only just become
+	// the leader or only just heard from most nodes again. It may have been cut off, and another leader may have more reports.
+	minorityCloseFraction = 0.85
+	// silentTime is the time without a message after which a node counts as silent.
 	silentTime = 2500 * time.Millisecond
-	// minCloseTime is the least time after the end of a window at which it is closed. Nodes that have just started may not be
-	// listed before.
+	// minCloseTime is the least time after the end of a window at which it may be closed as complete, because nodes that have
+	// just started may not be listed earlier.
 	minCloseTime = time.Second
 	// maxOpen bounds the reports in a record.
 	maxOpen = 64
 )
 
-// record is what is recorded under the lease.
+// record is the state that is written to the store under the lease.
 type record struct {
 	Next int64        `json:"next"` // the first window that is not closed
 	Open []openReport `json:"open,omitempty"`
@@ -39,12 +40,12 @@
 	Body   []byte `json:"body"` // encoded as base64, so that the store returns the same bytes
 }
 
-// sending is the progress of a report.
-type sending struct {
+// delivery is the progress of sending a report.
+type delivery struct {
 	call     uint64 // number of the call in progress, 0 for none
 	attempts int
 	accepted bool
-	own      bool // closed by this process, which has not sent it before
+	own      bool // this process has closed the window, so that no other one has sent the report
 	retry    time.Time
 }
 
@@ -70,11 +71,11 @@
 
 // report closes the windows that are due, and sends the recorded reports.
 func (u *Usage) report(now time.Time) []event.Action {
-	u.noteSilence(now)
+	u.checkMajority(now)
 	if !u.leases.Active() || !u.leases.Loaded() || !u.clock.synced || u.requested {
 		return nil
 	}
-	u.record = u.recorded() // Changed or Recorded may still be on the way
+	u.record = u.recorded() // the event Changed or Recorded may not have been handled yet
 	next, out := u.closeDue(now)
 	if next.Next > u.record.Next && len(next.Open) > 0 {
 		return append(out, u.write(next)...)
@@ -98,7 +99,7 @@
 			if s == nil || s.attempts > 0 {
 				out = append(out, event.Log{Kind: "usage", Choice: "late", Reason: fmt.Sprintf("window=%d", o.Window)}, Reported{Window: o.Window, Late: true})
 			}
-			u.sending[o.Window] = &sending{accepted: true} // logged once
+			u.sending[o.Window] = &delivery{accepted: true} // so that it is logged once
 		default:
 			next.Open = append(next.Open, o)
 		}
@@ -124,8 +125,8 @@
 	since := u.clock.at(now) - u.end(window)
 	done := u.nodesComplete(now, window)
 	fraction := closeFraction
-	if 2*done <= len(u.nodes) || now.Sub(u.fewAt) < 2*sendInterval {
-		fraction = fewFraction
+	if 2*done <= len(u.nodes) || now.Sub(u.minorityAt) < 2*sendInterval {
+		fraction = minorityCloseFraction
 	}
 	incomplete := done < len(u.nodes) || since < minCloseTime
 	if incomplete && since < time.Duration(fraction*float64(u.opts.Late)) {
@@ -140,7 +141,7 @@
 	for _, n := range counts {
 		total += n
 	}
-	u.sending[window] = &sending{own: true}
+	u.sending[window] = &delivery{own: true}
 	return openReport{Window: window, Body: body}, []event.Action{event.Log{Kind: "usage", Choice: "close", Reason: fmt.Sprintf(
 		"window=%d workspaces=%d requests=%d complete=%d/%d after=%s", window, len(counts), total, done, len(u.nodes), since.Round(time.Millisecond))}}, true
 }
@@ -160,8 +161,8 @@
 	return count
 }
 
-// noteSilence records whether most nodes are silent.
-func (u *Usage) noteSilence(now time.Time) {
+// checkMajority records the time if this node has heard from at most half of the nodes, including itself.
+func (u *Usage) checkMajority(now time.Time) {
 	heard := map[id.Node]bool{u.self.Node: true}
 	for p, n := range u.received {
 		heard[p.node] = heard[p.node] || now.Sub(n.at) < silentTime
@@ -173,7 +174,7 @@
 		}
 	}
 	if 2*count <= len(u.nodes) {
-		u.fewAt = now
+		u.minorityAt = now
 	}
 }
 
@@ -193,7 +194,8 @@
 	return out
 }
 
-// write requests to record the reports before they are sent, or to take or renew the lease for them.
+// write returns the request to write the record, which precedes the first attempt to send its reports, and takes or renews the
+// lease.
 func (u *Usage) write(r record) []event.Action {
 	raw, err := json.Marshal(r)
 	if err != nil {
@@ -203,13 +205,13 @@
 	return []event.Action{u.leases.NewRecord(subject, raw)}
 }
 
-// sendOpen sends the recorded reports that are not accepted yet. next is the record if it were written now.
+// sendOpen sends the recorded reports that are not accepted yet. next is the record to write if the lease has to be renewed.
 func (u *Usage) sendOpen(now time.Time, next record) []event.Action {
 	var out []event.Action
 	for _, o := range u.record.Open {
 		s := u.sending[o.Window]
 		if s == nil {
-			s = &sending{}
+			s = &delivery{}
 			u.sending[o.Window] = s
 		}
 		if s.accepted || s.call != 0 || now.Before(s.retry) {
@@ -254,8 +256,9 @@
 	return []event.Action{log}
 }
 
-// adopt takes in a record of the store. Reports that another node has closed replace those of this one.
-func (u *Usage) adopt(own bool) {
+// applyRecord applies the record in the store, which was written by this process if own is true. Reports of windows that another
+// node has closed replace those of this node.
+func (u *Usage) applyRecord(own bool) {
 	u.requested = false
 	u.record = u.recorded()
 	for w, s := range u.sending {
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -19,7 +19,7 @@
 type Options struct {
 	Window time.Duration // length of a window; window k begins k times this after the start of 1970
 	Late   time.Duration // time after the end of a window in which its report is due
-	// WallClock returns what the node's clock shows, which may jump; nil if the times that Step gets contain it.
+	// WallClock returns the time of the node's wall clock, which may jump. If it is nil, the times passed to Step are used.
 	WallClock func(now time.Time) time.Time
 }
 
@@ -63,7 +63,7 @@
 	clock      clock
 
 	own      map[int64]*tally
-	unplaced []unplaced
+	pending  []pendingRequest
 	seq      uint64 // of the last message with counts
 	sentTo   map[id.Node]recipient
 	received map[process]*nodeCounts
@@ -71,30 +71,31 @@
 
 	record    record // the last known one of the store
 	requested bool   // a write of the record has been requested
-	sending   map[int64]*sending
+	sending   map[int64]*delivery
 	calls     map[uint64]int64 // windows of the calls in progress
 	decideAt  time.Time
 
-	fewAt time.Time // when the leader last changed or most nodes were last silent
+	// minorityAt is when the leader last changed, or when this node last had heard from at most half of the nodes.
+	minorityAt time.Time
 }
 
-// New returns a Usage that has counted nothing. oldestOpen returns when the oldest open request was sent to a server that may
-// yet be counted at an earlier time than now, zero if there is none.
+// New returns a Usage that has counted nothing. oldestOpen returns the send time of the oldest open request that may still be
+// counted in a past window, zero if there is none.
 func New(self event.Self, opts Options, ranking Ranking, leases Leases, encoder Encoder, oldestOpen func() time.Time) *Usage {
 	return &Usage{
 		self: self, opts: opts, ranking: ranking, leases: leases, encoder: encoder, oldestOpen: oldestOpen,
 		clock: clock{readings: map[id.Node]reading{}}, own: map[int64]*tally{}, sentTo: map[id.Node]recipient{},
-		received: map[process]*nodeCounts{}, sending: map[int64]*sending{}, calls: map[uint64]int64{},
+		received: map[process]*nodeCounts{}, sending: map[int64]*delivery{}, calls: map[uint64]int64{},
 	}
 }
 
 // SetNodes sets all nodes whose counts are expected.
 func (u *Usage) SetNodes(names []id.Node) { u.nodes = names }
 
-// LeaderChanged sends the counts to the new leader soon.
+// LeaderChanged sends the counts to the new leader at the next step.
 func (u *Usage) LeaderChanged(now time.Time) {
 	u.requested = false
-	u.fewAt, u.sendAt = now, now
+	u.minorityAt, u.sendAt = now, now
 }
 
 // Now returns the true time since the start of 1970, or false if it is not known yet.
@@ -113,7 +114,7 @@
 	if u.clock.start.IsZero() {
 		u.clock.start, u.clock.lastStep, u.sendAt, u.decideAt = now, now, now.Add(sendInterval), now
 	}
-	u.clock.notePause(now)
+	u.clock.detectPause(now)
 	var out []event.Action
 	switch ev := ev.(type) {
 	case event.Receive:
@@ -125,12 +126,12 @@
 		}
 	case duty.Recorded:
 		if ev.Subject == subject {
-			u.adopt(true)
+			u.applyRecord(true)
 			u.decideAt = now
 		}
 	case duty.Changed:
 		if ev.Subject == subject {
-			u.adopt(false)
+			u.applyRecord(false)
 		}
 	case duty.CallResult:
 		out = u.handleResult(now, ev)
@@ -152,6 +153,6 @@
 	if u.leases.Active() || !u.clock.synced && u.clock.elapsed(now) >= leaderTimeout {
 		u.clock.setMedian(now, len(u.nodes))
 	}
-	u.placeWaiting()
+	u.countPending()
 	u.prune(now)
 }
