core/callerlimit, core/connlimit: named ranks and clearer comments

The ranks in which connections are closed have names instead of numbers, and the usage of an address is not called load. No change of behaviour.

--- a/core/callerlimit/callerlimit.go
+++ b/core/callerlimit/callerlimit.go
@@ -6,17 +6,18 @@
 )
 
 const (
-	// StallTime is how long a connection may make no progress before it is closed first under pressure. Callers inside the
-	// limits read and send without long stops.
+	// StallTime is the time without progress after which a connection is the first to be closed when a limit is reached. Callers
+	// inside the limits read and send without long stops.
 	StallTime = time.Second
-	// minProgressBytes is what has to arrive of a request to count as progress, so that single bytes do not.
+	// minProgressBytes is the least number of bytes of a request that counts as progress, so that a caller cannot keep a connection
+	// by sending single bytes.
 	minProgressBytes = 1 << 10
 )
 
 // Conn identifies a connection.
 type Conn uint64
 
-// Phase is what a connection is doing.
+// Phase is the state of a connection.
 type Phase uint8
 
 const (
@@ -30,24 +31,24 @@
 	Running
 )
 
-// Table holds the connections of callers and what they take in memory.
+// Table holds the connections of callers and the memory that each of them takes.
 type Table struct {
 	maxConns int
 	conns    map[Conn]*entry
-	addrs    map[netip.Addr]*load
+	addrs    map[netip.Addr]*addrUsage
 }
 
 // entry is a connection.
 type entry struct {
-	load     *load // of its address
+	addr     *addrUsage
 	phase    Phase
 	since    time.Time // of the last change of phase or progress
 	held     int64     // bytes
 	received int64     // bytes of the request at the last progress
 }
 
-// load is what the connections from one address take together.
-type load struct {
+// addrUsage is what the connections from one address take together.
+type addrUsage struct {
 	addr  netip.Addr
 	conns int
 	held  int64
@@ -55,10 +56,10 @@
 
 // NewTable returns a table for at most maxConns connections.
 func NewTable(maxConns int) *Table {
-	return &Table{maxConns: maxConns, conns: map[Conn]*entry{}, addrs: map[netip.Addr]*load{}}
+	return &Table{maxConns: maxConns, conns: map[Conn]*entry{}, addrs: map[netip.Addr]*addrUsage{}}
 }
 
-// Open admits a connection and reports true, or refuses it. If evict is not 0, that connection is closed for it.
+// Open admits a connection and reports true, or refuses it. If evict is not 0, the caller must close that connection.
 func (t *Table) Open(now time.Time, c Conn, from netip.Addr) (evict Conn, ok bool) {
 	if len(t.conns) >= t.maxConns {
 		if evict = t.connVictim(now, from); evict == 0 {
@@ -68,11 +69,11 @@
 	}
 	l := t.addrs[from]
 	if l == nil {
-		l = &load{addr: from}
+		l = &addrUsage{addr: from}
 		t.addrs[from] = l
 	}
 	l.conns++
-	t.conns[c] = &entry{load: l, since: now}
+	t.conns[c] = &entry{addr: l, since: now}
 	return evict, true
 }
 
@@ -83,9 +84,9 @@
 		return
 	}
 	delete(t.conns, c)
-	e.load.held -= e.held
-	if e.load.conns--; e.load.conns == 0 {
-		delete(t.addrs, e.load.addr)
+	e.addr.held -= e.held
+	if e.addr.conns--; e.addr.conns == 0 {
+		delete(t.addrs, e.addr.addr)
 	}
 }
 
@@ -106,36 +107,46 @@
 	}
 }
 
-// Hold records how many bytes a connection takes for its request.
+// Hold records how many bytes a connection holds for its request.
 func (t *Table) Hold(c Conn, bytes int64) {
 	if e := t.conns[c]; e != nil {
-		e.load.held += bytes - e.held
+		e.addr.held += bytes - e.held
 		e.held = bytes
 	}
 }
 
-// stalled reports whether a request of the connection is overdue.
+// stalled reports whether the connection waits for a request that has made no progress for StallTime.
 func (e *entry) stalled(now time.Time) bool {
 	return (e.phase == New || e.phase == Reading) && now.Sub(e.since) >= StallTime
 }
 
-// closeOrder returns the rank in which a connection is closed for a new one, the lowest first; 0 means never.
-func (e *entry) closeOrder(now time.Time) int {
+// closeRank is the rank in which a connection is closed for a new one, the lowest first.
+type closeRank uint8
+
+const (
+	closeNever closeRank = iota
+	closeStalled
+	closeNew
+	closeIdle
+	closeReading
+)
+
+func (e *entry) closeRank(now time.Time) closeRank {
 	switch {
 	case e.stalled(now):
-		return 1
+		return closeStalled
 	case e.phase == New:
-		return 2
+		return closeNew
 	case e.phase == Idle:
-		return 3
+		return closeIdle
 	case e.phase == Reading:
-		return 4
+		return closeReading
 	}
-	return 0
+	return closeNever
 }
 
-// connVictim returns the connection that is closed for a new one: by rank, then of the address with the most connections,
-// then the one without progress for the longest time. A request that is arriving is closed only if its address has more
+// connVictim returns the connection to close for a new one: the one of the lowest rank, then of the address with the most
+// connections, then the one that has made no progress for the longest time. A request that is arriving is closed only if its address has more
 // connections than that of the new one would have. It returns 0 if there is none.
 func (t *Table) connVictim(now time.Time, from netip.Addr) Conn {
 	own := 0
@@ -144,29 +155,30 @@
 	}
 	var victim Conn
 	var best *entry
-	bestOrder := 0
+	bestRank := closeNever
 	for c, e := range t.conns {
-		order := e.closeOrder(now)
-		if order == 0 || order == 4 && e.load.conns <= own+1 {
+		rank := e.closeRank(now)
+		if rank == closeNever || rank == closeReading && e.addr.conns <= own+1 {
 			continue
 		}
-		if best == nil || order < bestOrder || order == bestOrder && e.closedBefore(best) {
-			victim, best, bestOrder = c, e, order
+		if best == nil || rank < bestRank || rank == bestRank && e.closedBefore(best) {
+			victim, best, bestRank = c, e, rank
 		}
 	}
 	return victim
 }
 
+// closedBefore reports whether e is closed before another connection of the same rank.
 func (e *entry) closedBefore(other *entry) bool {
-	if e.load.conns != other.load.conns {
-		return e.load.conns > other.load.conns
+	if e.addr.conns != other.addr.conns {
+		return e.addr.conns > other.addr.conns
 	}
 	return e.since.Before(other.since)
 }
 
-// MemoryVictim returns the connection that is closed so that another one may hold more bytes: one whose request is overdue,
-// else the one that holds the most, of the address that holds the most. It returns 0 if the connection that asks is the next
-// one itself; its request has to be refused then.
+// MemoryVictim returns the connection to close so that the asking connection may hold the given number of bytes: a stalled one if
+// there is any, else one of the address that holds the most, and of these the one that holds the most. It returns 0 if the asking
+// connection itself would hold the most; its request is then refused.
 func (t *Table) MemoryVictim(now time.Time, asking Conn, bytes int64) Conn {
 	asker := t.conns[asking]
 	if asker == nil {
@@ -178,7 +190,7 @@
 		if c == asking || e.held == 0 || e.phase == Running {
 			continue
 		}
-		if best == nil || e.givesUpBefore(best, now) {
+		if best == nil || e.freedBefore(best, now) {
 			victim, best = c, e
 		}
 	}
@@ -188,20 +200,22 @@
 	return victim
 }
 
-func (e *entry) givesUpBefore(other *entry, now time.Time) bool {
+// freedBefore reports whether e is closed before another connection to free memory.
+func (e *entry) freedBefore(other *entry, now time.Time) bool {
 	if a, b := e.stalled(now), other.stalled(now); a != b {
 		return a
 	}
-	if e.load.held != other.load.held {
-		return e.load.held > other.load.held
+	if e.addr.held != other.addr.held {
+		return e.addr.held > other.addr.held
 	}
 	return e.held > other.held
 }
 
-// holdsMoreThan compares addresses first, so that a caller with a small request goes before a crowd at one address.
+// holdsMoreThan reports whether e holds more than the asking connection would with the given number of bytes. Addresses are
+// compared first, so that a small request is preferred to many connections from one address.
 func (e *entry) holdsMoreThan(asker *entry, bytes int64) bool {
-	if e.load != asker.load && e.load.held != asker.load.held-asker.held+bytes {
-		return e.load.held > asker.load.held-asker.held+bytes
+	if e.addr != asker.addr && e.addr.held != asker.addr.held-asker.held+bytes {
+		return e.addr.held > asker.addr.held-asker.held+bytes
 	}
 	return e.held > bytes
 }
--- a/core/connlimit/limit.go
+++ b/core/connlimit/limit.go
@@ -3,15 +3,15 @@
 import "time"
 
 const (
-	// tightShare is the greatest share of a node at which a server may be near its limit. With more, the nodes rarely use half
-	// of what the server accepts.
+	// tightShare is the greatest share of a node at which the server counts as possibly near its limit. With larger shares the
+	// nodes rarely use half of the connections that the server accepts.
 	tightShare = 2
 	// maxTightIdleTime bounds the idle time of a connection at such a server.
 	maxTightIdleTime = 900 * time.Millisecond
-	// MaxIdleAtMostOnce is the maximum idle time of a connection that is reused for a request that must not run twice. A close
-	// by the server may be in flight after a longer time, and a server that was cut off is noticed only by a new connection.
+	// MaxIdleAtMostOnce is the maximum idle time of a connection that is reused for a request that must not run twice. After a
+	// longer time a close by the server may be in flight; and only a new connection shows that a server cannot be reached any more.
 	MaxIdleAtMostOnce = 50 * time.Millisecond
-	// idleDivisor is the part of a node's share that idle connections may take.
+	// idleDivisor divides a node's share to get the number of connections that may be idle.
 	idleDivisor = 2
 	// minSettleTime and maxSettleTime bound the wait between the opening of a connection and the first write. Servers reset
 	// excess connections when they accept them, which is after the kernel has opened them.
@@ -21,7 +21,7 @@
 	settleFactor = 2
 )
 
-// Limit bounds the connections of one node to a server. The zero Limit does not.
+// Limit bounds the connections of one node to a server. The zero Limit means no limit.
 type Limit struct {
 	Conns int // connections at a time including idle ones, 0 for no limit
 }
@@ -59,7 +59,7 @@
 }
 
 // SettleTime returns how long a request waits for a reset after its connection was opened, which took the given time. A reset
-// before the first write shows that the request has not run; one after it does not.
+// before the first write proves that the request has not run; a later one proves nothing.
 func (l Limit) SettleTime(opening time.Duration) time.Duration {
 	if !l.tight() {
 		return 0
--- a/core/connlimit/limiter.go
+++ b/core/connlimit/limiter.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// queuedDivisor divides the limit of a server with a long queue, because such a server accepts fewer connections. By how
-	// many is not known.
+	// queuedDivisor divides the limit of a server with a long queue, because such a server accepts fewer connections. How many it
+	// accepts is not known.
 	queuedDivisor = 2
-	// spareDivisor is the part of the limit up to which a server without a queue may be in use for a node to exceed its share.
+	// spareDivisor divides the limit. A node may exceed its share of a server without a queue that runs at most that many requests.
 	spareDivisor = 4
-	// spareFactor is the multiple of its share that a node may use then. At the pools in question a share is one or two
-	// connections, which requests with the same prompt prefix need more often than servers are near their limits.
+	// spareFactor is the multiple of its share that a node may use then. At pools of model servers a share is often one or two
+	// connections, and several requests with the same prompt prefix at once need more.
 	spareFactor = 2
 )
 
@@ -58,8 +58,8 @@
 	return Limit{Conns: max(1, l.share(server, maxConns))}
 }
 
-// inUse returns how many connections this node may use at a server that has reported the given load, nil for none lately.
-func (l *Limiter) inUse(server id.Server, maxConns int, load *selfreport.Load) int {
+// maxInUse returns how many connections this node may use at a server that has reported the given load, nil for none lately.
+func (l *Limiter) maxInUse(server id.Server, maxConns int, load *selfreport.Load) int {
 	share := l.Limit(server, maxConns).Conns
 	switch {
 	case load == nil:
@@ -85,7 +85,7 @@
 // Allows reports whether this node may use another connection to a server. Idle connections do not count, because they are
 // closed first. The load is what the server reported lately, nil for nothing.
 func (c *Check) Allows(server id.Server, inUse int, load *selfreport.Load) bool {
-	if c.maxConns <= 0 || inUse < c.limiter.inUse(server, c.maxConns, load) {
+	if c.maxConns <= 0 || inUse < c.limiter.maxInUse(server, c.maxConns, load) {
 		return true
 	}
 	c.excluded++
