--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -14,28 +14,30 @@
 )
 
 const (
-	// homeChoices is the number of servers that are weighed of those that come first in the order of a shared prompt part.
+	// homeChoices is the number of candidates from the start of the order of servers for a shared prompt part.
 	homeChoices = 3
-	// randomChoices is the number of servers that are weighed besides them, and freeChoices the number without a shared part.
+	// randomChoices is the number of additional random candidates, and freeChoices that of random candidates for a request without
+	// a shared part.
 	randomChoices = 2
 	freeChoices   = 4
-	// maxTries bounds the servers that are tried for either, because some cannot be used.
+	// maxTries bounds the servers that are examined for each of the two kinds of candidates. Some of them cannot be used.
 	maxTries = 8
 )
 
 // Weights of the parts of a cost. The time of a request, and the time by which it delays others, count once.
 const (
-	// againWeight is the weight of the time to read shared parts again that another server has cached. With 30, nine simulated
-	// servers read four times as many tokens again, while callers waited as long.
+	// againWeight is the weight of the time to read shared parts that another server has cached. With 30, servers read about four
+	// times as many tokens again, and callers do not wait less.
 	againWeight = 100
-	// lateWeight is the cost of being late, as a multiple of the objective. With 4, requests with a very popular part missed their
-	// objective before one of them was sent elsewhere.
+	// lateWeight is the cost of being late, as a multiple of the objective. With 4, requests with a very popular part miss their
+	// objective before any of them is sent to another server.
 	lateWeight = 20
-	// lateSteepness is the exponent of the chance to be late: an estimate is rarely off by more than a factor of two.
+	// lateSteepness is the exponent in the probability of being late. 3 fits estimates that are rarely off by more than a factor of
+	// two.
 	lateSteepness = 3
 )
 
-// Choice is a kind of server that a request was placed at.
+// Choice says whether a request was placed at the home of its shared prompt part.
 type Choice string
 
 const (
@@ -52,13 +54,13 @@
 	Server id.Server
 	Choice Choice // empty if the size of the request is not known
 	Unread int    // prompt tokens that the server is expected to read
-	Reread int    // of which tokens of shared parts that another server has cached
+	Reread int    // tokens of Unread in shared parts that another server has cached
 }
 
 // Placed describes the last choice of Pick.
 func (b *Balancer) Placed() Placement { return b.placed }
 
-// weighed is a server with what a request is expected to cost there.
+// weighed is a candidate with the expected cost of the request there.
 type weighed struct {
 	*fleet.Server
 	cost.Estimate
@@ -83,7 +85,7 @@
 	return out
 }
 
-// ring holds the hashes of the servers of a pool, from which their order for a prompt part follows.
+// ring holds the servers of a pool with their hashes, from which their order for a prompt part is computed (rendezvous hashing).
 type ring struct {
 	servers []*fleet.Server
 	hashes  []uint64
@@ -113,7 +115,7 @@
 	return r
 }
 
-// first appends the servers that come first in the order of a prompt part, at most as many as dst has room for.
+// first fills dst, which must be empty, with the first servers in the order of a prompt part, at most as many as its capacity.
 func (r *ring) first(dst []*fleet.Server, part uint64) []*fleet.Server {
 	var ranks [maxTries]uint64
 	limit := min(cap(dst), maxTries)
@@ -137,26 +139,26 @@
 // candidates returns the servers that are weighed for a request. The first one is the home of its shared part, if it has one. Only if
 // none of the first servers in the order can be used, all servers of the pool are searched.
 func (b *Balancer) candidates(now time.Time, q Query, r *ring) ([]*fleet.Server, string) {
-	list := b.choose(now, q, r)
+	list := b.candidatesOf(now, q, r)
 	if len(list) > 0 {
 		return list, ""
 	}
 	rest, reason := b.usable(now, q, r.servers)
-	return b.choose(now, q, b.newRing(rest)), reason
+	return b.candidatesOf(now, q, b.newRing(rest)), reason
 }
 
-// choose returns the candidates among the servers of a ring. It returns none if there is a shared part and none of the first servers in
-// its order can be used.
-func (b *Balancer) choose(now time.Time, q Query, r *ring) []*fleet.Server {
+// candidatesOf returns the candidates among the servers of a ring. It returns none if there is a shared part and none of the first
+// servers in its order can be used.
+func (b *Balancer) candidatesOf(now time.Time, q Query, r *ring) []*fleet.Server {
 	var list []*fleet.Server
-	draws := freeChoices
+	randoms := freeChoices
 	if part := q.Request.Home(); part != 0 {
-		draws = randomChoices
-		if list = b.homes(now, q, r, part); len(list) == 0 {
+		randoms = randomChoices
+		if list = b.homeCandidates(now, q, r, part); len(list) == 0 {
 			return nil
 		}
 	}
-	wanted := len(list) + draws
+	wanted := len(list) + randoms
 	for try := 0; try < maxTries && len(list) < wanted && len(r.servers) > 0; try++ {
 		from := r.servers
 		if try%2 == 0 && len(r.near) > 0 {
@@ -170,8 +172,9 @@
 	return list
 }
 
-// homes returns the first servers in the order of a prompt part that can be used: those that do not fail, unless all do.
-func (b *Balancer) homes(now time.Time, q Query, r *ring, part uint64) []*fleet.Server {
+// homeCandidates returns the usable ones of the first servers in the order of a prompt part: up to homeChoices that do not fail, or
+// if there are none, those that fail.
+func (b *Balancer) homeCandidates(now time.Time, q Query, r *ring, part uint64) []*fleet.Server {
 	var room [maxTries]*fleet.Server
 	var healthy, failing []*fleet.Server
 	for _, s := range r.first(room[:0], part) {
@@ -195,8 +198,8 @@
 	return failing
 }
 
-// leastExpected returns the candidate at which a request is expected to cost least: the request itself, the requests that are there,
-// and those that share parts of its prompt.
+// leastExpected returns the candidate with the lowest expected cost: for the request itself, for the requests that are already there,
+// and for those that share parts of its prompt.
 func (b *Balancer) leastExpected(now time.Time, q Query) (*fleet.Server, string) {
 	r := b.ring(q.Pool)
 	list, reason := b.candidates(now, q, r)
@@ -248,7 +251,7 @@
 	return sum
 }
 
-// lateChance returns the chance that a limit is exceeded, 0 if it is in any case.
+// lateChance returns the probability that a limit is exceeded. It is 0 for a limit in the past, which is exceeded at any server.
 func lateChance(expected, limit time.Duration) float64 {
 	if limit <= 0 {
 		return 0
--- a/core/cost/doc.go
+++ b/core/cost/doc.go
@@ -6,6 +6,6 @@
 // which server, so that a part that is cached is not counted again.
 //
 // The work of a server is what this node's attempts still have to do there, and what is known of the others: from the load that
-// the server reports, and from the nodes that tell each other of their work. What is known of the others fades with its age to
-// the pool's mean. If a server takes longer than expected, its estimates are raised.
+// the server reports, and from the work that nodes report to each other. As this knowledge of the others ages, the estimate moves
+// to the pool's mean. If a server takes longer than expected, its estimates are raised.
 package cost
--- a/core/cost/model.go
+++ b/core/cost/model.go
@@ -19,7 +19,7 @@
 	eventGain = 0.3
 	// minEvents is how many events a response needs for a measurement of the time between them.
 	minEvents = 3
-	// maxExcess bounds a measurement as a multiple of the expected time: callers that read slowly delay streams too.
+	// maxExcess bounds a measurement as a multiple of the expected time, because callers that read slowly delay streams too.
 	maxExcess = 4
 )
 
@@ -29,13 +29,13 @@
 	End    time.Duration // from the send to the end of the response
 	Late   time.Duration // mean deviation of End
 	Read   time.Duration // time to read what is not cached of the prompt
-	Again  time.Duration // of which time to read shared parts again
+	Again  time.Duration // part of Read that is for shared parts that another server has cached
 	Delay  time.Duration // sum of the delays of the requests that are already there
 	Beside float64       // requests that are already there
 	Unread float64       // prompt tokens that are not cached
-	Reread float64       // of which tokens of shared parts that another server has cached
-	ahead  float64       // prompt tokens that are read first
-	queued bool          // all slots are taken
+	Reread float64       // tokens of Unread in shared parts that another server has cached
+	ahead  float64       // prompt tokens of other requests that are read before
+	queued bool          // all slots are in use
 }
 
 // String formats the estimate for the log.
@@ -95,11 +95,11 @@
 	s, p := m.server(at.Server), m.pool(at.Pool)
 	slots := s.slots()
 	work := s.work(now, p)
-	slow := s.slowed(now)
+	slow := s.slowdown(now)
 	cached := m.cachedTokens(now, s, at, r)
 	events, deviation := m.outputs.expect(r)
 	e := Estimate{Beside: work.Requests, Unread: r.tokens() - cached, ahead: p.tokensIn(work.Read)}
-	if m.kept(r) {
+	if m.cachedSomewhere(r) {
 		e.Reread = r.sharedTokens() - cached
 	}
 	e.Read = scale(p.readTime(e.Unread), slow)
@@ -117,13 +117,15 @@
 	return e
 }
 
-// kept reports whether some server probably has the shared part of a request cached. The only part of a prompt need not be shared.
-func (m *Model) kept(r *Request) bool { return !r.Single || m.parts.seen(r.Home()) }
+// cachedSomewhere reports whether some server probably has the shared part of a request cached. If the prompt has only one part,
+// other requests may not share it, so that it counts only if this node has sent it before.
+func (m *Model) cachedSomewhere(r *Request) bool { return !r.Single || m.parts.seen(r.Home()) }
 
-// cachedTokens returns how many prompt tokens a server probably has cached. A part needs all parts before it.
+// cachedTokens returns how many prompt tokens a server probably has cached. A cached part is used only together with all parts
+// before it.
 func (m *Model) cachedTokens(now time.Time, s *server, at Place, r *Request) float64 {
 	shared := r.shared()
-	home := at.Home && !at.Cold(now) && m.kept(r)
+	home := at.Home && !at.Cold(now) && m.cachedSomewhere(r)
 	tokens, chance := 0.0, 1.0
 	for i, part := range shared {
 		if !home {
@@ -142,7 +144,7 @@
 func (m *Model) Start(now time.Time, at Place, r *Request) {
 	s := m.server(at.Server)
 	a := &attempt{Request: *r, sent: now, expected: m.Estimate(now, at, r)}
-	a.Shared = nil // not kept for the time of the request
+	a.Shared = nil // saves memory while the request runs
 	a.events, a.deviation = m.outputs.expect(r)
 	s.attempts = append(s.attempts, a)
 	m.parts.record(now, s.hash, r)
@@ -182,7 +184,7 @@
 		return
 	}
 	p := m.pool(s.Pool)
-	a.began, a.beside = now, max(0, s.work(now, p).Requests-1)
+	a.began, a.others = now, max(0, s.work(now, p).Requests-1)
 	if a.expected.queued {
 		return
 	}
@@ -211,9 +213,9 @@
 		return
 	}
 	took := now.Sub(a.began) / time.Duration(events-1)
-	expected := p.eventTime(a.beside)
+	expected := p.eventTime(a.others)
 	s.measureSlowness(now, took, expected, eventGain)
-	p.event.add(point{a.beside, min(float64(took), maxExcess*float64(expected))})
+	p.event.add(point{a.others, min(float64(took), maxExcess*float64(expected))})
 }
 
 // Work returns the work of this node's attempts at each server that has any.
--- a/core/cost/output.go
+++ b/core/cost/output.go
@@ -16,15 +16,15 @@
 	outputGain = 0.05
 	// minOutputs is how many measurements a group needs before it is used.
 	minOutputs = 4
-	// defaultEventTokens is the number of tokens in an event while nothing was measured.
+	// defaultEventTokens is the number of tokens in an event before the first measurement.
 	defaultEventTokens = 10
-	// defaultOutputShare is the share of the maximum tokens that a response has while nothing was measured.
+	// defaultOutputShare is the share of the maximum tokens that a response has before the first measurement.
 	defaultOutputShare = 0.5
-	// anySize is the size class that stands for all sizes.
+	// anySize is the size class of the groups that contain all sizes.
 	anySize = -1
 )
 
-// spread is a smoothed mean with its mean deviation. The first measurements count alike.
+// spread is a smoothed mean with its mean deviation. The first measurements have equal weights.
 type spread struct {
 	mean, deviation float64
 	count           int
@@ -39,7 +39,7 @@
 	s.mean += gain * (x - s.mean)
 }
 
-// group is a set of requests whose outputs are alike. The empty workspace stands for all.
+// group is a set of requests whose outputs are similar. If workspace is empty, it contains those of all workspaces.
 type group struct {
 	route     string
 	workspace id.Workspace
--- a/core/cost/pool.go
+++ b/core/cost/pool.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Rates while nothing was measured: those of common model servers.
+// Rates before the first measurements, which are usual for model servers.
 const (
 	defaultFirst       = 10 * time.Millisecond // to the first event without a prompt
 	defaultRead        = 10 * time.Microsecond // for a prompt token
 	defaultEvent       = 30 * time.Millisecond // between two events if nothing else runs
 	defaultEventBeside = 500 * time.Microsecond
 	defaultDuration    = time.Second
-	// priorTokens and priorBeside are where the lines of a pool are fixed by these rates.
+	// priorTokens and priorBeside are the x values of the second points by which these rates define a pool's lines.
 	priorTokens = 4000
 	priorBeside = 8
 )
--- a/core/cost/work.go
+++ b/core/cost/work.go
@@ -9,19 +9,19 @@
 )
 
 const (
-	// remoteFresh is the age up to which the work of other nodes counts in full: nodes tell each other several times a second,
-	// through up to three others.
+	// remoteFresh is the age up to which the work of other nodes counts in full. Nodes report it several times a second, through
+	// one or two relays.
 	remoteFresh = 600 * time.Millisecond
 	// remoteFade is the time in which the work of other nodes loses two thirds of its weight after that.
 	remoteFade = time.Second
 	// minReportFade is the least time in which a load report loses two thirds of its weight.
 	minReportFade = 200 * time.Millisecond
-	// reportShare is the weight of a new report against the work of other nodes. Neither is exact: a report is of the moment, but
-	// a server may report anything, and what other nodes know is some hundred milliseconds old.
+	// reportShare is the weight of a new load report relative to the work that other nodes report. Neither is exact: a load report
+	// is current, but a server may report wrong figures; the work of other nodes is some hundred milliseconds old.
 	reportShare = 0.5
-	// slowFade is the time in which a measured slowness loses two thirds of its weight, so that the server is tried again.
+	// slowFade is the time in which the slowness of a server loses two thirds of its weight, so that the server is tried again.
 	slowFade = 10 * time.Second
-	// maxSlowness bounds the measured slowness of a server.
+	// maxSlowness bounds the slowness of a server, and its inverse.
 	maxSlowness = 8
 )
 
@@ -52,11 +52,11 @@
 	began             time.Time // zero before the first event
 	expected          Estimate
 	events, deviation float64 // expected events of the response
-	beside            float64 // other requests at the server when the response began
+	others            float64 // other requests at the server when the response began
 }
 
-// left returns what the server still has to do for an attempt.
-func (a *attempt) left(now time.Time, p *pool) Work {
+// remaining returns what the server still has to do for an attempt.
+func (a *attempt) remaining(now time.Time, p *pool) Work {
 	event := p.eventTime(a.expected.Beside)
 	if a.began.IsZero() {
 		read := min(a.expected.Read, max(0, a.expected.First-now.Sub(a.sent)))
@@ -90,13 +90,13 @@
 func (s *server) own(now time.Time, p *pool) Work {
 	var sum Work
 	for _, a := range s.attempts {
-		sum = sum.add(a.left(now, p))
+		sum = sum.add(a.remaining(now, p))
 	}
 	return sum
 }
 
-// others returns the work of all other requests: the mean of the pool, corrected by what the server has reported and by what other
-// nodes have told, as far as these are new.
+// others returns the work of all other requests: the mean of the pool, corrected by the server's load report and by the work that
+// other nodes have reported, each weighted by its age.
 func (s *server) others(now time.Time, p *pool) Work {
 	sum := p.requestsWork(p.others.mean)
 	reported := 0.0
@@ -106,28 +106,28 @@
 	}
 	if !s.remoteAt.IsZero() {
 		age := now.Sub(s.remoteAt)
-		told := s.remote
-		told.Read = max(0, told.Read-age)
-		sum = sum.mix(told, fade(age-remoteFresh, remoteFade)*(1-reportShare*reported))
+		remote := s.remote
+		remote.Read = max(0, remote.Read-age)
+		sum = sum.mix(remote, fade(age-remoteFresh, remoteFade)*(1-reportShare*reported))
 	}
 	return sum
 }
 
-// reportedOthers returns the requests of others in the last load report. A server is believed to have at most twice as many requests
-// as it has slots.
+// reportedOthers returns the requests of others in the last load report. At most twice as many
+// requests as the server has slots are assumed.
 func (s *server) reportedOthers() float64 {
 	slots := s.slots()
 	n := min(s.load.Running, slots) + min(s.load.Waiting, slots)
 	return float64(max(0, n-s.loadOwn))
 }
 
-// fade returns the weight of what is known since the given time: 1 at first, a third after the span.
+// fade returns the weight of knowledge of the given age: 1 at first, about a third after the span.
 func fade(age, span time.Duration) float64 {
 	return math.Exp(-float64(max(0, age)) / float64(span))
 }
 
-// slowed returns how much longer than the pool's rates say work takes at a server now.
-func (s *server) slowed(now time.Time) float64 {
+// slowdown returns the time that work takes at the server now, as a multiple of the time by the pool's rates.
+func (s *server) slowdown(now time.Time) float64 {
 	factor := s.load.Slowdown(now.Sub(s.loadAt))
 	if s.slowness == 0 {
 		return factor
@@ -135,7 +135,7 @@
 	return factor * (1 + (s.slowness-1)*fade(now.Sub(s.slowAt), slowFade))
 }
 
-// measureSlowness compares the time that work took with the expected one.
+// measureSlowness updates the slowness by the time that work took relative to the expected time. gain is its weight.
 func (s *server) measureSlowness(now time.Time, took, expected time.Duration, gain float64) {
 	if expected <= 0 {
 		return
