core/loadshare, core/proxy, core/watchcache: clearer names and comments

Messages are sent and received rather than told, and unpaid, turn, silence and suspicion have names that say their unit or effect. No change of behaviour.

--- a/core/loadshare/message.go
+++ b/core/loadshare/message.go
@@ -30,8 +30,8 @@
 	// maxRequests and maxTime bound the work at a server in a message.
 	maxRequests = 1 << 20
 	maxTime     = time.Hour
-	// readUnit and writeUnit are the units of the times in a message. The time that responses take matters less, because it delays
-	// others less.
+	// readUnit and writeUnit are the units of the times in a message. The write time is coarser, because it affects other
+	// requests less.
 	readUnit  = 5 * time.Millisecond
 	writeUnit = 100 * time.Millisecond
 )
@@ -68,8 +68,8 @@
 	return nil
 }
 
-// hashOf returns the hash that stands for a server in messages. Two of 1,900 servers share one with a chance of 1 in 2,400; both then
-// seem to have the work of both.
+// hashOf returns the hash that stands for a server in messages. The probability that two of 1,900 servers have the same one is
+// 1 in 2,400; the sum of their work is then assumed at both.
 func hashOf(name id.Server) uint32 { return uint32(xxhash.Sum64String(string(name))) }
 
 // newLoad returns the work at a server for a message.
--- a/core/loadshare/sharer.go
+++ b/core/loadshare/sharer.go
@@ -19,24 +19,25 @@
 const (
 	// nodeInterval is the time between two messages of a node to its relay.
 	nodeInterval = 200 * time.Millisecond
-	// relayInterval is the time between two messages of a relay. They are longer, and go to many nodes.
+	// relayInterval is the time between two messages of a relay. It is longer, because these messages are larger and go to many
+	// nodes.
 	relayInterval = 400 * time.Millisecond
-	// silence is how long a node may send nothing before it counts as lost. It is longer than keepaliveInterval.
-	silence = 1600 * time.Millisecond
-	// suspicion is how long a silent relay is passed over.
-	suspicion = 5 * time.Second
-	// activeSpan is how long after the last request of known size a node takes part.
+	// silenceTimeout is the time without a message after which a node counts as lost. It is longer than keepaliveInterval.
+	silenceTimeout = 1600 * time.Millisecond
+	// suspicionTime is how long a silent relay is skipped.
+	suspicionTime = 5 * time.Second
+	// activeSpan is how long after its last request of known size a node takes part in the exchange.
 	activeSpan = 30 * time.Second
 )
 
-// Node is a node that may be told of work.
+// Node is a node that takes part in the exchange.
 type Node struct {
 	Name   id.Node
 	Domain id.FailureDomain
-	Weight float64 // size of its VM; larger ones relay first
+	Weight float64 // size of its VM; larger ones are preferred as relays
 }
 
-// model provides the work of this node's attempts, and takes that of all others.
+// model provides the work of this node's attempts, and receives that of all other nodes.
 type model interface {
 	LastSized() time.Time // when the last request of known size was sent
 	Work(now time.Time) map[id.Server]cost.Work
@@ -51,9 +52,9 @@
 	outbox
 }
 
-// silent reports whether a relay does not answer.
+// silent reports whether the relay was chosen and last heard at least silenceTimeout ago.
 func (t *target) silent(now time.Time) bool {
-	return t.name != "" && now.Sub(t.since) >= silence && now.Sub(t.heard) >= silence
+	return t.name != "" && now.Sub(t.since) >= silenceTimeout && now.Sub(t.heard) >= silenceTimeout
 }
 
 // Sharer exchanges the work at servers with the other nodes.
@@ -68,11 +69,11 @@
 	relayAt   time.Time             // of the next messages as a relay, zero if this node relays nothing
 
 	own     target              // the relay of this node's failure domain
-	all     inbox               // work of all nodes, as the relay tells
-	members map[id.Node]*inbox  // nodes that tell this one of their work
-	toAll   outbox              // what the members know
+	all     inbox               // work of all nodes, from that relay
+	members map[id.Node]*inbox  // work of the nodes for which this node is the relay
+	toAll   outbox              // messages to the members about the work of all nodes
 	foreign map[id.Node]*target // the relays of other failure domains
-	sums    map[id.Node]*inbox  // what they tell of the work of their domains
+	sums    map[id.Node]*inbox  // work of the other failure domains, by relay
 }
 
 // New returns a sharer that knows no other node.
@@ -122,7 +123,7 @@
 	}
 	var out []event.Action
 	if !s.nodeAt.IsZero() && !now.Before(s.nodeAt) {
-		out = s.tellRelay(now)
+		out = s.sendWork(now)
 	}
 	if !s.relayAt.IsZero() && !now.Before(s.relayAt) {
 		out = append(out, s.relay(now)...)
@@ -136,13 +137,14 @@
 	return len(s.domainOf) > 1 && !last.IsZero() && now.Sub(last) < activeSpan
 }
 
-// linkChanged passes over a relay whose connection has ended until there is another one. Its next process knows nothing.
+// linkChanged makes this node skip a relay whose connection has ended, for suspicionTime or until there is a new one. It may have
+// restarted and lost the work that it had received, so that it gets a complete message then.
 func (s *Sharer) linkChanged(now time.Time, ev event.PeerLink) {
 	switch {
 	case ev.Up:
 		delete(s.suspected, ev.Peer)
 	case s.domainOf[ev.Peer] != "":
-		s.suspected[ev.Peer] = now.Add(suspicion)
+		s.suspected[ev.Peer] = now.Add(suspicionTime)
 		delete(s.foreign, ev.Peer)
 		if s.own.name == ev.Peer {
 			s.own.name = ""
@@ -150,7 +152,7 @@
 	}
 }
 
-// receive records what another node tells.
+// receive records a message of another node.
 func (s *Sharer) receive(now time.Time, from id.Node, d Digest) {
 	domain := s.domainOf[from]
 	switch near := domain == s.self.FailureDomain; {
@@ -166,7 +168,7 @@
 	}
 }
 
-// receiveWork makes this node the relay of a node that tells it of its work.
+// receiveWork records the work of a node, whose relay this node becomes.
 func (s *Sharer) receiveWork(now time.Time, from id.Node, d Digest) {
 	member, known := s.members[from]
 	if !known {
@@ -180,7 +182,8 @@
 	}
 }
 
-// receiveSum records what a relay of another failure domain tells. There may be several, while nodes do not agree on one.
+// receiveSum records the work from a relay of another failure domain. A domain has several relays while its nodes do not agree on
+// one.
 func (s *Sharer) receiveSum(now time.Time, from id.Node, d Digest) {
 	sum, known := s.sums[from]
 	if !known {
@@ -190,13 +193,13 @@
 	sum.receive(now, d)
 }
 
-// set makes a node the receiver. It knows nothing yet.
+// set makes a node the receiver. Its first message is complete.
 func (t *target) set(now time.Time, name id.Node) {
 	t.name, t.since, t.heard = name, now, time.Time{}
 	t.restart()
 }
 
-// first returns the first node of a failure domain that is not passed over, the first of all if there is none.
+// first returns the first node of a failure domain that is not suspected, or the first of all if every one is.
 func (s *Sharer) first(now time.Time, domain id.FailureDomain) id.Node {
 	list := s.ranked[domain]
 	for _, name := range list {
@@ -210,15 +213,15 @@
 	return list[0]
 }
 
-// tellRelay tells the relay of this node's work.
-func (s *Sharer) tellRelay(now time.Time) []event.Action {
+// sendWork sends this node's work to its relay.
+func (s *Sharer) sendWork(now time.Time) []event.Action {
 	s.nodeAt = time.Time{}
 	if !s.active(now) {
 		return nil
 	}
 	s.nodeAt = now.Add(nodeInterval)
 	if s.own.name != s.self.Node && s.own.silent(now) {
-		s.suspected[s.own.name] = now.Add(suspicion)
+		s.suspected[s.own.name] = now.Add(suspicionTime)
 	}
 	var out []event.Action
 	if name := s.first(now, s.self.FailureDomain); name != s.own.name {
@@ -243,7 +246,7 @@
 	return out
 }
 
-// relay tells the members of this node's failure domain the work of all nodes, and the relays of the others that of its domain.
+// relay sends the work of all nodes to the members, and the work of the members to the relays of the other failure domains.
 func (s *Sharer) relay(now time.Time) []event.Action {
 	maps.DeleteFunc(s.members, func(_ id.Node, m *inbox) bool { return !m.fresh(now) })
 	maps.DeleteFunc(s.sums, func(_ id.Node, d *inbox) bool { return !d.fresh(now) })
@@ -256,7 +259,7 @@
 	for _, m := range s.members {
 		sum.add(m.table)
 	}
-	out := s.tellDomains(now, sum)
+	out := s.sendSum(now, sum)
 	for _, d := range s.sums {
 		sum.add(d.table)
 	}
@@ -268,8 +271,8 @@
 	return out
 }
 
-// tellDomains tells the relays of the other failure domains the work of this one.
-func (s *Sharer) tellDomains(now time.Time, sum table) []event.Action {
+// sendSum sends the work of this failure domain to the relays of the others.
+func (s *Sharer) sendSum(now time.Time, sum table) []event.Action {
 	relays := id.NewSet[id.Node]()
 	for domain := range s.ranked {
 		if domain != s.self.FailureDomain {
@@ -292,7 +295,7 @@
 	return out
 }
 
-// addRelays adds the relays of another failure domain: the nodes that tell of its work, or else the first one that is not silent.
+// addRelays adds the relays of another failure domain: the nodes that send its work, or else the first one that is not silent.
 func (s *Sharer) addRelays(now time.Time, domain id.FailureDomain, relays id.Set[id.Node]) {
 	heard := false
 	for name := range s.sums {
@@ -306,13 +309,13 @@
 	}
 	name := s.first(now, domain)
 	if t, known := s.foreign[name]; known && t.silent(now) {
-		s.suspected[name] = now.Add(suspicion)
+		s.suspected[name] = now.Add(suspicionTime)
 		name = s.first(now, domain)
 	}
 	relays.Add(name)
 }
 
-// update passes the work of the other nodes to the model. What the relay knows of this node's work is part of the sum.
+// update passes the work of the other nodes to the model. The work that this node has sent is part of the total and is subtracted.
 func (s *Sharer) update(now time.Time) {
 	for hash, server := range s.servers {
 		s.model.SetRemote(now, server, s.all.table[hash].work(s.own.sent[hash]))
--- a/core/loadshare/table.go
+++ b/core/loadshare/table.go
@@ -15,8 +15,8 @@
 	fullServers  = 256
 	// readsPerRequest is the number of readUnits that count like a request in the order of changes.
 	readsPerRequest = 8
-	// maxChanges bounds the servers in other messages, so that their bytes do not grow with the servers. The largest changes go
-	// first.
+	// maxChanges bounds the servers in a message that is not complete, so that its size does not grow with the number of servers.
+	// The largest changes are sent first.
 	maxChanges = 96
 	// keepaliveInterval is the longest time between two messages.
 	keepaliveInterval = time.Second
@@ -53,23 +53,23 @@
 	if old.idle() != now.idle() {
 		return true
 	}
-	far := func(a, b, most uint32) bool { return max(a, b)-min(a, b) > most }
-	return far(old.Requests, now.Requests, old.Requests/8) || far(old.Read, now.Read, 4+old.Read/8) || far(old.Write, now.Write, 4+old.Write/4)
+	exceeds := func(a, b, most uint32) bool { return max(a, b)-min(a, b) > most }
+	return exceeds(old.Requests, now.Requests, old.Requests/8) || exceeds(old.Read, now.Read, 4+old.Read/8) || exceeds(old.Write, now.Write, 4+old.Write/4)
 }
 
 // outbox makes the messages for one receiver or several that get the same.
 type outbox struct {
 	scope  Scope
-	sent   table // what the receivers know
+	sent   table // work that the receivers have
 	sentAt time.Time
 	fullAt time.Time
-	turn   uint64 // number of the message, which decides between changes of the same size
+	count  uint64 // number of messages, which varies the order of changes of the same size
 }
 
 // restart makes the next message complete, for a new receiver.
 func (o *outbox) restart() { o.fullAt = time.Time{} }
 
-// next returns the message about a table, and whether there is anything to tell.
+// next returns the message about a table, and whether there is one to send.
 func (o *outbox) next(now time.Time, t table) (Digest, bool) {
 	interval := fullInterval * time.Duration(max(1, len(t)/fullServers))
 	d := Digest{Scope: o.scope, Full: now.Sub(o.fullAt) >= interval}
@@ -84,12 +84,12 @@
 		return Digest{}, false
 	}
 	o.sentAt = now
-	o.turn++
+	o.count++
 	o.sent.apply(Digest{Servers: d.Servers})
 	return d, true
 }
 
-// changes returns the servers of which the receivers do not know the work, those with the largest changes first.
+// changes returns the servers whose work differs from what the receivers have, those with the largest changes first.
 func (o *outbox) changes(t table) []Load {
 	var out []Load
 	for server, l := range t {
@@ -105,7 +105,7 @@
 	slices.SortFunc(out, func(a, b Load) int {
 		return cmp.Or(
 			cmp.Compare(change(o.sent[b.Server], b), change(o.sent[a.Server], a)),
-			cmp.Compare(cost.Mix(uint64(a.Server), o.turn), cost.Mix(uint64(b.Server), o.turn)))
+			cmp.Compare(cost.Mix(uint64(a.Server), o.count), cost.Mix(uint64(b.Server), o.count)))
 	})
 	return out
 }
@@ -116,7 +116,7 @@
 	return distance(old.Requests, now.Requests) + distance(old.Read, now.Read)/readsPerRequest
 }
 
-// inbox is what another node has told.
+// inbox holds the work from another node.
 type inbox struct {
 	table
 	at time.Time // of the last message
@@ -129,4 +129,4 @@
 }
 
 // fresh reports whether the sender has been heard lately.
-func (b *inbox) fresh(now time.Time) bool { return now.Sub(b.at) < silence }
+func (b *inbox) fresh(now time.Time) bool { return now.Sub(b.at) < silenceTimeout }
--- a/core/proxy/demand.go
+++ b/core/proxy/demand.go
@@ -10,10 +10,10 @@
 	"bluebellflow/core/selfreport"
 )
 
-// defaultWork is the expected time of a server for a request of a route without measurements.
+// defaultWork is the expected time for which a server works on a request of a route without measurements.
 const defaultWork = time.Second
 
-// demand returns what the open requests ask of a pool: attempts in progress by failure domain, and the number of requests that
+// demand returns the demand of the open requests on a pool: attempts in progress by failure domain, and the number of requests that
 // wait for a server.
 func (g *Gateway) demand(pool id.Pool) (attempts map[id.FailureDomain]int, waiting int) {
 	attempts = map[id.FailureDomain]int{}
@@ -41,7 +41,7 @@
 	}
 }
 
-// countUnplaced counts a request that is refused for want of a server.
+// countUnplaced counts a request that is refused because no server was available.
 func (g *Gateway) countUnplaced(r *request) {
 	if g.autoscaler == nil || r.phase != placing {
 		return
--- a/core/proxy/durations.go
+++ b/core/proxy/durations.go
@@ -42,7 +42,7 @@
 type routeDurations struct {
 	firstByte duration      // from the send to the first part of the response
 	response  duration      // from the send to the end of the response
-	shortest  time.Duration // as response, of the shortest ones; about the time that a server takes for a request
+	shortest  time.Duration // like response, but of the shortest ones: about the service time of a request
 	total     duration      // from the arrival to the end of the response
 }
 
--- a/core/proxy/duties.go
+++ b/core/proxy/duties.go
@@ -30,7 +30,7 @@
 	if d == nil {
 		return
 	}
-	// Writes are conditional, and a conflict shows the object. A late change delays a takeover, and nothing else.
+	// A late change only delays a takeover: writes are conditional, and the response to a conflict contains the object.
 	g.cache.AllowLate(duty.Kind)
 	g.leases = duty.New(g.self, d.Lease)
 	g.modules = append(g.modules, g.leases)
@@ -64,8 +64,8 @@
 	}
 }
 
-// countRun counts a request that is no stream after its response, or after its server has failed. Its run began about the
-// service time of its route earlier.
+// countRun counts a request that is not a stream after its response, or after its server has failed. After a response the run is
+// taken to have begun earlier by the shortest usual response time of its route.
 func (g *Gateway) countRun(now time.Time, r *request, fail event.FailKind) {
 	if g.usage == nil || r.route.Kind == catalog.Stream || fail.NotRun() {
 		return
@@ -77,7 +77,7 @@
 	g.usage.Count(r.workspace, began)
 }
 
-// oldestUncounted returns when the oldest request was sent that is no stream and has got no response, zero if there is none.
+// oldestUncounted returns the send time of the oldest running request that is not a stream, zero if there is none.
 func (g *Gateway) oldestUncounted() time.Time {
 	var oldest time.Time
 	for _, r := range g.requests {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -214,7 +214,7 @@
 	if !r.route.AtMostOnce() && r.runs+1 < r.route.MaxAttempts {
 		f.First = now.Add(max(minFirstByteLimit, time.Duration(firstByteFactor*float64(r.route.LatencyObjective))))
 	}
-	r.resumeFrom(&f)
+	r.setResume(&f)
 	out.add(f)
 }
 
--- a/core/proxy/resume.go
+++ b/core/proxy/resume.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// maxResumedRuns bounds how many servers may run the rest of a stream. Servers that have ended do not count as attempts, so
-	// that a request that crashes servers late in its stream would otherwise end one after another.
+	// maxResumedRuns bounds how many servers may run the rest of a stream. Without it a request that crashes servers late in its
+	// stream would crash one after another, because servers that have ended do not count as attempts.
 	maxResumedRuns = 2
-	// maxResumeWait is how long a broken stream waits for a server, or until it is known that an earlier one has ended. Callers
-	// abandon a stream after 2 s or more, and one that resumes by itself should not be kept from it for long.
+	// maxResumeWait is how long a broken stream waits for a server, or for the news that an earlier one has ended. Callers abandon a
+	// stream after 2 s or more, and a caller that can resume by itself should be able to do so soon.
 	maxResumeWait = 500 * time.Millisecond
 	// maxRefusedConns bounds the processes that are remembered because they refused a connection.
 	maxRefusedConns = 256
@@ -31,7 +31,7 @@
 	until       time.Time // when its caller is expected to have abandoned it
 	sends       int       // since it broke off last
 	runs        int       // sends of the rest that a server may have run
-	unpaid      bool      // the next send takes a retry from the budget
+	needsRetry  bool      // the next send takes a retry from the retry budget
 }
 
 // resumable reports whether the streams of a route may be continued by another server.
@@ -69,7 +69,7 @@
 	}
 	if !res.InputsGone {
 		r.avoid = append(r.avoid, r.server)
-		r.resume.unpaid = res.Fail != event.FailUnsent
+		r.resume.needsRetry = res.Fail != event.FailUnsent
 	}
 	if r.resume.broken && !r.began {
 		return // nothing was passed on since the stream broke off
@@ -79,7 +79,7 @@
 	if abandoned := now.Add(r.route.CallerTimeout - res.SinceEvent); r.route.CallerTimeout > 0 && abandoned.Before(r.deadline) {
 		r.resume.until = abandoned
 	}
-	r.objectiveAt = now.Add(r.route.LatencyObjective) // the first objective is past, and its stages would come last
+	r.objectiveAt = now.Add(r.route.LatencyObjective) // stages run last for a request whose objective has passed
 }
 
 // resumeRefusal returns why a broken stream may not be resumed, and an empty string if it may.
@@ -118,11 +118,11 @@
 	switch {
 	case s == nil:
 		g.waitToResume(now, r, reason, out)
-	case r.resume.unpaid && !g.retryLimiter.Take(now, r.pool.Name):
+	case r.resume.needsRetry && !g.retryLimiter.Take(now, r.pool.Name):
 		g.abandonStream(r, "no retry is left", out)
 	default:
 		r.resume.sends++
-		r.resume.unpaid = false
+		r.resume.needsRetry = false
 		g.send(now, r, s, reason, out)
 	}
 }
@@ -152,8 +152,8 @@
 	}
 }
 
-// resumeFrom adds to a Forward what it needs to continue a stream that broke off.
-func (r *request) resumeFrom(f *Forward) {
+// setResume sets the fields of a Forward by which it continues a stream that broke off.
+func (r *request) setResume(f *Forward) {
 	f.Resumable = resumable(r.route)
 	if r.resume.broken {
 		f.Resume, f.LastEventID, f.First, f.Hold = true, r.resume.lastEventID, r.resume.until, false
--- a/core/watchcache/source.go
+++ b/core/watchcache/source.go
@@ -15,7 +15,8 @@
 	// sourceTimeout is how long no source may confirm that the store answers it before a node follows the store itself. If all
 	// nodes did so at once, each short disturbance of the leader would cost the store several calls for each node.
 	sourceTimeout = time.Second
-	// sourceReturnDelay is how long a source must have confirmed it again before the node relies on it.
+	// sourceReturnDelay is how long sources must have confirmed without interruption before the node stops following the store
+	// itself.
 	sourceReturnDelay = time.Second
 	// primaryPollInterval is how often a node polls the primary source while it relies on an alternate.
 	primaryPollInterval = time.Second
@@ -67,7 +68,7 @@
 	return out
 }
 
-// next moves on to the source after the polled one.
+// next makes the source after the polled one the one to poll.
 func (s *sources) next(now time.Time) {
 	all := append([]id.Node{s.primary}, s.alternates...)
 	s.failed++
@@ -78,8 +79,8 @@
 	}
 }
 
-// reply records a source's reply and reports whether it tells if the store is reachable: one that confirms does, and one that
-// does not only if no other source is left to ask.
+// reply records a source's reply and reports whether it decides if the store is reachable. A confirmation does; another reply does
+// only if all sources have failed since the last confirmation.
 func (s *sources) reply(now time.Time, from id.Node, up bool) bool {
 	if up && (from == s.polled || from == s.primary) {
 		s.polled, s.polledSince, s.failed, s.failingSince, s.everConfirmed = from, now, 0, time.Time{}, true
