lab, io/httpserver, io/membudget, io/runtime: plainer names and comments

patience, tell, give, dead and waiting are replaced by usual terms, and comments no longer refer to a deployment or to a crowd. No change of behaviour.

--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -13,8 +13,8 @@
 const (
 	// freeHeaderBytes and freeHeaderLines are part of membudget.ConnBytes.
 	freeHeaderBytes, freeHeaderLines = 4 << 10, 64
-	// headerTextFactor is how many times its length a header takes in memory. The shortest part of a list has four bytes, and
-	// takes 16 once it is parsed, 8 as a key, and as much again while the lists grow.
+	// headerTextFactor is the memory that a header takes as a multiple of its length. The shortest element of a list has four bytes;
+	// it takes 16 once it is parsed, 8 as a key, and as much again while the lists grow.
 	headerTextFactor = 12
 	// headerLineBytes is what a header line takes in memory besides its text: an entry of a map, a slice and two strings, twice
 	// because the headers are copied for the server.
@@ -30,7 +30,7 @@
 	id    callerlimit.Conn
 	taken int64 // of the budget; guard.mu protects it
 
-	inHeader    atomic.Bool // a header is read, or awaited
+	inHeader    atomic.Bool // a header is being read or expected
 	headerBytes int
 	headerLines int
 }
@@ -77,7 +77,7 @@
 	}
 }
 
-// CloseWrite closes the side of the connection that sends.
+// CloseWrite closes the writing side of the connection, if it supports that.
 func (c *guardedConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
@@ -93,8 +93,8 @@
 	return c.Conn.Close()
 }
 
-// beginRequest records that the headers of a request have arrived. The body, if there is one, has to arrive without long stops
-// also if the handler does not read it.
+// beginRequest records that the headers of a request have arrived. If there is a body, it sets a read deadline, which also bounds
+// the read of a body that the handler leaves unread. c may be nil.
 func (c *guardedConn) beginRequest(r *http.Request) {
 	if c == nil {
 		return
@@ -108,7 +108,8 @@
 	c.guard.setPhase(c, phase)
 }
 
-// endRequest returns the memory of the request. Its body may not have been read.
+// endRequest returns the memory of the request. The connection is in phase Reading until the server makes it idle, because a part
+// of the body may be unread. c may be nil.
 func (c *guardedConn) endRequest() {
 	if c == nil {
 		return
@@ -118,6 +119,7 @@
 	c.guard.setPhase(c, callerlimit.Reading)
 }
 
+// becomeIdle records that all requests have been answered.
 func (c *guardedConn) becomeIdle() {
 	c.inHeader.Store(true)
 	c.guard.setPhase(c, callerlimit.Idle)
--- a/io/httpserver/guard.go
+++ b/io/httpserver/guard.go
@@ -18,7 +18,7 @@
 // reportInterval is the least time between two reports of refused and closed connections.
 const reportInterval = time.Second
 
-// Limits bound what one connection may do, also without pressure, and the number of connections.
+// Limits bounds the number of connections, and what each one may do even if memory and connections are available.
 type Limits struct {
 	Conns int
 	Stall time.Duration // how long no byte of a body may arrive
@@ -48,7 +48,8 @@
 // WithVars counts what is refused and closed in the given map, under names that begin with "callers_".
 func WithVars(vars *expvar.Map) GuardOption { return func(g *Guard) { g.vars = vars } }
 
-// WithReport sets a function that is told at most once a second that callers were refused.
+// WithReport sets a function that is called at most once a second while connections or requests are refused or closed. It must not
+// call the guard.
 func WithReport(report func(error)) GuardOption { return func(g *Guard) { g.report = report } }
 
 // NewGuard returns a guard whose connections share the budget with those of other guards.
@@ -141,8 +142,8 @@
 	return c
 }
 
-// take takes more bytes of the budget for a connection that will hold bytes for its request. If there are none left, it closes
-// the connections that go before it. The caller must hold g.mu.
+// take takes more bytes of the budget for a connection, which will then hold the given bytes for its request. While the budget is
+// exhausted, it closes the connections that callerlimit selects. The caller must hold g.mu.
 func (g *Guard) take(now time.Time, c *guardedConn, more, bytes int64) bool {
 	for !g.budget.Take(more) {
 		victim := g.table.MemoryVictim(now, c.id, bytes)
@@ -159,7 +160,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.conns[c.id] == nil {
-		return false // it was closed for another one
+		return false // evicted
 	}
 	now := time.Now()
 	more := bytes - c.taken
@@ -200,7 +201,7 @@
 	c.taken = 0
 }
 
-// evict closes a connection for another one; 0 is none. The caller must hold g.mu.
+// evict closes a connection to make room for another one; 0 means none. The caller must hold g.mu.
 func (g *Guard) evict(now time.Time, victim callerlimit.Conn) {
 	c := g.conns[victim]
 	if c == nil {
@@ -231,7 +232,7 @@
 	g.closed, g.refused = 0, 0
 }
 
-// errHeaderLines means that a request has more header lines than any request inside the limits.
+// errHeaderLines means that a request has more header lines than Limits allow.
 var errHeaderLines = errors.New("too many header lines")
 
 // errMemory means that there is no memory for the headers of a request.
--- a/io/membudget/plan.go
+++ b/io/membudget/plan.go
@@ -17,18 +17,18 @@
 	megabyte                        = 1 << 20
 )
 
-// Plan says what each part of a process may take of its VM.
+// Plan holds the shares of a VM's memory and descriptors for the parts of a process.
 type Plan struct {
-	// Callers is for what requests take besides their connections, in bytes.
+	// Callers is the memory in bytes for requests, without the memory of their connections.
 	Callers int64
-	// Responses is for the responses of servers, in bytes.
+	// Responses is the memory in bytes for the responses of servers.
 	Responses int64
-	// CallerConns and OtherConns are the connections of callers, and those at each other address.
+	// CallerConns is the number of connections of callers, and OtherConns that at each other address.
 	CallerConns, OtherConns int
 }
 
 // Divide returns the plan for a VM with megabytes of memory and a number of descriptors. Connections take at most about half of
-// the memory for callers; their memory is set aside, so that large requests keep no connection out.
+// the memory for callers; their memory is reserved, so that large requests do not prevent new connections.
 func Divide(memoryMB, descriptors int) Plan {
 	memory, conns := float64(memoryMB)*megabyte, float64(max(0, descriptors-FileDescriptors))
 	callers := int64(callerShare * memory)
--- a/io/runtime/budget.go
+++ b/io/runtime/budget.go
@@ -9,21 +9,21 @@
 	"bluebellflow/io/membudget"
 )
 
-// releaseDelay is the time between the end of a crowd and the release of its memory, so that there is at most one release in
-// this time.
+// releaseDelay is the time from when most of the budget is unused until the memory is returned to the system. It also bounds the
+// rate of these releases, because each runs a garbage collection.
 const releaseDelay = 2 * time.Second
 
-// NewCallerBudget returns the budget for callers. When a crowd has gone, the memory that it took is returned to the system: the
-// runtime would do that only minutes later.
+// NewCallerBudget returns the budget for callers. After most of it was in use and is unused again, memory is returned to the system,
+// which the runtime would do only minutes later.
 func NewCallerBudget(vars *expvar.Map, plan membudget.Plan) *membudget.Budget {
 	b := membudget.New(plan.Callers)
-	var waiting atomic.Bool
+	var scheduled atomic.Bool
 	b.OnUnused(func() {
-		if waiting.Swap(true) {
+		if scheduled.Swap(true) {
 			return
 		}
 		time.AfterFunc(releaseDelay, func() {
-			waiting.Store(false)
+			scheduled.Store(false)
 			debug.FreeOSMemory()
 		})
 	})
--- a/lab/placesim/server.go
+++ b/lab/placesim/server.go
@@ -27,10 +27,10 @@
 	arrived time.Time
 	unread  int // prompt tokens
 	tokens  int // of the response
-	given   int // of these
+	sent    int // of these
 }
 
-// server reads the prompts of its requests, and gives each a token in a step.
+// server is a model server. In each step it reads the prompts of its new requests, and produces a token for each request.
 type server struct {
 	at               int
 	waiting, running []*run
@@ -40,7 +40,7 @@
 	served           int
 }
 
-// use makes a server read a shared part unless it is cached, and reports whether it was.
+// use marks a shared part as the most recently used one in the cache, and reports whether it was cached before.
 func (s *server) use(part cost.Part) bool {
 	i := slices.IndexFunc(s.cached, func(p cost.Part) bool { return p.ID == part.ID })
 	if i >= 0 {
@@ -66,7 +66,7 @@
 	return selfreport.Load{Running: len(s.running), Waiting: len(s.waiting), Slots: slots, Pace: int(selfreport.NormalPace * s.slow)}
 }
 
-// begin makes a server begin with a request. A part is read again if another server has it cached, or had.
+// begin starts a request at a server. A part that is not cached there counts as read again if any server has read it before.
 func (s *Simulation) begin(m *server, r *run) {
 	cached := true
 	for _, part := range r.parts {
@@ -82,7 +82,7 @@
 	m.running = append(m.running, r)
 }
 
-// step lets a server do a step: it reads all new prompts and gives each request a token.
+// step runs a step of a server, which reads all new prompts and produces a token for each request.
 func (s *Simulation) step(m *server) {
 	for len(m.waiting) > 0 && len(m.running) < s.Slots {
 		s.begin(m, m.waiting[0])
@@ -101,23 +101,23 @@
 	s.after(time.Duration(float64(took)*m.slow), func() {
 		m.busy = false
 		for _, r := range batch {
-			s.give(m, r)
+			s.addToken(m, r)
 		}
 		s.step(m)
 	})
 }
 
-// give gives a request a token.
-func (s *Simulation) give(m *server, r *run) {
-	r.given++
+// addToken records a token of the response to a request.
+func (s *Simulation) addToken(m *server, r *run) {
+	r.sent++
 	name := s.servers[m.at].ID
-	if r.given == tokensPerEvent {
+	if r.sent == tokensPerEvent {
 		if s.now.Sub(epoch) > warmUp {
 			s.First = append(s.First, s.now.Sub(r.arrived))
 		}
 		r.node.ResponseStarted(s.now, name, r.arrived, s.Report(m.at, m.load(s.Slots)))
 	}
-	if r.given == r.tokens {
+	if r.sent == r.tokens {
 		m.running = slices.DeleteFunc(m.running, func(o *run) bool { return o == r })
 		s.inflight[r.index][m.at]--
 		r.node.End(s.now, name, r.arrived, balance.Outcome{Took: s.now.Sub(r.arrived), Events: r.tokens / tokensPerEvent})
--- a/lab/placesim/simulation.go
+++ b/lab/placesim/simulation.go
@@ -22,29 +22,30 @@
 
 const (
 	pool = id.Pool("models")
-	// warmUp is the time from the begin in which nothing is measured, because the nodes have learned little.
+	// warmUp is the time from the start that results leave out, because the cost models have few measurements then.
 	warmUp = 10 * time.Second
-	// tellInterval is the time between two exchanges of work among the nodes.
-	tellInterval    = 250 * time.Millisecond
+	// shareInterval is the time between two exchanges of work between the nodes.
+	shareInterval   = 250 * time.Millisecond
 	meanOwnTokens   = 500
 	longOwnTokens   = 6000
 	longPromptShare = 0.08
 	deadline        = 10 * time.Second
 	failureDomains  = 3
-	// earlierExcess is the number of requests above its mean that a node sent to a server before it took the next one.
+	// earlierExcess is the number of requests above its mean that a node sends to a server under the policy Earlier before it uses
+	// the next one.
 	earlierExcess = 6
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// Policy is a way to choose a server.
+// Policy is the way in which nodes choose servers.
 type Policy uint8
 
 const (
 	// ByCost is the choice of package balance.
 	ByCost Policy = iota
-	// Earlier is the choice before it: the first server in the order of the shared part at which this node has few requests, and
-	// without a shared part the one of the least cost by the number of requests.
+	// Earlier is the choice by the number of requests: the first server in the order of the shared part at which this node has few
+	// requests, or without a shared part the one with the lowest cost by the number of requests.
 	Earlier
 )
 
@@ -56,12 +57,12 @@
 	Span                  time.Duration
 	Parts                 int     // shared prompt parts
 	PartTokens            int     // mean tokens of a shared part
-	Skew                  float64 // 1 if all shared parts are alike, more the more unevenly they are used
-	Popular               float64 // share of the requests with shared parts that have the first of them
+	Skew                  float64 // 1 if all shared parts are used equally often, higher for more uneven use
+	Popular               float64 // share of the requests with a shared part that are forced to have the first one
 	Shared                float64 // share of the requests that have a shared part
 	HintError             float64 // largest factor by which estimates of the callers are too high or too low
 	Slow                  float64 // factor by which the first server is slower than the others
-	Alone                 bool    // the nodes do not tell each other of their work
+	Alone                 bool    // the nodes do not exchange their work
 	Objective             time.Duration
 	Report                func(server int, l selfreport.Load) selfreport.Report // what a server reports
 }
@@ -109,7 +110,7 @@
 	}
 	s.every(func() time.Duration { return time.Duration(s.rng.ExpFloat64() / s.Rate * float64(time.Second)) }, s.arrive)
 	if !s.Alone {
-		s.every(func() time.Duration { return tellInterval }, s.tell)
+		s.every(func() time.Duration { return shareInterval }, s.shareWork)
 	}
 	for s.timers.Len() > 0 {
 		s.now = s.timers.Next()
@@ -123,7 +124,7 @@
 
 func (s *Simulation) after(d time.Duration, f func()) { s.timers.Set(s.now.Add(d), f) }
 
-// every calls a function again and again.
+// every calls a function repeatedly until the end of the span, after the pauses that pause returns.
 func (s *Simulation) every(pause func() time.Duration, f func()) {
 	s.after(pause(), func() {
 		if s.now.Sub(epoch) < s.Span {
@@ -133,8 +134,8 @@
 	})
 }
 
-// tell tells each node the work of the others.
-func (s *Simulation) tell() {
+// shareWork passes to each node the work of the others.
+func (s *Simulation) shareWork() {
 	sum := map[id.Server]cost.Work{}
 	for _, n := range s.nodes {
 		for name, w := range n.Model().Work(s.now) {
--- a/lab/scalesim/node.go
+++ b/lab/scalesim/node.go
@@ -15,13 +15,13 @@
 	"bluebellflow/core/watchcache"
 )
 
-// node is a node of which only the duties run.
+// node is a node that runs only packages duty and autoscale.
 type node struct {
 	world      *World
 	self       event.Self
 	leases     *duty.Leases
 	autoscaler *autoscale.Autoscaler
-	dead       bool
+	killed     bool
 }
 
 func (w *World) addNode(name id.Node, domain id.FailureDomain) {
@@ -51,7 +51,7 @@
 	return fmt.Appendf(nil, "%s %d", domain, desired), nil
 }
 
-// nodesChanged tells all nodes which nodes there are, and which of them leads.
+// nodesChanged passes the list of nodes and the leader to all nodes.
 func (w *World) nodesChanged() {
 	var names []id.Node
 	for _, n := range w.nodes {
@@ -67,7 +67,7 @@
 
 // KillLeader removes the node that leads. The requests of its callers go on.
 func (w *World) KillLeader() {
-	w.nodes[0].dead = true
+	w.nodes[0].killed = true
 	w.nodes = slices.Delete(w.nodes, 0, 1)
 	w.nodesChanged()
 }
@@ -81,7 +81,7 @@
 
 // step passes an event on to the duties.
 func (n *node) step(ev event.Event) {
-	if n.dead {
+	if n.killed {
 		return
 	}
 	now := epoch.Add(n.world.now)
--- a/lab/scalesim/patterns.go
+++ b/lab/scalesim/patterns.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Pattern is a load with what happens meanwhile.
+// Pattern is a load over time, with events that happen meanwhile.
 type Pattern struct {
 	Name   string
 	Length time.Duration
@@ -21,15 +21,15 @@
 }
 
 const (
-	// usualRate fills a third of the initial servers' slots, at which none is given up, and busyRate about half.
+	// usualRate fills a third of the initial servers' slots, at which no server is given up, and busyRate about half.
 	usualRate = 560
 	busyRate  = 900
-	// lowRate is low enough for the least number of servers.
+	// lowRate is low enough for the minimum number of servers.
 	lowRate = 300
-	// waveHeight and wavePeriod are those of the waves of the deployment at hand.
+	// waveHeight is the amplitude of the load waves as a share of the mean, and wavePeriod their period.
 	waveHeight = 0.27
 	wavePeriod = 11 * time.Second
-	// burstHeight and burstTime are those of its bursts.
+	// burstHeight is the load in a burst as a multiple of the load outside it, and burstTime the length of a burst.
 	burstHeight = 1.7
 	burstTime   = 5 * time.Second
 )
--- a/lab/scalesim/result.go
+++ b/lab/scalesim/result.go
@@ -24,10 +24,10 @@
 	Pattern       string
 	Orders        []Order
 	Log           []string // decisions with their inputs
-	Faults        []string // orders that must not be made
+	Faults        []string // orders that violate a rule
 	Requests      int
-	Refused       int           // for want of a slot
-	Broken        int           // with their server
+	Refused       int           // because no slot became free
+	Broken        int           // because their server crashed
 	Delayed       int           // that waited for 100 ms and more for a slot
 	LongestWait   time.Duration // of those that got a slot
 	Writes        int           // to the store
@@ -46,7 +46,7 @@
 	}
 }
 
-// Raised returns the number of servers that were ordered in addition, and Lowered the number that were given up.
+// Raised returns the number of servers by which orders raised the number of servers.
 func (r Result) Raised() int { return r.changed(1) }
 
 // Lowered returns the number of servers that were given up.
--- a/lab/scalesim/servers.go
+++ b/lab/scalesim/servers.go
@@ -21,8 +21,8 @@
 	coldRate = 11
 	// meanWork is the mean time of a server for a request. It varies between half and one and a half of that.
 	meanWork = time.Second
-	// patience is how long a request waits for a slot before it is refused.
-	patience = time.Second
+	// maxSlotWait is how long a request waits for a slot before it is refused.
+	maxSlotWait = time.Second
 	// maxQueue is the number of requests that wait at a server.
 	maxQueue = 24
 	// startTime is Scale.Boot: the time from an order until a server serves.
@@ -180,7 +180,7 @@
 			j.node.autoscaler.ObserveLoad(poolName, s.Domain, s.load())
 		}
 		s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
-			late := w.now-j.arrived > patience
+			late := w.now-j.arrived > maxSlotWait
 			if late {
 				w.refuse(j)
 			}
