--- a/core/proxy/conns.go
+++ b/core/proxy/conns.go
@@ -8,7 +8,7 @@
 	"bluebellflow/core/fleet"
 )
 
-// ConnLimitOutcome is what became of a request for which servers were not chosen because of the limit of connections.
+// ConnLimitOutcome is the outcome for a request for which servers were excluded because of the limit of connections.
 type ConnLimitOutcome string
 
 // Outcomes of such a request.
@@ -18,8 +18,8 @@
 	ConnLimitRefused ConnLimitOutcome = "refused" // after the wait
 )
 
-// reportConnLimit logs and counts a request for which servers were not chosen because of the limit of connections. s is the
-// server that was chosen instead, or nil.
+// reportConnLimit logs and counts a request for which servers were excluded because of the limit of connections. s is the server
+// that was chosen instead, or nil.
 func (g *Gateway) reportConnLimit(now time.Time, r *request, s *fleet.Server, out *actions) {
 	excluded := r.connCheck.Excluded()
 	if excluded == 0 {
--- a/core/proxy/explain.go
+++ b/core/proxy/explain.go
@@ -15,7 +15,7 @@
 	RequestInfo
 }
 
-// Explanation says where a request would be sent, and why. No server and a status mean that it would be refused.
+// Explanation is the server to which a request would be sent, and the reason. Without a server, Status is that of the refusal.
 type Explanation struct {
 	Status     int                 `json:"status,omitempty"` // of the refusal
 	Reason     string              `json:"reason"`
--- a/io/gateway/explain.go
+++ b/io/gateway/explain.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// ExplainPath is the path at the metrics address that says where a request would be sent.
+	// ExplainPath is the path at the metrics address that returns where a request would be sent.
 	ExplainPath = admin.Prefix + "/explain-route"
 	// maxExplainBytes bounds the description of a request.
 	maxExplainBytes = 64 << 10
@@ -32,7 +32,7 @@
 	Prompt []proxy.PromptPart `json:"prompt,omitempty"`
 }
 
-// serveExplain says where a request would be sent now, and why.
+// serveExplain responds with the server to which a request would be sent now, and the reason.
 func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
 	var q ExplainQuery
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExplainBytes))
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -198,7 +198,7 @@
 // reportInterrupted reports a response that failed after part of it was sent. The decision logic then aborts it, so
 // that the caller does not take it for complete.
 func (x *exchange) reportInterrupted(err error, res proxy.Result) bool {
-	x.position.lost = true
+	x.position.cannotResume = true
 	if !x.callerConnected() {
 		return false
 	}
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -84,7 +84,7 @@
 	Callers, Ready, Metrics netip.AddrPort
 	// Limits bound callers' connections; Conns is 0 for as many as the plan allows.
 	Limits httpserver.Limits
-	// Plan says what callers and servers' responses may take of the VM; without one, callers' connections are not limited.
+	// Plan divides the memory and descriptors of the VM; if it is nil, callers' connections are not limited.
 	Plan   *membudget.Plan
 	Logger *log.Logger
 }
@@ -192,8 +192,8 @@
 	return nil
 }
 
-// newGuards returns a function that returns the options of the server for callers, or of another one. All guards share one
-// budget.
+// newGuards returns a function that returns the options with the guard of one HTTP server, either that for callers or another one.
+// All guards share one budget.
 func (n *Node) newGuards(cfg Config) func(callers bool) []httpserver.Option {
 	if cfg.Plan == nil {
 		return func(bool) []httpserver.Option { return nil }
--- a/io/gateway/resume.go
+++ b/io/gateway/resume.go
@@ -16,21 +16,21 @@
 // errNotAfter means that a server sent an event that does not follow the last one.
 var errNotAfter = errors.New("event in stream does not follow the last one")
 
-// position is how far the caller of a request has got in a stream, over all servers that send parts of it.
+// position is the position of a caller in a stream, all parts from different servers included.
 type position struct {
-	resumable bool           // the ids of events are checked, because another server may continue the stream
-	resumed   bool           // the server continues a stream that broke off
-	begun     bool           // part of the response of this server was passed on
-	joined    bool           // an event of this server was passed on
-	broken    bool           // the stream broke off after it had begun
-	lost      bool           // it cannot be continued
-	server    netip.AddrPort // that sends it
+	resumable    bool           // the ids of events are checked, because another server may continue the stream
+	resumed      bool           // the server continues a stream that broke off
+	begun        bool           // part of the response of this server was passed on
+	joined       bool           // an event of this server was passed on
+	broken       bool           // the stream broke off after it had begun
+	cannotResume bool           // the stream cannot be continued
+	server       netip.AddrPort // that sends the stream now
 
 	lastID    string    // of the last event that was passed on; the caller's own before the first one
-	last      uint64    // its number
-	numbered  bool      // it has one
+	last      uint64    // lastID as a number
+	numbered  bool      // lastID is a number
 	events    int       // events that were passed on
-	withoutID bool      // the last one had no id, so that nothing tells a server to continue after it
+	withoutID bool      // the last event had no number as its id, so that no server can continue after it
 	sparse    bool      // the ids are known not to be consecutive
 	at        time.Time // when the last event was passed on, or the request arrived
 }
@@ -41,10 +41,10 @@
 	p.last, p.numbered = parseEventID(id)
 }
 
-// begin begins to follow the response to a Forward.
+// begin resets what concerns one server, for the response to a Forward.
 func (p *position) begin(f proxy.Forward) {
 	p.resumable, p.resumed, p.begun, p.joined = f.Resumable, f.Resume, false, false
-	p.lost = p.lost && f.Resume
+	p.cannotResume = p.cannotResume && f.Resume
 	p.server = f.Server.Addr
 }
 
@@ -65,11 +65,11 @@
 	return checked, nil
 }
 
-// add adds an event to those that are passed on, unless it does not follow them.
+// add advances the position by an event, or returns an error if the event does not follow the last one.
 func (p *position) add(raw []byte) error {
 	id, ok := eventID(raw)
 	if !ok {
-		return nil // nothing that callers take for an event
+		return nil // callers ignore it, for example a comment
 	}
 	number, numbered := parseEventID(id)
 	first := p.resumed && !p.joined && p.events > 0
@@ -94,7 +94,7 @@
 
 // canResume reports whether the stream can be continued at another server.
 func (p *position) canResume() bool {
-	return p.resumable && !p.lost && !p.withoutID
+	return p.resumable && !p.cannotResume && !p.withoutID
 }
 
 // removeLength removes the length of a response that another server may continue.
@@ -106,7 +106,7 @@
 
 // eventLength returns the length of the first event, which ends with an empty line.
 func eventLength(raw []byte) int {
-	emptyAt := 0 // where the line begins that is looked at
+	lineStart := 0
 	for at := 0; at < len(raw); {
 		i := bytes.IndexAny(raw[at:], "\r\n")
 		if i < 0 {
@@ -116,10 +116,10 @@
 		if raw[end-1] == '\r' && end < len(raw) && raw[end] == '\n' {
 			end++
 		}
-		if at+i == emptyAt {
+		if at+i == lineStart {
 			return end
 		}
-		at, emptyAt = end, end
+		at, lineStart = end, end
 	}
 	return len(raw)
 }
@@ -140,7 +140,7 @@
 
 func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
 
-// parseEventID returns the number of an event.
+// parseEventID parses the id of an event as a number.
 func parseEventID(id string) (uint64, bool) {
 	n, err := strconv.ParseUint(id, 10, 64)
 	return n, err == nil
@@ -161,7 +161,8 @@
 	}
 }
 
-// endsEarly reports whether the end of a response that only the end of its connection marks comes before any event of it.
+// endsEarly reports whether no event of the server's response has been passed on. A response whose end is only marked by the end of
+// its connection counts as broken off then.
 func (p *position) endsEarly() bool { return !p.begun || p.resumed && !p.joined }
 
 // mayResume reports whether an action continues a stream that broke off.
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// relayEvents sends events to the caller, up to one that does not follow the one before it. The connection to its server is
-// closed then.
+// relayEvents sends events to the caller. If one does not follow the event before it, relayEvents stops there, closes the connection
+// to the server and returns an error.
 func (x *exchange) relayEvents(resp *response, report selfreport.Report, control *http.ResponseController, events []byte) error {
 	checked, idErr := x.position.advance(events)
 	if checked > 0 {
@@ -75,8 +75,8 @@
 }
 
 // appendKept appends what was read of a stream, or reports false if there is no memory for it. Both buffers are counted before
-// the larger one is made, because they exist together while one is copied: counted afterwards, the buffers of many streams
-// exceeded the budget.
+// the larger one is allocated, because they exist together during the copy; the buffers of many streams could otherwise exceed the
+// budget.
 func appendKept(resp *response, pending, more []byte) ([]byte, bool) {
 	if need := len(pending) + len(more); need > cap(pending) {
 		larger := max(2*cap(pending), need)
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -104,7 +104,7 @@
 // connections above their limit.
 var ErrClosedUnused = errors.New("server closed a new connection before the request was written")
 
-// settle waits for some time whether the server closes a new connection, and returns ErrClosedUnused if it does.
+// settle waits for the given time and returns ErrClosedUnused if the server closes the new connection meanwhile.
 func (c *conn) settle(d time.Duration) error {
 	if d <= 0 {
 		return nil
