--- a/cmd/cli/system.go
+++ b/cmd/cli/system.go
@@ -23,7 +23,7 @@
 	// Gateway parses the settings of one gateway process and returns the configuration of its node and its memory limit
 	// in megabytes.
 	Gateway(name string, source []byte) (gateway.Config, int, error)
-	// PromptPart returns the number that stands for a prompt part of the given name.
+	// PromptPart returns the number that identifies the prompt part of the given name.
 	PromptPart(name string) uint64
 	// Stepper returns a node's decision logic without I/O, and the types of its events and messages.
 	Stepper(self event.Self) (runtime.Decider, *lines.Registry, error)
--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -25,7 +25,7 @@
 	minVMDescriptors = 2870
 )
 
-// PromptPart returns the number that stands for a prompt part of the given name.
+// PromptPart returns the number that identifies the prompt part of the given name.
 func (System) PromptPart(name string) uint64 { return platform.PromptPart(name) }
 
 // Gateway parses the settings of one gateway process. It returns the configuration of its node and its memory limit in
--- a/core/autoscale/message.go
+++ b/core/autoscale/message.go
@@ -18,7 +18,7 @@
 	maxLoads    = 1 << 40
 )
 
-// DomainDemand holds what a node knows of a pool's servers in a failure domain. The domain is empty for attempts at servers
+// DomainDemand holds a node's attempts at a pool's servers in a failure domain, and the load that these have reported to it. The domain is empty for attempts at servers
 // that are gone.
 type DomainDemand struct {
 	Domain  id.FailureDomain `protobuf:"bytes,1,opt,name=domain"`
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -37,7 +37,7 @@
 	lateSteepness = 3
 )
 
-// Choice says whether a request was placed at the home of its shared prompt part.
+// Choice is whether a request was placed at the home of its shared prompt part.
 type Choice string
 
 const (
--- a/core/cost/request.go
+++ b/core/cost/request.go
@@ -55,7 +55,7 @@
 // tokens returns the tokens of the prompt, which are no fewer than those of its parts.
 func (r *Request) tokens() float64 { return max(float64(r.Prompt), r.sharedTokens()) }
 
-// size returns the tokens of the response as far as the caller says.
+// size returns the expected tokens of the response: the caller's estimate, or the maximum if there is none or it is lower.
 func (r *Request) size() int {
 	if r.Hint > 0 && (r.Output == 0 || r.Hint < r.Output) {
 		return r.Hint
--- a/core/cost/work.go
+++ b/core/cost/work.go
@@ -66,7 +66,7 @@
 	return Work{1, 0, scale(event, max(a.events-done, a.deviation/2))}
 }
 
-// server is what this node knows of the work of a server.
+// server holds the work of a server as far as this node knows it.
 type server struct {
 	*fleet.Server
 	hash     uint64 // of its process
--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -15,18 +15,18 @@
 // maxNameLength bounds the name of a subject.
 const maxNameLength = 512
 
-// Duty is a kind of call to the control service. Its text is part of the names of objects in the store.
+// Duty is a kind of call to the control service. Its text is part of the names of objects in the store. Each duty needs a path in
+// the client that carries out Call.
 type Duty string
 
 // Usage is the duty to report how many requests of each workspace servers have begun to run. It has one subject, without a
 // name.
 const Usage Duty = "usage"
 
-// Scale is the duty to order servers. Each pair of pool and failure domain is a subject. The client that carries out Call knows
-// the path of each duty.
+// Scale is the duty to order servers. Each pair of pool and failure domain is a subject.
 const Scale Duty = "scale"
 
-// Subject is what one node at a time is responsible for. Name tells the subjects of a duty apart.
+// Subject is what one node at a time is responsible for. Name distinguishes the subjects of a duty.
 type Subject struct {
 	Duty Duty
 	Name string
--- a/core/loadshare/message.go
+++ b/core/loadshare/message.go
@@ -12,7 +12,7 @@
 	"bluebellflow/core/id"
 )
 
-// Scope says whose work a Digest sums up.
+// Scope is the set of nodes whose work a Digest sums up.
 type Scope uint32
 
 const (
@@ -68,7 +68,7 @@
 	return nil
 }
 
-// hashOf returns the hash that stands for a server in messages. The probability that two of 1,900 servers have the same one is
+// hashOf returns the hash that identifies a server in messages. The probability that two of 1,900 servers have the same one is
 // 1 in 2,400; the sum of their work is then assumed at both.
 func hashOf(name id.Server) uint32 { return uint32(xxhash.Sum64String(string(name))) }
 
--- a/core/loadshare/sharer.go
+++ b/core/loadshare/sharer.go
@@ -76,7 +76,7 @@
 	sums    map[id.Node]*inbox  // work of the other failure domains, by relay
 }
 
-// New returns a sharer that knows no other node.
+// New returns a sharer without other nodes.
 func New(self event.Self, m model) *Sharer {
 	return &Sharer{
 		self: self, model: m, servers: map[uint32]*fleet.Server{}, suspected: map[id.Node]time.Time{},
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -119,7 +119,7 @@
 }
 
 // observeReport records what a server said of itself in a response that has ended, unless it was recorded at its begin. A
-// different server at the address says nothing of the one that was meant.
+// report of a different server at the address is ignored.
 func (g *Gateway) observeReport(now time.Time, r *request, res Result, out *actions) {
 	if r.began || res.Status == 0 || res.Moved {
 		return
--- a/core/proxy/crash.go
+++ b/core/proxy/crash.go
@@ -60,8 +60,8 @@
 }
 
 // recordCrashEvidence passes the outcome of a request to the crash guard, which counts a crash if the server has refused a
-// connection since. A response that breaks off after provingTime tells nothing: a server that a request crashes does not get
-// that far.
+// connection since. A response that breaks off after provingTime is no evidence: a request that crashes its server does so
+// earlier.
 func (g *Gateway) recordCrashEvidence(now time.Time, r *request, res Result, out *actions) {
 	process := denylist.Process{Server: r.server, Start: r.start}
 	switch {
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -131,7 +131,7 @@
 	Limit struct {
 		event.Out
 		Limits catalog.Limits
-		// Catalog says which requests are refused without reading their bodies.
+		// Catalog determines which requests are refused without reading their bodies.
 		Catalog *catalog.Catalog `json:"-"`
 	}
 )
--- a/io/runtime/node.go
+++ b/io/runtime/node.go
@@ -66,7 +66,7 @@
 	Keys     callers.KeysCommand
 	// Limits bound callers' connections; Conns is 0 for as many as the plan allows.
 	Limits httpserver.Limits
-	// Plan says what callers and servers' responses may take of the VM; without one, callers are not limited.
+	// Plan divides the memory and descriptors of the VM; if it is nil, callers are not limited.
 	Plan *membudget.Plan
 	// MemoryMB is the memory of the VM in megabytes, 0 if it is not known.
 	MemoryMB int
