--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,8 +24,8 @@
 	// minBackoff and maxBackoff bound how long an unreachable server gets no requests.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
-	// rejectedBackoff is how long a server gets no requests that has rejected a connection because it had too many. It is longer
-	// than plain services keep one in use (15 to 60 ms).
+	// rejectedBackoff is how long a server gets no requests after it has rejected a connection above its limit. It is longer than a
+	// request at a plain service takes (15 to 60 ms).
 	rejectedBackoff = 100 * time.Millisecond
 	// defaultLatency is the latency of a server that has not responded yet, for the comparison with its peers.
 	defaultLatency = 20 * time.Millisecond
@@ -51,8 +51,8 @@
 	Conns      Conns         // nil for no limit
 }
 
-// Conns tells whether an attempt may use another connection to a server at which others are in use. The load is nil if the
-// server has reported none lately.
+// Conns decides whether an attempt may use another connection to a server, of which inUse are in use. The load is nil if the server
+// has reported none recently.
 type Conns interface {
 	Allows(server id.Server, inUse int, load *selfreport.Load) bool
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -231,7 +231,7 @@
 // KeyRequired reports whether callers need an API key, except on anonymous routes.
 func (c *Catalog) KeyRequired() bool { return c.keyRequired }
 
-// Admits reports whether the route and the key of a request are known, so that its body is worth reading.
+// Admits reports whether the route and the key of a request are known. The body of another request need not be read.
 func (c *Catalog) Admits(host, path, key string) bool {
 	r := c.Route(host, path)
 	return r != nil && (!c.keyRequired || r.Anonymous || c.Workspace(key) != nil)
--- a/core/duty/leases.go
+++ b/core/duty/leases.go
@@ -26,7 +26,7 @@
 	burstFraction = 0.1
 )
 
-// Options holds what all nodes agree on.
+// Options holds the settings of the leases, which must be the same on all nodes.
 type Options struct {
 	Lease          time.Duration
 	CallsPerSecond float64 // accepted by the service from all nodes together
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -356,8 +356,8 @@
 	g.finish(r, false, out)
 }
 
-// handleBegan handles the first part of a response. The server has read the inputs by then, so they are released. A stream that is
-// resumed later gets them made again, because results take memory that the pools lack.
+// handleBegan handles the first part of a response. The server has read the inputs by then, so they are released. If a stream is
+// resumed later, its stages run again: keeping the results until its end would take more memory than stage servers have.
 func (g *Gateway) handleBegan(now time.Time, ev Began, out *actions) {
 	r, ok := g.requests[ev.Ticket]
 	if !ok || r.phase != running || r.began {
--- a/core/selfreport/report.go
+++ b/core/selfreport/report.go
@@ -17,14 +17,14 @@
 
 const (
 	// paceDecayTime is the time in which a reported pace loses two thirds of its weight. Servers change their pace many times a
-	// second, so that an old one says little.
+	// second, so that an old value is of little use.
 	paceDecayTime = 200 * time.Millisecond
 	// maxSlowdown bounds the effect of a reported pace, so that a wrong one does not keep a server unused or overloaded.
 	maxSlowdown = 8
 )
 
-// Slowdown returns how much longer than normal work takes on a server that reported its load the given time ago. It approaches 1
-// with the age of the report.
+// Slowdown returns the time that work takes as a multiple of the normal time, on a server that reported its load the given time ago.
+// It approaches 1 as the report ages.
 func (l Load) Slowdown(age time.Duration) float64 {
 	if l.Pace == 0 {
 		return 1
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -15,7 +15,7 @@
 // decideInterval is the time between two decisions whether a window can be closed.
 const decideInterval = 100 * time.Millisecond
 
-// Options holds what all nodes agree on.
+// Options holds the settings of usage reports. Window and Late must be the same on all nodes.
 type Options struct {
 	Window time.Duration // length of a window; window k begins k times this after the start of 1970
 	Late   time.Duration // time after the end of a window in which its report is due
