--- a/core/autoscale/message.go
+++ b/core/autoscale/message.go
@@ -29,9 +29,10 @@
 
 // PoolDemand holds the demand of a node's requests on a pool.
 type PoolDemand struct {
-	Pool    id.Pool        `protobuf:"bytes,1,opt,name=pool"`
-	Waiting uint64         `protobuf:"varint,2,opt,name=waiting"` // requests that wait for a server
-	Refused uint64         `protobuf:"varint,3,opt,name=refused"` // expected milliseconds of work refused because no server was available, since the start
+	Pool    id.Pool `protobuf:"bytes,1,opt,name=pool"`
+	Waiting uint64  `protobuf:"varint,2,opt,name=waiting"` // requests that wait for a server
+	// Refused is the expected work, in milliseconds, of requests refused since the start because no server was available.
+	Refused uint64         `protobuf:"varint,3,opt,name=refused"`
 	Domains []DomainDemand `protobuf:"bytes,4,rep,name=domains"`
 }
 
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -51,7 +51,7 @@
 	Conns      Conns         // nil for no limit
 }
 
-// Conns decides whether an attempt may use another connection to a server, of which inUse are in use. The load is nil if the server
+// Conns decides whether an attempt may use another connection to a server that has inUse of them. The load is nil if the server
 // has reported none recently.
 type Conns interface {
 	Allows(server id.Server, inUse int, load *selfreport.Load) bool
--- a/core/callerlimit/callerlimit.go
+++ b/core/callerlimit/callerlimit.go
@@ -40,7 +40,7 @@
 
 // entry is a connection.
 type entry struct {
-	addr     *addrUsage
+	usage    *addrUsage // of its address
 	phase    Phase
 	since    time.Time // of the last change of phase or progress
 	held     int64     // bytes
@@ -73,7 +73,7 @@
 		t.addrs[from] = l
 	}
 	l.conns++
-	t.conns[c] = &entry{addr: l, since: now}
+	t.conns[c] = &entry{usage: l, since: now}
 	return evict, true
 }
 
@@ -84,9 +84,9 @@
 		return
 	}
 	delete(t.conns, c)
-	e.addr.held -= e.held
-	if e.addr.conns--; e.addr.conns == 0 {
-		delete(t.addrs, e.addr.addr)
+	e.usage.held -= e.held
+	if e.usage.conns--; e.usage.conns == 0 {
+		delete(t.addrs, e.usage.addr)
 	}
 }
 
@@ -110,7 +110,7 @@
 // Hold records how many bytes a connection holds for its request.
 func (t *Table) Hold(c Conn, bytes int64) {
 	if e := t.conns[c]; e != nil {
-		e.addr.held += bytes - e.held
+		e.usage.held += bytes - e.held
 		e.held = bytes
 	}
 }
@@ -146,8 +146,8 @@
 }
 
 // connVictim returns the connection to close for a new one: the one of the lowest rank, then of the address with the most
-// connections, then the one that has made no progress for the longest time. A request that is arriving is closed only if its address has more
-// connections than that of the new one would have. It returns 0 if there is none.
+// connections, then the one that has made no progress for the longest time. A connection whose request is arriving is closed only
+// if its address has more connections than that of the new one would have. It returns 0 if there is none.
 func (t *Table) connVictim(now time.Time, from netip.Addr) Conn {
 	own := 0
 	if l := t.addrs[from]; l != nil {
@@ -158,7 +158,7 @@
 	bestRank := closeNever
 	for c, e := range t.conns {
 		rank := e.closeRank(now)
-		if rank == closeNever || rank == closeReading && e.addr.conns <= own+1 {
+		if rank == closeNever || rank == closeReading && e.usage.conns <= own+1 {
 			continue
 		}
 		if best == nil || rank < bestRank || rank == bestRank && e.closedBefore(best) {
@@ -170,8 +170,8 @@
 
 // closedBefore reports whether e is closed before another connection of the same rank.
 func (e *entry) closedBefore(other *entry) bool {
-	if e.addr.conns != other.addr.conns {
-		return e.addr.conns > other.addr.conns
+	if e.usage.conns != other.usage.conns {
+		return e.usage.conns > other.usage.conns
 	}
 	return e.since.Before(other.since)
 }
@@ -205,8 +205,8 @@
 	if a, b := e.stalled(now), other.stalled(now); a != b {
 		return a
 	}
-	if e.addr.held != other.addr.held {
-		return e.addr.held > other.addr.held
+	if e.usage.held != other.usage.held {
+		return e.usage.held > other.usage.held
 	}
 	return e.held > other.held
 }
@@ -214,8 +214,8 @@
 // holdsMoreThan reports whether e holds more than the asking connection would with the given number of bytes. Addresses are
 // compared first, so that a small request is preferred to many connections from one address.
 func (e *entry) holdsMoreThan(asker *entry, bytes int64) bool {
-	if e.addr != asker.addr && e.addr.held != asker.addr.held-asker.held+bytes {
-		return e.addr.held > asker.addr.held-asker.held+bytes
+	if e.usage != asker.usage && e.usage.held != asker.usage.held-asker.held+bytes {
+		return e.usage.held > asker.usage.held-asker.held+bytes
 	}
 	return e.held > bytes
 }
