--- a/core/autoscale/message.go
+++ b/core/autoscale/message.go
@@ -18,7 +18,7 @@
 	maxLoads    = 1 << 40
 )
 
-// DomainDemand holds what a node knows of a pool's servers in a failure domain. The domain is empty for attempts at servers
+// DomainDemand holds a node's attempts at a pool's servers in a failure domain, and the load that these have reported to it. The domain is empty for attempts at servers
 // that are gone.
 type DomainDemand struct {
 	Domain  id.FailureDomain `protobuf:"bytes,1,opt,name=domain"`
@@ -27,15 +27,16 @@
 	Load    uint64           `protobuf:"varint,4,opt,name=load"`    // sum of these loads: other requests that run or wait at the server
 }
 
-// PoolDemand holds what the requests of a node ask of a pool.
+// PoolDemand holds the demand of a node's requests on a pool.
 type PoolDemand struct {
-	Pool    id.Pool        `protobuf:"bytes,1,opt,name=pool"`
-	Waiting uint64         `protobuf:"varint,2,opt,name=waiting"` // requests that wait for a server
-	Refused uint64         `protobuf:"varint,3,opt,name=refused"` // expected milliseconds of work refused for want of a server, since the start
+	Pool    id.Pool `protobuf:"bytes,1,opt,name=pool"`
+	Waiting uint64  `protobuf:"varint,2,opt,name=waiting"` // requests that wait for a server
+	// Refused is the expected work, in milliseconds, of requests refused since the start because no server was available.
+	Refused uint64         `protobuf:"varint,3,opt,name=refused"`
 	Domains []DomainDemand `protobuf:"bytes,4,rep,name=domains"`
 }
 
-// Demand tells the leader and the next node in rank what the requests of the sender ask of the pools that may be scaled.
+// Demand tells the leader and the next node in rank the demand of the sender's requests on the pools that may be scaled.
 type Demand struct {
 	Sent  int64        `protobuf:"varint,1,opt,name=sent"` // nanoseconds since the start of the sender's process
 	Pools []PoolDemand `protobuf:"bytes,2,rep,name=pools"`
--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -15,17 +15,18 @@
 // maxNameLength bounds the name of a subject.
 const maxNameLength = 512
 
-// Duty is a kind of call to the control service. Its text is part of the names of objects in the store.
+// Duty is a kind of call to the control service. Its text is part of the names of objects in the store. Each duty needs a path in
+// the client that carries out Call.
 type Duty string
 
 // Usage is the duty to report how many requests of each workspace servers have begun to run. It has one subject, without a
-// name. Further duties are added here and in the client that carries out Call.
+// name.
 const Usage Duty = "usage"
 
 // Scale is the duty to order servers. Each pair of pool and failure domain is a subject.
 const Scale Duty = "scale"
 
-// Subject is what one node at a time is responsible for. Name tells the subjects of a duty apart.
+// Subject is what one node at a time is responsible for. Name distinguishes the subjects of a duty.
 type Subject struct {
 	Duty Duty
 	Name string
@@ -63,7 +64,7 @@
 		base    uint64 // revision of the object when the request was made
 	}
 	// Recorded reports that the store holds a record of this node. The node may have lost the lease again if the confirmation
-	// came late; Holds tells.
+	// came late, which Leases.Holds shows.
 	Recorded struct {
 		event.Internal
 		Subject Subject
