--- a/cmd/system/gateway.go
+++ b/cmd/system/gateway.go
@@ -1,17 +1,33 @@
 package system
 
 import (
+	"cmp"
 	"expvar"
 
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
+	"bluebellflow/core/id"
 	"bluebellflow/core/proxy"
 	"bluebellflow/core/ratelimit"
 	"bluebellflow/core/settings"
+	"bluebellflow/core/usage"
 	"bluebellflow/io/gateway"
+	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/upstream"
 	"bluebellflow/platform"
 )
 
+const (
+	// defaultMemoryMB is the memory in megabytes that is divided if the settings name none: that of the largest VM.
+	defaultMemoryMB = 536
+	// minVMDescriptors is the number of descriptors of the smallest VM, because a process does not see the limit of its VM.
+	minVMDescriptors = 2870
+)
+
+// PromptPart returns the number that identifies the prompt part of the given name.
+func (System) PromptPart(name string) uint64 { return platform.PromptPart(name) }
+
 // Gateway parses the settings of one gateway process. It returns the configuration of its node and its memory limit in
 // megabytes.
 func (System) Gateway(name string, source []byte) (gateway.Config, int, error) {
@@ -19,7 +35,11 @@
 	if err != nil {
 		return gateway.Config{}, 0, err
 	}
-	return gateway.Config{
+	memoryMB, descriptors := cmp.Or(s.Memory, defaultMemoryMB), cmp.Or(s.Descriptors, membudget.Descriptors(minVMDescriptors))
+	plan := membudget.Divide(memoryMB, descriptors)
+	cfg := gateway.Config{
+		Plan:      &plan,
+		Limits:    httpserver.Limits{Conns: s.Callers.Connections, Stall: s.Callers.Stall, Write: s.Callers.Write, Lines: s.Callers.Fields},
 		Self:      event.Self{Node: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Addr: s.Peer},
 		Advertise: s.Advertise,
 		Decoder:   platform.Decoder{},
@@ -36,5 +56,25 @@
 			return platform.NewWorkers(client, deliver)
 		},
 		Callers: s.Caller, Ready: s.Ready, Metrics: s.Metrics,
-	}, s.Memory, nil
+	}
+	if s.Duties != nil {
+		addDuties(&cfg, s.Name, *s.Duties)
+	}
+	return cfg, s.Memory, nil
+}
+
+// addDuties adds the calls to the control service that one node at a time makes.
+func addDuties(cfg *gateway.Config, name id.Node, d settings.Duties) {
+	cfg.Bounds.Duties = &proxy.Duties{
+		Lease: duty.Options{Lease: d.Lease, CallsPerSecond: d.Rate}, Encoder: platform.Decoder{},
+	}
+	if platform.HasDuty(d.Names, duty.Usage) {
+		cfg.Bounds.Duties.Usage = &usage.Options{Window: d.Window, Late: d.Late}
+	}
+	if platform.HasDuty(d.Names, duty.Scale) {
+		cfg.Bounds.Duties.Scale = platform.Decoder{}
+	}
+	cfg.NewControl = func(deliver func(event.Event), vars *expvar.Map) gateway.Control {
+		return platform.NewControl(d.Control, name, deliver, vars)
+	}
 }
--- a/core/proxy/codec.go
+++ b/core/proxy/codec.go
@@ -1,12 +1,15 @@
 package proxy
 
 import (
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/denylist"
 	"bluebellflow/core/event"
 	"bluebellflow/core/leader"
+	"bluebellflow/core/loadshare"
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/selfreport"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 )
@@ -21,5 +24,8 @@
 		80: rollout.Report{}, 81: rollout.Decisions{}, 82: denylist.Crash{},
 		83: denylist.Broken{}, 84: denylist.Ended{}, 85: denylist.Responded{},
 		86: denylist.Trial{}, 87: denylist.Refused{}, 88: selfreport.Shared{},
+		90: usage.Counts{}, 91: usage.Ack{},
+		95:  autoscale.Demand{},
+		100: loadshare.Digest{},
 	})
 }
--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -7,21 +7,25 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/connlimit"
 	"bluebellflow/core/denylist"
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
 	"bluebellflow/core/fleet"
 	"bluebellflow/core/id"
 	"bluebellflow/core/leader"
+	"bluebellflow/core/loadshare"
 	"bluebellflow/core/ratelimit"
 	"bluebellflow/core/retry"
 	"bluebellflow/core/rollout"
 	"bluebellflow/core/roster"
 	"bluebellflow/core/selfreport"
 	"bluebellflow/core/timerqueue"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 )
 
@@ -53,6 +57,7 @@
 	Retries        ratelimit.Budget
 	Grace          time.Duration // from the stop signal to the end of the process
 	Weight         float64       // relative size of this node's VM
+	Duties         *Duties       // nil if there are none
 }
 
 // module is a decision package that handles events and has timers.
@@ -74,10 +79,14 @@
 	crashGuard   *denylist.Guard
 	reports      *selfreport.Tracker
 	balancer     *balance.Balancer
+	loads        *loadshare.Sharer
 	scheduler    *batch.Scheduler
 	retryLimiter *ratelimit.RetryLimiter
 	coldLimiter  *ratelimit.ColdLimiter
 	connLimits   *connlimit.Limiter
+	leases       *duty.Leases          // nil without duties
+	usage        *usage.Usage          // nil if usage is not reported
+	autoscaler   *autoscale.Autoscaler // nil if no servers are ordered
 	modules      []module
 
 	catalog      *catalog.Catalog
@@ -96,9 +105,13 @@
 
 // New returns a gateway that knows only its own node.
 func New(self event.Self, decoder Decoder, bounds Bounds) *Gateway {
+	kinds := []string{roster.Kind, ConfigKind, fleet.KindServers, fleet.KindEvacuations, rollout.Kind}
+	if bounds.Duties != nil {
+		kinds = append(kinds, duty.Kind)
+	}
 	g := &Gateway{
 		self: self, decoder: decoder, bounds: bounds,
-		cache:        watchcache.New(self, roster.Kind, ConfigKind, fleet.KindServers, fleet.KindEvacuations, rollout.Kind),
+		cache:        watchcache.New(self, kinds...),
 		roster:       roster.New(self, bounds.Weight),
 		leader:       leader.New(self),
 		fleet:        fleet.New(decoder),
@@ -111,9 +124,11 @@
 		lastJob: self.Rand.Uint64(),
 	}
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter, g.reports)
+	g.loads = loadshare.New(self, g.balancer.Model())
 	g.rollouts = rollout.New(self, decoder, g.fleet)
 	g.scheduler = batch.New(self, g.fleet, batch.WithVersions(g.rollouts), batch.WithReports(g.reports))
-	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, g.connLimits, noTimers{g.balancer}, g.scheduler}
+	g.modules = []module{g.cache, g.roster, g.fleet, g.leader, g.rollouts, g.crashGuard, g.reports, g.connLimits, noTimers{g.balancer}, g.loads, g.scheduler}
+	g.startDuties(bounds.Duties)
 	return g
 }
 
@@ -170,6 +185,8 @@
 		g.handleDisconnect(now, ev.Ticket, out)
 	case Closed:
 		g.shutdown.idle = true
+	case ExplainRoute:
+		out.add(event.CommandResult{Number: ev.Number, Value: g.explain(now, ev.RequestInfo)})
 	case Began:
 		g.handleBegan(now, ev, out)
 	case Ended:
@@ -195,6 +212,7 @@
 		g.rollouts.SetLeader(now, ev.Leader)
 		g.chooseSource(now)
 		g.leaderChanged(now, out)
+		g.dutyLeaderChanged(now, ev.Leader, out)
 	case event.PeerLink:
 		choice := "lost"
 		if ev.Up {
@@ -218,29 +236,42 @@
 	}
 	g.catalog = next
 	g.scheduler.SetCatalog(next)
+	if g.autoscaler != nil {
+		g.autoscaler.SetCatalog(next)
+	}
 	if err := next.Problem(); err != nil {
 		out.add(event.Log{Kind: "config", Choice: "partial", Reason: fmt.Sprintf("version=%d %v", next.Version(), err)})
 	}
 	out.add(
 		event.Log{Kind: "config", Choice: "apply", Reason: fmt.Sprintf("version=%d revision=%d", next.Version(), o.Revision)},
-		Limit{Limits: next.Limits()})
+		Limit{Limits: next.Limits(), Catalog: next})
 }
 
 func (g *Gateway) nodesChanged() {
 	names := g.roster.Nodes()
 	var candidates []leader.Candidate
+	var sharers []loadshare.Node
 	for _, name := range names {
 		n, _ := g.roster.Node(name)
 		candidates = append(candidates, leader.Candidate{Node: name, Domain: n.Domain, Weight: n.Weight})
+		sharers = append(sharers, loadshare.Node{Name: name, Domain: n.Domain, Weight: n.Weight})
 	}
 	g.cache.SetPeers(names)
 	g.leader.SetCandidates(candidates)
+	g.loads.SetNodes(sharers)
 	g.coldLimiter.SetNodes(names)
 	g.connLimits.SetNodes(names)
 	g.rollouts.SetNodes(names)
 	g.crashGuard.SetNodes(names)
 	g.reports.SetNodes(names)
+	g.balancer.SetNodes(len(names))
 	g.retryLimiter.SetNodes(len(names) + unseenNodes)
+	if g.usage != nil {
+		g.usage.SetNodes(names)
+	}
+	if g.autoscaler != nil {
+		g.autoscaler.SetNodes(names, domainsOf(candidates))
+	}
 }
 
 // chooseSource selects where the cache gets the store's changes from: from the leader on most nodes. The highest-ranked
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellflow/core/balance"
 	"bluebellflow/core/batch"
 	"bluebellflow/core/catalog"
 	"bluebellflow/core/connlimit"
@@ -29,6 +30,7 @@
 	Patience    time.Duration // timeout sent by the caller, 0 for none
 	Prompt      []PromptPart  // in order; the last part belongs to this request alone
 	In, Out     int           // tokens of the prompt; maximum tokens of the response
+	Hint        int           // tokens of the response that the caller expects, 0 for none
 	Pieces      []int         // number of pieces of each stage
 	PieceKey    string
 	Fingerprint id.Fingerprint `json:"Print"` // hash of method, host, target and body
@@ -74,6 +76,7 @@
 	ConnRejected bool           // the server closed a new connection before anything was sent, as servers do that have too many
 	InputsGone   bool           `json:"Inputs"` // the server rejected the request because it no longer holds an input
 	Moved        bool           // a different server responded at the address
+	Events       int            // complete events of a stream that has ended
 	CanResume    bool           // the stream can be continued after the last event that was passed on
 	LastEventID  string         // its id; the caller's own if no event was passed on, empty for none
 	SinceEvent   time.Duration  // time since it was passed on, or since the request arrived
@@ -98,6 +101,7 @@
 		Resume      bool         // continue a stream that broke off after the event LastEventID
 		LastEventID string       // empty for the beginning of the stream
 		Conns       connlimit.Limit
+		Placed      balance.Placement
 	}
 	// ConnLimited reports that servers were not chosen for a request because this node has its share of connections to them
 	// in use.
@@ -127,5 +131,7 @@
 	Limit struct {
 		event.Out
 		Limits catalog.Limits
+		// Catalog determines which requests are refused without reading their bodies.
+		Catalog *catalog.Catalog `json:"-"`
 	}
 )
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
@@ -14,14 +15,20 @@
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
+	"bluebellflow/core/autoscale"
 	"bluebellflow/core/batch"
+	"bluebellflow/core/duty"
 	"bluebellflow/core/event"
 	"bluebellflow/core/proxy"
+	"bluebellflow/core/usage"
 	"bluebellflow/core/watchcache"
 	"bluebellflow/core/wire"
 	"bluebellflow/io/httpserver"
+	"bluebellflow/io/membudget"
 	"bluebellflow/io/mesh"
+	"bluebellflow/io/requestreply"
 	"bluebellflow/io/runtime"
 	"bluebellflow/io/upstream"
 )
@@ -33,6 +40,8 @@
 	maxHeaderBytes = 64 << 10
 	// shutdownTimeout is how long a stopping node waits for responses in progress.
 	shutdownTimeout = 200 * time.Millisecond
+	// guardReportInterval is the least time between two log lines about callers outside the limits, at all addresses together.
+	guardReportInterval = time.Second
 	// flushTimeout is how long a stopping node waits for queued messages to peers to be written.
 	flushTimeout = 100 * time.Millisecond
 )
@@ -51,6 +60,12 @@
 	Free(batch.FreeResults)
 }
 
+// Control is a client of the operator's control service. Call must not block; the result is delivered as an event.
+type Control interface {
+	Call(duty.Call)
+	Run(ctx context.Context) error
+}
+
 // Config describes one gateway node. Port 0 in an address is replaced by a free one.
 type Config struct {
 	Self event.Self // Self.Addr is the address to listen on for peers
@@ -63,9 +78,15 @@
 	// NewStore and NewWorkers return the clients of the platform's store and of the backend servers.
 	NewStore   func(deliver func(event.Event), vars *expvar.Map, report func(error)) Store
 	NewWorkers func(client *upstream.Client, deliver func(event.Event)) Workers
+	// NewControl returns the client of the control service; nil if there are no duties.
+	NewControl func(deliver func(event.Event), vars *expvar.Map) Control
 	// Callers, Ready and Metrics are the addresses to listen on; an invalid Metrics address turns metrics off.
 	Callers, Ready, Metrics netip.AddrPort
-	Logger                  *log.Logger
+	// Limits bound callers' connections; Conns is 0 for as many as the plan allows.
+	Limits httpserver.Limits
+	// Plan divides the memory and descriptors of the VM; if it is nil, callers' connections are not limited.
+	Plan   *membudget.Plan
+	Logger *log.Logger
 }
 
 // Node is one running gateway.
@@ -77,13 +98,16 @@
 	server      *Server
 	client      *upstream.Client
 	workers     Workers
+	control     Control               // nil without duties
+	held        map[duty.Subject]bool // leases that this node holds
 	logger      *log.Logger
 	httpServers []*httpserver.Server
+	correlator  *requestreply.Correlator // of operators' commands
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
 func NewNode(cfg Config) (*Node, error) {
-	n := &Node{vars: new(expvar.Map), logger: cfg.Logger}
+	n := &Node{vars: new(expvar.Map), logger: cfg.Logger, held: map[duty.Subject]bool{}}
 	if n.logger == nil {
 		n.logger = log.New(io.Discard)
 	}
@@ -100,10 +124,18 @@
 	n.mesh = mesh.New(cfg.Self, cfg.Codec, decider.Resolve, n.loop.Deliver,
 		mesh.WithVars(n.vars), mesh.WithErrorHandler(n.loop.Report), mesh.WithTiming(mesh.LowLatencyTiming()))
 	n.mesh.SetListener(listener)
-	n.client = upstream.New(upstream.WithVars(n.vars))
+	options := []upstream.Option{upstream.WithVars(n.vars)}
+	if cfg.Plan != nil {
+		options = append(options, upstream.WithMemory(membudget.New(cfg.Plan.Responses)))
+	}
+	n.client = upstream.New(options...)
 	n.server = New(cfg.Dialect, n.client, n.loop.Deliver, WithVars(n.vars), WithUnanswered(n.logUnanswered))
 	n.store = cfg.NewStore(n.loop.Deliver, n.vars, n.loop.Report)
 	n.workers = cfg.NewWorkers(n.client, n.loop.Deliver)
+	n.correlator = requestreply.New(n.loop.Deliver)
+	if cfg.NewControl != nil {
+		n.control = cfg.NewControl(n.loop.Deliver, n.vars)
+	}
 	n.loop.SetExecutor(n)
 	n.vars.Set("requests_open", expvar.Func(func() any { return n.server.InProgress() }))
 	n.vars.Set("process", expvar.Func(func() any { return runtime.ReadProcessStats() }))
@@ -122,26 +154,32 @@
 // ReadyAddr returns the address of the readiness check for the load balancer.
 func (n *Node) ReadyAddr() netip.AddrPort { return n.httpServers[1].Addr() }
 
+// MetricsAddr returns the address of the metrics and of ExplainPath, if Config.Metrics is valid.
+func (n *Node) MetricsAddr() netip.AddrPort { return n.httpServers[2].Addr() }
+
 // listen opens the listeners for callers, the load balancer and metrics.
 func (n *Node) listen(cfg Config) error {
+	guard := n.newGuards(cfg)
 	routes := mux.NewRouter()
 	routes.HandleFunc("/readyz", n.server.ServeReadiness).Methods(http.MethodGet, http.MethodHead)
 	metrics := mux.NewRouter()
 	metrics.HandleFunc("/debug/vars", n.serveMetrics).Methods(http.MethodGet)
+	metrics.HandleFunc(ExplainPath, n.serveExplain).Methods(http.MethodPost)
 	for _, endpoint := range []struct {
 		name    string
 		addr    netip.AddrPort
+		callers bool
 		handler http.Handler
 		state   func(net.Conn, http.ConnState)
 	}{
-		{"callers", cfg.Callers, n.server, n.server.idleConns.trackState},
-		{"the load balancer", cfg.Ready, routes, nil},
-		{"metrics", cfg.Metrics, metrics, nil},
+		{"callers", cfg.Callers, true, n.server, n.server.idleConns.trackState},
+		{"the load balancer", cfg.Ready, false, routes, nil},
+		{"metrics", cfg.Metrics, false, metrics, nil},
 	} {
 		if !endpoint.addr.IsValid() {
 			continue
 		}
-		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop)
+		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop, guard(endpoint.callers)...)
 		if err != nil {
 			for _, open := range n.httpServers {
 				_ = open.Close()
@@ -154,6 +192,25 @@
 	return nil
 }
 
+// newGuards returns a function that returns the options with the guard of one HTTP server, either that for callers or another one.
+// All guards share one budget.
+func (n *Node) newGuards(cfg Config) func(callers bool) []httpserver.Option {
+	if cfg.Plan == nil {
+		return func(bool) []httpserver.Option { return nil }
+	}
+	budget := runtime.NewCallerBudget(n.vars, *cfg.Plan)
+	sometimes := rate.Sometimes{Interval: guardReportInterval}
+	report := func(err error) { sometimes.Do(func() { n.loop.Report(err) }) }
+	return func(callers bool) []httpserver.Option {
+		limits := cfg.Limits
+		if limits.Conns = cfg.Plan.OtherConns; callers {
+			limits.Conns = cmp.Or(cfg.Limits.Conns, cfg.Plan.CallerConns)
+		}
+		guard := httpserver.NewGuard(budget, limits, httpserver.WithVars(n.vars), httpserver.WithReport(report))
+		return []httpserver.Option{httpserver.WithGuard(guard)}
+	}
+}
+
 // logUnanswered logs a request that the node leaves without a complete response when it exits.
 func (n *Node) logUnanswered(r OpenRequest) {
 	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
@@ -181,10 +238,14 @@
 		n.server.SetReady(a.Ready)
 	case proxy.Close:
 		go n.httpServers[0].Drain(func() { n.loop.Deliver(proxy.Closed{}) })
+	case event.CommandResult:
+		n.correlator.Complete(a)
 	case batch.StartCall:
 		n.workers.Run(a)
 	case batch.FreeResults:
 		n.workers.Free(a)
+	case duty.Call, duty.Held, usage.Reported, autoscale.Ordered, autoscale.Measured:
+		n.executeDuty(a)
 	default:
 		return n.server.Execute(a)
 	}
@@ -197,7 +258,11 @@
 // Run serves until the decision logic exits or a component fails; all components stop together.
 func (n *Node) Run() error {
 	var group run.Group
-	for _, do := range []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run} {
+	components := []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run}
+	if n.control != nil {
+		components = append(components, n.control.Run)
+	}
+	for _, do := range components {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return do(ctx) }, func(error) { cancel() })
 	}
@@ -221,9 +286,9 @@
 	return nil
 }
 
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop) (*httpserver.Server, error) {
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
 	return httpserver.New(addr, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: state,
 		ErrorLog: stdlog.New(runtime.ReportWriter(loop), "", 0),
-	})
+	}, opts...)
 }
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -36,7 +36,10 @@
 	for {
 		n, err := resp.Read(buf)
 		searched := max(0, len(pending)-maxSeparatorBytes+1)
-		pending = append(pending, buf[:n]...)
+		var ok bool
+		if pending, ok = appendKept(resp, pending, buf[:n]); !ok {
+			return x.reportInterrupted(membudget.ErrExhausted, res)
+		}
 		if end := completeEventsLength(pending, searched); end > 0 {
 			if err := x.relayEvents(resp, res.Report, control, pending[:end]); err != nil {
 				return x.reportInterrupted(err, res)
@@ -51,14 +54,12 @@
 			return x.reportBrokenOff(err, res)
 		case len(pending) > maxEventBytes:
 			return x.reportInterrupted(errEventTooLarge, res)
-		case !resp.Keep(cap(pending)):
-			return x.reportInterrupted(membudget.ErrExhausted, res)
 		}
 	}
 }
 
-// relayEvents sends events to the caller, up to one that does not follow the one before it. The connection to its server is
-// closed then.
+// relayEvents sends events to the caller. If one does not follow the event before it, relayEvents stops there, closes the connection
+// to the server and returns an error.
 func (x *exchange) relayEvents(resp *response, report selfreport.Report, control *http.ResponseController, events []byte) error {
 	checked, idErr := x.position.advance(events)
 	if checked > 0 {
@@ -73,6 +74,20 @@
 	return idErr
 }
 
+// appendKept appends what was read of a stream, or reports false if there is no memory for it. Both buffers are counted before
+// the larger one is allocated, because they exist together during the copy; the buffers of many streams could otherwise exceed the
+// budget.
+func appendKept(resp *response, pending, more []byte) ([]byte, bool) {
+	if need := len(pending) + len(more); need > cap(pending) {
+		larger := max(2*cap(pending), need)
+		if !resp.Keep(cap(pending) + larger) {
+			return nil, false
+		}
+		pending = append(make([]byte, 0, larger), pending...)
+	}
+	return append(pending, more...), true
+}
+
 // readBufferSize is the size in bytes of the buffer for reading a stream.
 const readBufferSize = 8 << 10
 
@@ -95,9 +110,22 @@
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
+	x.events += countEvents(events)
 	return control.Flush()
 }
 
+// eventSeparators end the events of a stream.
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
+
+// countEvents returns the number of complete events.
+func countEvents(events []byte) int {
+	n := 0
+	for _, separator := range eventSeparators {
+		n += bytes.Count(events, separator)
+	}
+	return n
+}
+
 // finishStream completes a stream at its end, given what follows its last complete event.
 func (x *exchange) finishStream(resp *response, control *http.ResponseController, rest []byte, res proxy.Result) bool {
 	if insideEvent(rest) || x.position.endsEarly() && endsWithConn(resp.Response) {
@@ -108,6 +136,7 @@
 		return x.reportInterrupted(err, res)
 	}
 	x.countFinished()
+	res.Events = x.events
 	x.reportSuccess(res)
 	return true
 }
@@ -134,7 +163,7 @@
 // completeEventsLength returns the length of the complete events at the start of raw, 0 if none ends after from.
 func completeEventsLength(raw []byte, from int) int {
 	end := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")} {
+	for _, separator := range eventSeparators {
 		if i := bytes.LastIndex(raw[from:], separator); i >= 0 {
 			end = max(end, from+i+len(separator))
 		}
