settings, autoscale: a rate of 0 is an error; orders are tried in a fixed order

With a rate of 0 the limiter allowed one call and none after it, without an error. Orders of several pools were tried in the order of a map.

--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"bluebellflow/core/duty"
@@ -131,8 +133,8 @@
 		return nil
 	}
 	var out []event.Action
-	for name, p := range a.pools {
-		for _, d := range p.sorted() {
+	for _, name := range slices.Sorted(maps.Keys(a.pools)) {
+		for _, d := range a.pools[name].sorted() {
 			out = append(out, a.advance(now, a.placed(name, d.name))...)
 		}
 	}
--- a/core/settings/gateway.go
+++ b/core/settings/gateway.go
@@ -190,7 +190,9 @@
 		case "control":
 			d.Control = r.addr(path, f.value)
 		case "rate":
-			d.Rate = r.number(path, f.value, maxDutyRate)
+			if d.Rate = r.number(path, f.value, maxDutyRate); d.Rate == 0 {
+				r.report(f.value.StartOffset, "%s: want more than 0 calls a second", path)
+			}
 		case "list":
 			for _, v := range r.array(path, f.value) {
 				d.Names = append(d.Names, r.stringValue(path, v))
--- a/core/settings/reference_test.go
+++ b/core/settings/reference_test.go
@@ -136,6 +136,7 @@
 		`, "span": "10s"`:            {"", "gateway.bounds.retry: span is required"},
 		`"memory": 284`:              {`"memory": "284"`, "gateway.memory: want an integer"},
 		`, "window": "5s"`:           {"", "gateway.duties: window is required"},
+		`"rate": 50`:                 {`"rate": 0`, "gateway.duties.rate: want more than 0 calls a second"},
 		`"lease": "3000ms"`:          {`"lease": "3ms"`, "gateway.duties.lease: 3ms is outside 500ms to 10m0s"},
 		`"metrics": `:                {`"metric": `, `gateway: unknown key "metric"`},
 	} {
