--- a/cmd/crowd/crowd_test.go
+++ b/cmd/crowd/crowd_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"bluebellflow/platform/standin"
 )
 
 const (
@@ -82,7 +84,7 @@
 		c.unfinished("", "")
 	}},
 	{"prompt parts", crowdSize, func(c *caller) {
-		c.unfinished("Prompt-Prefix: "+strings.Repeat("a:1,", headerBytes/4)+"b:1\r\n", "")
+		c.unfinished(standin.PromptHeader+": "+strings.Repeat("a:1,", headerBytes/4)+"b:1\r\n", "")
 	}},
 	{"JSON fields", crowdSize, func(c *caller) { c.unfinished("", "{"+strings.Repeat(`"a":1,`, sentBytes/6)) }},
 	{"small chunks", crowdSize, func(c *caller) { c.chunks(strings.Repeat("1\r\nx\r\n", 20_000)) }},
