Soak callers that keep their connections under planned work

The new step of TestSoak sends SIGHUP, SIGTERM and both, once or twice, to nodes, and lowers and raises the idle timeout, while 48 callers go on to use their connections until these are closed. A request that a node has read must get an answer, unless a server still works on it near the end of the grace period.

--- a/cmd/soak/config_test.go
+++ b/cmd/soak/config_test.go
@@ -26,11 +26,14 @@
 // proberKey returns the prober's API key in a version of the configuration. No other version accepts it.
 func proberKey(version uint64) string { return fmt.Sprintf("key-%d", version) }
 
-// writeNextConfig writes the next version of the configuration to the store.
-func (h *harness) writeNextConfig() {
+// writeNextConfig writes the next version of the configuration to the store, with changes.
+func (h *harness) writeNextConfig(changes ...func(*standin.Config)) {
 	next := h.Config()
 	next.Version++
 	next.Tenants = slices.Concat(standin.Example().Tenants, []standin.Tenant{{Name: prober, APIKeys: []string{proberKey(next.Version)}}})
+	for _, change := range changes {
+		change(&next)
+	}
 	h.Configure(next)
 }
 
--- a/cmd/soak/harness_test.go
+++ b/cmd/soak/harness_test.go
@@ -91,9 +91,11 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	h.dir = dir
 	t.Cleanup(func() {
-		if !t.Failed() {
-			_ = os.RemoveAll(dir)
+		if t.Failed() {
+			t.Logf("seed %d, logs in %s, events:\n%s", seed, h.dir, h.eventLog())
+			return
 		}
+		_ = os.RemoveAll(dir)
 	})
 	h.Fleet, err = standin.NewFleet(seed, newConfig(seed), nil, nil)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -37,6 +37,7 @@
 //   - a request gets the answer or the stage results of another request
 //   - an incomplete stream looks complete
 //   - a stream is not continued after the crash of its server, or has a missing or repeated event
+//   - a request that a process has read gets no answer under signals and new configurations
 //   - a process exits by itself, or does not stop within its grace period
 //   - a process goes back to an older configuration
 //   - a draining server gets requests
@@ -45,17 +46,22 @@
 //   - sustained load orders no servers
 //   - two nodes make contradictory or outdated calls to the control service, or reports are missing
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "bluebellflow")
-	out, err := exec.Command("go", "build", "-o", program, "bluebellflow/cmd/bluebellflow").CombinedOutput()
-	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
 	seeds := readSeeds(t)
 	for i := range *seedCount {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
+	runSeeds(t, seeds, soak)
+}
+
+// runSeeds builds the program and runs a test with each seed.
+func runSeeds(t *testing.T, seeds []uint64, test func(t *testing.T, program string, seed uint64)) {
+	program := filepath.Join(t.TempDir(), "bluebellflow")
+	out, err := exec.Command("go", "build", "-o", program, "bluebellflow/cmd/bluebellflow").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, program, seed)
+			test(t, program, seed)
 		})
 	}
 }
@@ -82,11 +88,6 @@
 
 func soak(t *testing.T, program string, seed uint64) {
 	h := newHarness(t, program, seed)
-	t.Cleanup(func() {
-		if t.Failed() {
-			t.Logf("seed %d, logs in %s, events:\n%s", seed, h.dir, h.eventLog())
-		}
-	})
 	h.waitReady()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -98,6 +99,7 @@
 	h.allowReturns(time.Hour)
 	h.injectFaults(drawPlan(h.rng, h, *soakSpan))
 	h.checkRecovery()
+	h.checkPlannedWork(seed, *soakSpan)
 	h.allowReturns(0)
 	h.checkConfigPropagation()
 	h.checkRollout(seed)
