Log each request whose connection ends without an answer, and why

Callers saw connections end without an answer, and only those that were cut by the exit of a process had a log line. A line now follows for each request whose connection ends without a complete response: who closed it, how far the request had got, how many events were passed on, and the time since the stop signal, the last configuration and the last SIGHUP. package httpserver wraps each connection, and knows of requests that no handler has seen and of responses that could not be written; the gateway reports all others. No behaviour changes. An ordinary request costs a few atomic stores, the lines are limited to 50 a second.

--- a/cmd/cli/gateway.go
+++ b/cmd/cli/gateway.go
@@ -57,7 +57,7 @@
 	}
 	cfg.Logger.Info("start", "node", cfg.Self.Node, "incarnation", cfg.Self.Incarnation, "domain", cfg.Self.FailureDomain,
 		"callers", addrText(cfg.Callers), "peers", addrText(cfg.Self.Addr))
-	go logReloadRequests(cfg.Logger, reloads)
+	go logReloadRequests(cfg.Logger, node, reloads)
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
@@ -81,8 +81,9 @@
 
 // logReloadRequests logs each SIGHUP. Nothing is reloaded: the settings of a process take effect at its next start, and
 // configuration that changes while a gateway runs is read from the store.
-func logReloadRequests(logger *log.Logger, signals <-chan os.Signal) {
+func logReloadRequests(logger *log.Logger, node *gateway.Node, signals <-chan os.Signal) {
 	for range signals {
+		node.Reloaded()
 		logger.Info("reload", "result", "settings apply from the next start on")
 	}
 }
--- a/io/gateway/forward.go
+++ b/io/gateway/forward.go
@@ -55,7 +55,7 @@
 	x.server.dialect.SetRequestHeaders(req.Header, f, time.Until(f.Until))
 	x.server.vars.Add("forwarded", 1)
 	x.server.countPlacement(f.Placed)
-	x.progress.Store(int32(forwarded))
+	x.setProgress(forwarded)
 	reader, err := x.server.client.Do(ctx, f.Server.Addr, req)
 	if err != nil {
 		cancel()
@@ -78,6 +78,7 @@
 // false, because the exchange continues.
 func (x *exchange) reportFailure(err error, res proxy.Result) bool {
 	res.Detail = err.Error()
+	x.lastFailure = res.Detail
 	var failure *upstream.Error
 	switch {
 	case errors.As(err, &failure):
@@ -153,7 +154,7 @@
 func (x *exchange) sendHeld() {
 	resp := x.held
 	if resp == nil {
-		closeUnanswered()
+		x.closeUnanswered(causeAborted)
 	}
 	x.copyHeaders(resp.Response)
 	x.w.WriteHeader(resp.StatusCode)
@@ -174,6 +175,7 @@
 	x.copyHeaders(resp.Response)
 	x.w.WriteHeader(resp.StatusCode)
 	x.responseStarted = true
+	x.setProgress(responding)
 	_, err = x.w.Write(raw)
 	if err == nil && more {
 		err = x.copyBody(resp)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -79,6 +79,7 @@
 	stop       context.CancelFunc
 
 	onUnanswered func(OpenRequest) // told of requests that are left without a complete response
+	changes      changes
 
 	mu         sync.Mutex
 	inProgress map[proxy.Ticket]*exchange
@@ -90,7 +91,7 @@
 // WithVars sets the map in which requests and outcomes are counted.
 func WithVars(vars *expvar.Map) Option { return func(s *Server) { s.vars = vars } }
 
-// WithUnanswered sets a function that is told of each request which a stopping server leaves without a complete response.
+// WithUnanswered sets a function that is told of each request that is left without a complete response.
 func WithUnanswered(f func(OpenRequest)) Option { return func(s *Server) { s.onUnanswered = f } }
 
 // New returns a server that passes requests and their outcomes to deliver, which must not block.
@@ -133,12 +134,14 @@
 	case proxy.Abort:
 		s.sendAction(a.Ticket, a)
 	case proxy.Limit:
+		s.changes.config.now()
 		s.limits.Store(&a.Limits)
 		s.catalog.Store(a.Catalog)
 		s.idleConns.setTimeout(a.Limits.IdleTime)
 	case proxy.ConnLimited:
 		s.vars.Add("conn_limit_"+string(a.Outcome), 1)
 	case proxy.Drain:
+		s.changes.stop.now()
 		s.draining.Store(true)
 	default:
 		return fmt.Errorf("no executor for action %s", typename.Of(a))
@@ -182,9 +185,11 @@
 	mayHaveRun      bool     // a server may have run it
 	responseStarted bool     // the response to the caller has begun
 	position        position // of the stream that the caller gets
-	events          int      // complete events of a stream that were sent to the caller
 	start           time.Time
+	events          atomic.Int64 // complete events of a stream that were sent to the caller
 	progress        atomic.Int32 // a progress
+	lastFailure     string       // of the last attempt
+	reported        atomic.Bool  // as unanswered
 }
 
 // recordLatency adds the time since the request arrived to a histogram.
@@ -201,7 +206,7 @@
 	if status, err := x.readRequest(); err != nil {
 		s.vars.Add("requests_rejected", 1)
 		if r.Context().Err() != nil {
-			closeUnanswered()
+			x.closeUnanswered(x.disconnectCause())
 		}
 		refusal := proxy.Refuse{Status: status, Reason: err.Error()}
 		if status == http.StatusServiceUnavailable {
@@ -211,7 +216,7 @@
 		return
 	}
 	x.info.Fingerprint = requestFingerprint(r, x.body)
-	x.progress.Store(int32(undecided))
+	x.setProgress(undecided)
 	s.deliver(proxy.Arrive{Ticket: x.ticket, RequestInfo: x.info})
 	x.serve()
 }
@@ -302,7 +307,7 @@
 			x.server.vars.Add("callers_gone", 1)
 			x.recordLatency(&x.server.latency.disconnected)
 			x.server.deliver(proxy.Disconnected{Ticket: x.ticket})
-			closeUnanswered()
+			x.closeUnanswered(x.disconnectCause())
 		case a := <-x.actions:
 			if x.execute(a) {
 				return
@@ -347,12 +352,16 @@
 func (x *exchange) abort() {
 	x.countGivenUp()
 	x.recordLatency(&x.server.latency.aborted)
-	closeUnanswered()
+	x.closeUnanswered(causeAborted)
 }
 
-// closeUnanswered ends a handler and closes its connection. If the handler returned instead, net/http would send 200 with an
-// empty body, or the end of the body, to a caller that has closed only its own side of the connection.
-func closeUnanswered() { panic(http.ErrAbortHandler) }
+// closeUnanswered reports a request as unanswered, ends its handler and closes its connection. If the handler returned instead,
+// net/http would send 200 with an empty body, or the end of the body, to a caller that has closed only its own side of the
+// connection.
+func (x *exchange) closeUnanswered(cause string) {
+	x.server.reportUnanswered(x, cause)
+	panic(http.ErrAbortHandler)
+}
 
 // discardHeld closes a response that was held back.
 func (x *exchange) discardHeld() {
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -42,6 +42,9 @@
 	shutdownTimeout = 200 * time.Millisecond
 	// guardReportInterval is the least time between two log lines about callers outside the limits, at all addresses together.
 	guardReportInterval = time.Second
+	// unansweredPerSecond and unansweredBurst limit the log lines about unanswered requests, of which a server that fails causes many.
+	unansweredPerSecond = 50
+	unansweredBurst     = 500
 	// flushTimeout is how long a stopping node waits for queued messages to peers to be written.
 	flushTimeout = 100 * time.Millisecond
 )
@@ -103,11 +106,16 @@
 	logger      *log.Logger
 	httpServers []*httpserver.Server
 	correlator  *requestreply.Correlator // of operators' commands
+
+	unansweredLines *rate.Limiter
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
 func NewNode(cfg Config) (*Node, error) {
-	n := &Node{vars: new(expvar.Map), logger: cfg.Logger, held: map[duty.Subject]bool{}}
+	n := &Node{
+		vars: new(expvar.Map), logger: cfg.Logger, held: map[duty.Subject]bool{},
+		unansweredLines: rate.NewLimiter(unansweredPerSecond, unansweredBurst),
+	}
 	if n.logger == nil {
 		n.logger = log.New(io.Discard)
 	}
@@ -179,7 +187,11 @@
 		if !endpoint.addr.IsValid() {
 			continue
 		}
-		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop, guard(endpoint.callers)...)
+		options := guard(endpoint.callers)
+		if endpoint.callers {
+			options = append(options, httpserver.WithUnanswered(n.server.ReportConn))
+		}
+		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop, options...)
 		if err != nil {
 			for _, open := range n.httpServers {
 				_ = open.Close()
@@ -211,11 +223,18 @@
 	}
 }
 
-// logUnanswered logs a request that the node leaves without a complete response when it exits.
+// logUnanswered logs a request without a complete response, with a limited rate of log lines.
 func (n *Node) logUnanswered(r OpenRequest) {
-	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
+	if !n.unansweredLines.Allow() {
+		n.vars.Add("unanswered_suppressed", 1)
+		return
+	}
+	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", r.Reason())
 }
 
+// Reloaded records for log lines that the operator asked the process to reload its settings.
+func (n *Node) Reloaded() { n.server.Reloaded() }
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = io.WriteString(w, n.vars.String()+"\n")
--- a/io/gateway/stop_test.go
+++ b/io/gateway/stop_test.go
@@ -52,12 +52,20 @@
 func newFront(t *testing.T, decide func(f *front, ev event.Event)) *front {
 	f := &front{unanswered: make(chan gateway.OpenRequest, 1), vars: new(expvar.Map)}
 	f.Server = gateway.New(dialect{}, upstream.New(), func(ev event.Event) { decide(f, ev) },
-		gateway.WithVars(f.vars), gateway.WithUnanswered(func(r gateway.OpenRequest) { f.unanswered <- r }))
+		gateway.WithVars(f.vars), gateway.WithUnanswered(f.reportUnanswered))
 	f.http = httptest.NewServer(f.Server)
 	t.Cleanup(f.http.Close)
 	return f
 }
 
+// reportUnanswered keeps the first request that is reported.
+func (f *front) reportUnanswered(r gateway.OpenRequest) {
+	select {
+	case f.unanswered <- r:
+	default:
+	}
+}
+
 // forward sends a request to a server.
 func (f *front) forward(t proxy.Ticket, addr netip.AddrPort) {
 	_ = f.Execute(proxy.Forward{Ticket: t, Server: batch.Target{ID: "s", Addr: addr}, Hold: true, Until: time.Now().Add(testTimeout)})
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -98,6 +98,7 @@
 	}
 	if !x.responseStarted {
 		x.responseStarted = true
+		x.setProgress(responding)
 		x.copyHeaders(resp)
 		x.position.removeLength(x.w.Header())
 		x.w.WriteHeader(resp.StatusCode)
@@ -110,7 +111,7 @@
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
-	x.events += countEvents(events)
+	x.events.Add(int64(countEvents(events)))
 	return control.Flush()
 }
 
@@ -136,7 +137,7 @@
 		return x.reportInterrupted(err, res)
 	}
 	x.countFinished()
-	res.Events = x.events
+	res.Events = int(x.events.Load())
 	x.reportSuccess(res)
 	return true
 }
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,7 @@
 
 // guardedConn is a caller's connection.
 type guardedConn struct {
-	net.Conn
+	*trackedConn
 	guard *Guard
 	id    callerlimit.Conn
 	taken int64 // of the budget; guard.mu protects it
@@ -45,16 +44,18 @@
 
 // Read reads from the connection. It counts what is read of a header, and fails if there is no memory for it.
 func (c *guardedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.trackedConn.Read(p)
 	if n == 0 || !c.inHeader.Load() {
 		return n, err
 	}
 	c.headerBytes += n
 	c.headerLines += bytes.Count(p[:n], []byte{'\n'})
 	if c.headerLines > c.guard.limits.Lines {
+		c.endBy(ByGuard)
 		return 0, errHeaderLines
 	}
 	if cost := c.headerCost(); cost > 0 && !c.guard.hold(c, cost) {
+		c.endBy(ByGuard)
 		return 0, errMemory
 	}
 	return n, err
@@ -69,7 +70,7 @@
 		if err := c.SetWriteDeadline(time.Now().Add(c.guard.limits.Write)); err != nil {
 			return written, err
 		}
-		n, err := c.Conn.Write(piece)
+		n, err := c.trackedConn.Write(piece)
 		written += n
 		if err != nil || written == len(p) {
 			return written, err
@@ -77,25 +78,17 @@
 	}
 }
 
-// CloseWrite closes the writing side of the connection, if it supports that.
-func (c *guardedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
 // Close closes the connection and returns what it has taken.
 func (c *guardedConn) Close() error {
 	c.guard.mu.Lock()
 	c.guard.remove(c)
 	c.guard.mu.Unlock()
-	return c.Conn.Close()
+	return c.trackedConn.Close()
 }
 
-// beginRequest records that the headers of a request have arrived. If there is a body, it sets a read deadline, which also bounds
+// headerComplete records that the headers of a request have arrived. If there is a body, it sets a read deadline, which also bounds
 // the read of a body that the handler leaves unread. c may be nil.
-func (c *guardedConn) beginRequest(r *http.Request) {
+func (c *guardedConn) headerComplete(r *http.Request) {
 	if c == nil {
 		return
 	}
@@ -108,9 +101,9 @@
 	c.guard.setPhase(c, phase)
 }
 
-// endRequest returns the memory of the request. The connection is in phase Reading until the server makes it idle, because a part
+// releaseRequest returns the memory of the request. The connection is in phase Reading until the server makes it idle, because a part
 // of the body may be unread. c may be nil.
-func (c *guardedConn) endRequest() {
+func (c *guardedConn) releaseRequest() {
 	if c == nil {
 		return
 	}
@@ -119,8 +112,8 @@
 	c.guard.setPhase(c, callerlimit.Reading)
 }
 
-// becomeIdle records that all requests have been answered.
-func (c *guardedConn) becomeIdle() {
+// expectHeader records that all requests have been answered.
+func (c *guardedConn) expectHeader() {
 	c.inHeader.Store(true)
 	c.guard.setPhase(c, callerlimit.Idle)
 }
--- a/io/httpserver/guard.go
+++ b/io/httpserver/guard.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"context"
 	"errors"
 	"expvar"
 	"fmt"
@@ -76,17 +75,14 @@
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
-		c.beginRequest(r)
-		defer c.endRequest()
+		c.headerComplete(r)
+		defer c.releaseRequest()
 		next.ServeHTTP(w, r)
 	})
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
-	}
 	state := server.ConnState
 	server.ConnState = func(conn net.Conn, s http.ConnState) {
 		if c, ok := conn.(*guardedConn); ok && s == http.StateIdle {
-			c.becomeIdle()
+			c.expectHeader()
 		}
 		if state != nil {
 			state(conn, s)
@@ -103,7 +99,7 @@
 	return c
 }
 
-// listener accepts connections that the guard admits.
+// listener accepts connections that the guard admits. Its own listener wraps them.
 type listener struct {
 	net.Listener
 	guard *Guard
@@ -116,7 +112,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.guard.admit(conn); c != nil {
+		if c := l.guard.admit(conn.(*trackedConn)); c != nil {
 			return c, nil
 		}
 		_ = conn.Close()
@@ -124,13 +120,13 @@
 }
 
 // admit returns the guarded connection, or nil if it is refused.
-func (g *Guard) admit(conn net.Conn) *guardedConn {
+func (g *Guard) admit(conn *trackedConn) *guardedConn {
 	now := time.Now()
 	from, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastConn++
-	c := &guardedConn{Conn: conn, guard: g, id: g.lastConn}
+	c := &guardedConn{trackedConn: conn, guard: g, id: g.lastConn}
 	c.inHeader.Store(true)
 	evicted, ok := g.table.Open(now, c.id, from.Addr())
 	g.evict(now, evicted)
@@ -211,7 +207,8 @@
 	g.vars.Add("callers_closed", 1)
 	g.closed++
 	g.reportRefused(now)
-	_ = c.Conn.Close()
+	c.endBy(ByGuard)
+	_ = c.trackedConn.Close()
 }
 
 // countRefused counts a refused connection or request. The caller must hold g.mu.
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	open        int    // connections that are not closed
 	onEmpty     func() // called when no connection is open, nil for none
 	beforeClose func() // called before connections in use are closed, nil for none
+
+	onUnanswered func(Unanswered) // nil for none
+	phase        atomic.Int32     // the Cause for which the server closes connections, 0 for none
 }
 
 // Option configures a Server.
@@ -45,13 +49,7 @@
 	if s.guard != nil {
 		s.guard.install(server)
 	}
-	next := server.ConnState
-	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		s.trackState(state)
-		if next != nil {
-			next(conn, state)
-		}
-	}
+	s.track(server)
 	return s, nil
 }
 
@@ -63,9 +61,9 @@
 
 // Serve accepts connections until the server fails, or until Stop has returned.
 func (s *Server) Serve() error {
-	accept := s.listener
+	var accept net.Listener = trackingListener{s.listener, s}
 	if s.guard != nil {
-		accept = &listener{s.listener, s.guard}
+		accept = &listener{accept, s.guard}
 	}
 	err := s.http.Serve(accept)
 	close(s.served)
@@ -81,6 +79,7 @@
 func (s *Server) Drain(empty func()) {
 	_ = s.listener.Close()
 	<-s.served
+	s.phase.Store(int32(ByDrain))
 	s.http.SetKeepAlivesEnabled(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,9 +101,13 @@
 			s.beforeClose()
 		}
 	}
+	s.phase.Store(int32(ByExit))
 	_ = s.http.Close()
 }
 
+// closing returns why the server closes connections at present, 0 if it does not.
+func (s *Server) closing() Cause { return Cause(s.phase.Load()) }
+
 // Close closes the listener of a server that has not served.
 func (s *Server) Close() error { return s.listener.Close() }
 
--- /dev/null
+++ b/io/httpserver/tracked.go
@@ -0,0 +1,283 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// connState says which part of a request a connection is in.
+type connState int32
+
+const (
+	connWaiting  connState = iota // no byte of the next request was read
+	connReading                   // the head of a request is being read
+	connHandling                  // the handler is running
+	connAnswered                  // the handler has returned, and the response may be buffered
+	connAborted                   // the handler has panicked
+	connClosed
+)
+
+// backgroundReadBytes is the size of the reads by which net/http watches a connection while a handler runs. What such a read returns
+// belongs to the next request.
+const backgroundReadBytes = 1
+
+// trackedConn is a caller's connection. It knows whether a request is in progress on it, and why it was closed.
+type trackedConn struct {
+	net.Conn
+	server *Server
+
+	state     atomic.Int32 // a connState
+	since     atomic.Int64 // Unix time in nanoseconds at which it began to wait, or to read a request
+	readAhead atomic.Bool  // part of the next request was read while a handler ran
+	used      atomic.Bool  // a request was handled
+	wrote     atomic.Bool  // something was written since the head of the request began
+	writeErr  atomic.Bool  // a write has failed
+	endedBy   atomic.Int32 // a Cause; the first one counts
+}
+
+func newTrackedConn(conn net.Conn, s *Server) *trackedConn {
+	c := &trackedConn{Conn: conn, server: s}
+	c.since.Store(time.Now().UnixNano())
+	return c
+}
+
+// connHolder is a connection that wraps a trackedConn.
+type connHolder interface{ tracked() *trackedConn }
+
+func (c *trackedConn) tracked() *trackedConn { return c }
+
+// trackedOf returns the connection that net/http got from a Server, nil for another one.
+func trackedOf(conn net.Conn) *trackedConn {
+	if h, ok := conn.(connHolder); ok {
+		return h.tracked()
+	}
+	return nil
+}
+
+// trackingListener wraps the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next connection.
+func (l trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newTrackedConn(conn, l.server), nil
+}
+
+// Read reads from the connection, and records that a request has begun.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.recordRead(len(p))
+	}
+	if err != nil {
+		c.endBy(readCause(err, len(p)))
+	}
+	return n, err
+}
+
+func (c *trackedConn) recordRead(size int) {
+	switch connState(c.state.Load()) {
+	case connWaiting:
+		c.wrote.Store(false)
+		c.since.Store(time.Now().UnixNano())
+		c.state.CompareAndSwap(int32(connWaiting), int32(connReading))
+	case connHandling, connAnswered:
+		if size == backgroundReadBytes {
+			c.readAhead.Store(true)
+		}
+	}
+}
+
+// Write writes to the connection.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.wrote.Store(true)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr.Store(true)
+		c.endBy(writeCause(err))
+	}
+	return n, err
+}
+
+// CloseWrite closes the writing side of the connection, if it supports that.
+func (c *trackedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection, and reports a request that is left without a complete response.
+func (c *trackedConn) Close() error {
+	if old := connState(c.state.Swap(int32(connClosed))); old != connClosed {
+		c.endBy(c.server.closing())
+		c.reportUnanswered(old)
+	}
+	return c.Conn.Close()
+}
+
+// beginRequest records that a handler begins.
+func (c *trackedConn) beginRequest() {
+	c.readAhead.Store(false)
+	c.used.Store(true)
+	c.changeState(connHandling)
+}
+
+// endRequest records that a handler has ended. net/http closes the connection before, if a write fails.
+func (c *trackedConn) endRequest(returned bool) {
+	switch {
+	case !returned:
+		c.changeState(connAborted)
+	case connState(c.state.Load()) == connClosed:
+		c.reportUnanswered(connAnswered)
+	default:
+		c.changeState(connAnswered)
+	}
+}
+
+// becomeIdle records that the response was written.
+func (c *trackedConn) becomeIdle() {
+	c.since.Store(time.Now().UnixNano())
+	if c.readAhead.Load() {
+		c.wrote.Store(false)
+		c.changeState(connReading)
+		return
+	}
+	c.changeState(connWaiting)
+}
+
+// changeState changes the state of a connection that is open.
+func (c *trackedConn) changeState(to connState) {
+	for {
+		old := c.state.Load()
+		if connState(old) == connClosed || c.state.CompareAndSwap(old, int32(to)) {
+			return
+		}
+	}
+}
+
+// endBy records why the connection ends, unless a cause is known already.
+func (c *trackedConn) endBy(cause Cause) {
+	if cause != 0 {
+		c.endedBy.CompareAndSwap(0, int32(cause))
+	}
+}
+
+// reportUnanswered reports a request whose head was not complete and which net/http has not rejected, or whose response could not be
+// written. A handler knows of all others.
+func (c *trackedConn) reportUnanswered(state connState) {
+	if c.server.onUnanswered == nil {
+		return
+	}
+	u := Unanswered{By: Cause(c.endedBy.Load()), Age: time.Since(time.Unix(0, c.since.Load()))}
+	switch {
+	case state == connReading && !c.wrote.Load():
+		u.Progress = "head"
+	case state == connAnswered && c.writeErr.Load():
+		u.Progress = "response"
+	default:
+		return
+	}
+	c.server.onUnanswered(u)
+}
+
+// Cause says why a connection was closed.
+type Cause int32
+
+// Causes, of which 0 stands for none.
+const (
+	ByCaller       Cause = iota + 1 // it has closed the connection, or its side of it
+	ByReadTimeout                   // a request did not arrive in time
+	ByWriteTimeout                  // a response was not read in time
+	ByIdleTimeout
+	ByDrain
+	ByGuard // it was closed to make room
+	ByExit
+)
+
+// String returns the name of the cause in log lines and metrics.
+func (c Cause) String() string {
+	return [...]string{"server", "caller", "read_timeout", "write_timeout", "idle", "drain", "guard", "exit"}[c]
+}
+
+// Unanswered describes a request that no handler saw, or whose response could not be written, when its connection was closed.
+type Unanswered struct {
+	By       Cause
+	Progress string        // "head" if no handler has seen it, "response" if its response could not be written
+	Age      time.Duration // since its first byte
+}
+
+// WithUnanswered sets a function that is told of requests that no handler reports, when their connections are closed. It must not
+// call the server.
+func WithUnanswered(f func(Unanswered)) Option { return func(s *Server) { s.onUnanswered = f } }
+
+// ClosedBy returns why the connection of a request was closed, 0 if that is not known.
+func ClosedBy(r *http.Request) Cause {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	if c := trackedOf(conn); c != nil {
+		return Cause(c.endedBy.Load())
+	}
+	return 0
+}
+
+// readCause returns the cause for a failed read into a buffer of the given size. net/http ends its own background reads by a deadline.
+func readCause(err error, size int) Cause {
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET):
+		return ByCaller
+	case errors.Is(err, os.ErrDeadlineExceeded) && size != backgroundReadBytes:
+		return ByReadTimeout
+	}
+	return 0
+}
+
+// writeCause returns the cause for a failed write.
+func writeCause(err error) Cause {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ByWriteTimeout
+	case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
+		return ByCaller
+	}
+	return 0
+}
+
+// track makes an HTTP server record the state of its connections.
+func (s *Server) track(server *http.Server) {
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		c := trackedOf(conn)
+		c.beginRequest()
+		returned := false
+		defer func() { c.endRequest(returned) }()
+		next.ServeHTTP(w, r)
+		returned = true
+	})
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	hook := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			trackedOf(conn).becomeIdle()
+		}
+		s.trackState(state)
+		if hook != nil {
+			hook(conn, state)
+		}
+	}
+}
