Don't close a connection as idle while a request is read from it

A stopping node closes its idle connections. Callers that were sending a request on one got the end of the connection instead of an answer, and the request could still be sent to a server afterwards.

Cause: SetKeepAlivesEnabled(false) closes the connections that net/http reports as idle. It reports a connection as active only when the whole head was read and parsed. A head that is read in parts is cut off, and one that is complete at that moment is passed to the handler, whose connection is closed already.

A connection now changes from waiting to reading with the first byte, and from waiting to closed by a drain, in one atomic variable: one of them comes first. After the close nothing that was read is passed on, so that no handler runs. Responses during a drain have Connection: close, and a connection whose response had begun before is closed after it.

--- a/io/httpserver/body.go
+++ b/io/httpserver/body.go
@@ -29,7 +29,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	raw, err := b.read(http.MaxBytesReader(w, r.Body, limit))
+	raw, err := b.read(http.MaxBytesReader(unwrap(w), r.Body, limit))
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		return nil, err
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -19,9 +19,9 @@
 	stopped  chan struct{} // closed at the end of Stop
 
 	mu          sync.Mutex
-	open        int    // connections that are not closed
-	onEmpty     func() // called when no connection is open, nil for none
-	beforeClose func() // called before connections in use are closed, nil for none
+	conns       map[*trackedConn]struct{} // that are not closed
+	onEmpty     func()                    // called when no connection is open, nil for none
+	beforeClose func()                    // called before connections in use are closed, nil for none
 
 	onUnanswered func(Unanswered) // nil for none
 	phase        atomic.Int32     // the Cause for which the server closes connections, 0 for none
@@ -42,7 +42,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{http: server, listener: listener, served: make(chan struct{}), stopped: make(chan struct{})}
+	s := &Server{
+		http: server, listener: listener, served: make(chan struct{}), stopped: make(chan struct{}),
+		conns: map[*trackedConn]struct{}{},
+	}
 	for _, o := range opts {
 		o(s)
 	}
@@ -80,9 +83,11 @@
 	_ = s.listener.Close()
 	<-s.served
 	s.phase.Store(int32(ByDrain))
-	s.http.SetKeepAlivesEnabled(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle(ByDrain)
+	}
 	s.onEmpty = empty
 	s.callIfEmpty()
 }
@@ -111,20 +116,28 @@
 // Close closes the listener of a server that has not served.
 func (s *Server) Close() error { return s.listener.Close() }
 
-func (s *Server) trackState(state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// trackState records the state that net/http reports of a connection.
+func (s *Server) trackState(c *trackedConn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		s.open++
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conns[c] = struct{}{}
+	case http.StateIdle:
+		c.becomeIdle()
+		if s.closing() != 0 {
+			c.closeIdle(ByDrain)
+		}
 	case http.StateClosed, http.StateHijacked:
-		s.open--
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
 		s.callIfEmpty()
 	}
 }
 
 func (s *Server) callIfEmpty() {
-	if s.open == 0 && s.onEmpty != nil {
+	if len(s.conns) == 0 && s.onEmpty != nil {
 		s.onEmpty()
 		s.onEmpty = nil
 	}
--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -79,8 +79,8 @@
 // Read reads from the connection, and records that a request has begun.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.recordRead(len(p))
+	if n > 0 && !c.recordRead(len(p)) {
+		return 0, net.ErrClosed // what was read is not handled, because the connection was closed before
 	}
 	if err != nil {
 		c.endBy(readCause(err, len(p)))
@@ -88,17 +88,21 @@
 	return n, err
 }
 
-func (c *trackedConn) recordRead(size int) {
+// recordRead records a read into a buffer of the given size, or reports false if the connection was closed before.
+func (c *trackedConn) recordRead(size int) bool {
 	switch connState(c.state.Load()) {
 	case connWaiting:
 		c.wrote.Store(false)
 		c.since.Store(time.Now().UnixNano())
-		c.state.CompareAndSwap(int32(connWaiting), int32(connReading))
+		return c.state.CompareAndSwap(int32(connWaiting), int32(connReading))
 	case connHandling, connAnswered:
 		if size == backgroundReadBytes {
 			c.readAhead.Store(true)
 		}
+	case connClosed:
+		return false
 	}
+	return true
 }
 
 // Write writes to the connection.
@@ -129,22 +133,34 @@
 	return c.Conn.Close()
 }
 
-// beginRequest records that a handler begins.
-func (c *trackedConn) beginRequest() {
+// closeIdle closes the connection if it has been used, and no byte of the next request was read. Either the close or the request
+// comes first: after the close, no more requests are handled.
+func (c *trackedConn) closeIdle(cause Cause) {
+	if c.used.Load() && c.state.CompareAndSwap(int32(connWaiting), int32(connClosed)) {
+		c.endBy(cause)
+		_ = c.Conn.Close()
+	}
+}
+
+// beginRequest records that a handler begins, or reports false if the connection was closed before.
+func (c *trackedConn) beginRequest() bool {
 	c.readAhead.Store(false)
 	c.used.Store(true)
-	c.changeState(connHandling)
+	if c.changeState(connHandling) {
+		return true
+	}
+	c.reportUnanswered(connReading)
+	return false
 }
 
 // endRequest records that a handler has ended. net/http closes the connection before, if a write fails.
 func (c *trackedConn) endRequest(returned bool) {
-	switch {
-	case !returned:
+	if !returned {
 		c.changeState(connAborted)
-	case connState(c.state.Load()) == connClosed:
+		return
+	}
+	if !c.changeState(connAnswered) {
 		c.reportUnanswered(connAnswered)
-	default:
-		c.changeState(connAnswered)
 	}
 }
 
@@ -159,12 +175,15 @@
 	c.changeState(connWaiting)
 }
 
-// changeState changes the state of a connection that is open.
-func (c *trackedConn) changeState(to connState) {
+// changeState changes the state, or reports false if the connection is closed.
+func (c *trackedConn) changeState(to connState) bool {
 	for {
 		old := c.state.Load()
-		if connState(old) == connClosed || c.state.CompareAndSwap(old, int32(to)) {
-			return
+		if connState(old) == connClosed {
+			return false
+		}
+		if c.state.CompareAndSwap(old, int32(to)) {
+			return true
 		}
 	}
 }
@@ -255,16 +274,20 @@
 	return 0
 }
 
-// track makes an HTTP server record the state of its connections.
+// track makes an HTTP server record the state of its connections, and close them after their responses during a drain.
 func (s *Server) track(server *http.Server) {
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connKey{}).(net.Conn)
 		c := trackedOf(conn)
-		c.beginRequest()
+		if !c.beginRequest() {
+			panic(http.ErrAbortHandler)
+		}
 		returned := false
 		defer func() { c.endRequest(returned) }()
-		next.ServeHTTP(w, r)
+		writer := closingWriter{w, s}
+		next.ServeHTTP(writer, r)
+		writer.announceClose()
 		returned = true
 	})
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -272,10 +295,7 @@
 	}
 	hook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if state == http.StateIdle {
-			trackedOf(conn).becomeIdle()
-		}
-		s.trackState(state)
+		s.trackState(trackedOf(conn), state)
 		if hook != nil {
 			hook(conn, state)
 		}
--- a/io/httpserver/tracked_test.go
+++ b/io/httpserver/tracked_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,8 +19,9 @@
 // watchedServer is a server that tells what it reads.
 type watchedServer struct {
 	*httpserver.Server
-	read       chan int // bytes of each read
-	held       chan struct{}
+	read       chan int                      // bytes of each read
+	held       atomic.Pointer[chan struct{}] // reads return nothing until it is closed, nil for at once
+	states     chan http.ConnState           // idle and closed
 	unanswered chan httpserver.Unanswered
 	served     chan error
 }
@@ -34,14 +36,20 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.server.read <- n
-		<-c.server.held
+		if held := c.server.held.Load(); held != nil {
+			<-*held
+		}
 	}
 	return n, err
 }
 
-// startWatched starts a server. While held is open, reads return nothing to it.
-func startWatched(t *testing.T, server *http.Server, held chan struct{}, opts ...httpserver.Option) *watchedServer {
-	s := &watchedServer{read: make(chan int, 100), held: held, unanswered: make(chan httpserver.Unanswered, 10), served: make(chan error, 1)}
+func startWatched(t *testing.T, server *http.Server, opts ...httpserver.Option) *watchedServer {
+	s := &watchedServer{read: make(chan int, 100), states: make(chan http.ConnState, 100), unanswered: make(chan httpserver.Unanswered, 10), served: make(chan error, 1)}
+	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle || state == http.StateClosed {
+			s.states <- state
+		}
+	}
 	opts = append(opts, httpserver.WithUnanswered(func(u httpserver.Unanswered) { s.unanswered <- u }))
 	var err error
 	s.Server, err = httpserver.New(netip.MustParseAddrPort("127.0.0.1:0"), server, opts...)
@@ -51,11 +59,11 @@
 	return s
 }
 
-// released returns a closed channel, for reads that are not held back.
-func released() chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
+// holdReads lets reads return nothing until the returned function is called.
+func (s *watchedServer) holdReads() (release func()) {
+	held := make(chan struct{})
+	s.held.Store(&held)
+	return func() { close(held) }
 }
 
 // send sends part of a request, and returns when the server has read it.
@@ -70,6 +78,12 @@
 	}
 }
 
+// expectState waits for the next state of a connection, which is idle or closed.
+func (s *watchedServer) expectState(t *testing.T, state http.ConnState) {
+	t.Helper()
+	NewWithT(t).Eventually(s.states, testTimeout).Should(Receive(Equal(state)))
+}
+
 func (s *watchedServer) dial(t *testing.T) net.Conn {
 	conn, err := net.Dial("tcp", s.Addr().String())
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
@@ -107,7 +121,7 @@
 func TestUnanswered(t *testing.T) {
 	part := request[:20]
 	t.Run("exit", func(t *testing.T) {
-		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)}, released())
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)})
 		s.send(t, s.dial(t), part)
 		s.stop(t)
 		s.expectUnanswered(t, httpserver.ByExit, "head")
@@ -121,13 +135,13 @@
 				}
 			}
 		}
-		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(endless)}, released(), httpserver.WithGuard(guard))
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(endless)}, httpserver.WithGuard(guard))
 		s.send(t, s.dial(t), request)
 		s.expectUnanswered(t, httpserver.ByWriteTimeout, "response")
 		s.stop(t)
 	})
 	t.Run("answered, or nothing sent", func(t *testing.T) {
-		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)}, released())
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)})
 		s.dial(t)
 		conn := s.dial(t)
 		s.send(t, conn, request)
@@ -139,3 +153,79 @@
 		NewWithT(t).Expect(s.unanswered).NotTo(Receive())
 	})
 }
+
+// closeDuringRequest answers one request on a connection. While the server reads a second one, it calls closeIdle, which is to close
+// connections that are idle.
+func closeDuringRequest(t *testing.T, closeIdle func(*watchedServer), opts ...httpserver.Option) {
+	t.Run("part of the next head was read", func(t *testing.T) {
+		g := NewWithT(t)
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)}, opts...)
+		conn := s.dial(t)
+		s.send(t, conn, request)
+		readResponse(t, conn)
+		s.expectState(t, http.StateIdle)
+		s.send(t, conn, request[:20])
+		closeIdle(s)
+		_, err := io.WriteString(conn, request[20:])
+		g.Expect(err).NotTo(HaveOccurred())
+		readResponse(t, conn)
+		s.stop(t)
+		g.Expect(s.unanswered).NotTo(Receive())
+	})
+	t.Run("the next request is read after the close", func(t *testing.T) {
+		g := NewWithT(t)
+		handled := make(chan struct{}, 2)
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handled <- struct{}{}
+			answer(w, r)
+		})}, opts...)
+		conn := s.dial(t)
+		s.send(t, conn, request)
+		readResponse(t, conn)
+		g.Eventually(handled, testTimeout).Should(Receive())
+		s.expectState(t, http.StateIdle)
+		release := s.holdReads()
+		s.send(t, conn, request)
+		closeIdle(s)
+		release()
+		s.expectState(t, http.StateClosed)
+		s.stop(t)
+		g.Expect(handled).NotTo(Receive(), "a request without a connection is handled")
+	})
+}
+
+// TestDrainDuringRequest guards against a drain that closes a connection as idle of which it has read part of a request, and against
+// running a request whose connection it has closed.
+func TestDrainDuringRequest(t *testing.T) {
+	closeDuringRequest(t, func(s *watchedServer) { s.Drain(func() {}) })
+}
+
+// TestDrainDuringResponse guards against a connection that stays open after a response whose head was sent before the drain, and
+// against a caller that uses a connection again because the response did not say that it is closed.
+func TestDrainDuringResponse(t *testing.T) {
+	for name, flush := range map[string]bool{"head sent": true, "head not sent": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			entered, release := make(chan struct{}), make(chan struct{})
+			s := startWatched(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if flush {
+					_ = http.NewResponseController(w).Flush()
+				}
+				close(entered)
+				<-release
+				_, _ = w.Write(body)
+			})})
+			conn := s.dial(t)
+			s.send(t, conn, request)
+			<-entered
+			empty := make(chan struct{})
+			s.Drain(func() { close(empty) })
+			close(release)
+			resp := readResponse(t, conn)
+			g.Expect(resp.Close).To(Equal(!flush))
+			g.Eventually(empty, testTimeout).Should(BeClosed())
+			s.stop(t)
+		})
+	}
+}
