Don't let the idle timeout close a connection on which a request begins

A caller that sent a request on a connection that had been idle for nearly the idle timeout got the end of the connection while its head was being read. A configuration that lowers the timeout closes many connections at once that way.

Cause: the gateway took a connection for idle until net/http reported it as active, which it does when the whole head is parsed. httpserver, which knows of the first byte, closes expired connections now, with the same claim as a drain. A head that does not arrive within twice the header timeout still ends its connection; net/http has no limit for its first three bytes.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -73,7 +73,6 @@
 	ready      atomic.Bool
 	draining   atomic.Bool
 	lastTicket atomic.Uint64
-	idleConns  *idleConns
 	latency    latencies
 	stopped    context.Context // ended by Stop
 	stop       context.CancelFunc
@@ -98,7 +97,7 @@
 func New(dialect Dialect, client *upstream.Client, deliver func(event.Event), opts ...Option) *Server {
 	s := &Server{
 		dialect: dialect, client: client, deliver: deliver, vars: new(expvar.Map),
-		inProgress: map[proxy.Ticket]*exchange{}, idleConns: newIdleConns(),
+		inProgress:   map[proxy.Ticket]*exchange{},
 		onUnanswered: func(OpenRequest) {},
 	}
 	s.stopped, s.stop = context.WithCancel(context.Background())
@@ -137,7 +136,6 @@
 		s.changes.config.now()
 		s.limits.Store(&a.Limits)
 		s.catalog.Store(a.Catalog)
-		s.idleConns.setTimeout(a.Limits.IdleTime)
 	case proxy.ConnLimited:
 		s.vars.Add("conn_limit_"+string(a.Outcome), 1)
 	case proxy.Drain:
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -40,6 +40,8 @@
 	maxHeaderBytes = 64 << 10
 	// shutdownTimeout is how long a stopping node waits for responses in progress.
 	shutdownTimeout = 200 * time.Millisecond
+	// idleCheckInterval is the time between two checks for idle caller connections.
+	idleCheckInterval = time.Second
 	// guardReportInterval is the least time between two log lines about callers outside the limits, at all addresses together.
 	guardReportInterval = time.Second
 	// unansweredPerSecond and unansweredBurst limit the log lines about unanswered requests, of which a server that fails causes many.
@@ -178,11 +180,10 @@
 		addr    netip.AddrPort
 		callers bool
 		handler http.Handler
-		state   func(net.Conn, http.ConnState)
 	}{
-		{"callers", cfg.Callers, true, n.server, n.server.idleConns.trackState},
-		{"the load balancer", cfg.Ready, false, routes, nil},
-		{"metrics", cfg.Metrics, false, metrics, nil},
+		{"callers", cfg.Callers, true, n.server},
+		{"the load balancer", cfg.Ready, false, routes},
+		{"metrics", cfg.Metrics, false, metrics},
 	} {
 		if !endpoint.addr.IsValid() {
 			continue
@@ -191,7 +192,7 @@
 		if endpoint.callers {
 			options = append(options, httpserver.WithUnanswered(n.server.ReportConn))
 		}
-		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop, options...)
+		s, err := newHTTPServer(endpoint.addr, endpoint.handler, n.loop, options...)
 		if err != nil {
 			for _, open := range n.httpServers {
 				_ = open.Close()
@@ -277,7 +278,7 @@
 // Run serves until the decision logic exits or a component fails; all components stop together.
 func (n *Node) Run() error {
 	var group run.Group
-	components := []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run}
+	components := []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.closeIdleConns}
 	if n.control != nil {
 		components = append(components, n.control.Run)
 	}
@@ -305,9 +306,23 @@
 	return nil
 }
 
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
+// closeIdleConns closes callers' connections that exceed the idle timeout of the configuration, until the context ends.
+func (n *Node) closeIdleConns(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.httpServers[0].CloseIdle(n.server.limits.Load().IdleTime)
+		}
+	}
+}
+
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, loop *runtime.Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
 	return httpserver.New(addr, &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: state,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(runtime.ReportWriter(loop), "", 0),
 	}, opts...)
 }
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -10,6 +10,10 @@
 	"time"
 )
 
+// lateHeadFactor is the time after which CloseIdle closes a connection without a complete head, as a multiple of ReadHeaderTimeout.
+// net/http applies that timeout by itself from the fourth byte on, and answers some of these requests.
+const lateHeadFactor = 2
+
 // Server is an HTTP server with its listener.
 type Server struct {
 	http     *http.Server
@@ -92,6 +96,17 @@
 	s.callIfEmpty()
 }
 
+// CloseIdle closes the connections that have been idle for longer than a time, 0 for none. A connection on which a request begins is
+// not idle; it is closed if the head does not arrive for much longer than http.Server.ReadHeaderTimeout.
+func (s *Server) CloseIdle(longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		c.closeExpired(now, longest, lateHeadFactor*s.http.ReadHeaderTimeout)
+	}
+}
+
 // Stop drains the server, and closes the connections that are open after the timeout. Serve must have been called.
 func (s *Server) Stop(timeout time.Duration) {
 	defer close(s.stopped)
--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// expired reports whether the connection has been in its state for longer than a time, 0 for no limit.
+func (c *trackedConn) expired(now time.Time, longest time.Duration) bool {
+	return longest > 0 && now.Sub(time.Unix(0, c.since.Load())) > longest
+}
+
+// closeExpired closes the connection if it has been idle for longer than idleTime, or the head of a request did not arrive within
+// headTime; 0 stands for no limit.
+func (c *trackedConn) closeExpired(now time.Time, idleTime, headTime time.Duration) {
+	switch connState(c.state.Load()) {
+	case connWaiting:
+		if c.expired(now, idleTime) {
+			c.closeIdle(ByIdleTimeout)
+		}
+	case connReading:
+		if c.expired(now, headTime) && c.state.CompareAndSwap(int32(connReading), int32(connClosed)) {
+			c.endBy(ByReadTimeout)
+			c.reportUnanswered(connReading)
+			_ = c.Conn.Close()
+		}
+	}
+}
+
 // beginRequest records that a handler begins, or reports false if the connection was closed before.
 func (c *trackedConn) beginRequest() bool {
 	c.readAhead.Store(false)
--- a/io/httpserver/tracked_test.go
+++ b/io/httpserver/tracked_test.go
@@ -159,7 +159,7 @@
 func closeDuringRequest(t *testing.T, closeIdle func(*watchedServer), opts ...httpserver.Option) {
 	t.Run("part of the next head was read", func(t *testing.T) {
 		g := NewWithT(t)
-		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)}, opts...)
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer), ReadHeaderTimeout: testTimeout}, opts...)
 		conn := s.dial(t)
 		s.send(t, conn, request)
 		readResponse(t, conn)
@@ -200,6 +200,39 @@
 	closeDuringRequest(t, func(s *watchedServer) { s.Drain(func() {}) })
 }
 
+// TestIdleTimeoutDuringRequest guards against the same faults of an idle timeout, which a configuration can lower, and against a
+// connection that a single byte keeps open.
+func TestIdleTimeoutDuringRequest(t *testing.T) {
+	closeDuringRequest(t, func(s *watchedServer) { s.CloseIdle(time.Nanosecond) })
+	t.Run("no request", func(t *testing.T) {
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)})
+		conn := s.dial(t)
+		s.send(t, conn, request)
+		readResponse(t, conn)
+		s.expectState(t, http.StateIdle)
+		s.CloseIdle(0)
+		s.CloseIdle(time.Minute)
+		NewWithT(t).Consistently(s.states, 20*time.Millisecond).ShouldNot(Receive())
+		s.CloseIdle(time.Nanosecond)
+		s.expectState(t, http.StateClosed)
+		s.stop(t)
+	})
+	t.Run("a head that does not arrive", func(t *testing.T) {
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer), ReadHeaderTimeout: 50 * time.Millisecond})
+		conn := s.dial(t)
+		s.send(t, conn, request)
+		readResponse(t, conn)
+		s.expectState(t, http.StateIdle)
+		s.send(t, conn, request[:1])
+		NewWithT(t).Eventually(func() int {
+			s.CloseIdle(time.Nanosecond)
+			return len(s.unanswered)
+		}, testTimeout).Should(Equal(1))
+		s.expectUnanswered(t, httpserver.ByReadTimeout, "head")
+		s.stop(t)
+	})
+}
+
 // TestDrainDuringResponse guards against a connection that stays open after a response whose head was sent before the drain, and
 // against a caller that uses a connection again because the response did not say that it is closed.
 func TestDrainDuringResponse(t *testing.T) {
