Let the goroutine that reads a connection close it as idle

Callers that send a request on a kept connection at the moment of a drain or of the idle timeout got the end of the connection.

Cause: the drain decides from another goroutine whether a connection is idle, and does not know what the socket holds or what has just been read. The close and the first read of a request could only be ordered, so that the request was dropped if the close came first.

closeIdle now ends the pending read. The goroutine that was reading takes what has arrived, waits 5 ms more, and closes the connection only if there is nothing. A request that was read or lies in the socket is answered.

--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 
 const (
 	connWaiting  connState = iota // no byte of the next request was read
+	connLeaving                   // the same, and the connection is closed as soon as there is nothing more to read
 	connReading                   // the head of a request is being read
 	connHandling                  // the handler is running
 	connAnswered                  // the handler has returned, and the response may be buffered
@@ -24,6 +26,12 @@
 	connClosed
 )
 
+// lastReadTime is how long a connection that is closed as idle waits for a request that is on its way.
+const lastReadTime = 5 * time.Millisecond
+
+// longPast is a deadline that ends a read at once.
+var longPast = time.Unix(1, 0)
+
 // backgroundReadBytes is the size of the reads by which net/http watches a connection while a handler runs. What such a read returns
 // belongs to the next request.
 const backgroundReadBytes = 1
@@ -40,6 +48,9 @@
 	wrote     atomic.Bool  // something was written since the head of the request began
 	writeErr  atomic.Bool  // a write has failed
 	endedBy   atomic.Int32 // a Cause; the first one counts
+
+	mu        sync.Mutex // protects changes to and from connLeaving, and the read deadline
+	leavingBy Cause      // why the connection is in connLeaving
 }
 
 func newTrackedConn(conn net.Conn, s *Server) *trackedConn {
@@ -79,6 +90,9 @@
 // Read reads from the connection, and records that a request has begun.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && connState(c.state.Load()) == connLeaving {
+		n, err = c.lastRead(p)
+	}
 	if n > 0 && !c.recordRead(len(p)) {
 		return 0, net.ErrClosed // what was read is not handled, because the connection was closed before
 	}
@@ -88,13 +102,49 @@
 	return n, err
 }
 
+// lastRead reads what has arrived on a connection that is to be closed as idle, and closes it if there is nothing. The goroutine that
+// reads closes it, so that a request whose bytes have arrived is never dropped.
+func (c *trackedConn) lastRead(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 && c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
+		c.endBy(c.leavingBy)
+		_ = c.Conn.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// stay makes a connection that was to be closed as idle stay open, because a request has begun. It reports false if the connection was
+// closed before.
+func (c *trackedConn) stay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.state.CompareAndSwap(int32(connLeaving), int32(connReading)) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection is to be closed as idle.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connState(c.state.Load()) == connLeaving {
+		t = longPast
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // recordRead records a read into a buffer of the given size, or reports false if the connection was closed before.
 func (c *trackedConn) recordRead(size int) bool {
 	switch connState(c.state.Load()) {
-	case connWaiting:
+	case connWaiting, connLeaving:
 		c.wrote.Store(false)
 		c.since.Store(time.Now().UnixNano())
-		return c.state.CompareAndSwap(int32(connWaiting), int32(connReading))
+		return c.state.CompareAndSwap(int32(connWaiting), int32(connReading)) || c.stay()
 	case connHandling, connAnswered:
 		if size == backgroundReadBytes {
 			c.readAhead.Store(true)
@@ -133,12 +183,14 @@
 	return c.Conn.Close()
 }
 
-// closeIdle closes the connection if it has been used, and no byte of the next request was read. Either the close or the request
-// comes first: after the close, no more requests are handled.
+// closeIdle closes the connection if it has been used, and no byte of the next request has arrived. The goroutine that waits for the
+// request does so.
 func (c *trackedConn) closeIdle(cause Cause) {
-	if c.used.Load() && c.state.CompareAndSwap(int32(connWaiting), int32(connClosed)) {
-		c.endBy(cause)
-		_ = c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.used.Load() && c.state.CompareAndSwap(int32(connWaiting), int32(connLeaving)) {
+		c.leavingBy = cause
+		_ = c.Conn.SetReadDeadline(longPast)
 	}
 }
 
