--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -40,8 +40,13 @@
 	maxHeaderBytes = 64 << 10
 	// shutdownTimeout is how long a stopping node waits for responses in progress.
 	shutdownTimeout = 200 * time.Millisecond
+	// idleCheckInterval is the time between two checks for idle caller connections.
+	idleCheckInterval = time.Second
 	// guardReportInterval is the least time between two log lines about callers outside the limits, at all addresses together.
 	guardReportInterval = time.Second
+	// unansweredPerSecond and unansweredBurst limit the log lines about unanswered requests, of which a server that fails causes many.
+	unansweredPerSecond = 50
+	unansweredBurst     = 500
 	// flushTimeout is how long a stopping node waits for queued messages to peers to be written.
 	flushTimeout = 100 * time.Millisecond
 )
@@ -103,11 +108,16 @@
 	logger      *log.Logger
 	httpServers []*httpserver.Server
 	correlator  *requestreply.Correlator // of operators' commands
+
+	unansweredLines *rate.Limiter
 }
 
 // NewNode opens the listeners of a node; nothing is served before Run.
 func NewNode(cfg Config) (*Node, error) {
-	n := &Node{vars: new(expvar.Map), logger: cfg.Logger, held: map[duty.Subject]bool{}}
+	n := &Node{
+		vars: new(expvar.Map), logger: cfg.Logger, held: map[duty.Subject]bool{},
+		unansweredLines: rate.NewLimiter(unansweredPerSecond, unansweredBurst),
+	}
 	if n.logger == nil {
 		n.logger = log.New(io.Discard)
 	}
@@ -170,16 +180,19 @@
 		addr    netip.AddrPort
 		callers bool
 		handler http.Handler
-		state   func(net.Conn, http.ConnState)
 	}{
-		{"callers", cfg.Callers, true, n.server, n.server.idleConns.trackState},
-		{"the load balancer", cfg.Ready, false, routes, nil},
-		{"metrics", cfg.Metrics, false, metrics, nil},
+		{"callers", cfg.Callers, true, n.server},
+		{"the load balancer", cfg.Ready, false, routes},
+		{"metrics", cfg.Metrics, false, metrics},
 	} {
 		if !endpoint.addr.IsValid() {
 			continue
 		}
-		s, err := newHTTPServer(endpoint.addr, endpoint.handler, endpoint.state, n.loop, guard(endpoint.callers)...)
+		options := guard(endpoint.callers)
+		if endpoint.callers {
+			options = append(options, httpserver.WithUnanswered(n.server.ReportConn))
+		}
+		s, err := newHTTPServer(endpoint.addr, endpoint.handler, n.loop, options...)
 		if err != nil {
 			for _, open := range n.httpServers {
 				_ = open.Close()
@@ -211,11 +224,18 @@
 	}
 }
 
-// logUnanswered logs a request that the node leaves without a complete response when it exits.
+// logUnanswered logs a request without a complete response, with a limited rate of log lines.
 func (n *Node) logUnanswered(r OpenRequest) {
-	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", fmt.Sprintf("age=%s", r.Age.Round(time.Millisecond)))
+	if !n.unansweredLines.Allow() {
+		n.vars.Add("unanswered_suppressed", 1)
+		return
+	}
+	n.logger.Warn("unanswered", "request", r.Name, "choice", r.Progress, "reason", r.Reason())
 }
 
+// Reloaded records for log lines that the operator asked the process to reload its settings.
+func (n *Node) Reloaded() { n.server.Reloaded() }
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = io.WriteString(w, n.vars.String()+"\n")
@@ -258,7 +278,7 @@
 // Run serves until the decision logic exits or a component fails; all components stop together.
 func (n *Node) Run() error {
 	var group run.Group
-	components := []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.server.idleConns.run}
+	components := []func(context.Context) error{n.runLoop, n.mesh.Run, n.store.Run, n.closeIdleConns}
 	if n.control != nil {
 		components = append(components, n.control.Run)
 	}
@@ -286,9 +306,23 @@
 	return nil
 }
 
-func newHTTPServer(addr netip.AddrPort, handler http.Handler, state func(net.Conn, http.ConnState), loop *runtime.Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
+// closeIdleConns closes callers' connections that exceed the idle timeout of the configuration, until the context ends.
+func (n *Node) closeIdleConns(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.httpServers[0].CloseIdle(n.server.limits.Load().IdleTime)
+		}
+	}
+}
+
+func newHTTPServer(addr netip.AddrPort, handler http.Handler, loop *runtime.Loop, opts ...httpserver.Option) (*httpserver.Server, error) {
 	return httpserver.New(addr, &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: state,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(runtime.ReportWriter(loop), "", 0),
 	}, opts...)
 }
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -6,9 +6,14 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// lateHeadFactor is the time after which CloseIdle closes a connection without a complete head, as a multiple of ReadHeaderTimeout.
+// net/http applies that timeout by itself from the fourth byte on, and answers some of these requests.
+const lateHeadFactor = 2
+
 // Server is an HTTP server with its listener.
 type Server struct {
 	http     *http.Server
@@ -18,9 +23,12 @@
 	stopped  chan struct{} // closed at the end of Stop
 
 	mu          sync.Mutex
-	open        int    // connections that are not closed
-	onEmpty     func() // called when no connection is open, nil for none
-	beforeClose func() // called before connections in use are closed, nil for none
+	conns       map[*trackedConn]struct{} // that are not closed
+	onEmpty     func()                    // called when no connection is open, nil for none
+	beforeClose func()                    // called before connections in use are closed, nil for none
+
+	onUnanswered func(Unanswered) // nil for none
+	phase        atomic.Int32     // the Cause for which the server closes connections, 0 for none
 }
 
 // Option configures a Server.
@@ -38,20 +46,17 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{http: server, listener: listener, served: make(chan struct{}), stopped: make(chan struct{})}
+	s := &Server{
+		http: server, listener: listener, served: make(chan struct{}), stopped: make(chan struct{}),
+		conns: map[*trackedConn]struct{}{},
+	}
 	for _, o := range opts {
 		o(s)
 	}
 	if s.guard != nil {
 		s.guard.install(server)
 	}
-	next := server.ConnState
-	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		s.trackState(state)
-		if next != nil {
-			next(conn, state)
-		}
-	}
+	s.track(server)
 	return s, nil
 }
 
@@ -63,9 +68,9 @@
 
 // Serve accepts connections until the server fails, or until Stop has returned.
 func (s *Server) Serve() error {
-	accept := s.listener
+	var accept net.Listener = trackingListener{s.listener, s}
 	if s.guard != nil {
-		accept = &listener{s.listener, s.guard}
+		accept = &listener{accept, s.guard}
 	}
 	err := s.http.Serve(accept)
 	close(s.served)
@@ -81,13 +86,27 @@
 func (s *Server) Drain(empty func()) {
 	_ = s.listener.Close()
 	<-s.served
-	s.http.SetKeepAlivesEnabled(false)
+	s.phase.Store(int32(ByDrain))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle(ByDrain)
+	}
 	s.onEmpty = empty
 	s.callIfEmpty()
 }
 
+// CloseIdle closes the connections that have been idle for longer than a time, 0 for none. A connection on which a request begins is
+// not idle; it is closed if the head does not arrive for much longer than http.Server.ReadHeaderTimeout.
+func (s *Server) CloseIdle(longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		c.closeExpired(now, longest, lateHeadFactor*s.http.ReadHeaderTimeout)
+	}
+}
+
 // Stop drains the server, and closes the connections that are open after the timeout. Serve must have been called.
 func (s *Server) Stop(timeout time.Duration) {
 	defer close(s.stopped)
@@ -102,26 +121,38 @@
 			s.beforeClose()
 		}
 	}
+	s.phase.Store(int32(ByExit))
 	_ = s.http.Close()
 }
 
+// closing returns why the server closes connections at present, 0 if it does not.
+func (s *Server) closing() Cause { return Cause(s.phase.Load()) }
+
 // Close closes the listener of a server that has not served.
 func (s *Server) Close() error { return s.listener.Close() }
 
-func (s *Server) trackState(state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// trackState records the state that net/http reports of a connection.
+func (s *Server) trackState(c *trackedConn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		s.open++
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conns[c] = struct{}{}
+	case http.StateIdle:
+		c.becomeIdle()
+		if s.closing() != 0 {
+			c.closeIdle(ByDrain)
+		}
 	case http.StateClosed, http.StateHijacked:
-		s.open--
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
 		s.callIfEmpty()
 	}
 }
 
 func (s *Server) callIfEmpty() {
-	if s.open == 0 && s.onEmpty != nil {
+	if len(s.conns) == 0 && s.onEmpty != nil {
 		s.onEmpty()
 		s.onEmpty = nil
 	}
--- /dev/null
+++ b/io/httpserver/tracked.go
@@ -0,0 +1,377 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// connState says which part of a request a connection is in.
+type connState int32
+
+const (
+	connWaiting  connState = iota // no byte of the next request was read
+	connLeaving                   // the same, and the connection is closed as soon as there is nothing more to read
+	connReading                   // the head of a request is being read
+	connHandling                  // the handler is running
+	connAnswered                  // the handler has returned, and the response may be buffered
+	connAborted                   // the handler has panicked
+	connClosed
+)
+
+// lastReadTime is how long a connection that is closed as idle waits for a request that is on its way.
+const lastReadTime = 5 * time.Millisecond
+
+// longPast is a deadline that ends a read at once.
+var longPast = time.Unix(1, 0)
+
+// backgroundReadBytes is the size of the reads by which net/http watches a connection while a handler runs. What such a read returns
+// belongs to the next request.
+const backgroundReadBytes = 1
+
+// trackedConn is a caller's connection. It knows whether a request is in progress on it, and why it was closed.
+type trackedConn struct {
+	net.Conn
+	server *Server
+
+	state     atomic.Int32 // a connState
+	since     atomic.Int64 // Unix time in nanoseconds at which it began to wait, or to read a request
+	readAhead atomic.Bool  // part of the next request was read while a handler ran
+	used      atomic.Bool  // a request was handled
+	wrote     atomic.Bool  // something was written since the head of the request began
+	writeErr  atomic.Bool  // a write has failed
+	endedBy   atomic.Int32 // a Cause; the first one counts
+
+	mu        sync.Mutex // protects changes to and from connLeaving, and the read deadline
+	leavingBy Cause      // why the connection is in connLeaving
+}
+
+func newTrackedConn(conn net.Conn, s *Server) *trackedConn {
+	c := &trackedConn{Conn: conn, server: s}
+	c.since.Store(time.Now().UnixNano())
+	return c
+}
+
+// connHolder is a connection that wraps a trackedConn.
+type connHolder interface{ tracked() *trackedConn }
+
+func (c *trackedConn) tracked() *trackedConn { return c }
+
+// trackedOf returns the connection that net/http got from a Server, nil for another one.
+func trackedOf(conn net.Conn) *trackedConn {
+	if h, ok := conn.(connHolder); ok {
+		return h.tracked()
+	}
+	return nil
+}
+
+// trackingListener wraps the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next connection.
+func (l trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newTrackedConn(conn, l.server), nil
+}
+
+// Read reads from the connection, and records that a request has begun.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && connState(c.state.Load()) == connLeaving {
+		n, err = c.lastRead(p)
+	}
+	if n > 0 && !c.recordRead(len(p)) {
+		return 0, net.ErrClosed // what was read is not handled, because the connection was closed before
+	}
+	if err != nil {
+		c.endBy(readCause(err, len(p)))
+	}
+	return n, err
+}
+
+// lastRead reads what has arrived on a connection that is to be closed as idle, and closes it if there is nothing. The goroutine that
+// reads closes it, so that a request whose bytes have arrived is never dropped.
+func (c *trackedConn) lastRead(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 && c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
+		c.endBy(c.leavingBy)
+		_ = c.Conn.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// stay makes a connection that was to be closed as idle stay open, because a request has begun. It reports false if the connection was
+// closed before.
+func (c *trackedConn) stay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.state.CompareAndSwap(int32(connLeaving), int32(connReading)) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection is to be closed as idle.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connState(c.state.Load()) == connLeaving {
+		t = longPast
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// recordRead records a read into a buffer of the given size, or reports false if the connection was closed before.
+func (c *trackedConn) recordRead(size int) bool {
+	switch connState(c.state.Load()) {
+	case connWaiting, connLeaving:
+		c.wrote.Store(false)
+		c.since.Store(time.Now().UnixNano())
+		return c.state.CompareAndSwap(int32(connWaiting), int32(connReading)) || c.stay()
+	case connHandling, connAnswered:
+		if size == backgroundReadBytes {
+			c.readAhead.Store(true)
+		}
+	case connClosed:
+		return false
+	}
+	return true
+}
+
+// Write writes to the connection.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.wrote.Store(true)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeErr.Store(true)
+		c.endBy(writeCause(err))
+	}
+	return n, err
+}
+
+// CloseWrite closes the writing side of the connection, if it supports that.
+func (c *trackedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection, and reports a request that is left without a complete response.
+func (c *trackedConn) Close() error {
+	if old := connState(c.state.Swap(int32(connClosed))); old != connClosed {
+		c.endBy(c.server.closing())
+		c.reportUnanswered(old)
+	}
+	return c.Conn.Close()
+}
+
+// closeIdle closes the connection if it has been used, and no byte of the next request has arrived. The goroutine that waits for the
+// request does so.
+func (c *trackedConn) closeIdle(cause Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.used.Load() && c.state.CompareAndSwap(int32(connWaiting), int32(connLeaving)) {
+		c.leavingBy = cause
+		_ = c.Conn.SetReadDeadline(longPast)
+	}
+}
+
+// expired reports whether the connection has been in its state for longer than a time, 0 for no limit.
+func (c *trackedConn) expired(now time.Time, longest time.Duration) bool {
+	return longest > 0 && now.Sub(time.Unix(0, c.since.Load())) > longest
+}
+
+// closeExpired closes the connection if it has been idle for longer than idleTime, or the head of a request did not arrive within
+// headTime; 0 stands for no limit.
+func (c *trackedConn) closeExpired(now time.Time, idleTime, headTime time.Duration) {
+	switch connState(c.state.Load()) {
+	case connWaiting:
+		if c.expired(now, idleTime) {
+			c.closeIdle(ByIdleTimeout)
+		}
+	case connReading:
+		if c.expired(now, headTime) && c.state.CompareAndSwap(int32(connReading), int32(connClosed)) {
+			c.endBy(ByReadTimeout)
+			c.reportUnanswered(connReading)
+			_ = c.Conn.Close()
+		}
+	}
+}
+
+// beginRequest records that a handler begins, or reports false if the connection was closed before.
+func (c *trackedConn) beginRequest() bool {
+	c.readAhead.Store(false)
+	c.used.Store(true)
+	if c.changeState(connHandling) {
+		return true
+	}
+	c.reportUnanswered(connReading)
+	return false
+}
+
+// endRequest records that a handler has ended. net/http closes the connection before, if a write fails.
+func (c *trackedConn) endRequest(returned bool) {
+	if !returned {
+		c.changeState(connAborted)
+		return
+	}
+	if !c.changeState(connAnswered) {
+		c.reportUnanswered(connAnswered)
+	}
+}
+
+// becomeIdle records that the response was written.
+func (c *trackedConn) becomeIdle() {
+	c.since.Store(time.Now().UnixNano())
+	if c.readAhead.Load() {
+		c.wrote.Store(false)
+		c.changeState(connReading)
+		return
+	}
+	c.changeState(connWaiting)
+}
+
+// changeState changes the state, or reports false if the connection is closed.
+func (c *trackedConn) changeState(to connState) bool {
+	for {
+		old := c.state.Load()
+		if connState(old) == connClosed {
+			return false
+		}
+		if c.state.CompareAndSwap(old, int32(to)) {
+			return true
+		}
+	}
+}
+
+// endBy records why the connection ends, unless a cause is known already.
+func (c *trackedConn) endBy(cause Cause) {
+	if cause != 0 {
+		c.endedBy.CompareAndSwap(0, int32(cause))
+	}
+}
+
+// reportUnanswered reports a request whose head was not complete and which net/http has not rejected, or whose response could not be
+// written. A handler knows of all others.
+func (c *trackedConn) reportUnanswered(state connState) {
+	if c.server.onUnanswered == nil {
+		return
+	}
+	u := Unanswered{By: Cause(c.endedBy.Load()), Age: time.Since(time.Unix(0, c.since.Load()))}
+	switch {
+	case state == connReading && !c.wrote.Load():
+		u.Progress = "head"
+	case state == connAnswered && c.writeErr.Load():
+		u.Progress = "response"
+	default:
+		return
+	}
+	c.server.onUnanswered(u)
+}
+
+// Cause says why a connection was closed.
+type Cause int32
+
+// Causes, of which 0 stands for none.
+const (
+	ByCaller       Cause = iota + 1 // it has closed the connection, or its side of it
+	ByReadTimeout                   // a request did not arrive in time
+	ByWriteTimeout                  // a response was not read in time
+	ByIdleTimeout
+	ByDrain
+	ByGuard // it was closed to make room
+	ByExit
+)
+
+// String returns the name of the cause in log lines and metrics.
+func (c Cause) String() string {
+	return [...]string{"server", "caller", "read_timeout", "write_timeout", "idle", "drain", "guard", "exit"}[c]
+}
+
+// Unanswered describes a request that no handler saw, or whose response could not be written, when its connection was closed.
+type Unanswered struct {
+	By       Cause
+	Progress string        // "head" if no handler has seen it, "response" if its response could not be written
+	Age      time.Duration // since its first byte
+}
+
+// WithUnanswered sets a function that is told of requests that no handler reports, when their connections are closed. It must not
+// call the server.
+func WithUnanswered(f func(Unanswered)) Option { return func(s *Server) { s.onUnanswered = f } }
+
+// ClosedBy returns why the connection of a request was closed, 0 if that is not known.
+func ClosedBy(r *http.Request) Cause {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	if c := trackedOf(conn); c != nil {
+		return Cause(c.endedBy.Load())
+	}
+	return 0
+}
+
+// readCause returns the cause for a failed read into a buffer of the given size. net/http ends its own background reads by a deadline.
+func readCause(err error, size int) Cause {
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET):
+		return ByCaller
+	case errors.Is(err, os.ErrDeadlineExceeded) && size != backgroundReadBytes:
+		return ByReadTimeout
+	}
+	return 0
+}
+
+// writeCause returns the cause for a failed write.
+func writeCause(err error) Cause {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ByWriteTimeout
+	case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
+		return ByCaller
+	}
+	return 0
+}
+
+// track makes an HTTP server record the state of its connections, and close them after their responses during a drain.
+func (s *Server) track(server *http.Server) {
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		c := trackedOf(conn)
+		if !c.beginRequest() {
+			panic(http.ErrAbortHandler)
+		}
+		returned := false
+		defer func() { c.endRequest(returned) }()
+		writer := closingWriter{w, s}
+		next.ServeHTTP(writer, r)
+		writer.announceClose()
+		returned = true
+	})
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	hook := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		s.trackState(trackedOf(conn), state)
+		if hook != nil {
+			hook(conn, state)
+		}
+	}
+}
