Don't close a connection with a request to make room as an idle one

When a node has as many connections as it may have, it closes new and idle ones first. Callers that were sending a request on such a connection got its end instead of an answer. Two more faults of the same class were behind it: a request whose last byte had arrived when its connection was closed was still sent to a server, and a complete response could be lost while it was in a buffer.

Cause: the phase of a connection in the table of the guard lags behind. It is idle until the handler begins, Reading until the handler reports the body, and Reading again after the handler, before net/http has written what it buffers. The guard now closes a new or idle connection with the same claim as a drain. If the claim fails, the request counts as arriving from its first byte, and another connection is selected; one whose request stalls is closed as before. A handler learns when its connection was closed before the request was complete, and a complete request keeps its connection until the response was written.

--- a/core/callerlimit/callerlimit.go
+++ b/core/callerlimit/callerlimit.go
@@ -25,7 +25,7 @@
 	New Phase = iota
 	// Idle means that all requests have been answered.
 	Idle
-	// Reading means that the headers of a request have arrived, and the body has not.
+	// Reading means that a request is arriving.
 	Reading
 	// Running means that a request has arrived and may be running.
 	Running
@@ -59,14 +59,17 @@
 	return &Table{maxConns: maxConns, conns: map[Conn]*entry{}, addrs: map[netip.Addr]*addrUsage{}}
 }
 
-// Open admits a connection and reports true, or refuses it. If evict is not 0, the caller must close that connection.
-func (t *Table) Open(now time.Time, c Conn, from netip.Addr) (evict Conn, ok bool) {
-	if len(t.conns) >= t.maxConns {
-		if evict = t.connVictim(now, from); evict == 0 {
-			return 0, false
-		}
-		t.Close(evict)
+// Room reports whether there is room for a connection, or for none. If evict is not 0, that connection has to be closed first.
+func (t *Table) Room(now time.Time, from netip.Addr) (evict Conn, ok bool) {
+	if len(t.conns) < t.maxConns {
+		return 0, true
 	}
+	evict = t.connVictim(now, from)
+	return evict, evict != 0
+}
+
+// Open adds a connection for which there is room.
+func (t *Table) Open(now time.Time, c Conn, from netip.Addr) {
 	l := t.addrs[from]
 	if l == nil {
 		l = &addrUsage{addr: from}
@@ -74,7 +77,6 @@
 	}
 	l.conns++
 	t.conns[c] = &entry{usage: l, since: now}
-	return evict, true
 }
 
 // Close removes a connection.
@@ -93,6 +95,17 @@
 // Len returns the number of connections.
 func (t *Table) Len() int { return len(t.conns) }
 
+// Begin records that a request began to arrive at a time on a connection that was New or Idle. It reports false if that was known
+// already.
+func (t *Table) Begin(at time.Time, c Conn) bool {
+	e := t.conns[c]
+	if e == nil || e.phase != New && e.phase != Idle {
+		return false
+	}
+	t.SetPhase(at, c, Reading)
+	return true
+}
+
 // SetPhase records the phase of a connection.
 func (t *Table) SetPhase(now time.Time, c Conn, p Phase) {
 	if e := t.conns[c]; e != nil {
--- a/core/callerlimit/callerlimit_test.go
+++ b/core/callerlimit/callerlimit_test.go
@@ -24,11 +24,22 @@
 	held  int64
 }
 
+// open opens a connection if there is room for it, or after it has closed another one.
+func open(t *callerlimit.Table, now time.Time, c callerlimit.Conn, from netip.Addr) (evicted callerlimit.Conn, ok bool) {
+	if evicted, ok = t.Room(now, from); evicted != 0 {
+		t.Close(evicted)
+	}
+	if ok {
+		t.Open(now, c, from)
+	}
+	return evicted, ok
+}
+
 func tableOf(g *WithT, conns []conn) *callerlimit.Table {
 	t := callerlimit.NewTable(len(conns))
 	for i, c := range conns {
 		name := callerlimit.Conn(i + 1)
-		evicted, ok := t.Open(start, name, c.from)
+		evicted, ok := open(t, start, name, c.from)
 		g.Expect(ok).To(BeTrue(), "refused without pressure")
 		g.Expect(evicted).To(BeZero(), "closed without pressure")
 		t.SetPhase(start.Add(-c.age), name, c.phase)
@@ -62,7 +73,7 @@
 			if name == "an arriving one of the same caller" {
 				from = balancer
 			}
-			evicted, ok := table.Open(start, 100, from)
+			evicted, ok := open(table, start, 100, from)
 			g.Expect(evicted).To(Equal(c.want))
 			g.Expect(ok).To(Equal(c.want != 0))
 			g.Expect(table.Len()).To(Equal(len(c.conns)))
@@ -97,7 +108,21 @@
 	later := start.Add(callerlimit.StallTime)
 	table.Progress(later, 1, 2000)
 	table.Progress(later, 2, 20)
-	evicted, ok := table.Open(later, 3, other)
+	evicted, ok := open(table, later, 3, other)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(evicted).To(Equal(callerlimit.Conn(2)))
 }
+
+// TestBegin guards against a connection that is closed as idle although a request arrives on it, and against one that is never closed.
+func TestBegin(t *testing.T) {
+	g := NewWithT(t)
+	table := tableOf(g, []conn{{balancer, callerlimit.Idle, 0, 0}, {balancer, callerlimit.Running, 0, 0}})
+	g.Expect(table.Begin(start, 1)).To(BeTrue())
+	for name := range callerlimit.Conn(3) {
+		g.Expect(table.Begin(start, name)).To(BeFalse(), "connection %d", name)
+	}
+	_, ok := open(table, start, 3, balancer)
+	g.Expect(ok).To(BeFalse())
+	evicted, _ := open(table, start.Add(callerlimit.StallTime), 3, balancer)
+	g.Expect(evicted).To(Equal(callerlimit.Conn(1)))
+}
--- a/io/httpserver/body.go
+++ b/io/httpserver/body.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"time"
-
-	"bluebellflow/core/callerlimit"
 )
 
 const (
@@ -35,8 +33,8 @@
 		return nil, err
 	}
 	_ = b.control.SetReadDeadline(time.Time{})
-	if b.conn != nil {
-		b.conn.guard.setPhase(b.conn, callerlimit.Running)
+	if b.conn != nil && !b.conn.run() {
+		return nil, errEvicted
 	}
 	return raw, nil
 }
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -32,6 +32,7 @@
 	inHeader    atomic.Bool // a header is being read or expected
 	headerBytes int
 	headerLines int
+	complete    bool // the request has arrived
 }
 
 // headerCost returns what the header takes in memory beyond that of an ordinary request.
@@ -86,30 +87,32 @@
 	return c.trackedConn.Close()
 }
 
-// headerComplete records that the headers of a request have arrived. If there is a body, it sets a read deadline, which also bounds
-// the read of a body that the handler leaves unread. c may be nil.
-func (c *guardedConn) headerComplete(r *http.Request) {
-	if c == nil {
-		return
-	}
+// headerComplete records that the headers of a request have arrived, or reports false if the connection was evicted. If there is a
+// body, it sets a read deadline, which also bounds the read of a body that the handler leaves unread.
+func (c *guardedConn) headerComplete(r *http.Request) bool {
 	c.inHeader.Store(false)
-	phase := callerlimit.Running
-	if r.ContentLength != 0 {
-		phase = callerlimit.Reading
-		_ = c.SetReadDeadline(time.Now().Add(c.guard.limits.Stall))
+	if r.ContentLength == 0 {
+		return c.run()
 	}
-	c.guard.setPhase(c, phase)
+	_ = c.SetReadDeadline(time.Now().Add(c.guard.limits.Stall))
+	return c.guard.setPhase(c, callerlimit.Reading)
+}
+
+// run records that a request has arrived completely, or reports false if the connection was evicted.
+func (c *guardedConn) run() bool {
+	c.complete = true
+	return c.guard.setPhase(c, callerlimit.Running)
 }
 
-// releaseRequest returns the memory of the request. The connection is in phase Reading until the server makes it idle, because a part
-// of the body may be unread. c may be nil.
+// releaseRequest returns the memory of the request. Unless it has arrived completely, the connection is in phase Reading until the
+// server makes it idle, because a part of the body may be unread. Otherwise its phase stays Running, because the response is buffered.
 func (c *guardedConn) releaseRequest() {
-	if c == nil {
-		return
-	}
 	c.guard.hold(c, 0)
 	c.headerBytes, c.headerLines = 0, 0
-	c.guard.setPhase(c, callerlimit.Reading)
+	if !c.complete {
+		c.guard.setPhase(c, callerlimit.Reading)
+	}
+	c.complete = false
 }
 
 // expectHeader records that all requests have been answered.
--- a/io/httpserver/guard.go
+++ b/io/httpserver/guard.go
@@ -75,7 +75,10 @@
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
-		c.headerComplete(r)
+		if !c.headerComplete(r) {
+			c.reportUnanswered(connReading)
+			panic(http.ErrAbortHandler)
+		}
 		defer c.releaseRequest()
 		next.ServeHTTP(w, r)
 	})
@@ -128,16 +131,27 @@
 	g.lastConn++
 	c := &guardedConn{trackedConn: conn, guard: g, id: g.lastConn}
 	c.inHeader.Store(true)
-	evicted, ok := g.table.Open(now, c.id, from.Addr())
-	g.evict(now, evicted)
-	if !ok {
+	if !g.makeRoom(now, from.Addr()) {
 		g.countRefused(now, "callers_refused_connections")
 		return nil
 	}
+	g.table.Open(now, c.id, from.Addr())
 	g.conns[c.id] = c
 	return c
 }
 
+// makeRoom closes a connection for a new one from an address if that is needed, and reports whether there is room. The caller must
+// hold g.mu.
+func (g *Guard) makeRoom(now time.Time, from netip.Addr) bool {
+	for {
+		victim, ok := g.table.Room(now, from)
+		if victim == 0 {
+			return ok
+		}
+		g.evict(now, victim)
+	}
+}
+
 // take takes more bytes of the budget for a connection, which will then hold the given bytes for its request. While the budget is
 // exhausted, it closes the connections that callerlimit selects. The caller must hold g.mu.
 func (g *Guard) take(now time.Time, c *guardedConn, more, bytes int64) bool {
@@ -172,11 +186,12 @@
 	return true
 }
 
-// setPhase records the phase of a connection.
-func (g *Guard) setPhase(c *guardedConn, p callerlimit.Phase) {
+// setPhase records the phase of a connection, or reports false if the connection was evicted.
+func (g *Guard) setPhase(c *guardedConn, p callerlimit.Phase) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.SetPhase(time.Now(), c.id, p)
+	return g.conns[c.id] != nil
 }
 
 // progress records how many bytes of a body have arrived.
@@ -197,18 +212,21 @@
 	c.taken = 0
 }
 
-// evict closes a connection to make room for another one; 0 means none. The caller must hold g.mu.
+// evict closes a connection to make room. If part of a request was read from one that counts as new or idle, evict only records that;
+// another one may be selected then. The caller must hold g.mu.
 func (g *Guard) evict(now time.Time, victim callerlimit.Conn) {
 	c := g.conns[victim]
-	if c == nil {
-		return
+	if !c.closeWaiting(ByGuard) {
+		if g.table.Begin(c.changedAt(), victim) {
+			return
+		}
+		c.endBy(ByGuard)
+		_ = c.trackedConn.Close()
 	}
 	g.remove(c)
 	g.vars.Add("callers_closed", 1)
 	g.closed++
 	g.reportRefused(now)
-	c.endBy(ByGuard)
-	_ = c.trackedConn.Close()
 }
 
 // countRefused counts a refused connection or request. The caller must hold g.mu.
@@ -232,5 +250,8 @@
 // errHeaderLines means that a request has more header lines than Limits allow.
 var errHeaderLines = errors.New("too many header lines")
 
+// errEvicted means that the connection was closed to make room.
+var errEvicted = errors.New("connection closed to make room for others")
+
 // errMemory means that there is no memory for the headers of a request.
 var errMemory = errors.New("no memory for the headers of a request")
--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -136,15 +136,27 @@
 // closeIdle closes the connection if it has been used, and no byte of the next request was read. Either the close or the request
 // comes first: after the close, no more requests are handled.
 func (c *trackedConn) closeIdle(cause Cause) {
-	if c.used.Load() && c.state.CompareAndSwap(int32(connWaiting), int32(connClosed)) {
-		c.endBy(cause)
-		_ = c.Conn.Close()
+	if c.used.Load() {
+		c.closeWaiting(cause)
 	}
 }
 
+// closeWaiting closes the connection if no byte of a request was read, and reports whether it did.
+func (c *trackedConn) closeWaiting(cause Cause) bool {
+	if !c.state.CompareAndSwap(int32(connWaiting), int32(connClosed)) {
+		return false
+	}
+	c.endBy(cause)
+	_ = c.Conn.Close()
+	return true
+}
+
+// changedAt returns when the connection began to wait, or the request began.
+func (c *trackedConn) changedAt() time.Time { return time.Unix(0, c.since.Load()) }
+
 // expired reports whether the connection has been in its state for longer than a time, 0 for no limit.
 func (c *trackedConn) expired(now time.Time, longest time.Duration) bool {
-	return longest > 0 && now.Sub(time.Unix(0, c.since.Load())) > longest
+	return longest > 0 && now.Sub(c.changedAt()) > longest
 }
 
 // closeExpired closes the connection if it has been idle for longer than idleTime, or the head of a request did not arrive within
@@ -223,7 +235,7 @@
 	if c.server.onUnanswered == nil {
 		return
 	}
-	u := Unanswered{By: Cause(c.endedBy.Load()), Age: time.Since(time.Unix(0, c.since.Load()))}
+	u := Unanswered{By: Cause(c.endedBy.Load()), Age: time.Since(c.changedAt())}
 	switch {
 	case state == connReading && !c.wrote.Load():
 		u.Progress = "head"
--- a/io/httpserver/tracked_test.go
+++ b/io/httpserver/tracked_test.go
@@ -19,14 +19,15 @@
 // watchedServer is a server that tells what it reads.
 type watchedServer struct {
 	*httpserver.Server
-	read       chan int                      // bytes of each read
-	held       atomic.Pointer[chan struct{}] // reads return nothing until it is closed, nil for at once
-	states     chan http.ConnState           // idle and closed
-	unanswered chan httpserver.Unanswered
-	served     chan error
+	read        chan int                      // bytes of each read
+	held        atomic.Pointer[chan struct{}] // reads return nothing until it is closed, nil for at once
+	states      chan http.ConnState           // idle and closed
+	beforeWrite atomic.Pointer[func()]
+	unanswered  chan httpserver.Unanswered
+	served      chan error
 }
 
-// watchedConn tells its reads.
+// watchedConn tells its reads, and calls beforeWrite.
 type watchedConn struct {
 	net.Conn
 	server *watchedServer
@@ -43,6 +44,13 @@
 	return n, err
 }
 
+func (c watchedConn) Write(p []byte) (int, error) {
+	if before := c.server.beforeWrite.Swap(nil); before != nil {
+		(*before)()
+	}
+	return c.Conn.Write(p)
+}
+
 func startWatched(t *testing.T, server *http.Server, opts ...httpserver.Option) *watchedServer {
 	s := &watchedServer{read: make(chan int, 100), states: make(chan http.ConnState, 100), unanswered: make(chan httpserver.Unanswered, 10), served: make(chan error, 1)}
 	server.ConnState = func(_ net.Conn, state http.ConnState) {
