Name the era of the store in events and actions: EraChanged, Listed.Era, Updated.Era, Follow.Era, PlatformCall.Era

The store may come back from a copy that lacks what it has acknowledged, and then gives revisions out again. Interface only: nothing sets the fields yet.

--- a/core/event/action.go
+++ b/core/event/action.go
@@ -102,6 +102,7 @@
 		Name    string // object name; a prefix for OpList and OpWatch
 		Version uint64 // for OpPut, OpDelete and OpPutStatus
 		Value   []byte // for OpPut and OpPutStatus
+		Era     uint64 // of the store, in which Version was read; set by the node
 	}
 	// Order tells a backend server to load or unload a version.
 	Order struct {
--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -29,10 +29,17 @@
 }
 
 type (
+	// StoreEra says in which era the store answers this node. An era begins when the store has come back from a copy: changes
+	// that were acknowledged before may be missing, and their revisions are given out again.
+	StoreEra struct {
+		event.In
+		Era uint64
+	}
 	// Listed is the whole list of a kind from the store.
 	Listed struct {
 		event.In
 		Kind     string
+		Era      uint64
 		Revision uint64
 		Objects  []Object
 	}
@@ -40,6 +47,7 @@
 	Updated struct {
 		event.In
 		Kind     string
+		Era      uint64
 		Revision uint64
 		Objects  []Object
 		Deleted  []string
@@ -50,12 +58,13 @@
 		Kind string
 		Up   bool
 	}
-	// Follow asks for Listed and Updated events of a kind from now on. Revision is the one that the cache has reached, 0
-	// for none. AsSource says that other nodes take the changes from this one, so that they must not be late if a watch is
+	// Follow asks for Listed and Updated events of a kind from now on. Revision is the one that the cache has reached in an era,
+	// 0 for none. AsSource says that other nodes take the changes from this one, so that they must not be late if a watch is
 	// lost. A new Follow of a kind replaces the earlier one.
 	Follow struct {
 		event.Out
 		Kind     string
+		Era      uint64
 		Revision uint64
 		AsSource bool
 	}
@@ -67,6 +76,11 @@
 )
 
 type (
+	// EraChanged says that the store has come back from a copy. It precedes the changes of the new era.
+	EraChanged struct {
+		event.Internal
+		Era uint64
+	}
 	// ObjectChanged says that an object is new or has changed.
 	ObjectChanged struct {
 		event.Internal
