Grant no lease from a copy of the store

Callers of the control service: after the store had come back from a copy, a node took a lease that the copy shows as released or old while a holder that the store had forgotten still acted, with the same token or a lower one, and reported a window with other counts. Where the revisions were lower than before, no node ever made a call again.

Cause: core/duty compared revisions across eras, trusted what the object says of its holder, and counted tokens from the highest one that it had seen.

The object names the era in which it was written. What an object of another era says gives nobody a right: a taker waits two leases from its first sight, and the last holder, whose right was still valid when it learned of the era, goes on at once. Tokens have the era in their upper bits and the revision of the write that takes the lease below, because a late write of an earlier era may replace an object whose revision was given out again, and with it the last token. Records stay those that the node has seen before; StaleSince tells whether there may have been later ones. Stores without eras are served as before: the object and the tokens are the same.

--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -23,10 +23,11 @@
 	subject = duty.Subject{Duty: duty.Usage}
 )
 
-// report is the record of the owner in these tests. Nodes count differently.
+// report is the record of the owner in these tests. Nodes count differently. Next is the first window that was not reported.
 type report struct {
 	Window int
 	Count  int
+	Next   int
 }
 
 // holder is a node with an owner that reports one window after the other.
@@ -37,8 +38,9 @@
 	paused     bool    // it handles no events
 	cut        bool    // it does not reach the store
 	inbox      []event.Event
-	accepted   int  // the last window accepted from this node
-	unanswered bool // a call is in progress
+	era        uint64 // of the store, as its cache knows it
+	accepted   int    // the last window accepted from this node
+	unanswered bool   // a call is in progress
 }
 
 // arrival is a call that the service has seen.
@@ -56,6 +58,8 @@
 	nodes    []*holder
 	later    []delayed
 	object   watchcache.Object
+	era      uint64 // of the store, 0 if it names none
+	history  []change
 	arrivals []arrival
 	faults   []string
 }
@@ -125,19 +129,28 @@
 	if !h.Active() || h.unanswered || w.rng.IntN(3) == 0 {
 		return nil
 	}
-	record, known := h.Record(subject)
-	if !known || decode(string(record)).Window <= h.accepted {
-		next, _ := json.Marshal(report{decode(string(record)).Window + 1, int(h.name[0])})
-		return []event.Action{h.NewRecord(subject, next)}
+	raw, known := h.Record(subject)
+	record := decode(string(raw))
+	record.Next = h.nextWindow(record)
+	if !known || record.Window <= h.accepted {
+		return []event.Action{h.NewRecord(subject, encode(report{record.Next, int(h.name[0]), record.Next + 1}))}
 	}
-	c, _, ok := h.Call(now, subject, record)
+	c, _, ok := h.Call(now, subject, raw)
 	if !ok {
-		return []event.Action{h.NewRecord(subject, record)}
+		return []event.Action{h.NewRecord(subject, encode(record))}
 	}
 	h.unanswered = true
 	return []event.Action{c}
 }
 
+func encode(r report) []byte {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
 func decode(raw string) report {
 	var r report
 	_ = json.Unmarshal([]byte(raw), &r) // zero if there is none
@@ -152,6 +165,7 @@
 		delay = w.upTo(4 * time.Second)
 	}
 	lost = lost || delay >= timeout || h.cut
+	era := h.era
 	if lost {
 		w.after(timeout, func() { w.deliver(h, event.PlatformResult{Call: c, Code: event.CodeUnknown}) })
 	}
@@ -159,24 +173,29 @@
 		return
 	}
 	w.after(delay, func() {
-		if answer := w.commit(c); !lost {
-			w.deliver(h, answer)
+		if answer := w.commit(c, era); !lost {
+			w.answer(h, answer)
 		}
 	})
 }
 
-func (w *world) commit(c event.PlatformCall) event.PlatformResult {
+// commit carries out a write of a node that knows an era of the store. In another era the node learns nothing from the answer.
+func (w *world) commit(c event.PlatformCall, era uint64) event.PlatformResult {
 	result := event.PlatformResult{Call: c, Code: event.CodeConflict}
 	if c.Version == w.object.Revision {
 		result.Code = event.CodeOK
 		w.object = watchcache.Object{Name: subject.String(), Revision: c.Version + 1, Spec: c.Value}
+		w.history = append(w.history, change{w.now, w.object})
 		for _, h := range w.nodes {
 			if !h.cut {
-				seen := watchcache.ObjectChanged{Kind: duty.Kind, Object: w.object}
-				w.after(w.upTo(time.Duration(w.rng.IntN(2))*1500*time.Millisecond), func() { w.deliver(h, seen) })
+				seen, era := w.object, w.era
+				w.after(w.upTo(time.Duration(w.rng.IntN(2))*1500*time.Millisecond), func() { w.observe(h, era, seen) })
 			}
 		}
 	}
+	if era != w.era {
+		return event.PlatformResult{Call: c, Code: event.CodeUnknown}
+	}
 	result.Objects = []event.Object{{Name: c.Name, Version: w.object.Revision, Value: w.object.Spec}}
 	return result
 }
@@ -239,6 +258,20 @@
 				w.deliver(h, event.Tick{})
 			}
 		}
+		w.checkHolders()
+	}
+}
+
+// checkHolders checks that at most one node may act.
+func (w *world) checkHolders() {
+	var holders []id.Node
+	for _, h := range w.nodes {
+		if _, ok := h.Holds(w.clock(h), subject); ok && !h.paused {
+			holders = append(holders, h.name)
+		}
+	}
+	if len(holders) > 1 {
+		w.faults = append(w.faults, fmt.Sprintf("two holders: %v at %s", holders, w.now))
 	}
 }
 
@@ -273,15 +306,15 @@
 // setFaults sets the faults of a node. It handles what it has missed after a pause or a partition.
 func (w *world) setFaults(h *holder, paused, cut bool) {
 	h.paused, h.cut = paused, cut
-	if !cut && w.object.Revision > 0 {
-		w.deliver(h, watchcache.ObjectChanged{Kind: duty.Kind, Object: w.object})
-	}
 	if inbox := h.inbox; !paused {
 		h.inbox = nil
 		for _, ev := range inbox {
 			w.deliver(h, ev)
 		}
 	}
+	if !cut {
+		w.observe(h, w.era, w.object)
+	}
 }
 
 // TestInvariants guards against two holders at a time in any interleaving of writes, lost answers, pauses, partitions and
--- a/core/duty/leases.go
+++ b/core/duty/leases.go
@@ -40,6 +40,8 @@
 	leading  bool
 	stopping bool
 	loaded   bool // the objects have been loaded
+	era      uint64
+	eraSince time.Time // when this node learned of the era
 	subjects map[Subject]*lease
 	inFlight map[uint64]*lease // by number of the write
 	calls    map[uint64]*lease // calls to the service in progress, by number
@@ -78,21 +80,32 @@
 	if s == nil || !l.active() || !now.Before(l.heldUntil(s)) {
 		return 0, false
 	}
-	return s.stored.Token, true
+	return s.heldToken, true
 }
 
-// Record returns the last known record of a subject, written by any node. There is none if the object does not exist.
+// Record returns the last known record of a subject, written by any node. There is none if the object does not exist. If the store
+// has come back from a copy, the record is the one that this node has seen before, until the object is written again.
 func (l *Leases) Record(subject Subject) (record []byte, ok bool) {
 	s := l.subjects[subject]
-	if s == nil || !s.exists {
+	if s == nil || !s.latest.exists() {
 		return nil, false
 	}
-	return s.stored.Record, true
+	return s.latest.Record, true
+}
+
+// StaleSince reports whether another node may have written a record, and acted on it, that this node has not seen and the store has
+// forgotten. If so, every such record was written before since.
+func (l *Leases) StaleSince(subject Subject) (since time.Time, stale bool) {
+	s := l.subjects[subject]
+	if s == nil {
+		return l.eraSince, l.era > 0
+	}
+	return l.copiedAt(s), s.copied && !s.lastHolder
 }
 
 // NewRecord returns the request to write a record that was computed from the present one.
 func (l *Leases) NewRecord(subject Subject, record []byte) WriteRecord {
-	w := WriteRecord{Subject: subject, Record: record}
+	w := WriteRecord{Subject: subject, Record: record, era: l.era}
 	if s := l.subjects[subject]; s != nil {
 		w.base = s.revision
 	}
@@ -151,6 +164,8 @@
 	switch ev := ev.(type) {
 	case watchcache.KindLoaded:
 		l.loaded = l.loaded || ev.Kind == Kind
+	case watchcache.EraChanged:
+		out = l.changeEra(now, ev.Era)
 	case watchcache.ObjectChanged:
 		if ev.Kind == Kind {
 			out = l.observe(now, l.subject(parseSubject(ev.Object.Name)), ev.Object.Revision, ev.Object.Spec)
@@ -179,8 +194,8 @@
 		return nil
 	}
 	s := l.subject(ev.Subject)
-	if ev.base != s.revision {
-		return []event.Action{Changed{Subject: s.subject, Holder: s.stored.Holder, Record: s.stored.Record}}
+	if ev.era != l.era || ev.base != s.revision {
+		return []event.Action{s.changed()}
 	}
 	s.requested, s.record = true, ev.Record
 	return nil
@@ -221,7 +236,7 @@
 func (l *Leases) subject(subject Subject) *lease {
 	s := l.subjects[subject]
 	if s == nil {
-		s = &lease{subject: subject, attempts: map[uint64]time.Time{}}
+		s = &lease{subject: subject, attempts: map[uint64]time.Time{}, copied: l.era > 0}
 		l.subjects[subject] = s
 	}
 	return s
--- a/core/duty/message.go
+++ b/core/duty/message.go
@@ -61,7 +61,8 @@
 		event.Internal
 		Subject Subject
 		Record  []byte
-		base    uint64 // revision of the object when the request was made
+		era     uint64 // of the store when the request was made
+		base    uint64 // revision of the object at that time
 	}
 	// Recorded reports that the store holds a record of this node. The node may have lost the lease again if the confirmation
 	// came late, which Leases.Holds shows.
@@ -72,7 +73,8 @@
 		Record  []byte
 	}
 	// Changed reports that another node, or an earlier process of this node, has written the object of a subject, or that the
-	// object was read for the first time or deleted. Requests to write that were based on the earlier record are dropped.
+	// object was read for the first time or deleted, or that the store has come back from a copy. Requests to write that were based
+	// on the earlier record are dropped.
 	Changed struct {
 		event.Internal
 		Subject Subject
--- a/core/duty/object.go
+++ b/core/duty/object.go
@@ -23,6 +23,7 @@
 type object struct {
 	Holder      id.Node        `json:"holder"`
 	Incarnation id.Incarnation `json:"incarnation"`
+	Era         uint64         `json:"era,omitempty"` // of the store, as the writer knew it
 	Token       uint64         `json:"token"`
 	Write       uint64         `json:"write"` // number of the write within the incarnation
 	Released    bool           `json:"released,omitempty"`
@@ -48,6 +49,9 @@
 	return o, o.Incarnation.Check()
 }
 
+// exists reports whether the content is that of an object.
+func (o *object) exists() bool { return o.Holder != "" }
+
 // heldRecently reports whether a node is among the recent holders.
 func (o *object) heldRecently(name id.Node) bool {
 	return slices.ContainsFunc(o.Recent, func(r recentHolder) bool { return r.Node == name })
