Report no window again that the store has forgotten

The control service: after the store had come back from a copy and the leader was lost, the next one closed windows again that the first one had recorded and reported, with counts of its own. Two different reports of a window must never be accepted.

Cause: the first window to close was taken from the record in the store.

Windows that ended before this node learned of the present era are skipped unless their report is in a record that it has seen itself, because nobody can have recorded a later one since: recording needs a write in the earlier era. The last holder knows all records and skips nothing. A skipped window is a missing report.

--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -90,6 +90,7 @@
 	if next.Next == 0 {
 		next.Next = u.window(u.clock.offset) // in which this process started
 	}
+	next.Next = max(next.Next, u.firstUnreported())
 	current := u.clock.at(now)
 	for _, o := range u.record.Open {
 		s := u.sending[o.Window]
@@ -120,6 +121,17 @@
 	return next, out
 }
 
+// firstUnreported returns the first window that no holder can have closed in a record that the store has forgotten, 0 if it has
+// forgotten none. Earlier windows are not closed again, because the counts would differ from those that were reported. The second
+// half of minCloseTime covers the difference of the nodes' times.
+func (u *Usage) firstUnreported() int64 {
+	since, stale := u.leases.StaleSince(subject)
+	if !stale {
+		return 0
+	}
+	return u.window(u.clock.at(since) - minCloseTime/2)
+}
+
 // closeWindow returns the report of a window, if all nodes have reported it or the time for that is over.
 func (u *Usage) closeWindow(now time.Time, window int64) (openReport, []event.Action, bool) {
 	since := u.clock.at(now) - u.end(window)
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -44,6 +44,8 @@
 	Record(duty.Subject) ([]byte, bool)
 	NewRecord(subject duty.Subject, record []byte) duty.WriteRecord
 	Call(now time.Time, subject duty.Subject, body []byte) (duty.Call, time.Time, bool)
+	// StaleSince reports whether a record may have been written and acted on that this node has not seen, and since when none was.
+	StaleSince(duty.Subject) (time.Time, bool)
 }
 
 // Encoder encodes a report as the control service reads it.
