Repeat no order of servers that a forgotten one has replaced

The operator: after the store had come back from a copy, the next leader found an order of 7 servers where 9 run, took it for one that had not arrived and sent it again, which gives up servers that were ordered since.

Cause: the record of an earlier leader counted as its last order.

If the record may be stale and more servers run than it names, the number is treated as unknown, as before the first order.

Shown: TestStaleRecord (9 servers: desired 7 and sent before, none now).

--- a/core/autoscale/autoscale.go
+++ b/core/autoscale/autoscale.go
@@ -29,6 +29,8 @@
 	Record(duty.Subject) ([]byte, bool)
 	NewRecord(subject duty.Subject, record []byte) duty.WriteRecord
 	Call(now time.Time, subject duty.Subject, body []byte) (duty.Call, time.Time, bool)
+	// StaleSince reports whether a later order may have been recorded and sent that this node has not seen.
+	StaleSince(duty.Subject) (time.Time, bool)
 }
 
 // Fleet provides the servers of a pool and whether they may be used.
--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -20,19 +20,31 @@
 const models id.Pool = "models"
 
 // alone is the ranking of a node without others, its leases and a fleet without servers.
-type alone struct{ record []byte }
-
-func (alone) Leader() id.Node                      { return "n" }
-func (alone) Successor(time.Time) id.Node          { return "" }
-func (alone) Active() bool                         { return true }
-func (alone) Loaded() bool                         { return true }
-func (a alone) Record(duty.Subject) ([]byte, bool) { return a.record, a.record != nil }
-func (alone) Pool(id.Pool) []*fleet.Server         { return nil }
-func (alone) Usable(*fleet.Server) (bool, string)  { return true, "" }
+type alone struct {
+	record []byte
+	stale  bool
+	ready  int // servers
+}
+
+func (alone) Leader() id.Node                             { return "n" }
+func (alone) Successor(time.Time) id.Node                 { return "" }
+func (alone) Active() bool                                { return true }
+func (alone) Loaded() bool                                { return true }
+func (a alone) Record(duty.Subject) ([]byte, bool)        { return a.record, a.record != nil }
+func (a alone) StaleSince(duty.Subject) (time.Time, bool) { return epoch, a.stale }
+func (alone) Usable(*fleet.Server) (bool, string)         { return true, "" }
 func (alone) requests(id.Pool) (map[id.FailureDomain]int, int) {
 	return map[id.FailureDomain]int{"a": 7}, 2
 }
 
+func (a alone) Pool(id.Pool) []*fleet.Server {
+	var out []*fleet.Server
+	for range a.ready {
+		out = append(out, &fleet.Server{Entry: fleet.Entry{Domain: "a", Slots: 1}})
+	}
+	return out
+}
+
 func (alone) NewRecord(subject duty.Subject, record []byte) duty.WriteRecord {
 	return duty.WriteRecord{Subject: subject, Record: record}
 }
@@ -132,6 +144,21 @@
 	}
 }
 
+// TestStaleRecord guards against a new holder that repeats an order although the store has forgotten a later one, and thereby gives
+// up servers that were ordered.
+func TestStaleRecord(t *testing.T) {
+	for ready, want := range map[int]int{9: 0, 7: 7, 5: 7} {
+		g := NewWithT(t)
+		a := newAlone(g, alone{record: []byte(`{"desired":7}`), stale: true, ready: ready})
+		for s := range 2 * minHistory {
+			a.Step(epoch.Add(time.Duration(s)*time.Second), event.Tick{})
+			g.Expect(a.placed(models, "a").desired).To(Equal(want), "%d servers", ready)
+			g.Expect(a.placed(models, "a").open).To(Equal(ready < want && s >= minHistory-1), "%d servers", ready)
+		}
+		g.Expect(a.pools[models].domain("a").ordered).To(Equal(max(ready, want)))
+	}
+}
+
 // FuzzDemand guards against a message that terminates a node.
 func FuzzDemand(f *testing.F) {
 	codec := wire.New(map[uint32]event.Body{95: Demand{}})
--- a/core/autoscale/order.go
+++ b/core/autoscale/order.go
@@ -78,6 +78,14 @@
 	return o
 }
 
+// outdated reports whether the record names fewer servers than there are, and the store may have forgotten a later order. What is
+// present then tells more of that order.
+func (a *Autoscaler) outdated(now time.Time, subject duty.Subject, d *domain) bool {
+	recorded, ok := a.recorded(subject)
+	_, stale := a.leases.StaleSince(subject)
+	return ok && stale && recorded < d.recent(now)
+}
+
 // applyRecord sets the number of ordered servers to that in the record of an earlier leader, unless this process has made an order.
 func (a *Autoscaler) applyRecord(now time.Time, name id.Pool, p *pool, d *domain) {
 	o := a.placed(name, d.name)
@@ -88,8 +96,8 @@
 			d.startBy = now.Add(p.scale.Boot + bootMargin) // servers start after the order has arrived
 		}
 		return
-	case !ok:
-		if d.known { // the order was not recorded, so that it was not sent
+	case !ok, a.outdated(now, o.subject, d):
+		if d.known { // the order was not recorded, so that it was not sent, or it is not known
 			d.known, d.ordered = false, d.recent(now)
 		}
 		return
