Keep rollouts that the store has forgotten

The operator: after the store had come back from a copy, a rollout that had been reported as completed or rolled back ran again, or stayed at "running" for ever; a version that was rolled back got requests again. An order that the copy lacks was dropped, so that both versions got requests, and an older order of the same name replaced it.

Cause: a final state with an object without a status counted as a new order of the same version, statuses were written only on the way to a final state, and missing orders as removed.

Decisions stay in force: the leader writes a final status again, also one whose write was not answered, and learns it from other nodes' reports if its process is new. The order stays until the store has been reachable for the settle time, in which the operator writes it again.

--- a/core/rollout/control.go
+++ b/core/rollout/control.go
@@ -8,6 +8,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/evidence"
 	"bluebellflow/core/id"
+	"bluebellflow/core/watchcache"
 )
 
 const (
@@ -57,7 +58,11 @@
 	var decisions Decisions
 	for _, p := range b.Parts {
 		o := r.orders[p.Name]
-		if o == nil || o.Target != p.Target || o.state.final() {
+		if o == nil || o.Target != p.Target {
+			continue
+		}
+		out = append(out, o.adopt(ev.From, State(p.State))...)
+		if o.state.final() {
 			continue
 		}
 		o.mergeAge(now, p.Age)
@@ -96,6 +101,9 @@
 
 // decide makes the leader's next decision about an order.
 func (r *Rollouts) decide(now time.Time, o *rollout) []event.Action {
+	if o.state.final() {
+		return r.writeState(now, o, o.state) // the store has forgotten it
+	}
 	left := o.began.Add(o.Span).Sub(now)
 	score, route := o.evidence.Evaluate(now)
 	var out []event.Action
@@ -225,7 +233,7 @@
 
 // writeState writes a state to the order's status.
 func (r *Rollouts) writeState(now time.Time, o *rollout, s State) []event.Action {
-	if o.writing != Ordered || now.Before(o.writeRetry.Next()) {
+	if o.writing != Ordered || o.unconfirmed || now.Before(o.writeRetry.Next()) {
 		return nil
 	}
 	value, err := r.decoder.RolloutStatus(Status{State: s, Target: o.Target})
@@ -233,6 +241,9 @@
 		return []event.Action{o.log("write", err.Error())}
 	}
 	o.writing = s
+	if s.final() {
+		o.uncertain = s
+	}
 	r.seq++
 	r.writes[r.seq] = o
 	return []event.Action{
@@ -251,11 +262,17 @@
 	}
 	s := o.writing
 	o.writing = Ordered
+	if ev.Code != event.CodeUnknown {
+		o.uncertain = Ordered
+	}
 	if ev.Code != event.CodeOK {
 		o.writeRetry.Fail(now, r.self.Rand)
 		return []event.Action{o.log("write", fmt.Sprintf("state=%s failed, code=%d", s, ev.Code))}
 	}
 	o.writeRetry.Clear()
+	if o.rewrite {
+		o.writeRetry.Set(now, watchcache.SettleTime) // the store shows the status earlier
+	}
 	if len(ev.Objects) > 0 {
 		o.revision = max(o.revision, ev.Objects[0].Version)
 	}
--- /dev/null
+++ b/core/rollout/era_test.go
@@ -0,0 +1,159 @@
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bluebellflow/core/event"
+	"bluebellflow/core/id"
+	"bluebellflow/core/rollout"
+	"bluebellflow/core/watchcache"
+)
+
+// bad is a new version whose requests mostly fail.
+var bad faultModel = func(float64) (float64, float64) { return 0.9, 1 }
+
+// restore brings the store back from a copy. An object without a specification does not exist there.
+func (c *cluster) restore(spec []byte, s rollout.Status) {
+	c.era++
+	c.store.object = watchcache.Object{Name: "m", Revision: 1, Spec: spec}
+	if s.State != rollout.Ordered {
+		c.store.object.Status, _ = decoder{}.RolloutStatus(s) // never fails
+	}
+	for _, name := range c.names {
+		c.step(name, watchcache.EraChanged{Era: c.era})
+		if len(spec) == 0 {
+			c.step(name, watchcache.ObjectDeleted{Kind: rollout.Kind, Name: "m"})
+			continue
+		}
+		c.step(name, watchcache.ObjectChanged{Kind: rollout.Kind, Object: c.store.object})
+	}
+}
+
+// allowed returns the versions that a node may use.
+func (c *cluster) allowed(name id.Node) (versions []id.Version) {
+	choice := c.nodes[name].Choose(c.now, pool, 1, false)
+	for _, v := range []id.Version{"v1", "v2"} {
+		if choice.Allows(v) {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
+// expectKept asserts that the nodes use only one version for some time, and that the store then has the status again.
+func (c *cluster) expectKept(only id.Version, s rollout.State) {
+	c.g.THelper()
+	for range 50 {
+		for _, name := range c.names {
+			c.g.Expect(c.allowed(name)).To(Equal([]id.Version{only}), "node %s", name)
+		}
+		c.run(2 * tick)
+	}
+	c.g.Expect(c.state()).To(Equal(s))
+}
+
+// startProcess replaces the process of a node, which reads the order as it is in the store.
+func (c *cluster) startProcess(name id.Node) {
+	self := event.Self{Node: name, Incarnation: incarnation(name + "2"), Rand: c.rng}
+	c.nodes[name] = rollout.New(self, decoder{}, &c.store)
+	c.nodes[name].SetNodes(c.names)
+	c.nodes[name].SetLeader(c.now, c.leader)
+	c.step(name, watchcache.EraChanged{Era: c.era})
+	c.step(name, watchcache.ObjectChanged{Kind: rollout.Kind, Object: c.store.object})
+}
+
+// TestRestoredStatus guards against an outcome that the operator has been told and that is decided anew, because the store has come
+// back from a copy that lacks it.
+func TestRestoredStatus(t *testing.T) {
+	copies := map[string]rollout.Status{"running": {State: rollout.Running, Target: "v2"}, "without a status": {}}
+	for name, status := range copies {
+		t.Run("completed, copy "+name, func(t *testing.T) {
+			c := newCluster(t, 1, 40, good)
+			c.order()
+			c.run(span)
+			c.g.Expect(c.state()).To(Equal(rollout.Completed))
+			c.fault = bad
+			c.restore([]byte("v2"), status)
+			c.expectKept("v2", rollout.Completed)
+		})
+		t.Run("rolled back, copy "+name, func(t *testing.T) {
+			c := newCluster(t, 1, 40, bad)
+			c.order()
+			c.run(span / 2)
+			c.g.Expect(c.state()).To(Equal(rollout.RolledBack))
+			c.fault = good
+			c.restore([]byte("v2"), status)
+			c.expectKept("v1", rollout.RolledBack)
+		})
+	}
+	t.Run("known to other nodes only", func(t *testing.T) {
+		c := newCluster(t, 1, 40, good)
+		c.order()
+		c.run(span)
+		c.fault = bad
+		c.restore([]byte("v2"), copies["running"])
+		c.startProcess("a")
+		c.run(2 * time.Second)
+		c.g.Expect(c.state()).To(Equal(rollout.Completed))
+		c.g.Expect(c.allowed("a")).To(Equal([]id.Version{"v2"}))
+	})
+	t.Run("answer lost", func(t *testing.T) {
+		c := newCluster(t, 1, 40, good)
+		c.order()
+		c.run(span / 2)
+		c.loseAnswers = true
+		c.run(span)
+		c.g.Expect(c.state()).To(Equal(rollout.Completed))
+		c.loseAnswers, c.fault = false, bad
+		c.restore([]byte("v2"), copies["running"])
+		c.expectKept("v2", rollout.Completed)
+	})
+	t.Run("ordered again", func(t *testing.T) {
+		c := newCluster(t, 1, 40, bad)
+		c.order()
+		c.run(span / 2)
+		c.restore([]byte("v2"), copies["running"])
+		c.run(2 * time.Second)
+		c.fault = good
+		c.write([]byte("v2"), nil)
+		c.run(span)
+		c.g.Expect(c.state()).To(Equal(rollout.Completed))
+	})
+}
+
+// TestRestoredOrder guards against an order that is dropped, or replaced by an earlier one, before the operator has had time to write
+// it again.
+func TestRestoredOrder(t *testing.T) {
+	running := func(t *testing.T) *cluster {
+		c := newCluster(t, 1, 40, bad)
+		c.order()
+		c.run(span / 2)
+		c.g.Expect(c.state()).To(Equal(rollout.RolledBack))
+		return c
+	}
+	for name, spec := range map[string][]byte{"missing": nil, "an earlier one": []byte("v0")} {
+		t.Run(name, func(t *testing.T) {
+			c := running(t)
+			c.restore(spec, rollout.Status{State: rollout.Completed, Target: "v0"})
+			c.run(watchcache.SettleTime - 2*tick)
+			c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1"}))
+			c.order()
+			c.expectKept("v1", rollout.RolledBack)
+		})
+	}
+	t.Run("missing for good", func(t *testing.T) {
+		c := running(t)
+		c.restore(nil, rollout.Status{})
+		c.run(watchcache.SettleTime + 6*tick)
+		c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1", "v2"}))
+	})
+	t.Run("an earlier one for good", func(t *testing.T) {
+		c := running(t)
+		c.restore([]byte("v0"), rollout.Status{})
+		c.run(watchcache.SettleTime + 6*tick)
+		c.g.Expect(c.state()).To(Equal(rollout.Running))
+	})
+}
--- a/core/rollout/message.go
+++ b/core/rollout/message.go
@@ -40,6 +40,7 @@
 	Reason  string     `protobuf:"bytes,7,opt,name=reason"`
 	First   int64      `protobuf:"varint,8,opt,name=first"` // number of the first result below, from 0 on
 	Results []Result   `protobuf:"bytes,9,rep,name=results"`
+	State   int64      `protobuf:"varint,10,opt,name=state"` // known to the node
 }
 
 // Result is the result of one request.
@@ -76,7 +77,7 @@
 		if err := checkOrder(p.Name, p.Target, p.Age, p.Share, p.Reason); err != nil {
 			return err
 		}
-		if p.Open < 0 || p.First < 0 || len(p.Results) > maxResults {
+		if p.State < 0 || p.State > int64(RolledBack) || p.Open < 0 || p.First < 0 || len(p.Results) > maxResults {
 			return errors.New("rollout: report out of range")
 		}
 		for _, res := range p.Results {
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -70,6 +70,7 @@
 	reason    string
 	results   results
 	calls     callCounts
+	restored
 	control
 }
 
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -50,6 +50,7 @@
 	rejected   map[id.Pool][]id.Version // versions that earlier orders have rolled back; their servers may still run
 	inProgress map[poolVersion]int      // this node's requests in progress
 	writes     map[uint64]*rollout      // status writes in progress
+	storeDown  bool
 	seq        uint64
 	nextTick   time.Time
 }
@@ -85,10 +86,10 @@
 	return r.nextTick
 }
 
-// active reports whether any order is not in a final state.
+// active reports whether any order is not in a final state, or is to be written or dropped after the store has been restored.
 func (r *Rollouts) active() bool {
 	for _, o := range r.orders {
-		if !o.state.final() {
+		if !o.state.final() || o.rewrite || o.older != nil {
 			return true
 		}
 	}
@@ -99,13 +100,19 @@
 func (r *Rollouts) Step(now time.Time, ev event.Event) []event.Action {
 	var out []event.Action
 	switch ev := ev.(type) {
+	case watchcache.EraChanged:
+		r.changeEra()
+	case watchcache.Reachability:
+		if ev.Kind == Kind {
+			r.handleReachability(now, ev)
+		}
 	case watchcache.ObjectChanged:
 		if ev.Kind == Kind {
 			out = r.handleObjectChanged(now, ev.Object)
 		}
 	case watchcache.ObjectDeleted:
 		if ev.Kind == Kind {
-			out = r.removeOrder(ev.Name)
+			out = r.handleObjectDeleted(now, ev)
 		}
 	case event.Receive:
 		switch b := ev.Body.(type) {
@@ -137,7 +144,11 @@
 		status.State = Ordered // the status belongs to an earlier order
 	}
 	cur := r.orders[o.Name]
-	isNew := cur == nil || cur.Target != order.Target || cur.Pool != order.Pool || (cur.state.final() && status.State == Ordered)
+	same := cur != nil && cur.Target == order.Target && cur.Pool == order.Pool
+	if cur != nil && cur.unconfirmed && !same {
+		return r.keep(now, cur, &o)
+	}
+	isNew := !same || cur.state.final() && !cur.rewrite && status.State == Ordered
 	if isNew {
 		if cur != nil {
 			r.rejectVersion(cur)
@@ -149,6 +160,7 @@
 		r.pools[order.Pool] = cur
 	}
 	cur.Order, cur.revision = order, o.Revision
+	cur.confirm(status.State)
 	if !isNew && (cur.state.final() || cur.state == status.State) {
 		return nil
 	}
@@ -276,11 +288,11 @@
 	if r.leader == "" {
 		return nil
 	}
-	var out []event.Action
+	out := r.dropLost(now)
 	var report Report
 	for _, name := range slices.Sorted(maps.Keys(r.orders)) {
 		o := r.orders[name]
-		if o.state.final() {
+		if o.state.final() && !o.rewrite {
 			continue
 		}
 		if r.leader == r.self.Node {
@@ -291,7 +303,7 @@
 		}
 		report.Parts = append(report.Parts, OrderReport{
 			Name: name, Target: o.Target, Age: o.age(now), Share: int64(o.applied(now)), Open: int64(r.oldInProgress(o)),
-			Stopped: o.stopped, Reason: o.reason, First: o.results.firstUnconfirmed(), Results: o.results.unconfirmed(now),
+			Stopped: o.stopped, Reason: o.reason, State: int64(o.state), First: o.results.firstUnconfirmed(), Results: o.results.unconfirmed(now),
 		})
 	}
 	if len(report.Parts) == 0 {
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -81,6 +81,9 @@
 	rate   float64 // requests per second
 	fault  faultModel
 	reject rejectModel // nil for none
+	era    uint64      // of the store
+
+	loseAnswers bool // of the store; nodes do not see the change either
 
 	requests, newRequests, badResults int
 	badAt                             time.Time // time of the fiftieth bad result
@@ -150,6 +153,11 @@
 	case pc.Version != c.store.object.Revision:
 		return event.PlatformResult{Call: pc, Code: event.CodeConflict}
 	}
+	if c.loseAnswers {
+		c.store.object.Status = pc.Value
+		c.store.object.Revision++
+		return event.PlatformResult{Call: pc, Code: event.CodeUnknown}
+	}
 	c.write(c.store.object.Spec, pc.Value)
 	return event.PlatformResult{Call: pc, Code: event.CodeOK}
 }
