Keep nodes listed that the store has forgotten

Callers: after the store had come back from a copy, nodes that had joined or restarted since the copy disappeared from the list of all others, or were listed with the address of their earlier process. The leader and the shares of all limits changed for a moment. A node stayed unlisted if its entry was lost while the write was in progress.

Cause: the list followed the copy at once. A removal by the leader could be conditional on a revision of the earlier era, which may have been given out again to another entry.

Revisions are forgotten when the era changes. Results of writes of the earlier era are dropped. The leader removes only entries whose revision it knows in this era.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,16 +52,23 @@
 	revisions  map[id.Node]uint64
 	lastHeard  map[id.Node]time.Time
 	loaded     bool
-	writing    bool // a write of this node's entry is in progress
+	registered bool   // the store has this node's entry
+	writing    uint64 // number of the write of this node's entry that is in progress, 0 for none
 	writeRetry retry.Timer
 	nextSweep  time.Time
 	leading    bool
 	seq        uint64
+
+	unconfirmed id.Set[id.Node]       // listed before the store has come back from a copy, and not seen since
+	kept        map[id.Node]keptEntry // listed although the store lacks the entry
 }
 
 // New returns an empty roster for a node of the given weight.
 func New(self event.Self, weight float64) *Roster {
-	return &Roster{self: self, weight: weight, nodes: map[id.Node]Node{}, revisions: map[id.Node]uint64{}, lastHeard: map[id.Node]time.Time{}}
+	return &Roster{
+		self: self, weight: weight, nodes: map[id.Node]Node{}, revisions: map[id.Node]uint64{}, lastHeard: map[id.Node]time.Time{},
+		unconfirmed: id.NewSet[id.Node](), kept: map[id.Node]keptEntry{},
+	}
 }
 
 // Nodes returns the names of all listed nodes in ascending order.
@@ -83,7 +90,9 @@
 func (r *Roster) SetLeading(leads bool) { r.leading = leads }
 
 // Next returns the time of the next timer.
-func (r *Roster) Next() time.Time { return retry.Earliest(r.writeRetry.Next(), r.nextSweep) }
+func (r *Roster) Next() time.Time {
+	return retry.Earliest(r.writeRetry.Next(), r.nextSweep, r.nextDrop())
+}
 
 // Step handles one event.
 func (r *Roster) Step(now time.Time, ev event.Event) []event.Action {
@@ -95,19 +104,21 @@
 			r.writeRetry.Set(now, 0)
 			r.nextSweep = now.Add(sweepInterval)
 		}
+	case watchcache.EraChanged:
+		r.changeEra(now)
 	case watchcache.ObjectChanged:
 		if ev.Kind == Kind {
 			out = r.handleObjectChanged(now, ev.Object)
 		}
 	case watchcache.ObjectDeleted:
 		if ev.Kind == Kind {
-			out = r.handleObjectDeleted(now, id.Node(ev.Name))
+			out = r.handleObjectDeleted(now, id.Node(ev.Name), ev.Settled)
 		}
 	case event.Receive:
 		r.lastHeard[ev.From] = now
 	case event.PlatformResult:
-		if ev.Call.Owner == owner && ev.Call.Op == event.OpPut {
-			r.writing = false
+		if ev.Call.Owner == owner && ev.Call.Seq == r.writing {
+			r.writing = 0
 			r.handleWriteResult(now, ev)
 		}
 	}
@@ -118,7 +129,7 @@
 		r.nextSweep = now.Add(sweepInterval)
 		out = append(out, r.sweep(now)...)
 	}
-	return out
+	return append(out, r.dropKept(now)...)
 }
 
 func (r *Roster) handleObjectChanged(now time.Time, o watchcache.Object) []event.Action {
@@ -129,11 +140,20 @@
 		err = n.Check()
 	}
 	if err != nil {
-		delete(r.nodes, name)
+		r.forget(name)
 		return []event.Action{event.Log{Kind: "node", Choice: "ignore " + o.Name, Reason: err.Error()}, Changed{}}
 	}
 	old, known := r.nodes[name]
-	r.nodes[name], r.revisions[name] = n, o.Revision
+	r.revisions[name] = o.Revision
+	if name == r.self.Node {
+		r.registered = n == r.entry()
+	}
+	if r.unconfirmed.Has(name) && n != old {
+		return r.keep(now, name, &n)
+	}
+	r.unconfirmed.Delete(name)
+	delete(r.kept, name)
+	r.nodes[name] = n
 	if !known || old.Incarnation != n.Incarnation {
 		r.lastHeard[name] = now
 	}
@@ -149,29 +169,47 @@
 	}
 }
 
-func (r *Roster) handleObjectDeleted(now time.Time, name id.Node) []event.Action {
-	delete(r.nodes, name)
+func (r *Roster) handleObjectDeleted(now time.Time, name id.Node, settled bool) []event.Action {
 	delete(r.revisions, name)
-	delete(r.lastHeard, name)
 	if name == r.self.Node {
+		r.registered = false
 		r.writeRetry.Set(now, 0)
 	}
+	if r.unconfirmed.Has(name) && !settled {
+		return r.keep(now, name, nil)
+	}
+	return r.remove(name)
+}
+
+func (r *Roster) remove(name id.Node) []event.Action {
+	r.forget(name)
+	delete(r.lastHeard, name)
 	return []event.Action{event.Log{Kind: "node", Choice: "unlisted " + string(name)}, Changed{}}
 }
 
+func (r *Roster) forget(name id.Node) {
+	delete(r.nodes, name)
+	delete(r.kept, name)
+	r.unconfirmed.Delete(name)
+}
+
+// entry returns this node's entry.
+func (r *Roster) entry() Node {
+	return Node{Addr: r.self.Addr, Domain: r.self.FailureDomain, Incarnation: r.self.Incarnation, Weight: r.weight}
+}
+
 // register writes this node's entry unless the list already contains it.
 func (r *Roster) register(now time.Time) []event.Action {
-	own := Node{Addr: r.self.Addr, Domain: r.self.FailureDomain, Incarnation: r.self.Incarnation, Weight: r.weight}
-	if r.writing || r.nodes[r.self.Node] == own {
+	if r.writing != 0 || r.registered {
 		return nil
 	}
-	value, err := json.Marshal(own)
+	value, err := json.Marshal(r.entry())
 	if err != nil {
 		return []event.Action{event.Log{Kind: "node", Choice: "register", Reason: err.Error()}}
 	}
-	r.writing = true
 	r.writeRetry.Fail(now, r.self.Rand)
 	r.seq++
+	r.writing = r.seq
 	return []event.Action{event.PlatformCall{
 		Owner: owner, Seq: r.seq, Op: event.OpPut, Name: Kind + "/" + string(r.self.Node),
 		Version: r.revisions[r.self.Node], Value: value,
@@ -199,14 +237,15 @@
 	}
 	var out []event.Action
 	for _, name := range r.Nodes() {
-		if name == r.self.Node || now.Sub(r.lastHeard[name]) < removeAfter {
+		revision, known := r.revisions[name]
+		if name == r.self.Node || !known || now.Sub(r.lastHeard[name]) < removeAfter {
 			continue
 		}
 		r.lastHeard[name] = now // if the removal fails, the next attempt follows after removeAfter
 		r.seq++
 		out = append(out,
 			event.Log{Kind: "node", Choice: "remove " + string(name), Reason: "silent for " + removeAfter.String()},
-			event.PlatformCall{Owner: owner, Seq: r.seq, Op: event.OpDelete, Name: Kind + "/" + string(name), Version: r.revisions[name]})
+			event.PlatformCall{Owner: owner, Seq: r.seq, Op: event.OpDelete, Name: Kind + "/" + string(name), Version: revision})
 	}
 	return out
 }
