Order the copies of the store's objects by era and revision

Cause: a copy never returned to a lower revision, so that nodes ignored a store that has come back from a copy until its revisions exceeded those before. Now everything in core/watchcache belongs to an era. A higher one, named by the store or by a peer, outdates all copies: EraChanged is emitted, they stay in use until the first whole list of the new era replaces them, and then every object counts as changed and no deletion as settled. The settle time counts from that list. Lower eras are ignored and do not confirm. KnownRevisions, ChangeSet and PollReply carry the era in new fields; messages without one, of earlier releases, count until the era has changed. A kind may have an order of versions (SetNewer): what nodes had in a newer version than the store has now, they keep and tell to processes that start meanwhile.

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -35,6 +35,7 @@
 
 // Cache holds a node's copies of some object kinds.
 type Cache struct {
+	eraState
 	self       event.Self
 	kinds      []string
 	kindCaches map[string]*kindCache
@@ -57,12 +58,15 @@
 	tombstones       []Tombstone // oldest first
 	tombstoneFloor   uint64      // deletions up to this revision are no longer remembered
 	loaded           bool
-	lateAllowed      bool      // changes may be late if a watch is lost
-	storeUp          bool      // the store answers this node or its source
-	storeUpChangedAt time.Time // when storeUp last changed
-	storeLostAt      time.Time // when storeUp last became false
-	reachable        bool      // the store answers this node, its source or a peer that has reported so
-	reachableSince   time.Time // when reachable last changed, or earlier if a peer's kinds were already settled
+	outdated         bool                        // the copy is of an earlier era
+	newer            func(old, next Object) bool // nil if only revisions order the versions of an object
+	kept             map[string]Object           // of an earlier era, and newer than what the store has
+	lateAllowed      bool                        // changes may be late if a watch is lost
+	storeUp          bool                        // the store answers this node or its source
+	storeUpChangedAt time.Time                   // when storeUp last changed
+	storeLostAt      time.Time                   // when storeUp last became false
+	reachable        bool                        // the store answers this node, its source or a peer that has reported so
+	reachableSince   time.Time                   // when reachable last changed, or earlier if a peer's kinds were already settled
 }
 
 // New returns an empty Cache of some kinds. The first kind must be the one through which nodes find each other; it is
@@ -70,7 +74,7 @@
 func New(self event.Self, kinds ...string) *Cache {
 	c := &Cache{self: self, kinds: kinds, kindCaches: map[string]*kindCache{}, following: id.NewSet[string]()}
 	for _, kind := range kinds {
-		c.kindCaches[kind] = &kindCache{objects: map[string]Object{}}
+		c.kindCaches[kind] = &kindCache{objects: map[string]Object{}, kept: map[string]Object{}}
 	}
 	return c
 }
@@ -137,6 +141,8 @@
 		c.sources.failingSince = now
 	}
 	switch ev := ev.(type) {
+	case StoreEra:
+		out = append(out, c.learnEra(ev.Era, "the store")...)
 	case Listed:
 		out = append(out, c.handleListed(now, ev)...)
 	case Updated:
@@ -183,22 +189,27 @@
 		initial := !c.sources.everConfirmed && (i == 0 || !c.kindCaches[kind].loaded)
 		k := c.kindCaches[kind]
 		switch following := c.following.Has(kind); {
-		case (want || initial) && (!following || changed && !k.lateAllowed):
+		case (want || initial) && (!following || c.refollow || changed && !k.lateAllowed):
 			c.following.Add(kind)
-			out = append(out, Follow{Kind: kind, Revision: k.revision, AsSource: asSource && !k.lateAllowed})
+			out = append(out, Follow{Kind: kind, Era: c.era, Revision: k.revision, AsSource: asSource && !k.lateAllowed})
 		case !want && !initial && following:
 			c.following.Delete(kind)
 			out = append(out, Unfollow{Kind: kind})
 		}
 	}
+	c.refollow = false
 	return out
 }
 
-// handlePollReply records whether the store answers a source. The source has sent its changes before the reply.
+// handlePollReply records whether the store answers a source. The source has sent its changes before the reply. One of another
+// era does not confirm anything.
 func (c *Cache) handlePollReply(now time.Time, from id.Node, reply PollReply) []event.Action {
-	var out []event.Action
+	out := c.learnPeerEra(reply.Era, from)
+	if !c.inEra(reply.Era) {
+		reply.Up, reply.Settled = false, false
+	}
 	if reply.Settled {
-		out = c.handlePeerSettled(now)
+		out = append(out, c.handlePeerSettled(now)...)
 	}
 	if !c.sources.reply(now, from, reply.Up) || c.followsStore {
 		return out
@@ -239,7 +250,7 @@
 	c.peerSettledAt = now
 	var out []event.Action
 	for _, kind := range c.kinds {
-		if k := c.kindCaches[kind]; k.acceptsPeerReport(now) && !k.settled(now) {
+		if k := c.kindCaches[kind]; k.acceptsPeerReport(now) && !k.settled(now) && !k.outdated {
 			k.reachable, k.reachableSince = true, now.Add(-SettleTime)
 			out = append(out, Reachability{Kind: kind, Up: true, Settled: true})
 		}
@@ -252,13 +263,14 @@
 	return !at.IsZero() && at.Sub(k.storeLostAt) >= peerReportLag
 }
 
-// updateReachability updates, for each kind, whether the store is reachable.
+// updateReachability updates, for each kind, whether the store is reachable. It is not until the kind has been listed in the
+// known era.
 func (c *Cache) updateReachability(now time.Time) []event.Action {
 	var out []event.Action
 	for _, kind := range c.kinds {
 		k := c.kindCaches[kind]
 		peerReachable := k.acceptsPeerReport(c.peerSettledAt) && now.Sub(c.peerSettledAt) < peerReportTTL
-		if reachable := k.storeUp || peerReachable; reachable != k.reachable {
+		if reachable := (k.storeUp || peerReachable) && !k.outdated; reachable != k.reachable {
 			k.reachable, k.reachableSince = reachable, now
 			out = append(out, Reachability{Kind: kind, Up: reachable})
 		}
@@ -268,14 +280,18 @@
 
 // handleListed replaces the copy of a kind by a list, unless the list is older.
 func (c *Cache) handleListed(now time.Time, ev Listed) []event.Action {
+	out := c.learnEra(ev.Era, "the store")
 	k, ok := c.kindCaches[ev.Kind]
-	if !ok || ev.Revision < k.revision {
-		return nil
+	if !ok || ev.Era < c.era || ev.Revision < k.revision {
+		return out
 	}
-	return c.replaceObjects(ev.Kind, k, ev.Revision, ev.Objects, k.settled(now))
+	return append(out, c.replaceObjects(ev.Kind, k, ev.Revision, ev.Objects, k.settled(now))...)
 }
 
 func (c *Cache) replaceObjects(kind string, k *kindCache, revision uint64, objects []Object, settled bool) []event.Action {
+	if k.outdated {
+		return c.replaceOutdated(kind, k, revision, objects)
+	}
 	var out []event.Action
 	listed := id.NewSet[string]()
 	for _, o := range objects {
@@ -291,11 +307,11 @@
 }
 
 func (c *Cache) handleUpdated(now time.Time, ev Updated) []event.Action {
+	out := c.learnEra(ev.Era, "the store")
 	k, ok := c.kindCaches[ev.Kind]
-	if !ok || !k.loaded || ev.Revision < k.revision {
-		return nil
+	if !ok || !k.loaded || k.outdated || ev.Era < c.era || ev.Revision < k.revision {
+		return out
 	}
-	var out []event.Action
 	for _, o := range ev.Objects {
 		out = append(out, c.putObject(ev.Kind, k, o)...)
 	}
@@ -310,6 +326,7 @@
 		return nil
 	}
 	k.objects[o.Name] = o
+	k.dropKept(o)
 	return []event.Action{ObjectChanged{Kind: kind, Object: o}}
 }
 
@@ -360,9 +377,10 @@
 }
 
 func (c *Cache) knownRevisions(now time.Time, poll bool) KnownRevisions {
-	msg := KnownRevisions{Poll: poll, Settled: c.allSettled(now)}
+	msg := KnownRevisions{Poll: poll, Settled: c.allSettled(now), Era: c.era}
 	for _, kind := range c.kinds {
-		msg.Revisions = append(msg.Revisions, KindRevision{Kind: kind, Known: c.kindCaches[kind].revision})
+		k := c.kindCaches[kind]
+		msg.Revisions = append(msg.Revisions, KindRevision{Kind: kind, Known: k.revision, Kept: k.keptDigest()})
 	}
 	return msg
 }
@@ -370,52 +388,76 @@
 func (c *Cache) handleMessage(now time.Time, ev event.Receive) []event.Action {
 	switch b := ev.Body.(type) {
 	case KnownRevisions:
-		var out []event.Action
-		if b.Settled {
-			out = c.handlePeerSettled(now)
-		}
-		return append(out, c.handleKnownRevisions(now, ev.From, b)...)
+		return c.handleKnownRevisions(now, ev.From, b)
 	case ChangeSet:
-		return c.applyChangeSet(b)
+		return append(c.learnPeerEra(b.Era, ev.From), c.applyChangeSet(b)...)
 	case PollReply:
 		return c.handlePollReply(now, ev.From, b)
 	}
 	return nil
 }
 
-// handleKnownRevisions sends a peer the changes that it lacks. If the peer has newer revisions, this node
-// answers with its own, so that the peer sends its changes.
+// handleKnownRevisions handles the revisions that a peer knows. A peer of an earlier era knows none of this one. One that names
+// no era after it has changed is of an earlier release, or has just started and learns the era from the reply.
 func (c *Cache) handleKnownRevisions(now time.Time, from id.Node, msg KnownRevisions) []event.Action {
+	out := c.learnPeerEra(msg.Era, from)
+	switch {
+	case c.inEra(msg.Era):
+		if msg.Settled {
+			out = append(out, c.handlePeerSettled(now)...)
+		}
+	case msg.Era == 0:
+		if !msg.Poll && !msg.Reply {
+			out = append(out, c.replyRevisions(now, from))
+		}
+		return out
+	default:
+		msg.Revisions = slices.Clone(msg.Revisions)
+		for i := range msg.Revisions {
+			msg.Revisions[i].Known = 0
+		}
+	}
+	return append(out, c.sendChanges(now, from, msg)...)
+}
+
+// sendChanges sends a peer the changes that it lacks. If the peer has newer revisions, this node answers with its own, so that
+// the peer sends its changes.
+func (c *Cache) sendChanges(now time.Time, from id.Node, msg KnownRevisions) []event.Action {
 	var out []event.Action
 	behind := false
 	for _, r := range msg.Revisions {
 		k, ok := c.kindCaches[r.Kind]
-		switch {
-		case !ok:
-		case r.Known < k.revision:
+		if !ok {
+			continue
+		}
+		kept := k.keptDigest()
+		if r.Known < k.revision || kept != 0 && kept != r.Kept {
 			s := k.changesSince(r.Kind, r.Known)
-			s.Settled = k.settled(now)
+			s.Settled, s.Era, s.Kept = k.settled(now), c.era, k.keptObjects()
 			out = append(out, event.Send{To: from, Body: s})
-		case r.Known > k.revision:
-			behind = true
 		}
+		behind = behind || r.Known > k.revision || r.Kept != 0 && r.Kept != kept
 	}
 	if behind && !msg.Reply {
-		reply := c.knownRevisions(now, false)
-		reply.Reply = true
-		out = append(out, event.Send{To: from, Body: reply})
+		out = append(out, c.replyRevisions(now, from))
 	}
 	if msg.Poll {
-		out = append(out, event.Send{To: from, Body: PollReply{Up: c.allUp(), Settled: c.allSettled(now)}})
+		out = append(out, event.Send{To: from, Body: PollReply{Up: c.allUp(), Settled: c.allSettled(now), Era: c.era}})
 	}
 	return out
 }
 
-// allUp reports whether the store answers this node itself for every kind. Reports of other nodes do not count, so that
+func (c *Cache) replyRevisions(now time.Time, to id.Node) event.Action {
+	reply := c.knownRevisions(now, false)
+	reply.Reply = true
+	return event.Send{To: to, Body: reply}
+}
+
+// allUp reports whether the store answers this node itself for every kind, and has listed all in the known era. Reports of other nodes do not count, so that
 // two nodes cannot confirm each other.
 func (c *Cache) allUp() bool {
 	for _, kind := range c.kinds {
-		if !c.kindCaches[kind].storeUp {
+		if k := c.kindCaches[kind]; !k.storeUp || k.outdated {
 			return false
 		}
 	}
@@ -454,13 +496,20 @@
 
 func (c *Cache) applyChangeSet(s ChangeSet) []event.Action {
 	k, ok := c.kindCaches[s.Kind]
-	if !ok || s.Revision <= k.revision {
+	if !ok || !c.inEra(s.Era) {
+		return nil
+	}
+	return append(c.applyChanges(k, s), c.applyKept(s.Kind, k, s.Kept)...)
+}
+
+func (c *Cache) applyChanges(k *kindCache, s ChangeSet) []event.Action {
+	if s.Revision <= k.revision {
 		return nil
 	}
 	if s.Whole {
 		return c.replaceObjects(s.Kind, k, s.Revision, s.Objects, s.Settled)
 	}
-	if !k.loaded || s.Since > k.revision {
+	if !k.loaded || k.outdated || s.Since > k.revision {
 		return nil // changes between the two revisions are missing
 	}
 	var out []event.Action
--- a/core/watchcache/cache_test.go
+++ b/core/watchcache/cache_test.go
@@ -26,14 +26,17 @@
 	deleted      map[id.Node][]watchcache.ObjectDeleted
 	reachability map[id.Node][]watchcache.Reachability
 	asSource     map[id.Node]id.Set[string] // kinds that the node follows as the source of others
+	follows      map[id.Node][]watchcache.Follow
+	eras         map[id.Node][]uint64 // reported by EraChanged
+	earlier      id.Set[id.Node]      // nodes of an earlier release, which does not know eras
 	sent         int
 }
 
 func newNetwork(names ...id.Node) *network {
 	n := &network{
 		now: epoch, caches: map[id.Node]*watchcache.Cache{}, isolated: id.NewSet[id.Node](), followed: map[id.Node]id.Set[string]{},
-		asSource: map[id.Node]id.Set[string]{},
-		changed:  map[id.Node][]string{}, deleted: map[id.Node][]watchcache.ObjectDeleted{}, reachability: map[id.Node][]watchcache.Reachability{},
+		asSource: map[id.Node]id.Set[string]{}, follows: map[id.Node][]watchcache.Follow{}, eras: map[id.Node][]uint64{}, earlier: id.NewSet[id.Node](),
+		changed: map[id.Node][]string{}, deleted: map[id.Node][]watchcache.ObjectDeleted{}, reachability: map[id.Node][]watchcache.Reachability{},
 	}
 	for i, name := range names {
 		n.followed[name] = id.NewSet[string]()
@@ -50,9 +53,12 @@
 		case event.Send:
 			n.sent++
 			if !n.isolated.Has(name) && !n.isolated.Has(a.To) {
-				n.step(a.To, event.Receive{From: name, Body: a.Body})
+				n.step(a.To, event.Receive{From: name, Body: n.encoded(name, a.Body)})
 			}
+		case watchcache.EraChanged:
+			n.eras[name] = append(n.eras[name], a.Era)
 		case watchcache.Follow:
+			n.follows[name] = append(n.follows[name], a)
 			n.followed[name].Add(a.Kind)
 			n.asSource[name].Delete(a.Kind)
 			if a.AsSource {
@@ -70,6 +76,25 @@
 	}
 }
 
+// encoded returns a message as its receiver decodes it.
+func (n *network) encoded(from id.Node, body event.Body) event.Body {
+	if !n.earlier.Has(from) {
+		return body
+	}
+	switch b := body.(type) {
+	case watchcache.KnownRevisions:
+		b.Era = 0
+		return b
+	case watchcache.ChangeSet:
+		b.Era, b.Kept = 0, nil
+		return b
+	case watchcache.PollReply:
+		b.Era = 0
+		return b
+	}
+	return body
+}
+
 // run lets time pass.
 func (n *network) run(d time.Duration) {
 	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -114,6 +114,7 @@
 type KindRevision struct {
 	Kind  string `protobuf:"bytes,1,opt,name=kind"`
 	Known uint64 `protobuf:"varint,2,opt,name=known"`
+	Kept  uint64 `protobuf:"varint,3,opt,name=kept"` // hash of the objects kept from an earlier era, 0 for none
 }
 
 // KnownRevisions tells a peer which revisions the sender's copies have reached.
@@ -122,12 +123,14 @@
 	Poll      bool           `protobuf:"varint,2,opt,name=poll"`    // the sender gets its changes from the receiver
 	Reply     bool           `protobuf:"varint,3,opt,name=reply"`   // answers newer revisions; the receiver must not send its own in return
 	Settled   bool           `protobuf:"varint,4,opt,name=settled"` // the store answers the sender itself, and its kinds are settled
+	Era       uint64         `protobuf:"varint,5,opt,name=era"`     // of the revisions; 0 from earlier releases
 }
 
 // PollReply answers a poll; it follows the changes that the polling node lacked.
 type PollReply struct {
-	Up      bool `protobuf:"varint,1,opt,name=up"`      // the store answers the sender
-	Settled bool `protobuf:"varint,2,opt,name=settled"` // and all its kinds are settled
+	Up      bool   `protobuf:"varint,1,opt,name=up"`      // the store answers the sender
+	Settled bool   `protobuf:"varint,2,opt,name=settled"` // and all its kinds are settled
+	Era     uint64 `protobuf:"varint,3,opt,name=era"`     // 0 from earlier releases
 }
 
 // Check accepts every reply.
@@ -155,6 +158,8 @@
 	Objects  []Object    `protobuf:"bytes,5,rep,name=objects"`
 	Tombs    []Tombstone `protobuf:"bytes,6,rep,name=tombs"`
 	Settled  bool        `protobuf:"varint,7,opt,name=settled"` // the kind is settled at the sender
+	Era      uint64      `protobuf:"varint,8,opt,name=era"`     // of the revisions; 0 from earlier releases
+	Kept     []Object    `protobuf:"bytes,9,rep,name=kept"`     // newer versions from an earlier era, with revisions of that
 }
 
 // Check reports whether the message is well formed.
@@ -162,7 +167,7 @@
 	if s.Kind == "" {
 		return errors.New("change set: no kind")
 	}
-	if len(s.Objects) > maxObjects || len(s.Tombs) > maxObjects {
+	if len(s.Objects) > maxObjects || len(s.Tombs) > maxObjects || len(s.Kept) > maxObjects {
 		return fmt.Errorf("change set of %s: %d objects and %d deletions", s.Kind, len(s.Objects), len(s.Tombs))
 	}
 	for _, o := range s.Objects {
