Follow a store that has come back from a copy

Callers on a route of version 18 got 404 from every node 1.9 s after the version was acknowledged, until the revisions of the restored store exceeded those before.

The client of the platform's store reads the era of each answer. A rise, in any answer and at the latest in that of the next probe (0.4 s), ends all lists and watches, and each kind is listed again, not from a stale copy. Answers of a lower era count as errors, and lists with pages of two eras are discarded. Stale lists count only while the store has never come back, because they may hold what it had before. Writes carry the era in which they were decided: those of a lower one are not sent, and those answered in another one have an unknown result. The gateway stamps them in one place, logs each change of the era and shows it as store_era and store_era_changes.

--- a/core/proxy/gateway.go
+++ b/core/proxy/gateway.go
@@ -99,6 +99,7 @@
 	refusedConns []selfreport.Process       // processes that refused a connection, oldest first
 	shutdown     shutdown
 	ready        bool
+	reportedEra  StoreEra
 	settle       retry.Timer // set while the list of nodes may be incomplete
 	settled      bool        // the list of nodes is considered complete
 }
@@ -123,6 +124,7 @@
 		requests:     map[Ticket]*request{}, jobs: map[uint64]*request{}, durations: map[string]*routeDurations{},
 		lastJob: self.Rand.Uint64(),
 	}
+	g.cache.SetNewer(ConfigKind, g.newerConfig)
 	g.balancer = balance.New(self, g.fleet, g.coldLimiter, g.reports)
 	g.loads = loadshare.New(self, g.balancer.Model())
 	g.rollouts = rollout.New(self, decoder, g.fleet)
@@ -149,6 +151,7 @@
 	var rest actions
 	g.refuseWaiting(now, &rest)
 	rest.add(g.updateLifecycle(now)...)
+	g.reportEra(&rest)
 	return append(out, rest...)
 }
 
@@ -161,6 +164,7 @@
 }
 
 func (g *Gateway) handle(now time.Time, ev event.Event) []event.Action {
+	era := g.cache.Era() // the modules' knowledge is of this era until they handle EraChanged
 	var out actions
 	for _, m := range g.modules {
 		out.add(m.Step(now, ev)...)
@@ -173,6 +177,7 @@
 	for g.timers.Due(now) {
 		g.handleTimer(now, g.timers.Pop(), &out)
 	}
+	stampEra(out, era)
 	return out
 }
 
--- a/io/gateway/node.go
+++ b/io/gateway/node.go
@@ -49,7 +49,7 @@
 // Store is a client of the platform's store. Its methods must not block; results are delivered as events.
 type Store interface {
 	Do(event.PlatformCall)
-	Follow(kind string, revision uint64, asSource bool)
+	Follow(watchcache.Follow)
 	Unfollow(kind string)
 	Run(ctx context.Context) error
 }
@@ -231,9 +231,11 @@
 	case event.PlatformCall:
 		n.store.Do(a)
 	case watchcache.Follow:
-		n.store.Follow(a.Kind, a.Revision, a.AsSource)
+		n.store.Follow(a)
 	case watchcache.Unfollow:
 		n.store.Unfollow(a.Kind)
+	case proxy.StoreEra:
+		n.setStoreEra(a)
 	case event.Readiness:
 		n.server.SetReady(a.Ready)
 	case proxy.Close:
@@ -252,6 +254,14 @@
 	return nil
 }
 
+func (n *Node) setStoreEra(a proxy.StoreEra) {
+	for name, value := range map[string]int64{"store_era": int64(a.Era), "store_era_changes": int64(a.Changes)} {
+		v := new(expvar.Int)
+		v.Set(value)
+		n.vars.Set(name, v)
+	}
+}
+
 // Stop asks the decision logic for a graceful shutdown; Run returns after it.
 func (n *Node) Stop() { n.loop.Deliver(event.Stop{}) }
 
