Count the settle time anew if a list is the first to name an era

Cause: the kind whose list named the new era stayed reachable throughout, so that its deletions counted as settled at once and servers whose entries the store had lost would have left. Now the store counts as unreachable from the change of the era to the list of each kind.

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -142,7 +142,7 @@
 	}
 	switch ev := ev.(type) {
 	case StoreEra:
-		out = append(out, c.learnEra(ev.Era, "the store")...)
+		out = append(out, c.learnEra(now, ev.Era, "the store")...)
 	case Listed:
 		out = append(out, c.handleListed(now, ev)...)
 	case Updated:
@@ -204,7 +204,7 @@
 // handlePollReply records whether the store answers a source. The source has sent its changes before the reply. One of another
 // era does not confirm anything.
 func (c *Cache) handlePollReply(now time.Time, from id.Node, reply PollReply) []event.Action {
-	out := c.learnPeerEra(reply.Era, from)
+	out := c.learnPeerEra(now, reply.Era, from)
 	if !c.inEra(reply.Era) {
 		reply.Up, reply.Settled = false, false
 	}
@@ -280,7 +280,7 @@
 
 // handleListed replaces the copy of a kind by a list, unless the list is older.
 func (c *Cache) handleListed(now time.Time, ev Listed) []event.Action {
-	out := c.learnEra(ev.Era, "the store")
+	out := c.learnEra(now, ev.Era, "the store")
 	k, ok := c.kindCaches[ev.Kind]
 	if !ok || ev.Era < c.era || ev.Revision < k.revision {
 		return out
@@ -307,7 +307,7 @@
 }
 
 func (c *Cache) handleUpdated(now time.Time, ev Updated) []event.Action {
-	out := c.learnEra(ev.Era, "the store")
+	out := c.learnEra(now, ev.Era, "the store")
 	k, ok := c.kindCaches[ev.Kind]
 	if !ok || !k.loaded || k.outdated || ev.Era < c.era || ev.Revision < k.revision {
 		return out
@@ -390,7 +390,7 @@
 	case KnownRevisions:
 		return c.handleKnownRevisions(now, ev.From, b)
 	case ChangeSet:
-		return append(c.learnPeerEra(b.Era, ev.From), c.applyChangeSet(b)...)
+		return append(c.learnPeerEra(now, b.Era, ev.From), c.applyChangeSet(b)...)
 	case PollReply:
 		return c.handlePollReply(now, ev.From, b)
 	}
@@ -400,7 +400,7 @@
 // handleKnownRevisions handles the revisions that a peer knows. A peer of an earlier era knows none of this one. One that names
 // no era after it has changed is of an earlier release, or has just started and learns the era from the reply.
 func (c *Cache) handleKnownRevisions(now time.Time, from id.Node, msg KnownRevisions) []event.Action {
-	out := c.learnPeerEra(msg.Era, from)
+	out := c.learnPeerEra(now, msg.Era, from)
 	switch {
 	case c.inEra(msg.Era):
 		if msg.Settled {
--- a/core/watchcache/era.go
+++ b/core/watchcache/era.go
@@ -32,7 +32,7 @@
 }
 
 // learnEra records an era that the store or a peer has named.
-func (c *Cache) learnEra(era uint64, from string) []event.Action {
+func (c *Cache) learnEra(now time.Time, era uint64, from string) []event.Action {
 	if !c.eraKnown {
 		c.era, c.eraKnown = era, true
 		return nil
@@ -49,16 +49,16 @@
 	for _, kind := range c.kinds {
 		c.kindCaches[kind].outdate()
 	}
-	return out
+	return append(out, c.updateReachability(now)...)
 }
 
 // learnPeerEra records the era that a peer has named; 0 is that of a peer that does not know it.
-func (c *Cache) learnPeerEra(era uint64, from id.Node) []event.Action {
+func (c *Cache) learnPeerEra(now time.Time, era uint64, from id.Node) []event.Action {
 	if era == 0 {
 		return nil
 	}
 	before, known := c.era, c.eraKnown
-	out := c.learnEra(era, string(from))
+	out := c.learnEra(now, era, string(from))
 	c.refollow = c.refollow || known && c.era != before
 	return out
 }
--- a/core/watchcache/era_test.go
+++ b/core/watchcache/era_test.go
@@ -1,6 +1,7 @@
 package watchcache_test
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"testing"
@@ -182,15 +183,23 @@
 // owners write them again.
 func TestEraSettles(t *testing.T) {
 	for _, c := range []struct {
+		early   bool // the era is known before the lists
 		wait    time.Duration
 		settled bool
-	}{{watchcache.SettleTime - 100*time.Millisecond, false}, {watchcache.SettleTime + 100*time.Millisecond, true}} {
-		t.Run(c.wait.String(), func(t *testing.T) {
+	}{
+		{true, watchcache.SettleTime - 100*time.Millisecond, false},
+		{true, watchcache.SettleTime + 100*time.Millisecond, true},
+		{false, watchcache.SettleTime - 100*time.Millisecond, false},
+		{false, watchcache.SettleTime + 100*time.Millisecond, true},
+	} {
+		t.Run(fmt.Sprint(c.early, c.wait), func(t *testing.T) {
 			g := NewWithT(t)
 			n := eraNetwork("b")
-			n.step("a", watchcache.StoreEra{Era: 2})
-			n.run(5 * time.Second) // does not count, because nothing was listed
 			n.forget()
+			if c.early {
+				n.step("a", watchcache.StoreEra{Era: 2})
+				n.run(5 * time.Second) // does not count, because nothing was listed
+			}
 			n.listEra("a", 2, 60, object("x", 50))
 			n.run(c.wait)
 			n.step("a", watchcache.Updated{Kind: "config", Era: 2, Revision: 70, Deleted: []string{"x"}})
@@ -199,6 +208,7 @@
 				g.Expect(n.deleted[name]).To(ContainElement(watchcache.ObjectDeleted{Kind: "config", Name: "x", Settled: c.settled}), string(name))
 			}
 			g.Expect(n.reachability["a"]).To(HaveExactElements(
+				watchcache.Reachability{Kind: "nodes"}, watchcache.Reachability{Kind: "config"},
 				watchcache.Reachability{Kind: "nodes", Up: true}, watchcache.Reachability{Kind: "config", Up: true}), "the settle time counts from the lists")
 		})
 	}
