Keep leaving servers and evacuations that a restored store has lost

Callers' requests reached a server that had been removed, and servers of an evacuated failure domain, after the store had come back from a copy made before: the copy shows the server as ready and lacks the evacuation until their owners write them again.

A server that was draining or removed in the earlier era (within a minute) gets no work on the word of the first list of the new era. That ends when the entry is of another process, when it is written again, or after 10 s, because entries of ended servers have expired by then. A missing evacuation holds until the store has been back for the settle time.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
+	"bluebellflow/core/retry"
 	"bluebellflow/core/watchcache"
 )
 
@@ -62,19 +63,21 @@
 
 // Fleet holds the backend servers, by name and by pool.
 type Fleet struct {
-	decoder          Decoder
-	servers          map[id.Server]*Server
-	pools            map[id.Pool][]*Server
-	evacuated        id.Set[id.FailureDomain]
-	storeUp          bool      // the store is reachable
-	storeUpChangedAt time.Time // when storeUp last changed
-	missing          map[id.Server]*Server
+	restored
+	decoder         Decoder
+	servers         map[id.Server]*Server
+	pools           map[id.Pool][]*Server
+	evacuated       id.Set[id.FailureDomain]
+	serverStore     settling
+	evacuationStore settling
+	missing         map[id.Server]*Server
 }
 
 // New returns a fleet without servers.
 func New(decoder Decoder) *Fleet {
 	return &Fleet{
-		decoder: decoder, servers: map[id.Server]*Server{}, pools: map[id.Pool][]*Server{},
+		restored: newRestored(),
+		decoder:  decoder, servers: map[id.Server]*Server{}, pools: map[id.Pool][]*Server{},
 		evacuated: id.NewSet[id.FailureDomain](), missing: map[id.Server]*Server{},
 	}
 }
@@ -98,37 +101,43 @@
 
 // Next returns the time of the next timer, or the zero time if there is none.
 func (f *Fleet) Next() time.Time {
-	if len(f.missing) == 0 || !f.storeUp {
+	return retry.Earliest(f.nextMissing(), f.nextRestored())
+}
+
+// nextMissing returns when servers whose entries are missing are removed, or the zero time if there are none.
+func (f *Fleet) nextMissing() time.Time {
+	if len(f.missing) == 0 {
 		return time.Time{}
 	}
-	return f.storeUpChangedAt.Add(watchcache.SettleTime)
+	return f.serverStore.settledAt()
 }
 
 // Step handles one event.
 func (f *Fleet) Step(now time.Time, ev event.Event) []event.Action {
 	var out []event.Action
 	switch ev := ev.(type) {
+	case watchcache.EraChanged:
+		f.handleEraChanged(now)
 	case watchcache.Reachability:
 		f.handleReachability(now, ev)
 	case watchcache.ObjectChanged:
 		out = f.handleObjectChanged(now, ev)
 	case watchcache.ObjectDeleted:
-		out = f.handleObjectDeleted(ev)
+		out = f.handleObjectDeleted(now, ev)
 	}
-	if next := f.Next(); !next.IsZero() && !now.Before(next) {
-		out = append(out, f.expire()...)
+	if next := f.nextMissing(); !next.IsZero() && !now.Before(next) {
+		out = append(out, f.expire(now)...)
 	}
-	return out
+	return append(out, f.expireRestored(now)...)
 }
 
 // handleReachability records whether the store is reachable.
 func (f *Fleet) handleReachability(now time.Time, ev watchcache.Reachability) {
-	switch {
-	case ev.Kind != KindServers:
-	case ev.Settled:
-		f.storeUp, f.storeUpChangedAt = true, now.Add(-watchcache.SettleTime)
-	case ev.Up != f.storeUp || f.storeUpChangedAt.IsZero():
-		f.storeUp, f.storeUpChangedAt = ev.Up, now
+	switch ev.Kind {
+	case KindServers:
+		f.serverStore.handle(now, ev)
+	case KindEvacuations:
+		f.evacuationStore.handle(now, ev)
 	}
 }
 
@@ -136,6 +145,7 @@
 	switch ev.Kind {
 	case KindEvacuations:
 		f.evacuated.Add(id.FailureDomain(ev.Object.Name))
+		f.missingEvacuated.Delete(id.FailureDomain(ev.Object.Name))
 		return []event.Action{event.Log{Kind: "domain", Choice: "evacuate " + ev.Object.Name, Reason: fmt.Sprintf("revision %d", ev.Object.Revision)}}
 	case KindServers:
 		return f.update(now, ev.Object)
@@ -157,8 +167,12 @@
 	}
 	s, known := f.servers[name]
 	var out []event.Action
+	if f.held(o, entry) {
+		entry.Draining = true
+		out = append(out, event.Log{Kind: "server", Stage: o.Name, Choice: "hold", Reason: "the store has come back with its entry from before it left"})
+	}
 	if known && s.Pool != entry.Pool {
-		out = f.remove(s, "entry names pool "+string(entry.Pool))
+		out = append(out, f.remove(s, "entry names pool "+string(entry.Pool))...)
 		known = false
 	}
 	restarted := known && (s.Start != entry.Start || s.Addr != entry.Addr)
@@ -223,18 +237,22 @@
 
 // handleObjectDeleted handles the deletion of an object. A server's entry may expire while the store is unreachable, and
 // a running server writes it again afterwards. Therefore, unless the deletion is settled or the server was draining, the
-// server stays until the store has been reachable for SettleTime.
-func (f *Fleet) handleObjectDeleted(ev watchcache.ObjectDeleted) []event.Action {
+// server stays until the store has been reachable for SettleTime. So do evacuations that a restored store has lost.
+func (f *Fleet) handleObjectDeleted(now time.Time, ev watchcache.ObjectDeleted) []event.Action {
 	switch ev.Kind {
 	case KindEvacuations:
-		f.evacuated.Delete(id.FailureDomain(ev.Name))
-		return []event.Action{event.Log{Kind: "domain", Choice: "return " + ev.Name}}
+		if domain := id.FailureDomain(ev.Name); !ev.Settled && f.evacuationsLost {
+			f.missingEvacuated.Add(domain)
+			return nil
+		}
+		return []event.Action{f.returnDomain(id.FailureDomain(ev.Name), "")}
 	case KindServers:
 		s, known := f.servers[id.Server(ev.Name)]
 		if !known {
 			return nil
 		}
 		if ev.Settled || s.Draining {
+			f.recordDeparture(now, s)
 			return f.remove(s, "entry removed")
 		}
 		f.missing[s.ID] = s
@@ -242,10 +260,18 @@
 	return nil
 }
 
+// returnDomain ends the evacuation of a failure domain.
+func (f *Fleet) returnDomain(domain id.FailureDomain, reason string) event.Action {
+	f.evacuated.Delete(domain)
+	f.missingEvacuated.Delete(domain)
+	return event.Log{Kind: "domain", Choice: "return " + string(domain), Reason: reason}
+}
+
 // expire removes the servers whose entries were not written again in time.
-func (f *Fleet) expire() []event.Action {
+func (f *Fleet) expire(now time.Time) []event.Action {
 	var out []event.Action
 	for _, name := range slices.Sorted(maps.Keys(f.missing)) {
+		f.recordDeparture(now, f.missing[name])
 		out = append(out, f.remove(f.missing[name], "entry was not written again after the store became reachable")...)
 	}
 	return out
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 
 func newHarness(d entryDecoder) *harness {
 	h := &harness{Fleet: fleet.New(d), now: epoch}
-	h.step(watchcache.Reachability{Kind: fleet.KindServers, Up: true})
+	h.listed()
 	h.now = h.now.Add(time.Minute)
 	return h
 }
