Tell leases the era of the store from the start

The control service: a process that starts after the store was restored took a lease that the copy shows as released at once, with a token that a forgotten holder may have used.

Cause: EraChanged reports later eras only, so that a new process knew none and could not tell an object of the copy from one of its own era.

The cache emits EraLearned before the first objects. A lease that the copy lacks is also taken only two leases later, because a new process cannot tell it from one that never was; where the store names no era, nothing changes.

Shown: TestEraLearned and TestProcessAfterRestore.

--- a/core/duty/era_test.go
+++ b/core/duty/era_test.go
@@ -1,6 +1,7 @@
 package duty_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -177,6 +178,33 @@
 	g.Expect(writes(l.Step(epoch.Add(3*leaseTime), event.Tick{}))).To(Equal(1))
 }
 
+// TestProcessAfterRestore guards against a process that starts after the store was restored and takes the lease that the copy shows
+// as released, or one that the copy lacks, while a forgotten holder may act, or with its token.
+func TestProcessAfterRestore(t *testing.T) {
+	for name, inCopy := range map[string]bool{"released": true, "missing": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rng := rand.New(rand.NewPCG(1, 1))
+			l := duty.New(event.Self{Node: "a", Incarnation: id.NewIncarnation(rng), Rand: rng}, duty.Options{Lease: leaseTime, CallsPerSecond: 50})
+			l.Step(epoch, watchcache.EraLearned{Era: 2})
+			if inCopy {
+				show(l, 0, 3, `{"holder":"b","incarnation":"00112233445566778899aabbccddeeff","era":1,"token":4294967297,"write":1,"released":true}`)
+			}
+			l.Step(epoch, watchcache.KindLoaded{Kind: duty.Kind})
+			l.SetLeading(epoch, true)
+			since, stale := l.StaleSince(subject)
+			g.Expect(stale).To(BeTrue())
+			g.Expect(since).To(Equal(epoch))
+			_, ok := request(l, 0)
+			g.Expect(ok).To(BeFalse())
+			g.Expect(writes(l.Step(epoch.Add(2*leaseTime-time.Millisecond), event.Tick{}))).To(BeZero())
+			c, ok := request(l, 2*leaseTime)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(string(c.Value)).To(ContainSubstring(`"era":2,"token":8589934`))
+		})
+	}
+}
+
 // TestLateAnswer guards against the answer to a write that the store has forgotten, which gives a right or a revision.
 func TestLateAnswer(t *testing.T) {
 	g := NewWithT(t)
--- a/core/duty/leases.go
+++ b/core/duty/leases.go
@@ -164,6 +164,8 @@
 	switch ev := ev.(type) {
 	case watchcache.KindLoaded:
 		l.loaded = l.loaded || ev.Kind == Kind
+	case watchcache.EraLearned:
+		out = l.changeEra(now, ev.Era)
 	case watchcache.EraChanged:
 		out = l.changeEra(now, ev.Era)
 	case watchcache.ObjectChanged:
--- a/core/watchcache/era.go
+++ b/core/watchcache/era.go
@@ -35,7 +35,7 @@
 func (c *Cache) learnEra(now time.Time, era uint64, from string) []event.Action {
 	if !c.eraKnown {
 		c.era, c.eraKnown = era, true
-		return nil
+		return []event.Action{EraLearned{Era: era}}
 	}
 	if era <= c.era {
 		return nil
--- a/core/watchcache/era_test.go
+++ b/core/watchcache/era_test.go
@@ -130,6 +130,16 @@
 	g.Expect(n.caches["b"].Era()).To(Equal(uint64(1)))
 }
 
+// TestEraLearned guards against a process that does not know the era before it sees the first object, and so takes what the store
+// has forgotten for what it never had.
+func TestEraLearned(t *testing.T) {
+	c := watchcache.New(event.Self{Node: "a"}, "nodes")
+	out := c.Step(time.Unix(1, 0), watchcache.Listed{Kind: "nodes", Era: 5, Revision: 7, Objects: []watchcache.Object{object("x", 7)}})
+	NewWithT(t).Expect(out[:2]).To(Equal([]event.Action{
+		watchcache.EraLearned{Era: 5}, watchcache.ObjectChanged{Kind: "nodes", Object: object("x", 7)},
+	}))
+}
+
 // TestEraFromPeer guards against a node that keeps what the store has lost because its own connection to the store says nothing
 // of the new era.
 func TestEraFromPeer(t *testing.T) {
--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -81,6 +81,11 @@
 		event.Internal
 		Era uint64
 	}
+	// EraLearned says which era the store is in, when this node learns it for the first time. It precedes the first objects.
+	EraLearned struct {
+		event.Internal
+		Era uint64
+	}
 	// ObjectChanged says that an object is new or has changed.
 	ObjectChanged struct {
 		event.Internal
