Keep servers cold that a restored store shows as warm

Cause: the copy may be from before a server became cold, and its entry set the server's rate back to the full one, at which cold servers crash. The first list of an era only extends the time for which the same process is cold; the next entry of the server counts as it is.

--- a/core/fleet/era.go
+++ b/core/fleet/era.go
@@ -33,6 +33,7 @@
 
 // restored is what a fleet remembers for the case that the store comes back from a copy.
 type restored struct {
+	eraChanged       bool
 	departures       map[id.Server]departure
 	holds            map[id.Server]*hold
 	holdsEnd         time.Time
@@ -77,7 +78,7 @@
 // does not count as reachable before the first lists of the era.
 func (f *Fleet) handleEraChanged(now time.Time) {
 	f.serverStore, f.evacuationStore = settling{changedAt: now}, settling{changedAt: now}
-	f.holdsEnd, f.evacuationsLost = now.Add(maxHold), true
+	f.holdsEnd, f.evacuationsLost, f.eraChanged = now.Add(maxHold), true, true
 	for _, h := range f.holds {
 		h.entry = nil
 	}
@@ -93,13 +94,16 @@
 	}
 }
 
+// inFirstList reports whether an entry may be of the first list of a later era, which may show servers as they were earlier. The
+// store counts as reachable only after that list.
+func (f *Fleet) inFirstList() bool { return f.eraChanged && !f.serverStore.up }
+
 // held reports whether an entry shows a held server as it was before it left. The first list of an era may do so; a later entry
 // was written in that era.
 func (f *Fleet) held(o watchcache.Object, entry Entry) bool {
 	name := id.Server(o.Name)
 	h := f.holds[name]
-	listed := !f.serverStore.up // the store counts as reachable only after the first list of an era
-	if h == nil || h.start != entry.Start || h.entry != nil || !listed {
+	if h == nil || h.start != entry.Start || h.entry != nil || !f.inFirstList() {
 		delete(f.holds, name)
 		delete(f.departures, name)
 		return false
--- a/core/fleet/era_test.go
+++ b/core/fleet/era_test.go
@@ -162,3 +162,29 @@
 		g.Expect(h.usable()).To(BeTrue())
 	})
 }
+
+// TestRestoredColdness guards against a server that counts as warm because the store has come back with an entry from before it
+// became cold.
+func TestRestoredColdness(t *testing.T) {
+	cold, shorter := newEntry("p", "1"), newEntry("p", "1")
+	cold.Cold, shorter.Cold = 5*time.Second, time.Second
+	entries := entryDecoder{"warm": newEntry("p", "1"), "cold": cold, "shorter": shorter, "restarted": newEntry("p", "2")}
+	start := func(spec string) *harness {
+		h := newHarness(entries)
+		h.put("s", "cold")
+		h.restore(2, spec)
+		h.listed()
+		return h
+	}
+	for spec, want := range map[string]bool{"warm": true, "shorter": true, "restarted": false} {
+		t.Run(spec, func(t *testing.T) {
+			h := start(spec)
+			NewWithT(t).Expect(h.Server("s").Cold(h.now.Add(4 * time.Second))).To(Equal(want))
+		})
+	}
+	t.Run("written again", func(t *testing.T) {
+		h := start("warm")
+		h.put("s", "warm")
+		NewWithT(t).Expect(h.Server("s").Cold(h.now)).To(BeFalse())
+	})
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -182,10 +182,7 @@
 	changed := !known || s.Draining != entry.Draining || restarted
 	s.Entry = entry
 	delete(f.missing, name)
-	s.coldUntil = time.Time{}
-	if entry.Cold > 0 {
-		s.coldUntil = now.Add(entry.Cold)
-	}
+	s.coldUntil = f.coldUntil(now, s, restarted)
 	if !known {
 		f.index(s)
 	}
@@ -197,6 +194,19 @@
 	return out
 }
 
+// coldUntil returns until when a server is cold by its entry, or by the one before it if the store may have come back with this
+// one.
+func (f *Fleet) coldUntil(now time.Time, s *Server, restarted bool) time.Time {
+	var until time.Time
+	if s.Cold(now) && !restarted && f.inFirstList() {
+		until = s.coldUntil
+	}
+	if end := now.Add(s.Entry.Cold); s.Entry.Cold > 0 && end.After(until) {
+		until = end
+	}
+	return until
+}
+
 func (s *Server) logChoice(restarted bool) string {
 	switch {
 	case s.Draining:
