--- a/core/proxy/era.go
+++ b/core/proxy/era.go
@@ -9,7 +9,7 @@
 type StoreEra struct {
 	event.Out
 	Era     uint64
-	Changes int // since the start of the process
+	Changes int // since the process knows the era
 }
 
 // stampEra sets the era in which the calls to the store were decided. The store's client does not send those of an earlier era.
@@ -24,15 +24,10 @@
 
 // reportEra reports the era if it has changed since the last report.
 func (g *Gateway) reportEra(out *actions) {
-	era := g.cache.Era()
-	if era == g.reportedEra.Era {
-		return
+	if now := (StoreEra{Era: g.cache.Era(), Changes: g.cache.EraChanges()}); now != g.reportedEra {
+		g.reportedEra = now
+		out.add(now)
 	}
-	if g.reportedEra.Era > 0 {
-		g.reportedEra.Changes++
-	}
-	g.reportedEra.Era = era
-	out.add(g.reportedEra)
 }
 
 // newerConfig reports whether one configuration has a higher version than another, which may be missing or invalid.
--- a/core/watchcache/era.go
+++ b/core/watchcache/era.go
@@ -17,13 +17,16 @@
 type eraState struct {
 	era        uint64
 	eraKnown   bool // the store or a peer has named the era
-	eraChanged bool // the era has risen since then
+	eraChanges int  // how often the era has risen since then
 	refollow   bool // the Follows in effect belong to an earlier era
 }
 
 // Era returns the era of the store, 0 while it is unknown.
 func (c *Cache) Era() uint64 { return c.era }
 
+// EraChanges returns how often the era has changed since the cache has known it.
+func (c *Cache) EraChanges() int { return c.eraChanges }
+
 // SetNewer sets the order of the versions that the objects of a kind have beside their revisions. If the store comes back with an
 // older version of an object, or without the object, the nodes keep the newer version and tell it to each other until the
 // store has caught up. newer reports whether next is newer than old.
@@ -44,7 +47,8 @@
 		event.Log{Kind: "store", Choice: "era", Reason: fmt.Sprintf("era %d after %d, named by %s", era, c.era, from)},
 		EraChanged{Era: era},
 	}
-	c.era, c.eraChanged, c.advanced = era, true, true
+	c.era, c.advanced = era, true
+	c.eraChanges++
 	c.peerSettledAt = time.Time{}
 	for _, kind := range c.kinds {
 		c.kindCaches[kind].outdate()
@@ -66,7 +70,7 @@
 // inEra reports whether a peer's message belongs to the known era. Earlier releases do not name an era; their messages count
 // until the era has changed.
 func (c *Cache) inEra(era uint64) bool {
-	return era == c.era || era == 0 && !c.eraChanged
+	return era == c.era || era == 0 && c.eraChanges == 0
 }
 
 // outdate marks the copy as one of an earlier era. Its objects stay in use until a whole list of the new era replaces them.
