--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -29,10 +29,17 @@
 }
 
 type (
+	// StoreEra says in which era the store answers this node. An era begins when the store has come back from a copy: changes
+	// that were acknowledged before may be missing, and their revisions are given out again.
+	StoreEra struct {
+		event.In
+		Era uint64
+	}
 	// Listed is the whole list of a kind from the store.
 	Listed struct {
 		event.In
 		Kind     string
+		Era      uint64
 		Revision uint64
 		Objects  []Object
 	}
@@ -40,6 +47,7 @@
 	Updated struct {
 		event.In
 		Kind     string
+		Era      uint64
 		Revision uint64
 		Objects  []Object
 		Deleted  []string
@@ -50,12 +58,13 @@
 		Kind string
 		Up   bool
 	}
-	// Follow asks for Listed and Updated events of a kind from now on. Revision is the one that the cache has reached, 0
-	// for none. AsSource says that other nodes take the changes from this one, so that they must not be late if a watch is
+	// Follow asks for Listed and Updated events of a kind from now on. Revision is the one that the cache has reached in an era,
+	// 0 for none. AsSource says that other nodes take the changes from this one, so that they must not be late if a watch is
 	// lost. A new Follow of a kind replaces the earlier one.
 	Follow struct {
 		event.Out
 		Kind     string
+		Era      uint64
 		Revision uint64
 		AsSource bool
 	}
@@ -67,6 +76,16 @@
 )
 
 type (
+	// EraChanged says that the store has come back from a copy. It precedes the changes of the new era.
+	EraChanged struct {
+		event.Internal
+		Era uint64
+	}
+	// EraLearned says which era the store is in, when this node learns it for the first time. It precedes the first objects.
+	EraLearned struct {
+		event.Internal
+		Era uint64
+	}
 	// ObjectChanged says that an object is new or has changed.
 	ObjectChanged struct {
 		event.Internal
@@ -100,6 +119,7 @@
 type KindRevision struct {
 	Kind  string `protobuf:"bytes,1,opt,name=kind"`
 	Known uint64 `protobuf:"varint,2,opt,name=known"`
+	Kept  uint64 `protobuf:"varint,3,opt,name=kept"` // hash of the objects kept from an earlier era, 0 for none
 }
 
 // KnownRevisions tells a peer which revisions the sender's copies have reached.
@@ -108,12 +128,14 @@
 	Poll      bool           `protobuf:"varint,2,opt,name=poll"`    // the sender gets its changes from the receiver
 	Reply     bool           `protobuf:"varint,3,opt,name=reply"`   // answers newer revisions; the receiver must not send its own in return
 	Settled   bool           `protobuf:"varint,4,opt,name=settled"` // the store answers the sender itself, and its kinds are settled
+	Era       uint64         `protobuf:"varint,5,opt,name=era"`     // of the revisions; 0 from earlier releases
 }
 
 // PollReply answers a poll; it follows the changes that the polling node lacked.
 type PollReply struct {
-	Up      bool `protobuf:"varint,1,opt,name=up"`      // the store answers the sender
-	Settled bool `protobuf:"varint,2,opt,name=settled"` // and all its kinds are settled
+	Up      bool   `protobuf:"varint,1,opt,name=up"`      // the store answers the sender
+	Settled bool   `protobuf:"varint,2,opt,name=settled"` // and all its kinds are settled
+	Era     uint64 `protobuf:"varint,3,opt,name=era"`     // 0 from earlier releases
 }
 
 // Check accepts every reply.
@@ -141,6 +163,8 @@
 	Objects  []Object    `protobuf:"bytes,5,rep,name=objects"`
 	Tombs    []Tombstone `protobuf:"bytes,6,rep,name=tombs"`
 	Settled  bool        `protobuf:"varint,7,opt,name=settled"` // the kind is settled at the sender
+	Era      uint64      `protobuf:"varint,8,opt,name=era"`     // of the revisions; 0 from earlier releases
+	Kept     []Object    `protobuf:"bytes,9,rep,name=kept"`     // newer versions from an earlier era, with revisions of that
 }
 
 // Check reports whether the message is well formed.
@@ -148,7 +172,7 @@
 	if s.Kind == "" {
 		return errors.New("change set: no kind")
 	}
-	if len(s.Objects) > maxObjects || len(s.Tombs) > maxObjects {
+	if len(s.Objects) > maxObjects || len(s.Tombs) > maxObjects || len(s.Kept) > maxObjects {
 		return fmt.Errorf("change set of %s: %d objects and %d deletions", s.Kind, len(s.Objects), len(s.Tombs))
 	}
 	for _, o := range s.Objects {
