Answer requests that arrive just before a close as idle

On a busy machine a request can wait in the kernel for tens of milliseconds until it is read. A drain, the idle timeout or the guard closed its connection as idle meanwhile, and its caller got a reset in place of an answer.

The close now looks first whether bytes wait to be read, with a peek at the descriptor, and leaves such a connection to its request. Only a request that crosses the close itself, between two system calls, is still reset.

The subtests 'the next request was not read' of TestDrainDuringRequest, TestIdleTimeoutDuringRequest and TestEvictionDuringRequest failed three times of three each before, and pass, also with the race detector.

--- a/io/httpserver/evict_test.go
+++ b/io/httpserver/evict_test.go
@@ -51,10 +51,13 @@
 // request whose connection it has closed.
 func TestEvictionDuringRequest(t *testing.T) {
 	var guard *fullGuard
-	closeDuringRequest(t, func(s *watchedServer) { guard.exceed(t, s, "127.0.0.1") }, false, func(s *httpserver.Server) {
+	exceed := func(s *watchedServer) { guard.exceed(t, s, "127.0.0.1") }
+	withGuard := func(s *httpserver.Server) {
 		guard = newFullGuard(1)
 		httpserver.WithGuard(guard.Guard)(s)
-	})
+	}
+	closeDuringRequest(t, exceed, false, withGuard)
+	closeBeforeRead(t, exceed, withGuard)
 }
 
 // hookedBody calls atEnd before it tells the end of the body.
--- a/io/httpserver/guard.go
+++ b/io/httpserver/guard.go
@@ -212,12 +212,12 @@
 	c.taken = 0
 }
 
-// evict closes a connection to make room. If part of a request was read from one that counts as new or idle, evict only records that;
+// evict closes a connection to make room. If part of a request has arrived on one that counts as new or idle, evict only records that;
 // another one may be selected then. The caller must hold g.mu.
 func (g *Guard) evict(now time.Time, victim callerlimit.Conn) {
 	c := g.conns[victim]
 	if !c.closeWaiting(ByGuard) {
-		if g.table.Begin(c.changedAt(), victim) {
+		if g.table.Begin(c.requestBegan(now), victim) {
 			return
 		}
 		c.endBy(ByGuard)
--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -194,10 +194,10 @@
 	}
 }
 
-// closeWaiting closes the connection at once if no byte of a request was read, and reports whether it did. What is read later is not
-// handled.
+// closeWaiting closes the connection at once if no byte of a request was read or waits to be read, and reports whether it did. What is
+// read later is not handled.
 func (c *trackedConn) closeWaiting(cause Cause) bool {
-	if !c.state.CompareAndSwap(int32(connWaiting), int32(connClosed)) && !c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
+	if c.unread() || !c.state.CompareAndSwap(int32(connWaiting), int32(connClosed)) && !c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
 		return false
 	}
 	c.endBy(cause)
@@ -205,6 +205,31 @@
 	return true
 }
 
+// unread reports whether the caller has sent bytes that were not read, as happens on a busy machine.
+func (c *trackedConn) unread() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// requestBegan returns when the request began that waits to be read, or is being read.
+func (c *trackedConn) requestBegan(now time.Time) time.Time {
+	if connState(c.state.Load()) == connWaiting {
+		return now
+	}
+	return c.changedAt()
+}
+
 // changedAt returns when the connection began to wait, or the request began.
 func (c *trackedConn) changedAt() time.Time { return time.Unix(0, c.since.Load()) }
 
--- a/io/httpserver/tracked_test.go
+++ b/io/httpserver/tracked_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	held        atomic.Pointer[chan struct{}] // reads return nothing until it is closed, nil for at once
 	states      chan http.ConnState           // idle and closed
 	beforeWrite atomic.Pointer[func()]
+	onIdle      func()                        // called before the server waits for the next request
+	late        atomic.Pointer[chan struct{}] // reads do not begin until it is closed, nil for at once
 	unanswered  chan httpserver.Unanswered
 	served      chan error
 }
@@ -34,6 +37,9 @@
 }
 
 func (c watchedConn) Read(p []byte) (int, error) {
+	if late := c.server.late.Load(); late != nil {
+		<-*late
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.server.read <- n
@@ -44,6 +50,11 @@
 	return n, err
 }
 
+// SyscallConn returns the descriptor of the connection.
+func (c watchedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 func (c watchedConn) Write(p []byte) (int, error) {
 	if before := c.server.beforeWrite.Swap(nil); before != nil {
 		(*before)()
@@ -52,8 +63,11 @@
 }
 
 func startWatched(t *testing.T, server *http.Server, opts ...httpserver.Option) *watchedServer {
-	s := &watchedServer{read: make(chan int, 100), states: make(chan http.ConnState, 100), unanswered: make(chan httpserver.Unanswered, 10), served: make(chan error, 1)}
+	s := &watchedServer{read: make(chan int, 100), states: make(chan http.ConnState, 100), onIdle: func() {}, unanswered: make(chan httpserver.Unanswered, 10), served: make(chan error, 1)}
 	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			s.onIdle()
+		}
 		if state == http.StateIdle || state == http.StateClosed {
 			s.states <- state
 		}
@@ -208,16 +222,39 @@
 	})
 }
 
+// closeBeforeRead answers one request on a connection. While a second one has arrived and was not read, it calls closeIdle.
+func closeBeforeRead(t *testing.T, closeIdle func(*watchedServer), opts ...httpserver.Option) {
+	t.Run("the next request was not read", func(t *testing.T) {
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)}, opts...)
+		late := make(chan struct{})
+		s.onIdle = func() { s.late.Store(&late) }
+		conn := s.dial(t)
+		s.send(t, conn, request)
+		readResponse(t, conn)
+		s.expectState(t, http.StateIdle)
+		_, err := io.WriteString(conn, request)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		closeIdle(s)
+		close(late)
+		readResponse(t, conn)
+		s.stop(t)
+	})
+}
+
 // TestDrainDuringRequest guards against a drain that closes a connection as idle of which it has read part of a request, and against
 // running a request whose connection it has closed.
 func TestDrainDuringRequest(t *testing.T) {
-	closeDuringRequest(t, func(s *watchedServer) { s.Drain(func() {}) }, true)
+	drain := func(s *watchedServer) { s.Drain(func() {}) }
+	closeDuringRequest(t, drain, true)
+	closeBeforeRead(t, drain)
 }
 
 // TestIdleTimeoutDuringRequest guards against the same faults of an idle timeout, which a configuration can lower, and against a
 // connection that a single byte keeps open.
 func TestIdleTimeoutDuringRequest(t *testing.T) {
-	closeDuringRequest(t, func(s *watchedServer) { s.CloseIdle(time.Nanosecond) }, true)
+	closeIdle := func(s *watchedServer) { s.CloseIdle(time.Nanosecond) }
+	closeDuringRequest(t, closeIdle, true)
+	closeBeforeRead(t, closeIdle)
 	t.Run("no request", func(t *testing.T) {
 		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)})
 		conn := s.dial(t)
