Drop what a second copy of the store lacks as well

The operator: an order that the copy lacked was kept for ever if the store came back from another copy within the settle time, and a node whose entry had been replaced by that of the copy got its next address 10 s late.

Cause: the second change of the era forgot that the order was to be dropped, and no deletion follows for what the cache does not have.

Shown: "missing for good after two restores" and "replaced after two restores" failed before.

--- a/core/rollout/era.go
+++ b/core/rollout/era.go
@@ -30,7 +30,7 @@
 		}
 		o.writing, o.revision = Ordered, 0
 		o.writeRetry.Clear()
-		o.restored = restored{unconfirmed: true, rewrite: o.state.final()}
+		o.uncertain, o.unconfirmed, o.rewrite = Ordered, true, o.state.final()
 	}
 }
 
--- a/core/rollout/era_test.go
+++ b/core/rollout/era_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,12 @@
 	"bluebellflow/core/watchcache"
 )
 
+// change is a write to the store.
+type change struct {
+	at     time.Time
+	object watchcache.Object
+}
+
 // bad is a new version whose requests mostly fail.
 var bad faultModel = func(float64) (float64, float64) { return 0.9, 1 }
 
@@ -124,6 +131,56 @@
 	})
 }
 
+// outcomes returns the final states that were ever in the store.
+func (c *cluster) outcomes() id.Set[rollout.State] {
+	out := id.NewSet[rollout.State]()
+	for _, w := range c.writes {
+		_, s, _ := decoder{}.Rollout(w.object.Spec, w.object.Status) // orders are valid here
+		if s.State == rollout.Completed || s.State == rollout.RolledBack {
+			out.Add(s.State)
+		}
+	}
+	return out
+}
+
+// restoreCopy brings the store back from a copy of the given age. The operator writes the order again unless the copy has it.
+func (c *cluster) restoreCopy(age time.Duration) {
+	for _, w := range slices.Backward(c.writes) {
+		if w.at.Before(c.now.Add(-age)) {
+			_, s, _ := decoder{}.Rollout(w.object.Spec, w.object.Status)
+			c.restore(w.object.Spec, s)
+			return
+		}
+	}
+	c.restore(nil, rollout.Status{})
+	c.run(time.Second)
+	c.order()
+}
+
+// TestRestoredOutcome guards against an outcome that is reversed, or never reached, whenever the store comes back from a copy.
+func TestRestoredOutcome(t *testing.T) {
+	const seeds = 20
+	for name, want := range map[string]rollout.State{"good": rollout.Completed, "bad": rollout.RolledBack} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				fault := good
+				if want == rollout.RolledBack {
+					fault = bad
+				}
+				c := newCluster(t, seed, 40, fault)
+				c.order()
+				for c.now.Before(epoch.Add(span)) {
+					c.run(time.Duration(c.rng.Int64N(int64(8 * time.Second))))
+					c.restoreCopy(time.Duration(c.rng.Int64N(int64(8 * time.Second))))
+				}
+				c.run(3 * time.Second)
+				c.g.Expect(c.state()).To(Equal(want), "seed %d", seed)
+				c.g.Expect(c.outcomes()).To(Equal(id.NewSet(want)), "seed %d", seed)
+			}
+		})
+	}
+}
+
 // TestRestoredOrder guards against an order that is dropped, or replaced by an earlier one, before the operator has had time to write
 // it again.
 func TestRestoredOrder(t *testing.T) {
@@ -150,6 +207,15 @@
 		c.run(watchcache.SettleTime + 6*tick)
 		c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1", "v2"}))
 	})
+	t.Run("missing for good after two restores", func(t *testing.T) {
+		c := running(t)
+		c.restore(nil, rollout.Status{})
+		for _, name := range c.names {
+			c.step(name, watchcache.EraChanged{Era: c.era + 1})
+		}
+		c.run(watchcache.SettleTime + 6*tick)
+		c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1", "v2"}))
+	})
 	t.Run("an earlier one for good", func(t *testing.T) {
 		c := running(t)
 		c.restore([]byte("v0"), rollout.Status{})
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -82,6 +82,7 @@
 	fault  faultModel
 	reject rejectModel // nil for none
 	era    uint64      // of the store
+	writes []change    // all writes to the store, also those that it has forgotten
 
 	loseAnswers bool // of the store; nodes do not see the change either
 
@@ -125,6 +126,7 @@
 
 func (c *cluster) write(spec, status []byte) {
 	c.store.object = watchcache.Object{Name: "m", Revision: c.store.object.Revision + 1, Spec: spec, Status: status}
+	c.writes = append(c.writes, change{c.now, c.store.object})
 	for _, name := range c.names {
 		if !c.cut[name] {
 			c.queue = append(c.queue, delivery{name, watchcache.ObjectChanged{Kind: rollout.Kind, Object: c.store.object}})
--- a/core/roster/era.go
+++ b/core/roster/era.go
@@ -75,7 +75,7 @@
 			out = append(out, r.remove(name)...)
 			continue
 		}
-		delete(r.kept, name)
+		r.forget(name)
 		r.nodes[name], r.lastHeard[name] = *older, now
 		out = append(out, event.Log{Kind: "node", Choice: "listed " + string(name), Reason: "as in the copy of the store"}, Changed{})
 	}
--- a/core/roster/era_test.go
+++ b/core/roster/era_test.go
@@ -121,6 +121,17 @@
 			g.Expect(n).NotTo(Equal(node("2")))
 		})
 	}
+	t.Run("replaced after two restores", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newListed(t)
+		h.step(watchcache.EraChanged{Era: 2})
+		h.put(t, "b", 8, node("8"))
+		h.step(watchcache.EraChanged{Era: 3})
+		h.wait(30 * time.Second)
+		h.put(t, "b", 9, node("3"))
+		n, _ := h.Node("b")
+		g.Expect(n).To(Equal(node("3")))
+	})
 	t.Run("removed by the leader", func(t *testing.T) {
 		h := newListed(t)
 		h.step(watchcache.EraChanged{Era: 2})
