Let the stand-in for the platform of serve come back from a copy

POST /lab/restore brings the object store back to how it was some seconds ago: later changes are forgotten, versions and sequence numbers are given out again, and watches from later ones are answered with a gap. Answers name the era, which nodes do not read yet. For trials with real processes; TestRestore checks the stand-in itself. No trial with processes was run.

--- a/lab/platform/calls.go
+++ b/lab/platform/calls.go
@@ -26,6 +26,7 @@
 func (p *Platform) withFaults(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := p.Faults()
+		w.Header().Set(eraHeader, strconv.FormatUint(p.Era(), 10))
 		if f.SlowMS > 0 && !p.sleep(r, time.Duration(f.SlowMS)*time.Millisecond) {
 			netpartition.Reset(w)
 			return
@@ -227,6 +228,12 @@
 // registerControl registers the control endpoints, which rate limits and faults do not affect.
 func (p *Platform) registerControl(r *mux.Router) {
 	backendapi.RegisterControl(r, p.SetFaults, p.Faults, p.Counts)
+	r.HandleFunc("/restore", func(w http.ResponseWriter, r *http.Request) {
+		var c Copy
+		if backendapi.ReadJSON(w, r, &c) {
+			p.Restore(time.Duration(c.AgeMS) * time.Millisecond)
+		}
+	}).Methods(http.MethodPost)
 	r.HandleFunc("/vms", func(w http.ResponseWriter, r *http.Request) {
 		var list []event.VM
 		if backendapi.ReadJSON(w, r, &list) {
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -77,6 +77,8 @@
 	firstSeq    uint64
 	seq         uint64
 	changed     chan struct{} // closed and replaced by each change
+	undo        []undoEntry   // oldest first
+	era         uint64
 	vmHistory   []vmList
 	faults      Faults
 	counts      Counts
@@ -110,6 +112,7 @@
 		objects:      map[string]object{},
 		firstSeq:     2, // the empty store has the sequence number 1, because a watch after 0 asks for the current number
 		seq:          1,
+		era:          1,
 		changed:      make(chan struct{}),
 		stop:         make(chan struct{}),
 	}
@@ -177,6 +180,7 @@
 		p.counts.Conflicts++
 		return 0, false
 	}
+	p.recordUndo(name, o)
 	o = object{value: value, version: version + 1}
 	p.objects[name] = o
 	p.seq++
