Look into the socket before an idle connection is closed

A busy node closed connections as idle although a request had arrived on them more than its last read's 5 ms before, and the caller got a reset.

Cause: the deadline of the last read can pass although bytes have arrived. A read does not look into the socket if its deadline has passed before it begins, and the Go runtime handles expired timers before it polls the network. A process without a free processor meets both. The last read now ends with one that does not wait.

TestUnreadRequest, 'deadline passed before the last read', failed each time before.

--- a/io/httpserver/leaving_test.go
+++ b/io/httpserver/leaving_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,8 +28,29 @@
 	return c.Conn.Read(p)
 }
 
+func (c gatedConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+
+// pause is longer than an idle connection waits for its last read.
+const pause = 50 * time.Millisecond
+
+// pausedConn lets a read deadline in the near future pass before the read begins, as if the process got no processor time.
+type pausedConn struct{ *net.TCPConn }
+
+func (c pausedConn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	if left := time.Until(t); left > 0 && left < pause {
+		time.Sleep(pause)
+	}
+	return err
+}
+
 // closeBeforeRead answers one request on a connection, and calls closeIdle while a second one lies unread in the socket.
 func closeBeforeRead(t *testing.T, closeIdle func(*httpserver.Server)) {
+	closeBeforeReadOf(t, func(conn net.Conn) net.Conn { return conn }, closeIdle)
+}
+
+// closeBeforeReadOf does the same on a wrapper of the connection.
+func closeBeforeReadOf(t *testing.T, wrap func(net.Conn) net.Conn, closeIdle func(*httpserver.Server)) {
 	g := NewWithT(t)
 	var gate atomic.Pointer[chan struct{}]
 	closed := make(chan struct{})
@@ -45,7 +67,7 @@
 		},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
-	s.WrapConns(func(conn net.Conn) net.Conn { return gatedConn{conn, &gate} })
+	s.WrapConns(func(conn net.Conn) net.Conn { return gatedConn{wrap(conn), &gate} })
 	served := make(chan error, 1)
 	go func() { served <- s.Serve() }()
 
@@ -74,4 +96,8 @@
 	t.Run("idle timeout", func(t *testing.T) {
 		closeBeforeRead(t, func(s *httpserver.Server) { s.CloseIdle(time.Nanosecond) })
 	})
+	t.Run("deadline passed before the last read", func(t *testing.T) {
+		wrap := func(conn net.Conn) net.Conn { return pausedConn{conn.(*net.TCPConn)} }
+		closeBeforeReadOf(t, wrap, func(s *httpserver.Server) { s.Drain(func() {}) })
+	})
 }
--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -109,7 +109,13 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n = c.readArrived(p)
+	}
+	if n > 0 {
+		return n, nil
+	}
+	if c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
 		c.endBy(c.leavingBy)
 		_ = c.Conn.Close()
 		return 0, net.ErrClosed
@@ -117,6 +123,24 @@
 	return n, err
 }
 
+// readArrived reads without waiting, and returns 0 if nothing has arrived. A read that ends by its deadline may not have looked into
+// the socket: the runtime handles expired timers before it looks for arrived data, and it may not have run for a while.
+func (c *trackedConn) readArrived(p []byte) (n int) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	return max(0, n)
+}
+
 // stay makes a connection that was to be closed as idle stay open, because a request has begun. It reports false if the connection was
 // closed before.
 func (c *trackedConn) stay() bool {
