Don't close a connection as idle with a request that was read ahead

Cause: net/http reads a pipelined request together with the previous one. No read begins that request, so that a drain put its connection into connLeaving. Its handler then ran with a read deadline in the past: its context was canceled, or the read of its body failed. On an idle connection, net/http sets a second read deadline when it has the first bytes of the next request. The connection takes that as the beginning of the request.

--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -49,8 +49,9 @@
 	writeErr  atomic.Bool  // a write has failed
 	endedBy   atomic.Int32 // a Cause; the first one counts
 
-	mu        sync.Mutex // protects changes to and from connLeaving, and the read deadline
-	leavingBy Cause      // why the connection is in connLeaving
+	mu          sync.Mutex // protects changes to and from connLeaving, and the read deadline
+	leavingBy   Cause      // why the connection is in connLeaving
+	idleWaiting bool       // net/http has set the deadline for the first bytes of the next request
 }
 
 func newTrackedConn(conn net.Conn, s *Server) *trackedConn {
@@ -156,12 +157,27 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordDeadline()
 	if connState(c.state.Load()) == connLeaving {
 		t = longPast
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// recordDeadline records that a request has begun if net/http sets a second deadline on an idle connection. It does so when it has the
+// first bytes of a request, which it may have read together with the previous one. The caller must hold c.mu.
+func (c *trackedConn) recordDeadline() {
+	state := connState(c.state.Load())
+	if !c.used.Load() || state != connWaiting && state != connLeaving {
+		return
+	}
+	if c.idleWaiting && c.state.CompareAndSwap(int32(state), int32(connReading)) {
+		c.wrote.Store(false)
+		c.since.Store(time.Now().UnixNano())
+	}
+	c.idleWaiting = true
+}
+
 // recordRead records a read into a buffer of the given size, or reports false if the connection was closed before.
 func (c *trackedConn) recordRead(size int) bool {
 	switch connState(c.state.Load()) {
@@ -284,6 +300,9 @@
 		c.changeState(connReading)
 		return
 	}
+	c.mu.Lock()
+	c.idleWaiting = false
+	c.mu.Unlock()
 	c.changeState(connWaiting)
 }
 
