--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -49,8 +49,9 @@
 	writeErr  atomic.Bool  // a write has failed
 	endedBy   atomic.Int32 // a Cause; the first one counts
 
-	mu        sync.Mutex // protects changes to and from connLeaving, and the read deadline
-	leavingBy Cause      // why the connection is in connLeaving
+	mu          sync.Mutex // protects changes to and from connLeaving, and the read deadline
+	leavingBy   Cause      // why the connection is in connLeaving
+	idleWaiting bool       // net/http has set the deadline for the first bytes of the next request
 }
 
 func newTrackedConn(conn net.Conn, s *Server) *trackedConn {
@@ -109,7 +110,13 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n = c.readArrived(p)
+	}
+	if n > 0 {
+		return n, nil
+	}
+	if c.state.CompareAndSwap(int32(connLeaving), int32(connClosed)) {
 		c.endBy(c.leavingBy)
 		_ = c.Conn.Close()
 		return 0, net.ErrClosed
@@ -117,6 +124,24 @@
 	return n, err
 }
 
+// readArrived reads without waiting, and returns 0 if nothing has arrived. A read that ends by its deadline may not have looked into
+// the socket: the runtime handles expired timers before it looks for arrived data, and it may not have run for a while.
+func (c *trackedConn) readArrived(p []byte) (n int) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	return max(0, n)
+}
+
 // stay makes a connection that was to be closed as idle stay open, because a request has begun. It reports false if the connection was
 // closed before.
 func (c *trackedConn) stay() bool {
@@ -132,12 +157,27 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordDeadline()
 	if connState(c.state.Load()) == connLeaving {
 		t = longPast
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// recordDeadline records that a request has begun if net/http sets a second deadline on an idle connection. It does so when it has the
+// first bytes of a request, which it may have read together with the previous one. The caller must hold c.mu.
+func (c *trackedConn) recordDeadline() {
+	state := connState(c.state.Load())
+	if !c.used.Load() || state != connWaiting && state != connLeaving {
+		return
+	}
+	if c.idleWaiting && c.state.CompareAndSwap(int32(state), int32(connReading)) {
+		c.wrote.Store(false)
+		c.since.Store(time.Now().UnixNano())
+	}
+	c.idleWaiting = true
+}
+
 // recordRead records a read into a buffer of the given size, or reports false if the connection was closed before.
 func (c *trackedConn) recordRead(size int) bool {
 	switch connState(c.state.Load()) {
@@ -285,6 +325,9 @@
 		c.changeState(connReading)
 		return
 	}
+	c.mu.Lock()
+	c.idleWaiting = false
+	c.mu.Unlock()
 	c.changeState(connWaiting)
 }
 
