--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -263,8 +263,8 @@
 	return !at.IsZero() && at.Sub(k.storeLostAt) >= peerReportLag
 }
 
-// updateReachability updates, for each kind, whether the store is reachable. It is not until the kind has been listed in the
-// known era.
+// updateReachability updates, for each kind, whether the store is reachable. A kind that has not been listed in this era counts as
+// unreachable.
 func (c *Cache) updateReachability(now time.Time) []event.Action {
 	var out []event.Action
 	for _, kind := range c.kinds {
@@ -453,8 +453,8 @@
 	return event.Send{To: to, Body: reply}
 }
 
-// allUp reports whether the store answers this node itself for every kind, and has listed all in the known era. Reports of other nodes do not count, so that
-// two nodes cannot confirm each other.
+// allUp reports whether the store answers this node itself for every kind, and has listed all of them in this era. Reports of
+// other nodes do not count, so that two nodes cannot confirm each other.
 func (c *Cache) allUp() bool {
 	for _, kind := range c.kinds {
 		if k := c.kindCaches[kind]; !k.storeUp || k.outdated {
--- a/core/watchcache/era.go
+++ b/core/watchcache/era.go
@@ -34,7 +34,7 @@
 	c.kindCaches[kind].newer = newer
 }
 
-// learnEra records an era that the store or a peer has named.
+// learnEra records an era that the store or a peer has named. The first one is no change.
 func (c *Cache) learnEra(now time.Time, era uint64, from string) []event.Action {
 	if !c.eraKnown {
 		c.era, c.eraKnown = era, true
