Don't bring back a server that is removed while it is held

Cause: an entry that is held after a restore of the store stayed in the hold when the store removed it, or replaced it by one that cannot be decoded.

--- a/core/fleet/era.go
+++ b/core/fleet/era.go
@@ -112,6 +112,14 @@
 	return !entry.Draining
 }
 
+// dropHeldEntry forgets the entry of a held server that is no longer in the store, so that the end of the hold does not bring it
+// back.
+func (f *Fleet) dropHeldEntry(name id.Server) {
+	if h := f.holds[name]; h != nil {
+		h.entry = nil
+	}
+}
+
 // releaseHolds uses the entries as they are.
 func (f *Fleet) releaseHolds(now time.Time) []event.Action {
 	held := f.holds
--- a/core/fleet/era_test.go
+++ b/core/fleet/era_test.go
@@ -106,6 +106,16 @@
 			g.Expect(h.usable()).To(BeFalse())
 		})
 	}
+	t.Run("removed while it is held", func(t *testing.T) {
+		h := newHarness(entries)
+		h.put("s", "ready")
+		h.put("s", "draining")
+		h.restore(2, "ready")
+		h.listed()
+		h.step(watchcache.ObjectDeleted{Kind: fleet.KindServers, Name: "s", Settled: true})
+		h.wait(time.Minute)
+		NewWithT(t).Expect(h.Pool("p")).To(BeEmpty(), "the store has no entry")
+	})
 	t.Run("long gone", func(t *testing.T) {
 		h := newHarness(entries)
 		h.put("s", "ready")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -159,6 +159,7 @@
 	name := id.Server(o.Name)
 	entry, err := f.decoder.Server(o.Spec)
 	if err != nil {
+		f.dropHeldEntry(name)
 		out := []event.Action{event.Log{Kind: "server", Stage: o.Name, Choice: "ignore", Reason: err.Error()}}
 		if s, known := f.servers[name]; known {
 			out = append(out, f.remove(s, "entry cannot be decoded")...)
@@ -257,6 +258,7 @@
 		}
 		return []event.Action{f.returnDomain(id.FailureDomain(ev.Name), "")}
 	case KindServers:
+		f.dropHeldEntry(id.Server(ev.Name))
 		s, known := f.servers[id.Server(ev.Name)]
 		if !known {
 			return nil
