Remember a final status whose answer was lost until it is seen

Cause: a refused attempt after a lost answer cleared the note that the first write may have taken effect. That is the order of events when the store goes away and comes back from a copy: the completed rollout was then decided anew and rolled back.

--- a/core/rollout/control.go
+++ b/core/rollout/control.go
@@ -241,9 +241,6 @@
 		return []event.Action{o.log("write", err.Error())}
 	}
 	o.writing = s
-	if s.final() {
-		o.uncertain = s
-	}
 	r.seq++
 	r.writes[r.seq] = o
 	return []event.Action{
@@ -262,8 +259,8 @@
 	}
 	s := o.writing
 	o.writing = Ordered
-	if ev.Code != event.CodeUnknown {
-		o.uncertain = Ordered
+	if ev.Code == event.CodeUnknown && s.final() {
+		o.uncertain = s // also if later attempts are refused
 	}
 	if ev.Code != event.CodeOK {
 		o.writeRetry.Fail(now, r.self.Rand)
--- a/core/rollout/era.go
+++ b/core/rollout/era.go
@@ -25,7 +25,10 @@
 func (r *Rollouts) changeEra() {
 	clear(r.writes)
 	for _, o := range r.orders {
-		if o.uncertain.final() {
+		if o.writing.final() {
+			o.uncertain = o.writing
+		}
+		if o.uncertain.final() && !o.state.final() {
 			o.state = o.uncertain
 		}
 		o.writing, o.revision = Ordered, 0
--- a/core/rollout/era_test.go
+++ b/core/rollout/era_test.go
@@ -118,6 +118,23 @@
 		c.restore([]byte("v2"), copies["running"])
 		c.expectKept("v2", rollout.Completed)
 	})
+	t.Run("answer lost, then unavailable", func(t *testing.T) {
+		c := newCluster(t, 1, 40, good)
+		c.order()
+		c.run(span / 2)
+		c.loseAnswers = true
+		for end := c.now.Add(span); c.state() != rollout.Completed && c.now.Before(end); {
+			c.run(tick)
+		}
+		c.g.Expect(c.state()).To(Equal(rollout.Completed))
+		c.loseAnswers, c.store.unavailable = false, true
+		c.run(2 * time.Second)
+		c.store.unavailable, c.fault = false, bad
+		c.restore([]byte("v2"), copies["running"])
+		c.startProcess("b")
+		c.run(2 * time.Second)
+		c.expectKept("v2", rollout.Completed)
+	})
 	t.Run("ordered again", func(t *testing.T) {
 		c := newCluster(t, 1, 40, bad)
 		c.order()
