Ignore copies without an era if the store has come back

Cause: changes from a node of an earlier release, which names no era, counted as those of the present era until a process had seen the era change. A process that started after a restore took the old copy with its higher revision, and ignored the lists of the store below it. Objects that were loaded before the era is known are now replaced, and their watches begin again.

--- a/core/watchcache/era.go
+++ b/core/watchcache/era.go
@@ -13,6 +13,9 @@
 	"bluebellflow/core/id"
 )
 
+// FirstEra is the highest era of a store that has never come back from a copy.
+const FirstEra = 1
+
 // eraState is what a cache knows of the store's era.
 type eraState struct {
 	era        uint64
@@ -36,18 +39,20 @@
 
 // learnEra records an era that the store or a peer has named.
 func (c *Cache) learnEra(now time.Time, era uint64, from string) []event.Action {
-	if !c.eraKnown {
+	switch {
+	case !c.eraKnown && (era <= FirstEra || !c.anyLoaded()):
 		c.era, c.eraKnown = era, true
 		return []event.Action{EraLearned{Era: era}}
-	}
-	if era <= c.era {
+	case c.eraKnown && era <= c.era:
 		return nil
 	}
+	// Objects that were loaded while the era was unknown come from an earlier release, and may be of any era.
 	out := []event.Action{
 		event.Log{Kind: "store", Choice: "era", Reason: fmt.Sprintf("era %d after %d, named by %s", era, c.era, from)},
 		EraChanged{Era: era},
 	}
-	c.era, c.advanced = era, true
+	c.refollow = c.refollow || !c.eraKnown
+	c.era, c.eraKnown, c.advanced = era, true, true
 	c.eraChanges++
 	c.peerSettledAt = time.Time{}
 	for _, kind := range c.kinds {
@@ -67,10 +72,15 @@
 	return out
 }
 
+// anyLoaded reports whether any kind has been loaded.
+func (c *Cache) anyLoaded() bool {
+	return slices.ContainsFunc(c.kinds, c.Loaded)
+}
+
 // inEra reports whether a peer's message belongs to the known era. Earlier releases do not name an era; their messages count
-// until the era has changed.
+// as long as the store has never come back.
 func (c *Cache) inEra(era uint64) bool {
-	return era == c.era || era == 0 && c.eraChanges == 0
+	return era == c.era || era == 0 && c.era <= FirstEra && c.eraChanges == 0
 }
 
 // outdate marks the copy as one of an earlier era. Its objects stay in use until a whole list of the new era replaces them.
--- a/core/watchcache/era_test.go
+++ b/core/watchcache/era_test.go
@@ -264,6 +264,28 @@
 		g.Expect(n.changed["b"]).NotTo(ContainElement("y@110"))
 		g.Expect(n.followed["b"].Sorted()).To(Equal([]string{"config", "nodes"}))
 	})
+	t.Run("changes of an earlier era for a new process", func(t *testing.T) {
+		stale := event.Receive{From: "b", Body: watchcache.ChangeSet{
+			Kind: "config", Revision: 100, Whole: true, Objects: []watchcache.Object{object("x", 95)},
+		}}
+		for name, events := range map[string][]event.Event{
+			"before the store": {stale, watchcache.StoreEra{Era: 2}},
+			"after the store":  {watchcache.StoreEra{Era: 2}, stale},
+		} {
+			t.Run(name, func(t *testing.T) {
+				n := newNetwork("a")
+				n.caches["a"].SetSource(n.now, "a", nil, false)
+				g := NewWithT(t)
+				for _, ev := range events {
+					n.step("a", ev)
+				}
+				last := n.follows["a"][len(n.follows["a"])-1]
+				g.Expect(last.Revision).To(BeZero(), "a watch from a revision of an earlier era misses changes")
+				n.listEra("a", 2, 60, object("y", 55))
+				g.Expect(n.caches["a"].Names("config")).To(Equal([]string{"y"}))
+			})
+		}
+	})
 	t.Run("decodes what it does not know", func(t *testing.T) {
 		for kind, want := range earlierBodies {
 			g := NewWithT(t)
