soak: let the store come back from a copy

Each plan has one restore of the store, with watches that end or hang on; the operator writes the configuration again half a second later.

--- a/cmd/soak/plan_test.go
+++ b/cmd/soak/plan_test.go
@@ -38,7 +38,23 @@
 			plan = append(plan, drawReport(rng, s, span))
 		}
 	}
-	return append(plan, drawOddEntry(rng, span), drawCrowd(rng, h, span))
+	return append(plan, drawOddEntry(rng, span), drawCrowd(rng, h, span), drawRestore(rng, span))
+}
+
+// drawRestore returns a fault in which the store loses the changes of some seconds. The operator writes the configuration again
+// a moment later.
+func drawRestore(rng *rand.Rand, span time.Duration) fault {
+	watches := []standin.Watches{standin.KeepWatches, standin.EndWatches}[rng.IntN(2)]
+	var from standin.Copy
+	return fault{
+		at: time.Duration(rng.Int64N(int64(span))), span: time.Duration(1+rng.IntN(4)) * time.Second, name: fmt.Sprintf("store restored, watches %d", watches),
+		begin: func(h *harness) { from = h.Store.Snapshot() },
+		end: func(h *harness) {
+			h.Store.Restore(from, watches)
+			time.Sleep(500 * time.Millisecond)
+			h.Store.Put("config", "main", h.Config())
+		},
+	}
 }
 
 // drawReport returns a fault in which a server says something of itself. A server that has said that it is leaving exits, and
