serve: SIGHUP no longer ends the process

Cause: only `gateway` subscribed to SIGHUP, after it had read its settings. The default of the runtime ends a process on SIGHUP at once, so that requests in progress on `bluebellflow serve` got no answer.

Change: both commands subscribe before they read their settings, and log msg=reload.

e2e.TestProcesses/reload (streams open on a node that gets SIGHUP) fails before: they break off. It passes after.

--- a/cmd/cli/cli.go
+++ b/cmd/cli/cli.go
@@ -64,7 +64,7 @@
 	Node string `help:"Address of a node's administration API." default:"http://127.0.0.1:8081" env:"BLUEBELLFLOW_NODE" placeholder:"URL"`
 	JSON bool   `name:"json" help:"Write JSON instead of tables."`
 
-	Serve   serveCommand   `cmd:"" help:"Run a node. SIGTERM stops it gracefully; a second signal ends it at once."`
+	Serve   serveCommand   `cmd:"" help:"Run a node. SIGTERM stops it gracefully; a second one ends it at once. SIGHUP is only logged."`
 	Gateway gatewayCommand `cmd:"" help:"Run a gateway node on a platform. SIGTERM stops it gracefully."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and list all findings with their positions."`
 	Explain explainCommand `cmd:"" help:"Show the effective value of a setting and where it comes from."`
--- a/cmd/cli/gateway.go
+++ b/cmd/cli/gateway.go
@@ -1,10 +1,7 @@
 package cli
 
 import (
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 
@@ -28,6 +25,7 @@
 
 // Run serves requests until the node has stopped. Logs go to standard output.
 func (c *gatewayCommand) Run(e *env) error {
+	reloads := subscribeReloads()
 	source, err := readFile(c.File)
 	if err != nil {
 		return err
@@ -49,17 +47,15 @@
 	debug.SetGCPercent(gatewayGCPercent)
 	setMemoryLimit(memoryLimitMB)
 	signals := e.streams.Signals()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	node, err := gateway.NewNode(cfg)
 	if err != nil {
 		return err
 	}
 	cfg.Logger.Info("start", "node", cfg.Self.Node, "incarnation", cfg.Self.Incarnation, "domain", cfg.Self.FailureDomain,
 		"callers", addrText(cfg.Callers), "peers", addrText(cfg.Self.Addr))
-	go logReloadRequests(cfg.Logger, node, reloads)
 	ended := make(chan struct{})
 	defer close(ended)
+	go logReloads(cfg.Logger, reloads, ended, node.Reloaded)
 	go func() {
 		select {
 		case <-ended:
@@ -78,12 +74,3 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB) * megabyte))
 	}
 }
-
-// logReloadRequests logs each SIGHUP. Nothing is reloaded: the settings of a process take effect at its next start, and
-// configuration that changes while a gateway runs is read from the store.
-func logReloadRequests(logger *log.Logger, node *gateway.Node, signals <-chan os.Signal) {
-	for range signals {
-		node.Reloaded()
-		logger.Info("reload", "result", "settings apply from the next start on")
-	}
-}
--- a/cmd/cli/local.go
+++ b/cmd/cli/local.go
@@ -93,6 +93,7 @@
 
 // Run serves requests until the node has stopped.
 func (c *serveCommand) Run(e *env) error {
+	reloads := subscribeReloads()
 	source, err := readFile(c.File)
 	if err != nil {
 		return err
@@ -122,6 +123,7 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go stopOnSignal(node, signals, ended)
+	go logReloads(cfg.Logger, reloads, ended, func() {})
 	return node.Run()
 }
 
--- a/cmd/e2e/processes_test.go
+++ b/cmd/e2e/processes_test.go
@@ -31,6 +31,7 @@
 	d.warmUp(t)
 	t.Run("peer authentication", func(t *testing.T) { testPeerAuthentication(t, d) })
 	t.Run("kill and restart", func(t *testing.T) { testKill(t, d) })
+	t.Run("reload", func(t *testing.T) { testReload(t, d) })
 	t.Run("graceful stop", func(t *testing.T) { testGracefulStop(t, d) })
 	t.Run("second signal", func(t *testing.T) { testSecondSignal(t, d) })
 	t.Run("outage of the platform", func(t *testing.T) { testPlatformOutage(t, d) })
@@ -255,6 +256,19 @@
 	return out
 }
 
+// testReload checks that SIGHUP does not end a process, and with it the requests in progress.
+func testReload(t *testing.T, d *deployment) {
+	g := NewWithT(t)
+	p := d.nodes[2]
+	streams := openStreams(t, d, p)
+	d.signal(p, syscall.SIGHUP)
+	for _, s := range streams {
+		g.Expect(readReply(s.resp).err).NotTo(HaveOccurred(), p.log.tail(10))
+	}
+	d.waitReady(p)
+	g.Expect(p.log.tail(10)).To(ContainSubstring("msg=reload"))
+}
+
 // testSecondSignal checks that a second signal ends a process at once.
 func testSecondSignal(t *testing.T, d *deployment) {
 	g := NewWithT(t)
