Accept the queue of an ending listener however late the process is

Cause: the 100 ms in which a listener that ends accepts its queue began with the stop, not with the first look at the queue. A process that got no processor time meanwhile, which is when connections queue up, found the time over and closed the listener without a look. The kernel reset the connections.

Change: the number of connections is bounded, not the time: as many as the queue usually holds.

--- a/io/httpserver/listener.go
+++ b/io/httpserver/listener.go
@@ -10,7 +10,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// lastAcceptTime bounds how long a listener that ends accepts the connections that wait in its queue, if more and more arrive.
+// maxLastAccepts bounds how many connections a listener that ends accepts, if more and more arrive. It is the usual size of the queue.
+const maxLastAccepts = 4096
+
+// lastAcceptTime bounds the wait for a connection that has left the queue after it was seen there.
 const lastAcceptTime = 100 * time.Millisecond
 
 // connListener is a listener that ends without a loss of connections.
@@ -22,13 +25,14 @@
 // queueListener accepts the connections in its queue before it is closed, because the kernel resets those that are left.
 type queueListener struct {
 	*net.TCPListener
-	endAt atomic.Int64 // Unix time in nanoseconds until which it accepts what is in the queue, 0 if it goes on
+	ending      atomic.Bool // it accepts only what is in the queue
+	lastAccepts int         // attempts to accept a connection since then
 }
 
 // Accept returns the next connection, or net.ErrClosed if none is left after end.
 func (l *queueListener) Accept() (net.Conn, error) {
 	conn, err := l.TCPListener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) && l.endAt.Load() != 0 {
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.ending.Load() {
 		return l.acceptLast()
 	}
 	return conn, err
@@ -36,13 +40,15 @@
 
 // end makes Accept return the connections in the queue, and then close the listener.
 func (l *queueListener) end() {
-	l.endAt.CompareAndSwap(0, time.Now().Add(lastAcceptTime).UnixNano())
+	l.ending.Store(true)
 	_ = l.SetDeadline(longPast)
 }
 
-// acceptLast returns a connection from the queue, or closes the listener.
+// acceptLast returns a connection from the queue, or closes the listener. Time does not count, because the process may not have run for
+// a while.
 func (l *queueListener) acceptLast() (net.Conn, error) {
-	if time.Now().UnixNano() < l.endAt.Load() && l.queued() {
+	if l.lastAccepts < maxLastAccepts && l.queued() {
+		l.lastAccepts++
 		_ = l.SetDeadline(time.Now().Add(lastAcceptTime))
 		conn, err := l.TCPListener.Accept()
 		if err == nil {
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -81,8 +81,9 @@
 	return nil
 }
 
-// Drain accepts what waits in the queue of the listener, and closes it and all idle connections. Requests on open connections are served, and each connection is
-// closed after its response. It then calls empty as soon as no connection is open; empty must not block.
+// Drain accepts what waits in the queue of the listener, and closes it and all idle connections. Requests on open connections are
+// served, and each connection is closed after its response. It then calls empty as soon as no connection is open; empty must not
+// block.
 func (s *Server) Drain(empty func()) {
 	s.listener.end()
 	<-s.served
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -128,36 +128,58 @@
 	g.Expect(err).To(MatchError(io.EOF))
 }
 
-// TestQueuedConnections guards against a server that closes its listener while connections wait to be accepted, on which callers have
-// sent requests.
-func TestQueuedConnections(t *testing.T) {
+// queueServer is a server that waits after its first accept, so that connections stay in the queue of its listener.
+type queueServer struct {
+	*httpserver.Server
+	accept chan struct{} // closed to go on
+	served chan error
+	conns  []net.Conn // on each of which a request was sent
+}
+
+func startQueue(t *testing.T, conns int) *queueServer {
 	g := NewWithT(t)
-	accepted, accept := make(chan struct{}, 10), make(chan struct{})
+	s := &queueServer{accept: make(chan struct{}), served: make(chan error, 1), conns: make([]net.Conn, conns)}
+	accepted := make(chan struct{}, conns)
 	server := &http.Server{Handler: http.HandlerFunc(answer), ConnState: func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			accepted <- struct{}{}
-			<-accept
+			<-s.accept
 		}
 	}}
-	s, err := httpserver.New(netip.MustParseAddrPort("127.0.0.1:0"), server)
+	var err error
+	s.Server, err = httpserver.New(netip.MustParseAddrPort("127.0.0.1:0"), server)
 	g.Expect(err).NotTo(HaveOccurred())
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
-
-	conns := make([]net.Conn, 4)
-	for i := range conns {
-		conns[i], err = net.Dial("tcp", s.Addr().String())
+	go func() { s.served <- s.Serve() }()
+	for i := range s.conns {
+		s.conns[i], err = net.Dial("tcp", s.Addr().String())
 		g.Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = conns[i].Close() }()
-		_, err = io.WriteString(conns[i], request)
+		t.Cleanup(func() { _ = s.conns[i].Close() })
+		_, err = io.WriteString(s.conns[i], request)
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	g.Eventually(accepted, testTimeout).Should(Receive())
-	go s.Stop(testTimeout)
-	g.Consistently(served, pause).ShouldNot(Receive())
-	close(accept)
-	for _, conn := range conns {
+	return s
+}
+
+// expectAnswers asserts that each request is answered.
+func (s *queueServer) expectAnswers(t *testing.T) {
+	t.Helper()
+	for _, conn := range s.conns {
 		finish(t, conn, "")
 	}
-	g.Eventually(served, testTimeout).Should(Receive(BeNil()))
+}
+
+// TestQueuedConnections guards against a server that closes its listener while connections wait to be accepted, on which callers have
+// sent requests, also if it accepts them late because it gets no processor time.
+func TestQueuedConnections(t *testing.T) {
+	for name, late := range map[string]time.Duration{"at once": pause, "late": 6 * pause} {
+		t.Run(name, func(t *testing.T) {
+			s := startQueue(t, 4)
+			go s.Stop(testTimeout)
+			NewWithT(t).Consistently(s.served, late).ShouldNot(Receive())
+			close(s.accept)
+			s.expectAnswers(t)
+			NewWithT(t).Eventually(s.served, testTimeout).Should(Receive(BeNil()))
+		})
+	}
 }
