Repeat an accept from the queue whose deadline has passed

Cause: an ending listener sets a deadline in the near future for each accept from its queue, and closed if that failed. A second call of Drain, or a Stop after it, sets the deadline into the past meanwhile; a process that does not run between the two steps lets it pass. The connections in the queue were reset.

Change: an accept that its deadline has ended is repeated as long as a connection waits.

--- a/io/httpserver/listener.go
+++ b/io/httpserver/listener.go
@@ -44,10 +44,10 @@
 	_ = l.SetDeadline(longPast)
 }
 
-// acceptLast returns a connection from the queue, or closes the listener. Time does not count, because the process may not have run for
-// a while.
+// acceptLast returns a connection from the queue, or closes the listener. Time does not count, and an accept whose deadline passes is
+// repeated, because the process may not have run for a while, or end was called again.
 func (l *queueListener) acceptLast() (net.Conn, error) {
-	if l.lastAccepts < maxLastAccepts && l.queued() {
+	for l.lastAccepts < maxLastAccepts && l.queued() {
 		l.lastAccepts++
 		_ = l.SetDeadline(time.Now().Add(lastAcceptTime))
 		conn, err := l.TCPListener.Accept()
@@ -55,6 +55,9 @@
 			_ = l.SetDeadline(longPast)
 			return conn, nil
 		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
 	}
 	_ = l.Close()
 	return nil, net.ErrClosed
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -183,3 +183,19 @@
 		})
 	}
 }
+
+// TestRepeatedDrain guards against a second drain that makes the listener close before its queue is empty.
+func TestRepeatedDrain(t *testing.T) {
+	for range 10 {
+		s := startQueue(t, 50)
+		go s.Drain(func() {})
+		time.Sleep(5 * time.Millisecond)
+		close(s.accept)
+		for range 300 {
+			go s.Drain(func() {})
+		}
+		s.expectAnswers(t)
+		s.Stop(testTimeout)
+		NewWithT(t).Eventually(s.served, testTimeout).Should(Receive(BeNil()))
+	}
+}
