Report the end of each drain

Cause: a second Drain replaced the callback of the first one. A Drain that runs late, beside a Stop, replaced that of the Stop, which then waited until its timeout although no connection was open.

Change: all callbacks are kept until no connection is open.

Result: TestDrain/twice failed before.

--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -24,7 +24,7 @@
 
 	mu          sync.Mutex
 	conns       map[*trackedConn]struct{} // that are not closed
-	onEmpty     func()                    // called when no connection is open, nil for none
+	onEmpty     []func()                  // called when no connection is open
 	beforeClose func()                    // called before connections in use are closed, nil for none
 
 	onUnanswered func(Unanswered) // nil for none
@@ -93,7 +93,7 @@
 	for c := range s.conns {
 		c.closeIdle(ByDrain)
 	}
-	s.onEmpty = empty
+	s.onEmpty = append(s.onEmpty, empty)
 	s.callIfEmpty()
 }
 
@@ -152,9 +152,13 @@
 	}
 }
 
+// callIfEmpty tells the drains if no connection is open. The caller must hold s.mu.
 func (s *Server) callIfEmpty() {
-	if len(s.conns) == 0 && s.onEmpty != nil {
-		s.onEmpty()
-		s.onEmpty = nil
+	if len(s.conns) > 0 {
+		return
 	}
+	for _, empty := range s.onEmpty {
+		empty()
+	}
+	s.onEmpty = nil
 }
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -75,7 +75,7 @@
 }
 
 // TestDrain guards against a server that closes connections without an answer to a request whose end it reads after it has
-// stopped accepting connections.
+// stopped accepting connections, and against a drain whose end is not reported because another one followed.
 func TestDrain(t *testing.T) {
 	for name, sent := range map[string]int{"nothing sent": 0, "part of the head": 20, "head": len(request) - 3, "part of the body": len(request) - 1} {
 		t.Run(name, func(t *testing.T) {
@@ -92,6 +92,21 @@
 			g.Eventually(s.served, testTimeout).Should(Receive(BeNil()))
 		})
 	}
+	t.Run("twice", func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, answer)
+		conn := connect(t, s, request[:1])
+		empty := make(chan struct{}, 2)
+		for range cap(empty) {
+			s.Drain(func() { empty <- struct{}{} })
+		}
+		finish(t, conn, request[1:])
+		for range cap(empty) {
+			g.Eventually(empty, testTimeout).Should(Receive())
+		}
+		s.Stop(testTimeout)
+		g.Eventually(s.served, testTimeout).Should(Receive(BeNil()))
+	})
 	t.Run("idle connections are closed", func(t *testing.T) {
 		g := NewWithT(t)
 		s := start(t, answer)
