rollout: drop lost orders also without a leader

Cause: after a restore of the store, orders that the copy lacks are kept for the settle time. The end of that time was checked only after the test for a leader, so a node that follows none (it has just started and reaches no peer, or may not lead itself) kept a lost order in force until it found a leader: its requests avoided the version without a bound.

Change: the check precedes the report and does not depend on a leader. What is left of tick is named report, which is what it does.

Result: TestRestoredOrder/missing_for_good,_no_leader fails on the code before (only v1 allowed) and passes now.

--- a/core/rollout/era_test.go
+++ b/core/rollout/era_test.go
@@ -224,6 +224,15 @@
 		c.run(watchcache.SettleTime + 6*tick)
 		c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1", "v2"}))
 	})
+	t.Run("missing for good, no leader", func(t *testing.T) {
+		c := running(t)
+		for _, r := range c.nodes {
+			r.SetLeader(c.now, "")
+		}
+		c.restore(nil, rollout.Status{})
+		c.run(watchcache.SettleTime + 6*tick)
+		c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1", "v2"}))
+	})
 	t.Run("missing for good after two restores", func(t *testing.T) {
 		c := running(t)
 		c.restore(nil, rollout.Status{})
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -128,7 +128,8 @@
 	}
 	if r.active() && !now.Before(r.nextTick) {
 		r.nextTick = now.Add(reportInterval)
-		out = append(out, r.tick(now)...)
+		out = append(out, r.dropLost(now)...)
+		out = append(out, r.report(now)...)
 	}
 	return out
 }
@@ -283,12 +284,12 @@
 	return n
 }
 
-// tick sends a report to the leader. If this node is the leader, it makes its decisions first.
-func (r *Rollouts) tick(now time.Time) []event.Action {
+// report sends a report to the leader, if there is one. If this node is the leader, it makes its decisions first.
+func (r *Rollouts) report(now time.Time) []event.Action {
 	if r.leader == "" {
 		return nil
 	}
-	out := r.dropLost(now)
+	var out []event.Action
 	var report Report
 	for _, name := range slices.Sorted(maps.Keys(r.orders)) {
 		o := r.orders[name]
