rollout: do not extend the time of a lost order with each write

Cause: while an order that the copy lacks is kept, each write of the object that the copy has in its place began the settle time again. A tool that writes the earlier order every second kept the lost one in force without a bound, and an order of a third version, written in the new era, waited two seconds longer than needed.

Change: the time counts from the first sight of the other object in the era. Another change of the era begins it again, as before.

Result: TestRestoredOrder/an_earlier_one_for_good,_written_repeatedly fails on the code before (the earlier order was never run) and passes now; the other tests of core/rollout pass.

--- a/core/rollout/era.go
+++ b/core/rollout/era.go
@@ -22,7 +22,7 @@
 
 // changeEra handles that the store has come back from a copy. The orders and what was decided stay in force: the operator writes the
 // orders again, and the leader their status. Results of earlier writes mean nothing any more.
-func (r *Rollouts) changeEra() {
+func (r *Rollouts) changeEra(now time.Time) {
 	clear(r.writes)
 	for _, o := range r.orders {
 		if o.writing.final() {
@@ -34,6 +34,7 @@
 		o.writing, o.revision = Ordered, 0
 		o.writeRetry.Clear()
 		o.uncertain, o.unconfirmed, o.rewrite = Ordered, true, o.state.final()
+		o.dropAt = now.Add(watchcache.SettleTime)
 	}
 }
 
@@ -59,9 +60,13 @@
 	return r.removeOrder(ev.Name)
 }
 
-// keep keeps an order that the store lacks since it was restored until the operator has had time to write it again.
+// keep keeps an order that the store lacks since it was restored until the operator has had time to write it again. Later writes of
+// the object that replaces it do not extend that time.
 func (r *Rollouts) keep(now time.Time, o *rollout, older *watchcache.Object) []event.Action {
-	o.older, o.dropAt = older, now.Add(watchcache.SettleTime)
+	if o.older == nil {
+		o.dropAt = now.Add(watchcache.SettleTime)
+	}
+	o.older = older
 	return []event.Action{o.log("keep", fmt.Sprintf("the store lacks it, revision=%d", older.Revision))}
 }
 
--- a/core/rollout/era_test.go
+++ b/core/rollout/era_test.go
@@ -233,6 +233,16 @@
 		c.run(watchcache.SettleTime + 6*tick)
 		c.g.Expect(c.allowed("b")).To(Equal([]id.Version{"v1", "v2"}))
 	})
+	t.Run("an earlier one for good, written repeatedly", func(t *testing.T) {
+		c := running(t)
+		c.restore([]byte("v0"), rollout.Status{})
+		for range 4 {
+			c.run(watchcache.SettleTime / 2)
+			c.write([]byte("v0"), nil)
+		}
+		c.run(6 * tick)
+		c.g.Expect(c.state()).To(Equal(rollout.Running))
+	})
 	t.Run("missing for good after two restores", func(t *testing.T) {
 		c := running(t)
 		c.restore(nil, rollout.Status{})
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -101,7 +101,7 @@
 	var out []event.Action
 	switch ev := ev.(type) {
 	case watchcache.EraChanged:
-		r.changeEra()
+		r.changeEra(now)
 	case watchcache.Reachability:
 		if ev.Kind == Kind {
 			r.handleReachability(now, ev)
