watchcache: simulate servers of the store that lag behind

Cause: it was in doubt whether a list with a lower revision in the same era may be ignored. It may: a list names the era of the answers that it was read from, so that one of a new era raises the era before it is compared (the copy then stands at revision 0); one from a server that lags behind lacks only what the copy has, and the watch from its revision repeats that and brings what follows.

Change: TestLaggingServers simulates a store whose servers lag behind by some changes or have not noticed a restore, with lists, watches, lost revisions and nodes that are cut off. No change to the code.

--- a/core/watchcache/era_sim_test.go
+++ b/core/watchcache/era_sim_test.go
@@ -18,10 +18,11 @@
 type simStore struct {
 	era, revision uint64
 	objects       map[string]watchcache.Object
+	deleted       map[string]uint64 // revisions of the last deletions
 }
 
 func (s *simStore) clone() simStore {
-	return simStore{era: s.era, revision: s.revision, objects: maps.Clone(s.objects)}
+	return simStore{era: s.era, revision: s.revision, objects: maps.Clone(s.objects), deleted: maps.Clone(s.deleted)}
 }
 
 // change writes or deletes a random object.
@@ -30,8 +31,10 @@
 	name := strconv.Itoa(rng.IntN(8))
 	if _, ok := s.objects[name]; ok && rng.IntN(3) == 0 {
 		delete(s.objects, name)
+		s.deleted[name] = s.revision
 		return
 	}
+	delete(s.deleted, name)
 	s.objects[name] = watchcache.Object{Name: name, Revision: s.revision, Spec: []byte(strconv.Itoa(rng.IntN(1000)))}
 }
 
@@ -54,7 +57,7 @@
 			for name, c := range n.caches {
 				c.SetSource(n.now, "a", []id.Node{"a", "b"}, name < "c")
 			}
-			store := simStore{era: 1, revision: 100, objects: map[string]watchcache.Object{}}
+			store := simStore{era: 1, revision: 100, objects: map[string]watchcache.Object{}, deleted: map[string]uint64{}}
 			saved := store.clone()
 			var late []watchcache.Listed // answers that were under way
 			for range 300 {
