The demo serves requests again: limits that are not set are refused

Cause: a node that is built without a settings file (lab/embed) got the limits for callers as zero, so that each read of a body and each write of a response had passed its time limit at once. `go run ./cmd/bluebellflow demo` ended with "0 of 9 nodes are ready after 20s".

Change: settings.NewNode returns the defaults, for the parser and for lab. httpserver.New refuses a guard with a limit that is not above 0, so that such a value can't reach a server.

e2e.TestPages with the demo fails on the old lab/embed, and passes.

--- a/cmd/e2e/pages_test.go
+++ b/cmd/e2e/pages_test.go
@@ -21,9 +21,8 @@
 
 // skipped contains the documented commands that the test does not run, with the reason.
 var skipped = map[string]string{
-	"go run ./cmd/bluebellflow demo": "the demo runs two deployments for half a minute",
-	"go test bluebellflow/...":       "it would run this test again",
-	"bluebellflow serve node.json":   "README.md shows the same command, which is run",
+	"go test bluebellflow/...":     "it would run this test again",
+	"bluebellflow serve node.json": "README.md shows the same command, which is run",
 }
 
 // exitCodes contains the documented commands that must exit with a code other than 0.
--- a/core/settings/node.go
+++ b/core/settings/node.go
@@ -50,9 +50,14 @@
 	Descriptors int
 }
 
+// NewNode returns settings with the default limits.
+func NewNode() *Node {
+	return &Node{Limits: Limits{Body: defaultBodyBytes, Open: defaultOpenRequests, Grace: defaultGrace}, Callers: defaultCallers()}
+}
+
 // ParseNode parses the settings of one node process. The error is a Findings with all errors found.
 func ParseNode(name string, src []byte) (*Node, error) {
-	n := &Node{Limits: Limits{Body: defaultBodyBytes, Open: defaultOpenRequests, Grace: defaultGrace}, Callers: defaultCallers()}
+	n := NewNode()
 	r, root, ok := newReader(name, src)
 	if !ok {
 		return nil, r.findings.err()
--- a/io/httpserver/guard.go
+++ b/io/httpserver/guard.go
@@ -25,6 +25,19 @@
 	Lines int           // header lines of a request
 }
 
+// check returns an error for a limit that is not set, because with it no request would be served.
+func (l Limits) check() error {
+	for _, limit := range []struct {
+		name  string
+		value int64
+	}{{"connections", int64(l.Conns)}, {"stall", int64(l.Stall)}, {"write", int64(l.Write)}, {"lines", int64(l.Lines)}} {
+		if limit.value <= 0 {
+			return fmt.Errorf("limits for callers: %s: %d is not above 0", limit.name, limit.value)
+		}
+	}
+	return nil
+}
+
 // Guard keeps the connections of callers within a budget. Package callerlimit decides which ones are refused or closed.
 type Guard struct {
 	limits Limits
--- a/io/httpserver/guard_test.go
+++ b/io/httpserver/guard_test.go
@@ -204,3 +204,21 @@
 		g.Expect(s.budget.Left()).To(Equal(s.total))
 	})
 }
+
+// TestUnsetLimits guards against a server that serves nobody, because a limit of its guard is not set.
+func TestUnsetLimits(t *testing.T) {
+	for name, unset := range map[string]func(*httpserver.Limits){
+		"connections": func(l *httpserver.Limits) { l.Conns = 0 },
+		"stall":       func(l *httpserver.Limits) { l.Stall = 0 },
+		"write":       func(l *httpserver.Limits) { l.Write = 0 },
+		"lines":       func(l *httpserver.Limits) { l.Lines = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := httpserver.Limits{Conns: 1, Stall: testTimeout, Write: testTimeout, Lines: 1}
+			unset(&limits)
+			guard := httpserver.NewGuard(membudget.New(1<<20), limits)
+			_, err := httpserver.New(netip.MustParseAddrPort("127.0.0.1:0"), &http.Server{}, httpserver.WithGuard(guard))
+			NewWithT(t).Expect(err).To(MatchError("limits for callers: " + name + ": 0 is not above 0"))
+		})
+	}
+}
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -42,20 +42,21 @@
 	if !addr.IsValid() {
 		return nil, errors.New("no address")
 	}
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, err
-	}
-	s := &Server{
-		http: server, listener: &queueListener{TCPListener: listener}, served: make(chan struct{}), stopped: make(chan struct{}),
-		conns: map[*trackedConn]struct{}{},
-	}
+	s := &Server{http: server, served: make(chan struct{}), stopped: make(chan struct{}), conns: map[*trackedConn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
 	if s.guard != nil {
+		if err := s.guard.limits.check(); err != nil {
+			return nil, err
+		}
 		s.guard.install(server)
 	}
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	s.listener = &queueListener{TCPListener: listener}
 	s.track(server)
 	return s, nil
 }
--- a/lab/embed/fleet.go
+++ b/lab/embed/fleet.go
@@ -115,11 +115,10 @@
 // startNode starts one node, and adds it to the fleet and to the VM list.
 func (f *Fleet) startNode(name id.Node, domain id.FailureDomain, index uint64) error {
 	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
-	cfg := serve.Config(settings.Node{
-		Name: name, FailureDomain: domain, Region: f.setup.Environment.Description.Region,
-		Peer: loopback, Caller: loopback, Admin: loopback, Platform: f.setup.Environment.PlatformAddr(domain),
-		Limits: settings.Limits{Body: 1 << 20, Open: 4096, Grace: 30 * time.Second},
-	}, policyOptions(f.setup.Policy)...)
+	s := settings.NewNode()
+	s.Name, s.FailureDomain, s.Region = name, domain, f.setup.Environment.Description.Region
+	s.Peer, s.Caller, s.Admin, s.Platform = loopback, loopback, loopback, f.setup.Environment.PlatformAddr(domain)
+	cfg := serve.Config(*s, policyOptions(f.setup.Policy)...)
 	cfg.Self.Rand = rand.New(rand.NewPCG(f.setup.Seed, index))
 	cfg.Self.Incarnation = id.NewIncarnation(cfg.Self.Rand)
 	cfg.Logger = f.logger
