A reply to a poll says what it confirms; large changes are sent in parts

Cause: a node that takes the store's changes from another one counted it as confirmed although the change set before the reply had been dropped, because it was larger than a message may be. It never turned to the store, and its next poll asked for the same.

Change: PollReply names the revisions of the changes sent; it is ignored as long as they have not arrived. Changes are split at about 1 MiB, in the order of their revisions.

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -207,6 +207,8 @@
 	out := c.learnPeerEra(now, reply.Era, from)
 	if !c.inEra(reply.Era) {
 		reply.Up, reply.Settled = false, false
+	} else if c.lacks(reply.Revisions) {
+		return out
 	}
 	if reply.Settled {
 		out = append(out, c.handlePeerSettled(now)...)
@@ -222,6 +224,16 @@
 	return out
 }
 
+// lacks reports whether the copy of a kind has not reached a revision.
+func (c *Cache) lacks(revisions []KindRevision) bool {
+	for _, r := range revisions {
+		if k, ok := c.kindCaches[r.Kind]; ok && k.revision < r.Known {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Cache) handleStoreLink(now time.Time, ev StoreLink) []event.Action {
 	k, ok := c.kindCaches[ev.Kind]
 	if !ok || k.storeUp == ev.Up {
@@ -424,6 +436,7 @@
 // the peer sends its changes.
 func (c *Cache) sendChanges(now time.Time, from id.Node, msg KnownRevisions) []event.Action {
 	var out []event.Action
+	var sent []KindRevision
 	behind := false
 	for _, r := range msg.Revisions {
 		k, ok := c.kindCaches[r.Kind]
@@ -434,7 +447,10 @@
 		if r.Known < k.revision || kept != 0 && kept != r.Kept {
 			s := k.changesSince(r.Kind, r.Known)
 			s.Settled, s.Era, s.Kept = k.settled(now), c.era, k.keptObjects()
-			out = append(out, event.Send{To: from, Body: s})
+			for _, part := range s.split() {
+				out = append(out, event.Send{To: from, Body: part})
+			}
+			sent = append(sent, KindRevision{Kind: r.Kind, Known: k.revision})
 		}
 		behind = behind || r.Known > k.revision || r.Kept != 0 && r.Kept != kept
 	}
@@ -442,7 +458,7 @@
 		out = append(out, c.replyRevisions(now, from))
 	}
 	if msg.Poll {
-		out = append(out, event.Send{To: from, Body: PollReply{Up: c.allUp(), Settled: c.allSettled(now), Era: c.era}})
+		out = append(out, event.Send{To: from, Body: PollReply{Up: c.allUp(), Settled: c.allSettled(now), Era: c.era, Revisions: sent}})
 	}
 	return out
 }
--- a/core/watchcache/cache_test.go
+++ b/core/watchcache/cache_test.go
@@ -12,6 +12,7 @@
 	"bluebellflow/core/event"
 	"bluebellflow/core/id"
 	"bluebellflow/core/watchcache"
+	"bluebellflow/core/wire"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -52,7 +53,7 @@
 		switch a := a.(type) {
 		case event.Send:
 			n.sent++
-			if !n.isolated.Has(name) && !n.isolated.Has(a.To) {
+			if !n.isolated.Has(name) && !n.isolated.Has(a.To) && messageSize(a.Body) <= wire.MaxMessage {
 				n.step(a.To, event.Receive{From: name, Body: n.encoded(name, a.Body)})
 			}
 		case watchcache.EraChanged:
@@ -76,6 +77,16 @@
 	}
 }
 
+// messageSize returns the number of bytes of the objects in a message.
+func messageSize(body event.Body) int {
+	set, _ := body.(watchcache.ChangeSet)
+	size := 0
+	for _, o := range append(slices.Clone(set.Objects), set.Kept...) {
+		size += len(o.Spec) + len(o.Status)
+	}
+	return size
+}
+
 // encoded returns a message as its receiver decodes it.
 func (n *network) encoded(from id.Node, body event.Body) event.Body {
 	if !n.earlier.Has(from) {
--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -136,19 +136,24 @@
 	Up      bool   `protobuf:"varint,1,opt,name=up"`      // the store answers the sender
 	Settled bool   `protobuf:"varint,2,opt,name=settled"` // and all its kinds are settled
 	Era     uint64 `protobuf:"varint,3,opt,name=era"`     // 0 from earlier releases
+	// Revisions are those of the changes. A node that has not reached them, because a message was lost or too large, cannot rely on
+	// the sender.
+	Revisions []KindRevision `protobuf:"bytes,4,rep,name=revisions"`
 }
 
-// Check accepts every reply.
-func (PollReply) Check() error { return nil }
+// Check reports whether the message is well formed.
+func (r PollReply) Check() error { return checkRevisions("poll reply", r.Revisions) }
 
 // Check reports whether the message is well formed.
-func (k KnownRevisions) Check() error {
-	if len(k.Revisions) > maxKinds {
-		return fmt.Errorf("known revisions: %d kinds", len(k.Revisions))
+func (k KnownRevisions) Check() error { return checkRevisions("known revisions", k.Revisions) }
+
+func checkRevisions(message string, revisions []KindRevision) error {
+	if len(revisions) > maxKinds {
+		return fmt.Errorf("%s: %d kinds", message, len(revisions))
 	}
-	for _, r := range k.Revisions {
+	for _, r := range revisions {
 		if r.Kind == "" {
-			return errors.New("known revisions: revision without a kind")
+			return fmt.Errorf("%s: revision without a kind", message)
 		}
 	}
 	return nil
