A trial of many refused keys reaches the other nodes

Cause: a node that tries a request with more than 64 refused keys put all of them into one message. Its receivers reject that and end the session, so that nobody learns of the trial, each node makes its own, and all links of the node end each time.

Change: the keys are sent in chunks, as in the two other messages. For the class: the mesh checks each message before it is sent; one that its receiver would reject is dropped, counted (peer_dropped_check) and reported, and the session stays.

--- a/core/denylist/guard_test.go
+++ b/core/denylist/guard_test.go
@@ -42,12 +42,13 @@
 	return c
 }
 
-// deliver delivers messages twice each, and returns how many there were.
+// deliver delivers messages twice each, and returns how many there were. Receivers must accept all of them.
 func (c *cluster) deliver(now time.Time, from id.Node, actions []event.Action) int {
 	count := 0
 	for _, a := range actions {
 		if send, ok := a.(event.Send); ok {
 			count++
+			c.Expect(send.Body.Check()).To(Succeed())
 			for range 2 {
 				c.guards[send.To].Step(now, event.Receive{From: from, Body: send.Body})
 			}
@@ -317,6 +318,22 @@
 	c.expectRefused(epoch, innocent, false, "the processes are running")
 }
 
+// TestTrialOfManyKeys guards against a trial of a request with more refused keys than a message may hold, of which no other node hears.
+func TestTrialOfManyKeys(t *testing.T) {
+	c := newCluster(t)
+	keys := make([]id.Fingerprint, 200)
+	for i := range keys {
+		keys[i] = id.Fingerprint(100 + i)
+	}
+	for n := range 3 {
+		c.crash(epoch, "a", n, keys...)
+	}
+	now := epoch.Add(15 * time.Second)
+	c.Expect(c.trials(now, keys...)).To(Equal(nodeNames))
+	c.try(now, "b", keys...)
+	c.Expect(c.trials(now, keys...)).To(BeEmpty())
+}
+
 // TestOldCrashes guards against adding up crashes that have nothing to do with each other.
 func TestOldCrashes(t *testing.T) {
 	c := newCluster(t)
--- a/core/denylist/trial.go
+++ b/core/denylist/trial.go
@@ -48,7 +48,11 @@
 func (g *Guard) StartTrial(now time.Time, keys []id.Fingerprint) []event.Action {
 	refused := g.refusedKeys(now, keys)
 	g.scheduleTrials(now, refused)
-	return g.broadcast(Trial{toNumbers(refused)})
+	var out []event.Action
+	for chunk := range slices.Chunk(refused, maxKeys) {
+		out = append(out, g.broadcast(Trial{toNumbers(chunk)})...)
+	}
+	return out
 }
 
 func (g *Guard) scheduleTrials(now time.Time, keys []id.Fingerprint) {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -185,6 +185,11 @@
 		m.countDrop("self")
 		return
 	}
+	if err := s.Body.Check(); err != nil {
+		m.countDrop("check") // a receiver would end the session
+		m.reportError(fmt.Errorf("message %T to %s: %w", s.Body, s.To, err))
+		return
+	}
 	raw, err := m.codec.Encode(wire.Envelope{
 		From: m.self.Node, Incarnation: m.self.Incarnation, Revision: revision, Domains: domains,
 	}, s.Body)
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -199,6 +199,20 @@
 	g.Expect(a.vars.Get("peer_dropped_encode").String()).To(Equal("1"))
 }
 
+// TestRejectedMessage guards against sending a message that its receiver rejects, which ends the session and with it all other messages.
+func TestRejectedMessage(t *testing.T) {
+	b := newAddressBook()
+	a, other := startNode(t, b, "a", 1), startNode(t, b, "b", 1)
+	a.send("b", "first")
+	receiveNext[event.Receive](t, other.events)
+	a.mesh.Send(event.Send{To: "b", Body: textMessage{}}, 0, 0)
+	a.send("b", "second")
+	g := NewWithT(t)
+	g.Expect(receiveNext[event.Receive](t, other.events).Body).To(Equal(textMessage{Text: "second"}))
+	g.Expect(a.vars.Get("peer_dropped_check").String()).To(Equal("1"))
+	g.Expect(other.vars.Get("peer_sessions_failed")).To(BeNil())
+}
+
 type unregisteredMessage struct{}
 
 func (unregisteredMessage) Check() error { return nil }
