Report requests that a stop leaves unread

Cause: the end of a stop closes the connections that are still open. One on which a request had arrived that the process had not read counted as one without a request: the caller got a reset, and there was no log line.

Result: TestUnanswered/exit,_not_read failed before (no report within 10 s), and passes with the package, two runs with the race detector.

--- a/io/httpserver/tracked.go
+++ b/io/httpserver/tracked.go
@@ -202,7 +202,11 @@
 // Close closes the connection, and reports a request that is left without a complete response.
 func (c *trackedConn) Close() error {
 	if old := connState(c.state.Swap(int32(connClosed))); old != connClosed {
-		c.endBy(c.server.closing())
+		closing := c.server.closing()
+		c.endBy(closing)
+		if closing != 0 && (old == connWaiting || old == connLeaving) && c.unread() {
+			c.report(Unanswered{Progress: "unread"})
+		}
 		c.reportUnanswered(old)
 	}
 	return c.Conn.Close()
@@ -339,18 +343,21 @@
 // reportUnanswered reports a request whose head was not complete and which net/http has not rejected, or whose response could not be
 // written. A handler knows of all others.
 func (c *trackedConn) reportUnanswered(state connState) {
-	if c.server.onUnanswered == nil {
-		return
-	}
-	u := Unanswered{By: Cause(c.endedBy.Load()), Age: time.Since(c.changedAt())}
+	age := time.Since(c.changedAt())
 	switch {
 	case state == connReading && !c.wrote.Load():
-		u.Progress = "head"
+		c.report(Unanswered{Progress: "head", Age: age})
 	case state == connAnswered && c.writeErr.Load():
-		u.Progress = "response"
-	default:
+		c.report(Unanswered{Progress: "response", Age: age})
+	}
+}
+
+// report reports an unanswered request with the cause.
+func (c *trackedConn) report(u Unanswered) {
+	if c.server.onUnanswered == nil {
 		return
 	}
+	u.By = Cause(c.endedBy.Load())
 	c.server.onUnanswered(u)
 }
 
@@ -376,8 +383,8 @@
 // Unanswered describes a request that no handler saw, or whose response could not be written, when its connection was closed.
 type Unanswered struct {
 	By       Cause
-	Progress string        // "head" if no handler has seen it, "response" if its response could not be written
-	Age      time.Duration // since its first byte
+	Progress string        // "unread" if it lay in the socket during a stop, "head" if no handler has seen it, "response" if its response could not be written
+	Age      time.Duration // since its first byte was read, 0 if none was
 }
 
 // WithUnanswered sets a function that is told of requests that no handler reports, when their connections are closed. It must not
--- a/io/httpserver/tracked_test.go
+++ b/io/httpserver/tracked_test.go
@@ -148,6 +148,16 @@
 		s.stop(t)
 		s.expectUnanswered(t, httpserver.ByExit, "head")
 	})
+	t.Run("exit, not read", func(t *testing.T) {
+		s := startWatched(t, &http.Server{Handler: http.HandlerFunc(answer)})
+		late := make(chan struct{})
+		s.late.Store(&late)
+		_, err := io.WriteString(s.dial(t), request)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		s.stop(t)
+		close(late)
+		s.expectUnanswered(t, httpserver.ByExit, "unread")
+	})
 	t.Run("response is not read", func(t *testing.T) {
 		guard := httpserver.NewGuard(membudget.New(1<<20), httpserver.Limits{Conns: 1, Stall: testTimeout, Write: 50 * time.Millisecond, Lines: 100})
 		endless := func(w http.ResponseWriter, _ *http.Request) {
