watchcache: count a reply that overtakes its changes

Cause: changes above 16 KiB are sent on the bulk stream, so that the reply to a poll may arrive before them. It was ignored then, and never counted. A node to whose copies each poll brings such changes counted its sources as silent, changed to the next one after 0.4 s, and followed the store after 1 s, although nothing was wrong.

Change: an early reply counts as soon as its changes have arrived, within 0.4 s, as of its own arrival. Only a confirmation needs the changes.

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -47,6 +47,7 @@
 	mustFollow      bool           // follow the store even if a source does
 	followsStore    bool           // this node follows the store itself
 	followsAsSource bool           // the Follows in effect say that this node is the source of the others
+	early           earlyReply     // of a source whose changes have not arrived
 	peerSettledAt   time.Time      // when a peer last reported that its kinds are settled
 	following       id.Set[string] // kinds with a Follow in effect
 }
@@ -207,9 +208,13 @@
 	out := c.learnPeerEra(now, reply.Era, from)
 	if !c.inEra(reply.Era) {
 		reply.Up, reply.Settled = false, false
-	} else if c.lacks(reply.Revisions) {
+	} else if reply.Up && c.lacks(reply.Revisions) {
+		c.early = earlyReply{reply, from, now}
 		return out
 	}
+	if from == c.early.from {
+		c.early = earlyReply{}
+	}
 	if reply.Settled {
 		out = append(out, c.handlePeerSettled(now)...)
 	}
@@ -224,6 +229,27 @@
 	return out
 }
 
+// earlyReply is a confirmation that has arrived before its changes, which are sent on another stream if they are large.
+type earlyReply struct {
+	reply PollReply
+	from  id.Node
+	at    time.Time
+}
+
+// handleEarlyReply handles an early reply once its changes have arrived, as of the time of its own arrival. After answerTimeout it no
+// longer counts.
+func (c *Cache) handleEarlyReply(now time.Time) []event.Action {
+	early := c.early
+	if early.from == "" || c.lacks(early.reply.Revisions) {
+		return nil
+	}
+	c.early = earlyReply{}
+	if now.Sub(early.at) >= answerTimeout || !c.inEra(early.reply.Era) {
+		return nil
+	}
+	return c.handlePollReply(early.at, early.from, early.reply)
+}
+
 // lacks reports whether the copy of a kind has not reached a revision.
 func (c *Cache) lacks(revisions []KindRevision) bool {
 	for _, r := range revisions {
@@ -402,7 +428,8 @@
 	case KnownRevisions:
 		return c.handleKnownRevisions(now, ev.From, b)
 	case ChangeSet:
-		return append(c.learnPeerEra(now, b.Era, ev.From), c.applyChangeSet(b)...)
+		out := append(c.learnPeerEra(now, b.Era, ev.From), c.applyChangeSet(b)...)
+		return append(out, c.handleEarlyReply(now)...)
 	case PollReply:
 		return c.handlePollReply(now, ev.From, b)
 	}
--- a/core/watchcache/cache_test.go
+++ b/core/watchcache/cache_test.go
@@ -31,6 +31,14 @@
 	eras         map[id.Node][]uint64 // reported by EraChanged
 	earlier      id.Set[id.Node]      // nodes of an earlier release, which does not know eras
 	sent         int
+	lateChanges  bool // change sets arrive 50 ms after the messages that were sent with them
+	late         []lateMessage
+}
+
+// lateMessage is a message that has not arrived yet.
+type lateMessage struct {
+	to    id.Node
+	event event.Receive
 }
 
 func newNetwork(names ...id.Node) *network {
@@ -54,7 +62,7 @@
 		case event.Send:
 			n.sent++
 			if !n.isolated.Has(name) && !n.isolated.Has(a.To) && messageSize(a.Body) <= wire.MaxMessage {
-				n.step(a.To, event.Receive{From: name, Body: n.encoded(name, a.Body)})
+				n.deliver(a.To, event.Receive{From: name, Body: n.encoded(name, a.Body)})
 			}
 		case watchcache.EraChanged:
 			n.eras[name] = append(n.eras[name], a.Era)
@@ -77,6 +85,15 @@
 	}
 }
 
+// deliver lets a message arrive, unless it is a late one.
+func (n *network) deliver(to id.Node, ev event.Receive) {
+	if _, set := ev.Body.(watchcache.ChangeSet); set && n.lateChanges {
+		n.late = append(n.late, lateMessage{to, ev})
+		return
+	}
+	n.step(to, ev)
+}
+
 // messageSize returns the number of bytes of the objects in a message.
 func messageSize(body event.Body) int {
 	set, _ := body.(watchcache.ChangeSet)
@@ -109,6 +126,11 @@
 // run lets time pass.
 func (n *network) run(d time.Duration) {
 	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
+		late := n.late
+		n.late = nil
+		for _, m := range late {
+			n.step(m.to, m.event)
+		}
 		for _, name := range id.NewSet(keys(n.caches)...).Sorted() {
 			n.step(name, event.Tick{})
 		}
--- a/core/watchcache/source_test.go
+++ b/core/watchcache/source_test.go
@@ -90,3 +90,20 @@
 		}
 	}
 }
+
+// TestReplyBeforeChanges guards against a node that follows the store itself because the replies of its source overtake the changes,
+// which are sent on another stream if they are large.
+func TestReplyBeforeChanges(t *testing.T) {
+	n := sourcesNetwork()
+	n.lateChanges = true
+	for _, c := range n.caches {
+		c.SetPeers(nil) // in a large cluster most changes come from the source
+	}
+	for revision := uint64(20); revision < 80; revision++ {
+		n.update(watchcache.Updated{Kind: "config", Revision: revision, Objects: []watchcache.Object{object("main", revision)}})
+		n.expectRelying(t, 50*time.Millisecond, "c", "d")
+	}
+	for _, r := range n.reachability["c"] {
+		NewWithT(t).Expect(r.Up).To(BeTrue())
+	}
+}
