watchcache: do not gossip the parts of a large change

Cause: each part of a split change raises the receiver's revision, and with it the receiver tells two peers its revisions at once. Peers that have the whole change answer with all parts that follow: with n parts up to about n*n further ones instead of none.

Change: a part says that more follow, and the receiver tells its peers only of the last one. The regular comparison goes on if the others are lost.

TestPartsAreNotGossiped fails before (tells peers of revision 12 of 60).

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -562,5 +562,10 @@
 	for _, t := range s.Tombs {
 		out = append(out, c.deleteObject(s.Kind, k, t)...)
 	}
-	return append(out, c.advanceRevision(s.Kind, k, s.Revision)...)
+	advanced := c.advanced
+	out = append(out, c.advanceRevision(s.Kind, k, s.Revision)...)
+	if s.More {
+		c.advanced = advanced // peers that heard of a part would send the others again
+	}
+	return out
 }
--- a/core/watchcache/message.go
+++ b/core/watchcache/message.go
@@ -170,6 +170,7 @@
 	Settled  bool        `protobuf:"varint,7,opt,name=settled"` // the kind is settled at the sender
 	Era      uint64      `protobuf:"varint,8,opt,name=era"`     // of the revisions; 0 from earlier releases
 	Kept     []Object    `protobuf:"bytes,9,rep,name=kept"`     // newer versions from an earlier era, with revisions of that
+	More     bool        `protobuf:"varint,10,opt,name=more"`   // the next part follows
 }
 
 // Check reports whether the message is well formed.
--- a/core/watchcache/split.go
+++ b/core/watchcache/split.go
@@ -41,6 +41,7 @@
 	}
 	part := *s
 	part.Revision, part.Objects, part.Tombs, part.Kept = end, s.Objects[:objects], s.Tombs[:tombs], nil
+	part.More = true
 	s.Since, s.Objects, s.Tombs = end, s.Objects[objects:], s.Tombs[tombs:]
 	return part
 }
--- a/core/watchcache/split_test.go
+++ b/core/watchcache/split_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"bluebellflow/core/event"
 	"bluebellflow/core/watchcache"
 )
 
@@ -59,3 +60,38 @@
 		NewWithT(t).Expect(n.followed["c"].Sorted()).To(Equal([]string{"config", "nodes"}))
 	})
 }
+
+// TestPartsAreNotGossiped guards against a node that tells its peers of each part of a large change, so that each of them sends the
+// other parts again.
+func TestPartsAreNotGossiped(t *testing.T) {
+	n := sourcesNetwork()
+	large := watchcache.Updated{Kind: "config", Revision: 60}
+	for i := range uint64(4) {
+		large.Objects = append(large.Objects, largeObjects(11+10*i)...)
+	}
+	for i := range large.Objects {
+		large.Objects[i].Name += string(rune('a' + i))
+	}
+	n.isolated.Add("c")
+	n.step("c", event.Tick{}) // its regular comparison of revisions
+	n.update(large)
+	n.isolated.Delete("c")
+	poll := watchcache.KnownRevisions{Poll: true, Revisions: []watchcache.KindRevision{{Kind: "config", Known: 10}}}
+	parts := 0
+	for _, a := range n.caches["a"].Step(n.now, event.Receive{From: "c", Body: poll}) {
+		send, ok := a.(event.Send)
+		if _, set := send.Body.(watchcache.ChangeSet); !ok || !set {
+			continue
+		}
+		parts++
+		for _, a := range n.caches["c"].Step(n.now, event.Receive{From: "a", Body: send.Body}) {
+			if send, ok := a.(event.Send); ok {
+				known, _ := send.Body.(watchcache.KnownRevisions)
+				if len(known.Revisions) > 0 && !known.Poll {
+					NewWithT(t).Expect(known.Revisions[1].Known).To(Equal(uint64(60)))
+				}
+			}
+		}
+	}
+	NewWithT(t).Expect(parts).To(BeNumerically(">", 5))
+}
