watchcache: send only the kept objects of an outdated copy

Cause: a copy of an earlier era has revision 0. While it waited for its first list in the present era, and kept objects of an even earlier one, a node sent these to its peers together with all objects of the copy. Their revisions are above 0, so that receivers reject the message: it ended their session before the mesh checked messages, and is dropped since then. The kept objects did not arrive.

Change: a change set of an outdated copy has the kept objects only.

TestKeptWhileOutdated fails before: object "main" at revision 40 of 0.

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -518,8 +518,11 @@
 }
 
 // changesSince returns the changes after a revision, or the whole kind if not all deletions since then are remembered.
-// There may be no change: the receiver then learns that its copy is valid up to the newer revision.
+// There may be no change: the receiver then learns that its copy is valid up to the newer revision. A copy of an earlier era has none.
 func (k *kindCache) changesSince(kind string, since uint64) ChangeSet {
+	if k.outdated {
+		return ChangeSet{Kind: kind}
+	}
 	s := ChangeSet{Kind: kind, Revision: k.revision, Since: since, Whole: since < k.tombstoneFloor || since == 0}
 	for _, name := range slices.Sorted(maps.Keys(k.objects)) {
 		if o := k.objects[name]; s.Whole || o.Revision > since {
--- a/core/watchcache/era_test.go
+++ b/core/watchcache/era_test.go
@@ -381,3 +381,27 @@
 	n.step(name, event.Tick{})
 	n.listEra(name, era, revision, objects...)
 }
+
+// TestKeptWhileOutdated guards against a change set that receivers reject, because it has the objects of an earlier era.
+func TestKeptWhileOutdated(t *testing.T) {
+	n := eraNetwork("b")
+	n.listEra("a", 2, 50, version(12, 40))
+	n.run(time.Second)
+	n.isolated.Add("b")
+	n.step("a", watchcache.StoreEra{Era: 3})
+	asked := watchcache.KnownRevisions{Era: 3, Revisions: []watchcache.KindRevision{{Kind: "config", Known: 0}}}
+	for _, known := range []uint64{0, 30} {
+		asked.Revisions[0].Known = known
+		sets := 0
+		for _, a := range n.caches["a"].Step(n.now, event.Receive{From: "b", Body: asked}) {
+			if send, ok := a.(event.Send); ok {
+				NewWithT(t).Expect(send.Body.Check()).To(Succeed())
+				if set, ok := send.Body.(watchcache.ChangeSet); ok {
+					sets++
+					NewWithT(t).Expect(set.Kept).To(HaveLen(1))
+				}
+			}
+		}
+		NewWithT(t).Expect(sets).To(Equal(1))
+	}
+}
