usage: leave out workspaces that no message can name

Cause: the counts of all workspaces are one message, which receivers reject if a name is longer than 256 bytes. One request of such a workspace and no node counts for any other: the sessions ended, and since the mesh checks messages they are dropped.

Change: such a workspace is not sent. Its own reports lack the other nodes' counts; those of the others are right.

--- a/core/usage/counts.go
+++ b/core/usage/counts.go
@@ -147,9 +147,13 @@
 	return c
 }
 
+// encode returns the counts of the workspaces whose names a message may hold. With another one it would be rejected as a whole.
 func (t *tally) encode(window int64) WindowCounts {
 	w := WindowCounts{Window: window}
 	for _, name := range slices.Sorted(maps.Keys(t.requests)) {
+		if len(name) > maxNameLength {
+			continue
+		}
 		w.Counts = append(w.Counts, Count{Workspace: name, Requests: t.requests[name]})
 	}
 	return w
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -395,6 +396,11 @@
 			w.run(500 * time.Millisecond)
 			w.kill(first(w))
 		},
+		"a workspace has a long name": func(w *world) {
+			for _, n := range w.nodes {
+				n.usage.Count(id.Workspace(strings.Repeat("x", 300)), w.clock(n))
+			}
+		},
 		"the service is down": func(w *world) {
 			w.outage = true
 			w.run(4 * time.Second)
