autoscale: leave out pools that no message can hold

Cause: the demand for all pools is one message, which receivers reject if a pool has no name, a name of more than 256 bytes, or too many failure domains. A service without a name in the configuration was enough to hide the demand of all other nodes from the leader.

Change: such a pool is not in the message.

TestReportedPools fails before.

--- a/core/autoscale/autoscale.go
+++ b/core/autoscale/autoscale.go
@@ -206,7 +206,7 @@
 	return out
 }
 
-// demand returns the report of this node.
+// demand returns the report of this node. It leaves out pools that a message must not hold, because it would be rejected as a whole.
 func (a *Autoscaler) demand(now time.Time) Demand {
 	d := Demand{Sent: int64(now.Sub(a.start))}
 	for _, name := range slices.Sorted(maps.Keys(a.pools)) {
@@ -220,7 +220,9 @@
 		}
 		clear(o.reports)
 		clear(o.load)
-		d.Pools = append(d.Pools, p)
+		if p.check() == nil && len(d.Pools) < maxPools {
+			d.Pools = append(d.Pools, p)
+		}
 	}
 	return d
 }
--- a/core/autoscale/autoscale_test.go
+++ b/core/autoscale/autoscale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -180,3 +181,17 @@
 		}
 	})
 }
+
+// TestReportedPools guards against a pool that no message can name, so that the demand for all pools is rejected.
+func TestReportedPools(t *testing.T) {
+	g := NewWithT(t)
+	a := newAlone(g, alone{})
+	scale := &catalog.Scale{Min: 2, Max: 9, Boot: 8 * time.Second}
+	pools := []catalog.Pool{{Name: models, Scale: scale}, {Scale: scale}, {Name: id.Pool(strings.Repeat("x", 300)), Scale: scale}}
+	c, err := catalog.New(catalog.Config{Version: 1, Pools: pools})
+	g.Expect(err).NotTo(HaveOccurred())
+	a.SetCatalog(c)
+	d := a.demand(epoch)
+	g.Expect(d.Check()).To(Succeed())
+	g.Expect(d.Pools).To(ConsistOf(HaveField("Pool", models)))
+}
