rollout: ignore orders that no message can hold

Cause: the reports on all orders are one message, which receivers reject if an order's name or target, or the route of a result, is longer than 256 bytes. One such order stopped the reports on all others.

Change: the order is ignored like one that cannot be decoded, and is logged. The name of a route is cut in results.

Two new cases of TestOrders fail before; the tests check each message.

--- a/core/rollout/results.go
+++ b/core/rollout/results.go
@@ -43,7 +43,7 @@
 			break
 		}
 		out = append(out, Result{
-			Route: k.Route, Took: int64(k.Took), Load: int64(k.Load), Age: min(maxSpan, int64(now.Sub(k.at))),
+			Route: k.Route[:min(len(k.Route), maxText)], Took: int64(k.Took), Load: int64(k.Load), Age: min(maxSpan, int64(now.Sub(k.at))),
 			Failed: k.Failed, Cold: k.Cold, Rejected: k.Rejected, New: k.isNew,
 		})
 	}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -137,6 +137,9 @@
 // handleObjectChanged updates an order and its status from the store.
 func (r *Rollouts) handleObjectChanged(now time.Time, o watchcache.Object) []event.Action {
 	order, status, err := r.decoder.Rollout(o.Spec, o.Status)
+	if err == nil {
+		err = checkOrder(o.Name, order.Target, 0, 0, "") // the reports on all orders are one message
+	}
 	if err != nil {
 		out := []event.Action{event.Log{Kind: "rollout", Stage: o.Name, Choice: "ignore", Reason: fmt.Sprintf("revision=%d %v", o.Revision, err)}}
 		return append(out, r.removeOrder(o.Name)...)
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +139,7 @@
 	for _, a := range c.nodes[name].Step(c.now, ev) {
 		switch a := a.(type) {
 		case event.Send:
+			c.g.Expect(a.Body.Check()).To(Succeed())
 			if !c.cut[name] && !c.cut[a.To] {
 				c.queue = append(c.queue, delivery{a.To, event.Receive{From: name, Incarnation: incarnation(name), Body: a.Body}})
 			}
@@ -395,6 +397,19 @@
 		oldAllowed, newAllowed := allowed(c)
 		c.g.Expect([]bool{oldAllowed, newAllowed}).To(Equal([]bool{true, false}))
 	})
+	t.Run("target that no message can name", func(t *testing.T) {
+		c := newCluster(t, 1, 40, good)
+		c.write([]byte(strings.Repeat("v", 300)), nil)
+		c.run(time.Second)
+		c.g.Expect(c.writes).To(HaveLen(1), "the order is ignored")
+	})
+	t.Run("route that no message can name", func(t *testing.T) {
+		c := newCluster(t, 1, 0, good)
+		c.order()
+		c.run(time.Second)
+		c.nodes["b"].Observe(c.now, pool, "v1", evidence.Sample{Route: id.Pipeline(strings.Repeat("r", 300)), Load: 1})
+		c.run(time.Second)
+	})
 	t.Run("status of an earlier order", func(t *testing.T) {
 		c := newCluster(t, 1, 40, good)
 		c.write([]byte("v2"), []byte(fmt.Sprintf("%d v0", rollout.RolledBack)))
