watchcache: pass on deletions of objects that a node never had

Cause: a node remembers a deletion only if it had the object. A source that gets the creation and the deletion in one answer does not pass the deletion on. A node that had the object from another source, which then fell silent, reaches the newer revision and keeps the object until a whole list.

Change: new deletions are remembered also of unknown objects.

TestDeletionOfUnknownObject fails before (x stays).

--- a/core/watchcache/cache.go
+++ b/core/watchcache/cache.go
@@ -370,16 +370,26 @@
 
 func (c *Cache) deleteObject(kind string, k *kindCache, t Tombstone) []event.Action {
 	old, known := k.objects[t.Name]
-	if !known || old.Revision > t.Revision {
+	if known && old.Revision > t.Revision {
+		return nil
+	}
+	if known || t.Revision > k.revision {
+		k.remember(t) // also of an unknown object, which a peer may have
+	}
+	if !known {
 		return nil
 	}
 	delete(k.objects, t.Name)
+	return []event.Action{ObjectDeleted{Kind: kind, Name: t.Name, Settled: t.Settled}}
+}
+
+// remember adds a deletion to those that peers are told of.
+func (k *kindCache) remember(t Tombstone) {
 	if len(k.tombstones) == maxTombstones {
 		k.tombstoneFloor = k.tombstones[0].Revision
 		k.tombstones = slices.Delete(k.tombstones, 0, 1)
 	}
 	k.tombstones = append(k.tombstones, t)
-	return []event.Action{ObjectDeleted{Kind: kind, Name: t.Name, Settled: t.Settled}}
 }
 
 func (c *Cache) advanceRevision(kind string, k *kindCache, revision uint64) []event.Action {
--- a/core/watchcache/source_test.go
+++ b/core/watchcache/source_test.go
@@ -107,3 +107,20 @@
 		NewWithT(t).Expect(r.Up).To(BeTrue())
 	}
 }
+
+// TestDeletionOfUnknownObject guards against a source that does not pass on the deletion of an object that it has never had, because it
+// was created and deleted between two answers of the store.
+func TestDeletionOfUnknownObject(t *testing.T) {
+	g := NewWithT(t)
+	n := sourcesNetwork()
+	n.isolated.Add("b")
+	n.step("a", watchcache.Updated{Kind: "config", Revision: 20, Objects: []watchcache.Object{object("x", 20)}})
+	n.run(300 * time.Millisecond)
+	g.Expect(n.changed["c"]).To(ContainElement("x@20"))
+	n.isolated.Add("a")
+	n.step("b", watchcache.Updated{Kind: "config", Revision: 25, Deleted: []string{"x"}})
+	n.isolated.Delete("b")
+	n.run(2 * time.Second)
+	g.Expect(n.caches["c"].Revision("config")).To(Equal(uint64(25)))
+	g.Expect(n.caches["c"].Names("config")).NotTo(ContainElement("x"))
+}
