--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -317,6 +317,20 @@
 	}
 }
 
+// expectRecovery asserts that no invariant was violated, and that the duty is done again after all faults have ended.
+func (w *world) expectRecovery(g *WithT, seed uint64) {
+	g.THelper()
+	g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
+	for i, h := range w.nodes {
+		w.setFaults(h, false, false)
+		w.lead(h, i == 0)
+	}
+	before := len(w.arrivals)
+	w.run(20 * time.Second)
+	g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
+	g.Expect(len(w.arrivals)).To(BeNumerically(">", before), "seed %d", seed)
+}
+
 // TestInvariants guards against two holders at a time in any interleaving of writes, lost answers, pauses, partitions and
 // changes of the lead, and against leases that nobody can take any more.
 func TestInvariants(t *testing.T) {
@@ -334,15 +348,7 @@
 			w.disturb(kinds)
 			w.run(w.upTo(interval))
 		}
-		g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
-		for i, h := range w.nodes {
-			w.setFaults(h, false, false)
-			w.lead(h, i == 0)
-		}
-		before := len(w.arrivals)
-		w.run(20 * time.Second)
-		g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
-		g.Expect(len(w.arrivals)).To(BeNumerically(">", before), "seed %d", seed)
+		w.expectRecovery(g, seed)
 		takeovers += int(w.arrivals[len(w.arrivals)-1].token)
 	}
 	g.Expect(takeovers).To(BeNumerically(">", 3*worlds), "the holder hardly changed")
--- a/core/duty/era_test.go
+++ b/core/duty/era_test.go
@@ -111,15 +111,7 @@
 				w.restore(w.upTo(oldest))
 			}
 		}
-		g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
-		for i, h := range w.nodes {
-			w.setFaults(h, false, false)
-			w.lead(h, i == 0)
-		}
-		before := len(w.arrivals)
-		w.run(20 * time.Second)
-		g.Expect(w.faults).To(BeEmpty(), "seed %d", seed)
-		g.Expect(len(w.arrivals)).To(BeNumerically(">", before), "seed %d", seed)
+		w.expectRecovery(g, seed)
 	}
 }
 
