Refuse status lines that are none, such as status 000

A server in trouble sends an answer whose status is 000. Alone it did not reach callers: it was skipped like an informational answer, and what followed on the connection, for example the answer to somebody else, was taken for the answer.

Cause: net/http takes any three characters for a status that strconv.Atoi accepts (000, 099, +20, -00, 999), any major version and any bytes in the reason; io/upstream took every status below 200 for an informational one, 101 too, after which the connection carries another protocol.

A duty whose call was answered 000 or with an informational answer counted as rejected for good.

Change: one rule in httpclient, by RFC 9112 section 4 and RFC 9110 section 15, which io/upstream, the duties, and all clients of net/http use: HTTP/1, three digits from 100 to 599, no control bytes in the reason, no 101 since nobody offers an upgrade, at most eight informational answers. Otherwise the request fails as one that may have run, and its connection is closed; net/http's transport would keep it if there is no body. RFC 9110 lets clients treat a status outside of the range as a 5xx; callers get the gateway's own 502, which promises nothing.

More than one blank before the status and no blank after it are still accepted, as RFC 9112 allows.

--- a/cmd/cli/cli_test.go
+++ b/cmd/cli/cli_test.go
@@ -30,6 +30,7 @@
 	"bluebellflow/io/lines"
 	"bluebellflow/io/mesh"
 	"bluebellflow/io/problem"
+	"bluebellflow/io/rawserver"
 	"bluebellflow/io/runtime"
 )
 
@@ -247,6 +248,16 @@
 			g.Expect(code).To(Equal(c.code))
 		})
 	}
+	for name, begin := range rawserver.Malformed {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			node, err := rawserver.Start(rawserver.Answer(begin + "Content-Length: 2\r\n\r\n{}"))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = node.Close() }()
+			code, _, _ := runCommand(fakeSystem{}, "", "drain", "linz", "--by", "eva", "--node", "http://"+node.Addr().String())
+			g.Expect(code).To(Equal(cli.ExitUnknown))
+		})
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g := NewWithT(t)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/io/httpclient/client.go
+++ b/io/httpclient/client.go
@@ -13,7 +13,8 @@
 // Default is a client for calls that need no settings of their own.
 var Default = New(&http.Transport{IdleConnTimeout: defaultIdleTimeout})
 
-// New returns a client that uses a transport, whose connections it replaces by a Conn each.
+// New returns a client that uses a transport, whose connections it replaces by a Conn each. It returns ErrMalformed for what is not a
+// response.
 func New(t *http.Transport) *http.Client {
 	dial := t.DialContext
 	if dial == nil {
@@ -26,5 +27,5 @@
 		}
 		return NewConn(raw), nil
 	}
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: transport{t}}
 }
--- a/io/httpclient/conn_test.go
+++ b/io/httpclient/conn_test.go
@@ -3,13 +3,11 @@
 import (
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
-	"bluebellflow/io/httpclient"
 	"bluebellflow/io/rawserver"
 )
 
@@ -26,8 +24,7 @@
 // ordinary end and takes half a body for a whole one.
 func TestResetDuringUpload(t *testing.T) {
 	const tries = 200
-	client := httpclient.New(&http.Transport{})
-	defer client.CloseIdleConnections()
+	client := newClient(t)
 	for name, c := range map[string]struct {
 		end   func(*net.TCPConn)
 		whole bool
--- /dev/null
+++ b/io/httpclient/response.go
@@ -0,0 +1,66 @@
+package httpclient
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// MaxInformational bounds the informational responses (1xx) before a response.
+const MaxInformational = 8
+
+const (
+	minStatus = 100
+	maxStatus = 599
+	// statusLength is the number of digits of a status.
+	statusLength = 3
+)
+
+// ErrMalformed means that what a server has sent is not a response by RFC 9110 and RFC 9112. The request may have run, and the
+// connection must be closed.
+var ErrMalformed = errors.New("malformed response")
+
+// ErrTooManyInformational means that a server has sent more than MaxInformational informational responses.
+var ErrTooManyInformational = errors.New("too many informational responses")
+
+// ReadResponse reads the head of a response. It skips informational ones before it.
+func ReadResponse(br *bufio.Reader, req *http.Request) (*http.Response, error) {
+	for range MaxInformational + 1 {
+		resp, err := ReadHead(br, req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, ErrTooManyInformational
+}
+
+// ReadHead reads the head of the next response, which may be informational.
+func ReadHead(br *bufio.Reader, req *http.Request) (*http.Response, error) {
+	resp, err := http.ReadResponse(br, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkStatusLine(resp)
+}
+
+// checkStatusLine checks what net/http leaves open: it takes any three characters that strconv.Atoi accepts for a status, and any
+// major version. A response 101 is an error too, because no client of the product offers another protocol.
+func checkStatusLine(resp *http.Response) error {
+	status, reason := resp.Status[:statusLength], resp.Status[statusLength:]
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %q", ErrMalformed, resp.Proto)
+	case strings.Trim(status, "0123456789") != "" || resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+		return fmt.Errorf("%w: status %q", ErrMalformed, status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: status %q without an upgrade", ErrMalformed, status)
+	case strings.ContainsFunc(reason, isControl):
+		return fmt.Errorf("%w: reason %q", ErrMalformed, reason)
+	}
+	return nil
+}
+
+// isControl reports whether a character may not stand in a reason phrase.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -17,6 +17,7 @@
 
 	"bluebellflow/core/connlimit"
 	"bluebellflow/core/event"
+	"bluebellflow/io/httpclient"
 	"bluebellflow/io/membudget"
 )
 
@@ -28,8 +29,6 @@
 	maxSkippedResponses = 4
 	// maxSkippedBodyBytes bounds the body of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
-	// maxInformational bounds the informational responses (1xx) before a response.
-	maxInformational = 8
 	// drainTimeout bounds how long Close waits for the rest of an unread body.
 	drainTimeout = 20 * time.Millisecond
 	// maxDrainBytes bounds the rest of an unread body that Close reads so that the connection can be reused.
@@ -216,13 +215,13 @@
 	}
 	for skipped, informational := 0, 0; ; {
 		r.conn.header = &headerLimit{memory: r.memory}
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
+		resp, err := httpclient.ReadHead(r.conn.br, &http.Request{Method: req.Method})
 		if err != nil {
 			return fmt.Errorf("read response: %w", err)
 		}
 		if resp.StatusCode < http.StatusOK {
-			if informational++; informational > maxInformational {
-				return errors.New("too many informational responses")
+			if informational++; informational > httpclient.MaxInformational {
+				return httpclient.ErrTooManyInformational
 			}
 			continue
 		}
