Refuse answers with a blank in the name of a field

A server in trouble sends a head in which the name of a field holds a blank. Callers got the answer with that line, and one with `Content-Length : 2` as a 200 with five bytes: net/http accepts blanks in names and does not take such a field for the one that it looks like, so that the body ended with the connection.

In a trailer blanks were accepted too (httpclient.TestMalformedTrailer).

Change: httpclient checks the names of each head, informational ones too, and of the trailer at the end of a body in chunks. As with a malformed status line, the request may have run, and the connection is closed.

RFC 9112 section 5.1 has proxies remove blanks before the colon of a response. This is stricter: what the field says of the body is not known, and sound servers do not send it. Folded values are still accepted; net/http replaces the line end by a blank, as section 5.2 allows.

--- a/io/httpclient/response.go
+++ b/io/httpclient/response.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -42,7 +44,44 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, checkStatusLine(resp)
+	return resp, check(resp)
+}
+
+// check checks the head of a response, and has the names of its trailer checked at the end of its body.
+func check(resp *http.Response) error {
+	if err := checkStatusLine(resp); err != nil {
+		return err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &body{ReadCloser: resp.Body, resp: resp}
+	}
+	return checkNames(resp.Header)
+}
+
+// body is a body in chunks, which a trailer may follow.
+type body struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read reads the body. It returns ErrMalformed if the trailer is malformed.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(checkNames(b.resp.Trailer), err)
+	}
+	return n, err
+}
+
+// checkNames checks what net/http leaves open: it accepts blanks in the names of fields, and ignores what such a field would say of the
+// body.
+func checkNames[H ~map[string][]string](fields H) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		}
+	}
+	return nil
 }
 
 // checkStatusLine checks what net/http leaves open: it takes any three characters that strconv.Atoi accepts for a status, and any
--- a/io/httpclient/response_test.go
+++ b/io/httpclient/response_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// TestMalformedTrailer guards against a body that counts as whole although a malformed field follows it.
+func TestMalformedTrailer(t *testing.T) {
+	for name, c := range map[string]struct {
+		line  string
+		whole bool
+	}{"token": {"A: b", true}, "blank": {"A b: c", false}, "blank before the colon": {"A : b", false}, "tab": {"A\t: b", false}} {
+		t.Run(name, func(t *testing.T) {
+			_, url := start(t, rawserver.Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+c.line+"\r\n\r\n"))
+			_, _, err := get(newClient(t), url)
+			NewWithT(t).Expect(err == nil).To(Equal(c.whole), "%v", err)
+		})
+	}
+}
+
 // TestWellFormed guards against the loss of responses that are unusual and allowed.
 func TestWellFormed(t *testing.T) {
 	for name, begin := range map[string]string{
@@ -71,6 +85,10 @@
 		"version 1.2":         "HTTP/1.2 200 OK\r\n",
 		"line feeds only":     "HTTP/1.1 200 OK\nA: b\n",
 		"lowest of a class":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"folded value":        "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n",
+		"blank in a value":    "HTTP/1.1 200 OK\r\nA:  b c \r\n",
+		"no value":            "HTTP/1.1 200 OK\r\nA:\r\n",
+		"any token":           "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: b\r\n",
 		"early hints":         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/httpclient/transport.go
+++ b/io/httpclient/transport.go
@@ -17,11 +17,11 @@
 	var informational atomic.Int64
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			if informational.Add(1) > MaxInformational {
 				return ErrTooManyInformational
 			}
-			return nil
+			return checkNames(header)
 		},
 	})
 	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	resp.Request = req
-	if err := checkStatusLine(resp); err != nil {
+	if err := check(resp); err != nil {
 		_ = conn.Close() // without a body the transport keeps it
 		_ = resp.Body.Close()
 		return nil, err
--- a/io/rawserver/malformed.go
+++ b/io/rawserver/malformed.go
@@ -31,6 +31,18 @@
 	"name of the protocol":    "http/1.1 200 OK\r\n",
 	"NUL in the reason":       "HTTP/1.1 200 O\x00K\r\n",
 	"CR in the reason":        "HTTP/1.1 200 O\rK\r\n",
+	"blank in a name":         "HTTP/1.1 200 OK\r\nA b: c\r\n",
+	"blank before the colon":  "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+	"blank, framing":          "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"blank, informational":    "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"blank, failure":          "HTTP/1.1 500 Internal Server Error\r\nA b: c\r\n",
+	"blank, refusal":          "HTTP/1.1 503 Service Unavailable\r\nA b: c\r\n",
+	"tab in a name":           "HTTP/1.1 200 OK\r\nA\tb: c\r\n",
+	"tab before the colon":    "HTTP/1.1 200 OK\r\nA\t: b\r\n",
+	"NUL in a name":           "HTTP/1.1 200 OK\r\nA\x00: b\r\n",
+	"DEL in a name":           "HTTP/1.1 200 OK\r\nA\x7f: b\r\n",
+	"CR in a name":            "HTTP/1.1 200 OK\r\nA\rb: c\r\n",
+	"no name":                 "HTTP/1.1 200 OK\r\n: b\r\n",
 	"informational responses": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 9) + "HTTP/1.1 200 OK\r\n",
 }
 
