--- a/io/httpclient/conn.go
+++ b/io/httpclient/conn.go
@@ -26,6 +26,9 @@
 // NewConn returns a Conn on top of a TCP connection.
 func NewConn(raw net.Conn) *Conn { return &Conn{Conn: raw} }
 
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // errEnded is returned by writes to a connection that the server has ended.
 var errEnded = errors.New("server has ended the connection")
 
--- a/io/httpclient/conn_test.go
+++ b/io/httpclient/conn_test.go
@@ -3,11 +3,15 @@
 import (
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"bluebellflow/io/httpclient"
 	"bluebellflow/io/rawserver"
 )
 
@@ -20,6 +24,46 @@
 	return s, "http://" + s.Addr().String()
 }
 
+// endedConn is a connection that its reader sees ended while a write is in progress, which then fails.
+type endedConn struct {
+	net.Conn
+	writing, interrupted chan struct{}
+	err                  error
+}
+
+func (c endedConn) Write([]byte) (int, error) {
+	close(c.writing)
+	<-c.interrupted
+	return 0, c.err
+}
+
+func (c endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c endedConn) SetWriteDeadline(time.Time) error {
+	close(c.interrupted)
+	return nil
+}
+
+// TestEnd guards against an end that the reader sees before the write that was told of the reset has returned, and against a reader
+// that waits for a write which the server does not read.
+func TestEnd(t *testing.T) {
+	for name, c := range map[string]struct{ write, read error }{
+		"reset":                {syscall.ECONNRESET, syscall.ECONNRESET},
+		"timed out":            {syscall.ETIMEDOUT, syscall.ETIMEDOUT},
+		"reset after the end":  {syscall.EPIPE, io.EOF},
+		"server does not read": {os.ErrDeadlineExceeded, io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw := endedConn{writing: make(chan struct{}), interrupted: make(chan struct{}), err: c.write}
+			conn := httpclient.NewConn(raw)
+			go func() { _, _ = conn.Write([]byte("x")) }()
+			<-raw.writing
+			_, err := conn.Read(nil)
+			NewWithT(t).Expect(err).To(MatchError(c.read))
+		})
+	}
+}
+
 // TestResetDuringUpload guards against a reset that only the writer of a request is told of, while the reader of the response sees an
 // ordinary end and takes half a body for a whole one.
 func TestResetDuringUpload(t *testing.T) {
--- a/io/httpclient/response.go
+++ b/io/httpclient/response.go
@@ -14,6 +14,7 @@
 const MaxInformational = 8
 
 const (
+	// minStatus and maxStatus bound the statuses that RFC 9110 allows.
 	minStatus = 100
 	maxStatus = 599
 	// statusLength is the number of digits of a status.
@@ -73,7 +74,7 @@
 	return n, err
 }
 
-// checkNames checks what net/http leaves open: it accepts blanks in the names of fields, and ignores what such a field would say of the
+// checkNames checks that no name of a field has a blank, which net/http accepts. A field such as "Content-Length " does not delimit the
 // body.
 func checkNames[H ~map[string][]string](fields H) error {
 	for name := range fields {
@@ -84,8 +85,8 @@
 	return nil
 }
 
-// checkStatusLine checks what net/http leaves open: it takes any three characters that strconv.Atoi accepts for a status, and any
-// major version. A response 101 is an error too, because no client of the product offers another protocol.
+// checkStatusLine checks a status line that net/http has accepted: it takes any three characters that strconv.Atoi accepts for a
+// status, any major version and any reason. A response 101 is an error too, because no client of the product offers another protocol.
 func checkStatusLine(resp *http.Response) error {
 	status, reason := resp.Status[:statusLength], resp.Status[statusLength:]
 	switch {
--- a/io/sendtrack/sendtrack.go
+++ b/io/sendtrack/sendtrack.go
@@ -95,7 +95,7 @@
 	t.reused = info.Reused
 	used := info.Conn
 	if wrapped, ok := used.(*httpclient.Conn); ok {
-		used = wrapped.Conn
+		used = wrapped.NetConn()
 	}
 	c, ok := used.(*conn)
 	if !ok {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -126,7 +126,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.Conn.(syscall.Conn)
+	raw, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
