--- a/io/gateway/broken_test.go
+++ b/io/gateway/broken_test.go
@@ -47,9 +47,12 @@
 			server, err := rawserver.Start(rawserver.AnswerEarly(c.answer, c.end))
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = server.Close() }()
-			for range tries {
-				upload := strings.NewReader(strings.Repeat("x", rawserver.EarlyBodyBytes))
-				body, ended, err := relayRequest(t, server.Addr(), http.MethodPost, upload)
+			for i := range tries {
+				size := rawserver.EarlyBodyBytes
+				if i == 0 {
+					size = 1 // only the reader of the answer can be told of a reset
+				}
+				body, ended, err := relayRequest(t, server.Addr(), http.MethodPost, strings.NewReader(strings.Repeat("x", size)))
 				if c.want == "" {
 					g.Expect(ended.Fail).To(Equal(event.FailBroken))
 					g.Expect(err).To(HaveOccurred(), "%q looks whole", body)
